--- /dev/null
+++ b/internal/config/validator/document.go
@@ -0,0 +1,116 @@
+// Package validator defines the configuration document that operators submit
+// and checks it.
+//
+// # Usage
+//
+//	d, problems := validator.Decode(data)
+//	if len(problems) > 0 {
+//		// every problem names the JSON path, the value and what is allowed
+//	}
+package validator
+
+import (
+	"fmt"
+	"time"
+)
+
+// ClassName identifies a request class.
+type ClassName string
+
+// OrganisationName identifies an organisation.
+type OrganisationName string
+
+// PoolName identifies the upstreams that can run a request: the name of a
+// model or of a plain service.
+type PoolName string
+
+// Tier orders classes; 0 is the most urgent.
+type Tier int
+
+// LowestTier is the least urgent tier.
+const LowestTier Tier = 3
+
+// Duration is a time.Duration written as a string such as "310ms" in JSON.
+type Duration time.Duration
+
+// MarshalText writes the duration in Go's notation.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// UnmarshalText reads a duration in Go's notation.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("duration %q: %w", text, err)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// Document is the whole configuration.
+type Document struct {
+	Classes       []Class        `json:"classes"`
+	Organisations []Organisation `json:"organisations"`
+	Models        []Model        `json:"models"`
+	Services      []Service      `json:"services"`
+}
+
+// Class is a kind of request with its latency targets.
+type Class struct {
+	Name ClassName `json:"name"`
+	Tier Tier      `json:"tier"`
+	// First is the target for the first token; zero means no target.
+	First Duration `json:"first,omitempty"`
+	// Gap is the target for the mean time between tokens.
+	Gap Duration `json:"gap,omitempty"`
+	// Total is the target for the whole answer.
+	Total Duration `json:"total,omitempty"`
+	// Wait is the longest time that a request may queue before it takes the
+	// next free slot regardless of tier.
+	Wait Duration `json:"wait"`
+	// Floor is the share of capacity, 0 to 1, kept for the class while it
+	// has work.
+	Floor float64 `json:"floor,omitempty"`
+}
+
+// Organisation shares the capacity with the others.
+type Organisation struct {
+	Name OrganisationName `json:"name"`
+	// Share is the organisation's weight in fair sharing.
+	Share float64 `json:"share"`
+	// Keys are hex SHA-256 digests of API keys.
+	Keys []string `json:"keys"`
+	// Limit bounds the organisation's concurrent requests; zero means none.
+	Limit int `json:"limit,omitempty"`
+	// Rate bounds the organisation's requests a second; zero means none.
+	Rate float64 `json:"rate,omitempty"`
+}
+
+// Model is a language model that engines serve.
+type Model struct {
+	Name PoolName `json:"name"`
+	// Class is used when a request names no class.
+	Class ClassName `json:"class"`
+	// Classes lists the further classes that may use the model.
+	Classes []ClassName `json:"classes,omitempty"`
+}
+
+// Service is a plain service.
+type Service struct {
+	Name  PoolName  `json:"name"`
+	Class ClassName `json:"class"`
+	// Calls lists the calls that differ from the default, which repeats the
+	// safe methods GET, HEAD and OPTIONS and no other.
+	Calls []Call `json:"calls,omitempty"`
+}
+
+// Call tells whether the calls with a method and path may be repeated.
+type Call struct {
+	Method string `json:"method"`
+	// Path is a prefix of the path below the service.
+	Path   string `json:"path"`
+	Repeat bool   `json:"repeat"`
+	// Class overrides the class of the service.
+	Class ClassName `json:"class,omitempty"`
+}
--- /dev/null
+++ b/internal/entry/dispatcher/port.go
@@ -0,0 +1,58 @@
+// Package dispatcher obtains slots on upstreams for the entry host's requests.
+//
+// # Usage
+//
+//	slot, err := d.Acquire(ctx, request)
+//	if err != nil {
+//		// a *RefusedError carries the reason and when to come back
+//	}
+//	defer slot.Release(scheduler.Completed, tokens)
+package dispatcher
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
+)
+
+// Dispatcher grants slots.
+type Dispatcher interface {
+	// Acquire waits until the request is granted a slot, is refused or ctx
+	// ends. Ending ctx withdraws a request that waits; a slot that was
+	// granted is held until its Release.
+	Acquire(ctx context.Context, r scheduler.Request) (Slot, error)
+}
+
+// Slot is the right to run one attempt on an upstream.
+type Slot interface {
+	// Upstream is where the attempt runs.
+	Upstream() registrar.Upstream
+	// Priority is passed to the engine; lower is earlier.
+	Priority() int
+	// FirstToken reports the first token.
+	FirstToken()
+	// Progress reports the total number of tokens received so far.
+	Progress(tokens int)
+	// Preempted is closed when the attempt has to give way to a higher tier.
+	Preempted() <-chan struct{}
+	// Gone is closed when the upstream's lease has ended.
+	Gone() <-chan struct{}
+	// Hedged yields at most one further slot on another upstream.
+	Hedged() <-chan Slot
+	// Release ends the attempt. Only the first call counts.
+	Release(o scheduler.Outcome, tokens int)
+}
+
+// RefusedError is the final refusal of a request that was never sent.
+type RefusedError struct {
+	Reason     scheduler.Reason
+	RetryAfter time.Duration
+}
+
+// Error describes the refusal.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("request refused: %s", e.Reason)
+}
--- /dev/null
+++ b/internal/policy/scheduler/types.go
@@ -0,0 +1,189 @@
+// Package scheduler decides which request runs next and on which upstream.
+//
+// # Usage
+//
+// A Scheduler is a pure state machine for one cell. The owner of the cell
+// feeds it events with the current time and carries out the actions:
+//
+//	s := scheduler.New(scheduler.WithSeed(1))
+//	for _, a := range s.Step(now, scheduler.Submit{Request: r}) {
+//		switch a := a.(type) {
+//		case scheduler.Grant:
+//			// send request a.Request to upstream a.Upstream
+//		}
+//	}
+//
+// Step must also be called with Tick at least every TickInterval.
+package scheduler
+
+import (
+	"time"
+
+	"github.com/amaranthcart/amaranthcart/internal/config/validator"
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+)
+
+// RequestID identifies a request in the fleet.
+type RequestID string
+
+// TickInterval is the longest time between two Tick events.
+const TickInterval = 20 * time.Millisecond
+
+// Request describes work that waits for a slot.
+type Request struct {
+	ID           RequestID
+	Pool         validator.PoolName
+	Class        validator.ClassName
+	Organisation validator.OrganisationName
+	// Prompt is the estimated number of prompt tokens.
+	Prompt int
+	// Limit is the largest number of tokens to generate; zero means unknown.
+	Limit int
+	// Prefix holds the chained hashes of the prompt's blocks.
+	Prefix []uint64
+	// Repeatable requests may be retried, hedged, preempted and resumed.
+	Repeatable bool
+	// Retry marks a further attempt of the same caller request.
+	Retry bool
+	// Emitted is the number of tokens already passed to the caller.
+	Emitted int
+	// Avoid lists upstreams that already failed the request.
+	Avoid []registrar.UpstreamID
+	// Fingerprint identifies the content; empty when it is not tracked.
+	Fingerprint string
+	// Arrived is when the entry host received the request.
+	Arrived time.Time
+}
+
+// Outcome tells how an attempt ended.
+type Outcome int
+
+// Outcomes of an attempt.
+const (
+	// Completed means that the whole answer was received.
+	Completed Outcome = iota
+	// Failed means that the upstream broke the attempt off.
+	Failed
+	// Crashed means that the connection was lost while the attempt ran.
+	Crashed
+	// Abandoned means that the caller went away or lost interest.
+	Abandoned
+	// Preempted means that the attempt was cancelled for a higher tier.
+	Preempted
+	// Silent means that a deadline passed without news.
+	Silent
+)
+
+// Reason tells why a request was refused.
+type Reason string
+
+// Reasons of a refusal.
+const (
+	// Overloaded means that the target cannot be met.
+	Overloaded Reason = "overloaded"
+	// NoUpstream means that no live upstream serves the pool.
+	NoUpstream Reason = "unavailable"
+	// OverLimit means that the organisation's limit is reached.
+	OverLimit Reason = "limited"
+	// Poisonous means that the request has crashed upstreams.
+	Poisonous Reason = "poisonous"
+	// OutOfRetries means that the retry budget is spent.
+	OutOfRetries Reason = "retries"
+)
+
+// Event is an input of the scheduler.
+type Event interface{ event() }
+
+// Configure puts a configuration in force.
+type Configure struct{ Document *validator.Document }
+
+// Observe reports a new or changed upstream.
+type Observe struct{ Upstream registrar.Upstream }
+
+// Forget reports that an upstream has gone.
+type Forget struct{ Upstream registrar.UpstreamID }
+
+// Submit asks for a slot.
+type Submit struct{ Request Request }
+
+// Adopt reports a slot already in use, after a change of the cell's owner.
+type Adopt struct {
+	Request  Request
+	Upstream registrar.UpstreamID
+}
+
+// Cancel withdraws a request that waits or runs.
+type Cancel struct{ ID RequestID }
+
+// FirstToken reports the first token of an attempt.
+type FirstToken struct {
+	ID       RequestID
+	Upstream registrar.UpstreamID
+}
+
+// Progress reports the total number of tokens of an attempt.
+type Progress struct {
+	ID       RequestID
+	Upstream registrar.UpstreamID
+	Tokens   int
+}
+
+// Finished reports the end of an attempt.
+type Finished struct {
+	ID       RequestID
+	Upstream registrar.UpstreamID
+	Outcome  Outcome
+	Tokens   int
+}
+
+// Tick lets time pass.
+type Tick struct{}
+
+func (Configure) event()  {}
+func (Observe) event()    {}
+func (Forget) event()     {}
+func (Submit) event()     {}
+func (Adopt) event()      {}
+func (Cancel) event()     {}
+func (FirstToken) event() {}
+func (Progress) event()   {}
+func (Finished) event()   {}
+func (Tick) event()       {}
+
+// Action is an output of the scheduler.
+type Action interface{ action() }
+
+// Grant gives a request a slot.
+type Grant struct {
+	ID       RequestID
+	Upstream registrar.UpstreamID
+	// Priority is passed to the engine; lower is earlier.
+	Priority int
+}
+
+// Refuse is the final answer to a request that waits.
+type Refuse struct {
+	ID     RequestID
+	Reason Reason
+	// RetryAfter tells the caller when to come back.
+	RetryAfter time.Duration
+}
+
+// Preempt asks for an attempt to be cancelled; the request is submitted again
+// with the tokens that it already has.
+type Preempt struct {
+	ID       RequestID
+	Upstream registrar.UpstreamID
+}
+
+// Hedge starts a second attempt of a request that runs.
+type Hedge struct {
+	ID       RequestID
+	Upstream registrar.UpstreamID
+	Priority int
+}
+
+func (Grant) action()   {}
+func (Refuse) action()  {}
+func (Preempt) action() {}
+func (Hedge) action()   {}
