scheduler: grant slots by tier, slack and fair share

One instance orders the requests of a cell: queues for each pool, at most Slots concurrent grants for each upstream, tier first, then least slack among the organisations within a quantum of the least debt. Work past the wait of its class takes every ninth grant, so that neither a backlog of it nor the top tier can starve the other. Leaving, forgotten and crashed upstreams receive nothing new; a crashed one comes back with its next announcement.

Cancel of a running request frees its slot.

Ruled out: one heap for each tier, because an organisation's debt changes with each grant and would reorder the whole heap.

--- /dev/null
+++ b/internal/policy/scheduler/queue.go
@@ -0,0 +1,279 @@
+package scheduler
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/amaranthcart/amaranthcart/internal/config/validator"
+)
+
+// quantum is the lead in tokens by share that an organisation may have over the
+// one with the least debt before it has to let the others pass. It lets the
+// order by slack decide between organisations that use about the same.
+const quantum = 2048
+
+// overdueSpacing is the number of grants in the usual order between two grants
+// to overdue work. Without it a backlog of overdue low-tier work would take
+// every slot that frees and starve the top tier.
+const overdueSpacing = 8
+
+// pool holds the requests that wait for one model or service, and the
+// upstreams that serve it.
+type pool struct {
+	name      validator.PoolName
+	upstreams []*upstream
+	tiers     [validator.LowestTier + 1]tier
+	// ages lists the waiting requests of each class, oldest first.
+	ages    map[*class][]age
+	parked  []*request
+	waiting int
+	// sinceOverdue counts the grants since the last one that was made out of
+	// order to overdue work.
+	sinceOverdue int
+}
+
+// age is the start of a wait; it is void once the request waits no more.
+type age struct {
+	request *request
+	queued  time.Time
+}
+
+func (a age) valid() bool { return a.request.waiting && a.request.queued.Equal(a.queued) }
+
+// tier holds the waiting requests of a tier by organisation.
+type tier struct{ lanes []*lane }
+
+// lane holds the waiting requests of an organisation, least slack first.
+type lane struct {
+	organisation *organisation
+	requests     []*request
+}
+
+func (l *lane) Len() int           { return len(l.requests) }
+func (l *lane) Less(i, j int) bool { return earlier(l.requests[i], l.requests[j]) }
+func (l *lane) Swap(i, j int) {
+	l.requests[i], l.requests[j] = l.requests[j], l.requests[i]
+	l.requests[i].index, l.requests[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (l *lane) Push(x any) {
+	r := x.(*request)
+	r.index = len(l.requests)
+	l.requests = append(l.requests, r)
+}
+
+// Pop implements heap.Interface.
+func (l *lane) Pop() any {
+	last := len(l.requests) - 1
+	r := l.requests[last]
+	l.requests[last] = nil
+	l.requests = l.requests[:last]
+	return r
+}
+
+// earlier orders by slack, then by ID so that runs can be repeated.
+func earlier(a, b *request) bool {
+	if !a.due.Equal(b.due) {
+		return a.due.Before(b.due)
+	}
+	return a.ID < b.ID
+}
+
+func (t *tier) lane(o *organisation) *lane {
+	for _, l := range t.lanes {
+		if l.organisation == o {
+			return l
+		}
+	}
+	return nil
+}
+
+// next returns the request with the least slack among the organisations whose
+// debt is within a quantum of the least.
+func (t *tier) next(level validator.Tier) *request {
+	if len(t.lanes) == 0 {
+		return nil
+	}
+	least := t.lanes[0].organisation.debt[level]
+	for _, l := range t.lanes[1:] {
+		least = min(least, l.organisation.debt[level])
+	}
+	var best *request
+	for _, l := range t.lanes {
+		if l.organisation.debt[level] > least+quantum {
+			continue
+		}
+		if best == nil || earlier(l.requests[0], best) {
+			best = l.requests[0]
+		}
+	}
+	return best
+}
+
+func (s *Scheduler) pool(name validator.PoolName) *pool {
+	p := s.pools[name]
+	if p == nil {
+		p = &pool{name: name, ages: make(map[*class][]age)}
+		for _, u := range s.upstreams {
+			if !u.gone && u.Serves(name) {
+				p.upstreams = append(p.upstreams, u)
+			}
+		}
+		sortUpstreams(p.upstreams)
+		s.pools[name] = p
+	}
+	return p
+}
+
+// live reports whether any upstream can take work now or soon.
+func (p *pool) live() bool {
+	for _, u := range p.upstreams {
+		if !u.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
+// enqueue adds a request to its lane. An organisation that had nothing waiting
+// starts at the current virtual time, so that it cannot save up unused share,
+// and keeps a debt that is larger.
+func (s *Scheduler) enqueue(r *request) {
+	p, level := r.pool, r.class.tier
+	t := &p.tiers[level]
+	l := t.lane(r.organisation)
+	if l == nil {
+		l = &lane{organisation: r.organisation}
+		t.lanes = append(t.lanes, l)
+		r.organisation.debt[level] = max(r.organisation.debt[level], s.virtual[level])
+	}
+	heap.Push(l, r)
+	p.ages[r.class] = append(p.ages[r.class], age{request: r, queued: r.queued})
+	p.waiting++
+	r.waiting = true
+}
+
+func (s *Scheduler) dequeue(r *request) {
+	p := r.pool
+	if r.parked {
+		r.parked = false
+		for i := range p.parked {
+			if p.parked[i] == r {
+				p.parked = append(p.parked[:i], p.parked[i+1:]...)
+				break
+			}
+		}
+	} else {
+		p.leaveLane(r)
+	}
+	p.waiting--
+	r.waiting = false
+	p.trimAges(r.class)
+}
+
+func (p *pool) leaveLane(r *request) {
+	t := &p.tiers[r.class.tier]
+	l := t.lane(r.organisation)
+	heap.Remove(l, r.index)
+	if len(l.requests) > 0 {
+		return
+	}
+	for i := range t.lanes {
+		if t.lanes[i] == l {
+			last := len(t.lanes) - 1
+			t.lanes[i] = t.lanes[last]
+			t.lanes[last] = nil
+			t.lanes = t.lanes[:last]
+			return
+		}
+	}
+}
+
+// park sets aside a request that no upstream may run now although there are
+// free slots.
+func (p *pool) park(r *request) {
+	p.leaveLane(r)
+	r.parked = true
+	p.parked = append(p.parked, r)
+}
+
+// unpark returns all parked requests to their lanes.
+func (s *Scheduler) unpark(p *pool) {
+	for _, r := range p.parked {
+		t := &p.tiers[r.class.tier]
+		l := t.lane(r.organisation)
+		if l == nil {
+			l = &lane{organisation: r.organisation}
+			t.lanes = append(t.lanes, l)
+		}
+		r.parked = false
+		heap.Push(l, r)
+	}
+	clear(p.parked)
+	p.parked = p.parked[:0]
+}
+
+// trimAges drops the requests at the front that no longer wait.
+func (p *pool) trimAges(c *class) {
+	list := p.ages[c]
+	i := 0
+	for i < len(list) && !list[i].valid() {
+		list[i] = age{}
+		i++
+	}
+	if i == len(list) {
+		delete(p.ages, c)
+		return
+	}
+	p.ages[c] = list[i:]
+}
+
+// overdue returns the oldest waiting request that is past the wait of its
+// class, whatever its tier.
+func (p *pool) overdue(now time.Time) *request {
+	var oldest *request
+	for c, list := range p.ages {
+		if len(list) == 0 || list[0].request.parked || now.Sub(list[0].queued) < c.wait {
+			continue
+		}
+		if r := list[0].request; oldest == nil || r.queued.Before(oldest.queued) {
+			oldest = r
+		}
+	}
+	return oldest
+}
+
+// next returns the request that takes the next slot.
+func (p *pool) next(now time.Time) *request {
+	if p.sinceOverdue >= overdueSpacing {
+		if r := p.overdue(now); r != nil {
+			p.sinceOverdue = 0
+			return r
+		}
+	}
+	for level := range p.tiers {
+		if r := p.tiers[level].next(validator.Tier(level)); r != nil {
+			return r
+		}
+	}
+	return nil
+}
+
+// dispatch grants free slots to waiting requests in order.
+func (s *Scheduler) dispatch(now time.Time, p *pool) {
+	s.unpark(p)
+	for p.waiting > len(p.parked) && p.free() {
+		r := p.next(now)
+		u := p.choose(r)
+		if u == nil {
+			p.park(r)
+			continue
+		}
+		p.sinceOverdue++
+		s.virtual[r.class.tier] = max(s.virtual[r.class.tier], r.organisation.debt[r.class.tier])
+		s.dequeue(r)
+		s.start(now, r, u)
+		s.actions = append(s.actions, Grant{ID: r.ID, Upstream: u.Name, Priority: int(r.class.tier)})
+	}
+}
--- /dev/null
+++ b/internal/policy/scheduler/scheduler.go
@@ -0,0 +1,246 @@
+package scheduler
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/amaranthcart/amaranthcart/internal/config/validator"
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+)
+
+// Scheduler orders the requests of one cell and assigns them to upstreams. It
+// performs no I/O, reads no clock and is not safe for concurrent use.
+type Scheduler struct {
+	random        *rand.Rand
+	classes       map[validator.ClassName]*class
+	fallback      *class
+	organisations map[validator.OrganisationName]*organisation
+	pools         map[validator.PoolName]*pool
+	upstreams     map[registrar.UpstreamID]*upstream
+	requests      map[RequestID]*request
+	virtual       [validator.LowestTier + 1]float64
+	actions       []Action
+}
+
+// Option changes a new Scheduler.
+type Option func(*Scheduler)
+
+// WithSeed sets the seed of the random spread of retry times.
+func WithSeed(seed uint64) Option {
+	return func(s *Scheduler) { s.random = rand.New(rand.NewPCG(seed, seed)) }
+}
+
+// New returns a Scheduler without upstreams or configuration.
+func New(options ...Option) *Scheduler {
+	s := &Scheduler{
+		random:        rand.New(rand.NewPCG(1, 1)),
+		classes:       make(map[validator.ClassName]*class),
+		fallback:      newClass(validator.Class{Tier: validator.LowestTier}),
+		organisations: make(map[validator.OrganisationName]*organisation),
+		pools:         make(map[validator.PoolName]*pool),
+		upstreams:     make(map[registrar.UpstreamID]*upstream),
+		requests:      make(map[RequestID]*request),
+	}
+	for _, o := range options {
+		o(s)
+	}
+	return s
+}
+
+// Step applies an event at the given time and returns what has to be done. The
+// result is valid until the next call.
+func (s *Scheduler) Step(now time.Time, e Event) []Action {
+	s.actions = s.actions[:0]
+	switch e := e.(type) {
+	case Configure:
+		s.configure(now, e.Document)
+	case Observe:
+		s.observe(now, e.Upstream)
+	case Forget:
+		s.forget(now, e.Upstream)
+	case Submit:
+		s.submit(now, e.Request)
+	case Adopt:
+		s.adopt(now, e.Request, e.Upstream)
+	case Cancel:
+		s.cancel(now, e.ID)
+	case FirstToken:
+		s.firstToken(now, e)
+	case Progress:
+		s.progress(now, e)
+	case Finished:
+		s.finished(now, e)
+	case Tick:
+		for _, p := range s.pools {
+			s.dispatch(now, p)
+		}
+	}
+	return s.actions
+}
+
+func (s *Scheduler) submit(now time.Time, sent Request) {
+	r := s.requests[sent.ID]
+	if r != nil && r.waiting {
+		return
+	}
+	o := s.organisation(sent.Organisation)
+	resumed := sent.Retry || sent.Emitted > 0
+	if !resumed {
+		if wait, ok := o.admit(now); !ok {
+			s.refuse(sent.ID, OverLimit, wait)
+			return
+		}
+	}
+	p := s.pool(sent.Pool)
+	if !p.live() {
+		s.refuse(sent.ID, NoUpstream, leaseTime)
+		s.prune(p)
+		return
+	}
+	if r == nil {
+		r = s.open(now, sent, p, o)
+	}
+	r.pool = p
+	r.resubmit(now, sent)
+	s.enqueue(r)
+	s.dispatch(now, p)
+}
+
+// open records a request that is about to wait or run.
+func (s *Scheduler) open(now time.Time, sent Request, p *pool, o *organisation) *request {
+	r := &request{Request: sent, pool: p, organisation: o, class: s.class(sent.Class)}
+	if r.Arrived.IsZero() || r.Arrived.After(now) {
+		r.Arrived = now
+	}
+	s.requests[sent.ID] = r
+	o.open++
+	return r
+}
+
+// settle drops a request that neither waits nor runs.
+func (s *Scheduler) settle(r *request) {
+	if r.waiting || len(r.attempts) > 0 {
+		return
+	}
+	delete(s.requests, r.ID)
+	r.organisation.open--
+}
+
+func (s *Scheduler) adopt(now time.Time, sent Request, id registrar.UpstreamID) {
+	r := s.requests[sent.ID]
+	if r == nil {
+		r = s.open(now, sent, s.pool(sent.Pool), s.organisation(sent.Organisation))
+	}
+	if r.attempt(id) != nil {
+		return
+	}
+	u := s.upstreams[id]
+	if u == nil {
+		u = newUpstream(registrar.Upstream{Name: id})
+		u.gone = true
+		s.upstreams[id] = u
+	}
+	s.start(now, r, u)
+}
+
+func (s *Scheduler) cancel(now time.Time, id RequestID) {
+	r := s.requests[id]
+	if r == nil {
+		return
+	}
+	if r.waiting {
+		s.dequeue(r)
+	}
+	for len(r.attempts) > 0 {
+		s.release(r, r.attempts[0])
+	}
+	s.settle(r)
+	s.dispatch(now, r.pool)
+}
+
+func (s *Scheduler) firstToken(now time.Time, e FirstToken) {
+	if a := s.attempt(e.ID, e.Upstream); a != nil && a.first.IsZero() {
+		a.first = now
+	}
+}
+
+func (s *Scheduler) progress(now time.Time, e Progress) {
+	a := s.attempt(e.ID, e.Upstream)
+	if a == nil {
+		return
+	}
+	if a.first.IsZero() && e.Tokens > 0 {
+		a.first = now
+	}
+	a.tokens = max(a.tokens, e.Tokens)
+}
+
+func (s *Scheduler) finished(now time.Time, e Finished) {
+	a := s.attempt(e.ID, e.Upstream)
+	if a == nil {
+		return
+	}
+	r, u := a.request, a.upstream
+	a.tokens = max(a.tokens, e.Tokens)
+	s.release(r, a)
+	if e.Outcome == Crashed && a.incarnation == u.Incarnation {
+		u.down = true
+	}
+	s.settle(r)
+	s.dispatch(now, r.pool)
+	s.dispatchAll(now, u)
+}
+
+func (s *Scheduler) attempt(id RequestID, u registrar.UpstreamID) *attempt {
+	if r := s.requests[id]; r != nil {
+		return r.attempt(u)
+	}
+	return nil
+}
+
+// start records an attempt on u and charges the organisation for it.
+func (s *Scheduler) start(now time.Time, r *request, u *upstream) *attempt {
+	a := &attempt{request: r, upstream: u, granted: now, incarnation: u.Incarnation}
+	r.attempts = append(r.attempts, a)
+	u.attempts = append(u.attempts, a)
+	a.charge = r.cost(expectedTokens)
+	s.charge(r, a.charge)
+	return a
+}
+
+// release ends an attempt and corrects the charge to what it used.
+func (s *Scheduler) release(r *request, a *attempt) {
+	r.attempts = remove(r.attempts, a)
+	a.upstream.attempts = remove(a.upstream.attempts, a)
+	s.charge(r, r.cost(a.tokens)-a.charge)
+	if u := a.upstream; u.gone && len(u.attempts) == 0 && s.upstreams[u.Name] == u {
+		delete(s.upstreams, u.Name)
+	}
+}
+
+func (s *Scheduler) charge(r *request, tokens float64) {
+	r.organisation.debt[r.class.tier] += tokens / r.organisation.share
+}
+
+func (s *Scheduler) refuse(id RequestID, reason Reason, after time.Duration) {
+	s.actions = append(s.actions, Refuse{ID: id, Reason: reason, RetryAfter: s.spread(after)})
+}
+
+// spread randomises a retry time between once and twice its value so that
+// refused callers do not come back at the same moment.
+func (s *Scheduler) spread(d time.Duration) time.Duration {
+	d = max(d, minRetryAfter)
+	return d + time.Duration(s.random.Int64N(int64(d)))
+}
+
+func remove(list []*attempt, a *attempt) []*attempt {
+	for i := range list {
+		if list[i] == a {
+			last := len(list) - 1
+			list[i] = list[last]
+			list[last] = nil
+			return list[:last]
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/policy/scheduler/upstream.go
@@ -0,0 +1,191 @@
+package scheduler
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/amaranthcart/amaranthcart/internal/config/validator"
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+)
+
+// upstream is the scheduler's record of an upstream.
+type upstream struct {
+	registrar.Upstream
+	attempts []*attempt
+	// gone is set while no announcement is in force.
+	gone bool
+	// down is set from a crash to the next announcement.
+	down bool
+}
+
+func newUpstream(u registrar.Upstream) *upstream { return &upstream{Upstream: u} }
+
+// free reports whether the upstream takes another request.
+func (u *upstream) free() bool {
+	return !u.gone && !u.down && !u.Leaving && len(u.attempts) < u.Slots
+}
+
+// load is the share of the slots in use.
+func (u *upstream) load() float64 {
+	return float64(len(u.attempts)) / float64(max(u.Slots, 1))
+}
+
+// replace takes over a newer announcement; leaving is final for an
+// incarnation.
+func (u *upstream) replace(news registrar.Upstream) {
+	if news.Incarnation == u.Incarnation && !u.gone {
+		news.Leaving = news.Leaving || u.Leaving
+	}
+	u.Upstream = news
+	u.gone = false
+	u.down = false
+}
+
+// older reports whether news came before the announcement in force.
+func (u *upstream) older(news registrar.Upstream) bool {
+	if u.gone {
+		return false
+	}
+	if news.Incarnation != u.Incarnation {
+		return news.Incarnation < u.Incarnation
+	}
+	return news.Sequence < u.Sequence
+}
+
+func (s *Scheduler) observe(now time.Time, news registrar.Upstream) {
+	u := s.upstreams[news.Name]
+	switch {
+	case u == nil:
+		u = newUpstream(news)
+		s.upstreams[news.Name] = u
+	case u.older(news):
+		return
+	case !u.gone && news.Incarnation == u.Incarnation && news.Sequence == u.Sequence:
+		// The same announcement again, by another way: it does not show
+		// that an upstream that crashed since is back.
+		down := u.down
+		u.replace(news)
+		u.down = down
+	default:
+		u.replace(news)
+	}
+	for _, name := range append(slices.Clone(u.Models), u.Services...) {
+		s.pool(name)
+	}
+	for name, p := range s.pools {
+		p.set(u, u.Serves(name))
+	}
+	s.refuseStranded()
+	s.dispatchAll(now, u)
+}
+
+func (s *Scheduler) forget(now time.Time, id registrar.UpstreamID) {
+	u := s.upstreams[id]
+	if u == nil {
+		return
+	}
+	u.gone = true
+	for _, p := range s.pools {
+		p.set(u, false)
+	}
+	if len(u.attempts) == 0 {
+		delete(s.upstreams, id)
+	}
+	s.refuseStranded()
+	s.dispatchAll(now, u)
+}
+
+// refuseStranded refuses what waits in pools that lost their last upstream.
+func (s *Scheduler) refuseStranded() {
+	for _, p := range s.pools {
+		if p.live() {
+			continue
+		}
+		for _, r := range s.waitingIn(p) {
+			s.dequeue(r)
+			s.refuse(r.ID, NoUpstream, leaseTime)
+			s.settle(r)
+		}
+		s.prune(p)
+	}
+}
+
+// prune drops a pool that nothing serves, so that unknown names take no memory.
+func (s *Scheduler) prune(p *pool) {
+	if len(p.upstreams) == 0 && p.waiting == 0 {
+		delete(s.pools, p.name)
+	}
+}
+
+// waitingIn lists the waiting requests of a pool.
+func (s *Scheduler) waitingIn(p *pool) []*request {
+	var list []*request
+	for _, ages := range p.ages {
+		for _, g := range ages {
+			if g.valid() {
+				list = append(list, g.request)
+			}
+		}
+	}
+	slices.SortFunc(list, func(a, b *request) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return list
+}
+
+// dispatchAll grants slots in all pools that the upstream serves.
+func (s *Scheduler) dispatchAll(now time.Time, u *upstream) {
+	serve := func(names []validator.PoolName) {
+		for _, name := range names {
+			if p := s.pools[name]; p != nil {
+				s.dispatch(now, p)
+			}
+		}
+	}
+	serve(u.Models)
+	serve(u.Services)
+}
+
+// set adds or removes an upstream of the pool.
+func (p *pool) set(u *upstream, serves bool) {
+	i := slices.Index(p.upstreams, u)
+	switch {
+	case serves && i < 0:
+		p.upstreams = append(p.upstreams, u)
+		sortUpstreams(p.upstreams)
+	case !serves && i >= 0:
+		p.upstreams = slices.Delete(p.upstreams, i, i+1)
+	}
+}
+
+func sortUpstreams(list []*upstream) {
+	slices.SortFunc(list, func(a, b *upstream) int { return strings.Compare(string(a.Name), string(b.Name)) })
+}
+
+// free reports whether any upstream takes another request.
+func (p *pool) free() bool {
+	for _, u := range p.upstreams {
+		if u.free() {
+			return true
+		}
+	}
+	return false
+}
+
+// choose returns the least loaded upstream that may run the request, or nil.
+// Upstreams that failed the request are used only when there is no other.
+func (p *pool) choose(r *request) *upstream {
+	avoidable := false
+	for _, u := range p.upstreams {
+		avoidable = avoidable || !u.Leaving && !r.avoids(u.Name)
+	}
+	var best *upstream
+	for _, u := range p.upstreams {
+		if !u.free() || avoidable && r.avoids(u.Name) || r.attempt(u.Name) != nil {
+			continue
+		}
+		if best == nil || u.load() < best.load() {
+			best = u
+		}
+	}
+	return best
+}
