detector: bound the upstreams lost to one request

A request that crashes engines and is sent again takes one upstream after another. The first crash makes suspects of all fingerprints in flight on the process; a suspect runs alone, and a second crash makes it poisonous. Copies of a fingerprint share one upstream until one has completed and a hedge may use one more, so copies sent at the same moment cost at most two upstreams too. A withdrawn attempt counts as in flight for 2 s, since an engine may crash shortly after its caller gave up.

Ruled out: letting copies spread over two upstreams from the start; two fingerprints that share both would both be taken for poisonous.

--- /dev/null
+++ b/internal/policy/detector/detector.go
@@ -0,0 +1,368 @@
+// Package detector recognises requests that crash the upstreams they run on.
+//
+// A request is known by its fingerprint. The first crash makes a suspect of
+// every fingerprint that was in flight on the upstream, because nothing tells
+// which of them caused it. A suspect runs alone: at most one attempt of it is
+// in flight, on an upstream without another suspect. A suspect that completes
+// is cleared; one that meets a second crash is poisonous and never runs again.
+//
+// Copies of a request can be submitted at the same moment, before any crash is
+// known. Therefore copies of a fingerprint share one upstream until one of them
+// has completed, and a hedge may use one more. One such request costs at most
+// two upstreams, whoever sends it and however often.
+//
+// # Usage
+//
+// The owner of the cell asks before it grants a slot and reports what happens:
+//
+//	d := detector.New()
+//	if d.Permits(now, fingerprint, process, false) {
+//		d.Started(fingerprint, process)
+//	}
+//	d.Ended(now, fingerprint, process, detector.Answered)
+//	d.Crashed(now, process)
+//
+// Records and Merge exchange what is known between hosts.
+package detector
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+)
+
+const (
+	// DefaultRetention is how long a record is kept after its last crash.
+	DefaultRetention = time.Hour
+	// limit is the number of crashes that makes a fingerprint poisonous.
+	limit = 2
+	// lingerTime is how long a withdrawn attempt counts as in flight. An
+	// engine may crash shortly after a caller gave up, and a resend must
+	// not reach another upstream before that shows.
+	lingerTime = 2 * time.Second
+)
+
+// Process is one run of an upstream.
+type Process struct {
+	Upstream    registrar.UpstreamID
+	Incarnation registrar.Incarnation
+}
+
+// Verdict tells what is known about a fingerprint.
+type Verdict int
+
+// Verdicts about a fingerprint.
+const (
+	// Clean means that no crash is on record.
+	Clean Verdict = iota
+	// Suspect means that the request was in flight at one crash.
+	Suspect
+	// Poisonous means that the request was in flight at two crashes.
+	Poisonous
+)
+
+// End tells how an attempt that did not crash ended.
+type End int
+
+// Ends of an attempt.
+const (
+	// Answered means that the upstream completed the request.
+	Answered End = iota
+	// Stopped means that the upstream survived but did not complete it.
+	Stopped
+	// Withdrawn means that nothing is known of the upstream's fate.
+	Withdrawn
+)
+
+// Record is what hosts tell each other about a fingerprint.
+type Record struct {
+	Fingerprint string
+	Crashes     []Process
+	// Remaining is how much of the retention is left.
+	Remaining time.Duration
+}
+
+// crash is a process that was lost; it is cleared when a later attempt of the
+// suspect completes, and kept so that merging does not bring it back.
+type crash struct {
+	process Process
+	cleared bool
+}
+
+type record struct {
+	crashes []crash
+	expires time.Time
+}
+
+func (r *record) count() int {
+	n := 0
+	for _, c := range r.crashes {
+		if !c.cleared {
+			n++
+		}
+	}
+	return n
+}
+
+func (r *record) add(p Process) {
+	if !slices.ContainsFunc(r.crashes, func(c crash) bool { return c.process == p }) {
+		r.crashes = append(r.crashes, crash{process: p})
+	}
+}
+
+// flight counts the attempts of a fingerprint on each process.
+type flight struct {
+	running   map[Process]int
+	lingering map[Process]time.Time
+	answered  bool
+}
+
+func (f *flight) expire(now time.Time) {
+	for p, until := range f.lingering {
+		if !now.Before(until) {
+			delete(f.lingering, p)
+		}
+	}
+}
+
+func (f *flight) empty() bool { return len(f.running) == 0 && len(f.lingering) == 0 }
+
+// others counts the processes besides p that the fingerprint is on.
+func (f *flight) others(p Process) int {
+	n := 0
+	for q := range f.running {
+		if q != p {
+			n++
+		}
+	}
+	for q := range f.lingering {
+		if q != p && f.running[q] == 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// Detector holds the crash records and the attempts in flight. It is not safe
+// for concurrent use.
+type Detector struct {
+	retention time.Duration
+	records   map[string]*record
+	flights   map[string]*flight
+}
+
+// Option changes a new Detector.
+type Option func(*Detector)
+
+// WithRetention sets how long a record is kept after its last crash.
+func WithRetention(d time.Duration) Option { return func(x *Detector) { x.retention = d } }
+
+// New returns a Detector without records.
+func New(options ...Option) *Detector {
+	d := &Detector{
+		retention: DefaultRetention,
+		records:   make(map[string]*record),
+		flights:   make(map[string]*flight),
+	}
+	for _, o := range options {
+		o(d)
+	}
+	return d
+}
+
+// Verdict returns what is known about a fingerprint.
+func (d *Detector) Verdict(now time.Time, fingerprint string) Verdict {
+	if fingerprint == "" || len(d.records) == 0 {
+		return Clean
+	}
+	r := d.records[fingerprint]
+	if r == nil || !now.Before(r.expires) {
+		return Clean
+	}
+	return Verdict(min(r.count(), limit))
+}
+
+// Permits reports whether an attempt may start on the process.
+func (d *Detector) Permits(now time.Time, fingerprint string, p Process, hedge bool) bool {
+	if fingerprint == "" {
+		return true
+	}
+	f := d.flights[fingerprint]
+	if f != nil {
+		f.expire(now)
+	}
+	switch d.Verdict(now, fingerprint) {
+	case Poisonous:
+		return false
+	case Suspect:
+		return (f == nil || f.empty()) && !d.hostsSuspect(now, p)
+	}
+	if f == nil || f.answered {
+		return true
+	}
+	if hedge {
+		return f.others(p) < limit
+	}
+	return f.others(p) == 0
+}
+
+// Unrestricted reports whether the fingerprint may run on any process.
+func (d *Detector) Unrestricted(now time.Time, fingerprint string) bool {
+	return d.flights[fingerprint] == nil && d.Verdict(now, fingerprint) == Clean
+}
+
+// hostsSuspect reports whether any suspect is in flight on the process.
+func (d *Detector) hostsSuspect(now time.Time, p Process) bool {
+	for fingerprint := range d.records {
+		f := d.flights[fingerprint]
+		if f == nil || d.Verdict(now, fingerprint) == Clean {
+			continue
+		}
+		if until, ok := f.lingering[p]; f.running[p] > 0 || ok && now.Before(until) {
+			return true
+		}
+	}
+	return false
+}
+
+// Started records an attempt on the process.
+func (d *Detector) Started(fingerprint string, p Process) {
+	if fingerprint == "" {
+		return
+	}
+	f := d.flights[fingerprint]
+	if f == nil {
+		f = &flight{running: make(map[Process]int, 1)}
+		d.flights[fingerprint] = f
+	}
+	f.running[p]++
+}
+
+// Ended records the end of an attempt on a process that is not known to have
+// crashed.
+func (d *Detector) Ended(now time.Time, fingerprint string, p Process, how End) {
+	if how == Answered {
+		d.acquit(fingerprint)
+	}
+	f := d.flights[fingerprint]
+	if f == nil || f.running[p] == 0 {
+		return
+	}
+	f.leave(p)
+	switch how {
+	case Answered:
+		f.answered = true
+		clear(f.lingering)
+	case Withdrawn:
+		if !f.answered {
+			f.linger(p, now.Add(lingerTime))
+		}
+	}
+	if f.empty() {
+		delete(d.flights, fingerprint)
+	}
+}
+
+func (f *flight) leave(p Process) {
+	if f.running[p]--; f.running[p] == 0 {
+		delete(f.running, p)
+	}
+}
+
+func (f *flight) linger(p Process, until time.Time) {
+	if f.lingering == nil {
+		f.lingering = make(map[Process]time.Time, 1)
+	}
+	f.lingering[p] = until
+}
+
+// acquit clears the crashes of a suspect. Poisonous records stay.
+func (d *Detector) acquit(fingerprint string) {
+	r := d.records[fingerprint]
+	if r == nil || r.count() >= limit {
+		return
+	}
+	for i := range r.crashes {
+		r.crashes[i].cleared = true
+	}
+}
+
+// Crashed records that a process was lost. All fingerprints in flight on it
+// are put on record at once, before their own attempts are reported, and none
+// of them is in flight on it any more.
+func (d *Detector) Crashed(now time.Time, p Process) {
+	for fingerprint, f := range d.flights {
+		f.expire(now)
+		if _, lingers := f.lingering[p]; f.running[p] == 0 && !lingers {
+			continue
+		}
+		r := d.record(now, fingerprint)
+		r.add(p)
+		r.expires = now.Add(d.retention)
+		f.answered = false
+		delete(f.running, p)
+		delete(f.lingering, p)
+		if f.empty() {
+			delete(d.flights, fingerprint)
+		}
+	}
+}
+
+func (d *Detector) record(now time.Time, fingerprint string) *record {
+	r := d.records[fingerprint]
+	if r == nil || !now.Before(r.expires) {
+		r = &record{}
+		d.records[fingerprint] = r
+	}
+	return r
+}
+
+// Merge adds what another host knows.
+func (d *Detector) Merge(now time.Time, news Record) {
+	expires := now.Add(min(news.Remaining, d.retention))
+	if !now.Before(expires) || len(news.Crashes) == 0 || news.Fingerprint == "" {
+		return
+	}
+	r := d.record(now, news.Fingerprint)
+	for _, p := range news.Crashes {
+		r.add(p)
+	}
+	if expires.After(r.expires) {
+		r.expires = expires
+	}
+}
+
+// Records returns the crashes that are not cleared, in order of fingerprint.
+func (d *Detector) Records(now time.Time) []Record {
+	var list []Record
+	for fingerprint, r := range d.records {
+		if d.Verdict(now, fingerprint) == Clean {
+			continue
+		}
+		out := Record{Fingerprint: fingerprint, Remaining: r.expires.Sub(now)}
+		for _, c := range r.crashes {
+			if !c.cleared {
+				out.Crashes = append(out.Crashes, c.process)
+			}
+		}
+		list = append(list, out)
+	}
+	slices.SortFunc(list, func(a, b Record) int { return strings.Compare(a.Fingerprint, b.Fingerprint) })
+	return list
+}
+
+// Expire drops what is past its retention. Call it every few seconds.
+func (d *Detector) Expire(now time.Time) {
+	for fingerprint, r := range d.records {
+		if !now.Before(r.expires) {
+			delete(d.records, fingerprint)
+		}
+	}
+	for fingerprint, f := range d.flights {
+		if f.expire(now); f.empty() {
+			delete(d.flights, fingerprint)
+		}
+	}
+}
--- /dev/null
+++ b/internal/policy/scheduler/crash_test.go
@@ -0,0 +1,106 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// TestPoison guards against a request that costs more than two upstreams
+// however many copies are sent and whenever, and against innocent requests
+// that are refused or lost because they shared an upstream with it.
+func TestPoison(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s, now := New(), start
+		s.Step(now, Configure{Document: document()})
+		running := map[registrar.UpstreamID][]Request{}
+		open, poisonous, answered, lost, serial := map[RequestID]Request{}, 0, 0, 0, 0
+		act := func(list []Action) {
+			for _, a := range append([]Action(nil), list...) {
+				switch a := a.(type) {
+				case Grant:
+					running[a.Upstream] = append(running[a.Upstream], open[a.ID])
+				case Refuse:
+					assert.Equal(t, a.Reason, Poisonous)
+					assert.Equal(t, open[a.ID].Fingerprint, "poison")
+					poisonous++
+					delete(open, a.ID)
+				}
+			}
+		}
+		incarnations := map[registrar.UpstreamID]registrar.Incarnation{}
+		observe := func(id registrar.UpstreamID) {
+			incarnations[id]++
+			u := engine(string(id), 3)
+			u.Incarnation = incarnations[id]
+			act(s.Step(now, Observe{u}))
+		}
+		for _, id := range []registrar.UpstreamID{"a", "b", "c", "d"} {
+			observe(id)
+		}
+		submit := func(fingerprint string) {
+			r := ask(fmt.Sprint("r", serial), "top", "small").Request
+			serial++
+			r.Fingerprint = fingerprint
+			open[r.ID] = r
+			act(s.Step(now, Submit{r}))
+		}
+		crash := func(id registrar.UpstreamID) {
+			lost++
+			batch := running[id]
+			running[id] = nil
+			for _, r := range batch {
+				act(s.Step(now, Finished{ID: r.ID, Upstream: id, Outcome: Crashed}))
+			}
+			observe(id)
+			for _, r := range batch {
+				r.Retry = true
+				act(s.Step(now, Submit{r}))
+			}
+		}
+		complete := func(id registrar.UpstreamID) {
+			r := running[id][0]
+			if r.Fingerprint == "poison" {
+				crash(id)
+				return
+			}
+			running[id] = running[id][1:]
+			answered++
+			delete(open, r.ID)
+			act(s.Step(now, Finished{ID: r.ID, Upstream: id, Outcome: Completed, Tokens: 5}))
+		}
+		innocents := 0
+		for range rapid.IntRange(10, 60).Draw(t, "steps") {
+			now = now.Add(10 * time.Millisecond)
+			switch rapid.IntRange(0, 3).Draw(t, "kind") {
+			case 0:
+				submit("poison")
+			case 1:
+				submit(fmt.Sprint("innocent", serial))
+				innocents++
+			default:
+				id := rapid.SampledFrom([]registrar.UpstreamID{"a", "b", "c", "d"}).Draw(t, "upstream")
+				if len(running[id]) > 0 {
+					complete(id)
+				}
+			}
+		}
+		for range 1000 {
+			now = now.Add(TickInterval)
+			act(s.Step(now, Tick{}))
+			for _, id := range []registrar.UpstreamID{"a", "b", "c", "d"} {
+				if len(running[id]) > 0 {
+					complete(id)
+				}
+			}
+		}
+		assert.Assert(t, lost <= 2, "%d upstreams lost", lost)
+		assert.Equal(t, answered, innocents)
+		assert.Equal(t, len(open), 0)
+		assert.Equal(t, len(s.requests), 0)
+	})
+}
--- a/internal/policy/scheduler/queue.go
+++ b/internal/policy/scheduler/queue.go
@@ -265,7 +265,7 @@
 	s.unpark(p)
 	for p.waiting > len(p.parked) && p.free() {
 		r := p.next(now)
-		u := p.choose(r)
+		u := s.choose(now, r)
 		if u == nil {
 			p.park(r)
 			continue
--- a/internal/policy/scheduler/request.go
+++ b/internal/policy/scheduler/request.go
@@ -7,6 +7,7 @@
 
 	"github.com/amaranthcart/amaranthcart/internal/config/validator"
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"github.com/amaranthcart/amaranthcart/internal/policy/detector"
 	"golang.org/x/time/rate"
 )
 
@@ -70,13 +71,13 @@
 
 // attempt is one execution of a request on an upstream.
 type attempt struct {
-	request     *request
-	upstream    *upstream
-	granted     time.Time
-	first       time.Time
-	tokens      int
-	charge      float64
-	incarnation registrar.Incarnation
+	request  *request
+	upstream *upstream
+	granted  time.Time
+	first    time.Time
+	tokens   int
+	charge   float64
+	process  detector.Process
 }
 
 // class is a request class with its targets as durations.
--- a/internal/policy/scheduler/scheduler.go
+++ b/internal/policy/scheduler/scheduler.go
@@ -6,6 +6,7 @@
 
 	"github.com/amaranthcart/amaranthcart/internal/config/validator"
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"github.com/amaranthcart/amaranthcart/internal/policy/detector"
 )
 
 // Scheduler orders the requests of one cell and assigns them to upstreams. It
@@ -18,6 +19,7 @@
 	pools         map[validator.PoolName]*pool
 	upstreams     map[registrar.UpstreamID]*upstream
 	requests      map[RequestID]*request
+	detector      *detector.Detector
 	virtual       [validator.LowestTier + 1]float64
 	actions       []Action
 }
@@ -40,6 +42,7 @@
 		pools:         make(map[validator.PoolName]*pool),
 		upstreams:     make(map[registrar.UpstreamID]*upstream),
 		requests:      make(map[RequestID]*request),
+		detector:      detector.New(),
 	}
 	for _, o := range options {
 		o(s)
@@ -70,7 +73,10 @@
 		s.progress(now, e)
 	case Finished:
 		s.finished(now, e)
+	case Learn:
+		s.learn(now, e.Records)
 	case Tick:
+		s.detector.Expire(now)
 		for _, p := range s.pools {
 			s.dispatch(now, p)
 		}
@@ -91,6 +97,10 @@
 			return
 		}
 	}
+	if s.detector.Verdict(now, sent.Fingerprint) == detector.Poisonous {
+		s.refuse(sent.ID, Poisonous, s.poisonTime())
+		return
+	}
 	p := s.pool(sent.Pool)
 	if !p.live() {
 		s.refuse(sent.ID, NoUpstream, leaseTime)
@@ -152,7 +162,7 @@
 		s.dequeue(r)
 	}
 	for len(r.attempts) > 0 {
-		s.release(r, r.attempts[0])
+		s.release(now, r.attempts[0], Abandoned)
 	}
 	s.settle(r)
 	s.dispatch(now, r.pool)
@@ -182,11 +192,12 @@
 	}
 	r, u := a.request, a.upstream
 	a.tokens = max(a.tokens, e.Tokens)
-	s.release(r, a)
-	if e.Outcome == Crashed && a.incarnation == u.Incarnation {
-		u.down = true
-	}
+	s.release(now, a, e.Outcome)
 	s.settle(r)
+	if e.Outcome == Crashed {
+		u.down = u.down || a.process == u.process()
+		s.lose(now, a.process)
+	}
 	s.dispatch(now, r.pool)
 	s.dispatchAll(now, u)
 }
@@ -200,7 +211,8 @@
 
 // start records an attempt on u and charges the organisation for it.
 func (s *Scheduler) start(now time.Time, r *request, u *upstream) *attempt {
-	a := &attempt{request: r, upstream: u, granted: now, incarnation: u.Incarnation}
+	a := &attempt{request: r, upstream: u, granted: now, process: u.process()}
+	s.detector.Started(r.Fingerprint, a.process)
 	r.attempts = append(r.attempts, a)
 	u.attempts = append(u.attempts, a)
 	a.charge = r.cost(expectedTokens)
@@ -209,7 +221,11 @@
 }
 
 // release ends an attempt and corrects the charge to what it used.
-func (s *Scheduler) release(r *request, a *attempt) {
+func (s *Scheduler) release(now time.Time, a *attempt, o Outcome) {
+	r := a.request
+	if o != Crashed {
+		s.detector.Ended(now, r.Fingerprint, a.process, end(o))
+	}
 	r.attempts = remove(r.attempts, a)
 	a.upstream.attempts = remove(a.upstream.attempts, a)
 	s.charge(r, r.cost(a.tokens)-a.charge)
--- a/internal/policy/scheduler/types.go
+++ b/internal/policy/scheduler/types.go
@@ -21,6 +21,7 @@
 
 	"github.com/amaranthcart/amaranthcart/internal/config/validator"
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"github.com/amaranthcart/amaranthcart/internal/policy/detector"
 )
 
 // RequestID identifies a request in the fleet.
@@ -136,6 +137,9 @@
 	Tokens   int
 }
 
+// Learn reports what other hosts know about requests that crash upstreams.
+type Learn struct{ Records []detector.Record }
+
 // Tick lets time pass.
 type Tick struct{}
 
@@ -148,6 +152,7 @@
 func (FirstToken) event() {}
 func (Progress) event()   {}
 func (Finished) event()   {}
+func (Learn) event()      {}
 func (Tick) event()       {}
 
 // Action is an output of the scheduler.
--- a/internal/policy/scheduler/upstream.go
+++ b/internal/policy/scheduler/upstream.go
@@ -68,7 +68,12 @@
 		u.replace(news)
 		u.down = down
 	default:
+		lost := u.process()
+		restarted := !u.gone && !u.Leaving && news.Incarnation != u.Incarnation
 		u.replace(news)
+		if restarted && u.runs(lost) {
+			s.lose(now, lost)
+		}
 	}
 	for _, name := range append(slices.Clone(u.Models), u.Services...) {
 		s.pool(name)
@@ -173,7 +178,9 @@
 
 // choose returns the least loaded upstream that may run the request, or nil.
 // Upstreams that failed the request are used only when there is no other.
-func (p *pool) choose(r *request) *upstream {
+func (s *Scheduler) choose(now time.Time, r *request) *upstream {
+	p := r.pool
+	open := s.detector.Unrestricted(now, r.Fingerprint)
 	avoidable := false
 	for _, u := range p.upstreams {
 		avoidable = avoidable || !u.Leaving && !r.avoids(u.Name)
@@ -183,6 +190,9 @@
 		if !u.free() || avoidable && r.avoids(u.Name) || r.attempt(u.Name) != nil {
 			continue
 		}
+		if !open && !s.detector.Permits(now, r.Fingerprint, u.process(), false) {
+			continue
+		}
 		if best == nil || u.load() < best.load() {
 			best = u
 		}
