Add strict decoding of the configuration and of the settings

encoding/json ignores unknown and duplicate keys, matches keys in any case and stops at the first fault. internal/config/decoder reads the document into a tree that keeps order and binds it to structs by reflection, so that every fault is reported at once with JSON path, value and what is allowed. encoding/json/v2 was ruled out because it needs GOEXPERIMENT=jsonv2 in Go 1.26.

Numbers and durations without omitempty are required: a class without a tier would otherwise get the highest one.

--- /dev/null
+++ b/internal/config/validator/decode.go
@@ -0,0 +1,205 @@
+package validator
+
+import (
+	"fmt"
+	"path"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/amaranthcart/amaranthcart/internal/config/decoder"
+)
+
+// Bounds of a document.
+const (
+	// MaxSize is the largest document in bytes.
+	MaxSize = decoder.MaxSize
+	// MaxTarget bounds first, gap and total. It equals the default time for
+	// open streams at a planned stop.
+	MaxTarget = 10 * time.Minute
+	// MaxWait bounds the longest wait of a class.
+	MaxWait = time.Hour
+	// MinDuration is the shortest duration; tests on loopback use 1ms.
+	MinDuration = time.Millisecond
+
+	maxNumber        = 1_000_000
+	maxClasses       = 64
+	maxOrganisations = 4096
+	maxPools         = 512
+	maxCalls         = 512
+	maxKeys          = 64
+)
+
+// Problem is one fault of a document.
+type Problem = decoder.Problem
+
+// Methods lists the HTTP methods of service calls.
+var Methods = []string{"GET", "HEAD", "OPTIONS", "POST", "PUT", "PATCH", "DELETE"}
+
+// Names stay within ASCII because they travel in HTTP headers, URL paths and
+// metric labels. Model names may contain slashes, as published ones do.
+var (
+	name      = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
+	modelName = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:/@+-]{0,127}$`)
+	keyHash   = regexp.MustCompile(`^[0-9a-f]{64}$`)
+)
+
+const (
+	nameAllowed      = "1 to 64 letters, digits, '.', '_' or '-', starting with a letter or digit"
+	modelNameAllowed = "1 to 128 letters, digits or any of ._:/@+-, starting with a letter or digit"
+	keyAllowed       = "the SHA-256 digest of a key as 64 lower-case hex digits"
+)
+
+// Decode reads a document and checks it completely. The document is nil when
+// there is any problem.
+func Decode(data []byte) (*Document, []Problem) {
+	var (
+		d Document
+		p decoder.Problems
+	)
+	if decoder.Decode(data, &d, &p) {
+		c := checker{Problems: &p, document: &d}
+		c.check()
+	}
+	if l := p.List(); len(l) > 0 {
+		return nil, l
+	}
+	return &d, nil
+}
+
+// Check checks a document that was built in memory.
+func Check(d *Document) []Problem {
+	var p decoder.Problems
+	c := checker{Problems: &p, document: d}
+	c.check()
+	return p.List()
+}
+
+// checker finds the faults of one document.
+type checker struct {
+	*decoder.Problems
+	document *Document
+}
+
+func (c *checker) check() {
+	c.checkClasses()
+	c.checkOrganisations()
+	c.checkPools()
+}
+
+func (c *checker) checkClasses() {
+	l := c.document.Classes
+	c.Check(len(l) > 0 && len(l) <= maxClasses, "$.classes", len(l), fmt.Sprintf("1 to %d classes", maxClasses))
+	var floors float64
+	seen := make(map[string]string)
+	for i, v := range l {
+		at := decoder.Item("$.classes", i)
+		c.name(at, string(v.Name), name, nameAllowed, seen)
+		c.Check(v.Tier >= 0 && v.Tier <= LowestTier, at+".tier", v.Tier, fmt.Sprintf("0 (most urgent) to %d", LowestTier))
+		c.duration(at+".first", v.First, MaxTarget, true)
+		c.duration(at+".gap", v.Gap, MaxTarget, true)
+		c.duration(at+".total", v.Total, MaxTarget, true)
+		c.Check(v.Total == 0 || v.Total >= v.First, at+".total", v.Total, "at least first, "+time.Duration(v.First).String())
+		c.duration(at+".wait", v.Wait, MaxWait, false)
+		c.Check(v.Floor >= 0 && v.Floor <= 1, at+".floor", v.Floor, "0 to 1")
+		floors += max(v.Floor, 0)
+	}
+	// Ten floors of 0.1 add up to slightly more than 1 in floating point.
+	c.Check(floors <= 1+1e-9, "$.classes", fmt.Sprintf("floors with the sum %g", floors), "a sum of at most 1")
+}
+
+func (c *checker) checkOrganisations() {
+	l := c.document.Organisations
+	c.Check(len(l) <= maxOrganisations, "$.organisations", len(l), fmt.Sprintf("at most %d organisations", maxOrganisations))
+	seen := make(map[string]string)
+	keys := make(map[string]string)
+	for i, v := range l {
+		at := decoder.Item("$.organisations", i)
+		c.name(at, string(v.Name), name, nameAllowed, seen)
+		c.Check(v.Share > 0 && v.Share <= maxNumber, at+".share", v.Share, "more than 0, up to 1000000")
+		c.Check(v.Limit >= 0 && v.Limit <= maxNumber, at+".limit", v.Limit, "0 (no limit) to 1000000")
+		c.Check(v.Rate >= 0 && v.Rate <= maxNumber, at+".rate", v.Rate, "0 (no limit) to 1000000")
+		c.Check(len(v.Keys) <= maxKeys, at+".keys", len(v.Keys), fmt.Sprintf("at most %d keys", maxKeys))
+		for j, k := range v.Keys {
+			p := decoder.Item(at+".keys", j)
+			c.Check(keyHash.MatchString(k), p, k, keyAllowed)
+			if first, ok := keys[k]; ok {
+				c.Add(p, decoder.Show(k), "a digest that is not used at "+first)
+				continue
+			}
+			keys[k] = p
+		}
+	}
+}
+
+// checkPools checks models and services. They share one name space, because a
+// pool is known by its name alone.
+func (c *checker) checkPools() {
+	d := c.document
+	n := len(d.Models) + len(d.Services)
+	c.Check(n <= maxPools, "$.models", n, fmt.Sprintf("at most %d models and services", maxPools))
+	seen := make(map[string]string)
+	for i, v := range d.Models {
+		at := decoder.Item("$.models", i)
+		c.name(at, string(v.Name), modelName, modelNameAllowed, seen)
+		c.class(at+".class", v.Class)
+		for j, n := range v.Classes {
+			p := decoder.Item(at+".classes", j)
+			c.class(p, n)
+			c.Check(n != v.Class && !slices.Contains(v.Classes[:j], n), p, n, "each class once")
+		}
+	}
+	for i, v := range d.Services {
+		at := decoder.Item("$.services", i)
+		c.name(at, string(v.Name), name, nameAllowed, seen)
+		c.class(at+".class", v.Class)
+		c.checkCalls(at+".calls", v.Calls)
+	}
+}
+
+func (c *checker) checkCalls(at string, l []Call) {
+	c.Check(len(l) <= maxCalls, at, len(l), fmt.Sprintf("at most %d calls", maxCalls))
+	seen := make(map[string]string)
+	for i, v := range l {
+		p := decoder.Item(at, i)
+		c.Check(slices.Contains(Methods, v.Method), p+".method", v.Method, "one of "+strings.Join(Methods, ", "))
+		clean := strings.HasPrefix(v.Path, "/") && (path.Clean(v.Path) == v.Path || path.Clean(v.Path)+"/" == v.Path)
+		c.Check(clean && !strings.ContainsAny(v.Path, "?#"), p+".path", v.Path, "a path that starts with '/', without empty or dot segments, query or fragment")
+		if v.Class != "" {
+			c.class(p+".class", v.Class)
+		}
+		// "/sales" and "/sales/" match the same calls.
+		id := v.Method + " " + strings.TrimSuffix(v.Path, "/")
+		if first, ok := seen[id]; ok {
+			c.Add(p, decoder.Show(id), "a method and path that are not used at "+first)
+			continue
+		}
+		seen[id] = p
+	}
+}
+
+func (c *checker) name(at, v string, pattern *regexp.Regexp, allowed string, seen map[string]string) {
+	p := at + ".name"
+	c.Check(pattern.MatchString(v), p, v, allowed)
+	if first, ok := seen[v]; ok {
+		c.Add(p, decoder.Show(v), "a name that is not used at "+first)
+		return
+	}
+	seen[v] = p
+}
+
+func (c *checker) class(at string, n ClassName) {
+	for _, v := range c.document.Classes {
+		if v.Name == n {
+			return
+		}
+	}
+	c.Add(at, decoder.Show(n), "the name of a class in $.classes")
+}
+
+func (c *checker) duration(at string, v Duration, most time.Duration, optional bool) {
+	t := time.Duration(v)
+	allowed := fmt.Sprintf("a duration from %v to %v", MinDuration, most)
+	c.Check(optional && t == 0 || t >= MinDuration && t <= most, at, v, allowed)
+}
--- a/internal/config/validator/document.go
+++ b/internal/config/validator/document.go
@@ -33,6 +33,12 @@
 // Duration is a time.Duration written as a string such as "310ms" in JSON.
 type Duration time.Duration
 
+// String formats the duration in Go's notation.
+func (d Duration) String() string { return time.Duration(d).String() }
+
+// Allowed tells what UnmarshalText reads.
+func (d Duration) Allowed() string { return `a duration such as "310ms" or "2m30s"` }
+
 // MarshalText writes the duration in Go's notation.
 func (d Duration) MarshalText() ([]byte, error) {
 	return []byte(time.Duration(d).String()), nil
--- /dev/null
+++ b/internal/settings/loader/load.go
@@ -0,0 +1,229 @@
+package loader
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/amaranthcart/amaranthcart/internal/config/decoder"
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+)
+
+// Bounds of the settings.
+const (
+	MinDrain = time.Second
+	MaxDrain = time.Hour
+
+	minBody        = 1 << 10
+	maxBody        = 256 << 20
+	minHeader      = 4 << 10
+	maxHeader      = 1 << 20
+	maxConnections = 1_000_000
+	maxKeys        = 16
+	// A control group larger than five hosts only gets slower.
+	maxVoters = 5
+)
+
+// Levels lists the values of the field log.
+var Levels = []string{"debug", "info", "warn", "error"}
+
+var (
+	label   = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
+	keyHash = regexp.MustCompile(`^[0-9a-f]{64}$`)
+)
+
+const (
+	labelAllowed  = "1 to 64 letters, digits, '.', '_' or '-', starting with a letter or digit"
+	listenAllowed = `an IP address and port to listen on, such as "127.0.0.1:8080" or "0.0.0.0:8080"`
+	peerAllowed   = `an IP address and port that others can connect to, such as "10.0.0.1:7070"`
+)
+
+// Load reads and checks a settings file.
+func Load(path string) (*Settings, []decoder.Problem) {
+	data, err := readFile(path)
+	if err != nil {
+		return nil, []decoder.Problem{{Path: decoder.Root, Value: err.Error(), Allowed: "a readable file"}}
+	}
+	return Decode(data)
+}
+
+// readFile reads at most one byte more than a valid file has.
+func readFile(path string) ([]byte, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, fmt.Errorf("opening the settings: %w", err)
+	}
+	data, err := io.ReadAll(io.LimitReader(f, decoder.MaxSize+1))
+	if err := errors.Join(err, f.Close()); err != nil {
+		return nil, fmt.Errorf("reading the settings: %w", err)
+	}
+	return data, nil
+}
+
+// Decode reads and checks settings. They are nil when there is any problem.
+func Decode(data []byte) (*Settings, []decoder.Problem) {
+	var (
+		s Settings
+		p decoder.Problems
+	)
+	if decoder.Decode(data, &s, &p) {
+		s.complete()
+		check(&s, &p)
+	}
+	if l := p.List(); len(l) > 0 {
+		return nil, l
+	}
+	return &s, nil
+}
+
+// Check checks settings that were made in memory.
+func Check(s *Settings) []decoder.Problem {
+	var p decoder.Problems
+	check(s, &p)
+	return p.List()
+}
+
+func check(s *Settings, p *decoder.Problems) {
+	p.Check(label.MatchString(string(s.Name)), "$.name", s.Name, labelAllowed)
+	p.Check(label.MatchString(string(s.Centre)), "$.centre", s.Centre, labelAllowed)
+	p.Check(label.MatchString(string(s.Cell)), "$.cell", s.Cell, labelAllowed)
+	checkRoles(s, p)
+	checkData(s, p)
+	checkListeners(s, p)
+	checkSeeds(s, p)
+	checkControl(s, p)
+	checkBootstrap(s, p)
+	rules := []StaleRule{RefuseStale, ServeStale}
+	p.Check(slices.Contains(rules, s.Stale), "$.stale", s.Stale, "refuse or serve")
+	drain := s.DrainTime()
+	p.Check(drain >= MinDrain && drain <= MaxDrain, "$.drain", s.Drain, fmt.Sprintf("a duration from %v to %v", MinDrain, MaxDrain))
+	checkLimits(s.Limits, p)
+	checkOperators(s, p)
+	p.Check(s.TLS == nil, "$.tls", s.TLS, "nothing: TLS is not supported yet, so remove the field and keep the addresses on a trusted network")
+	p.Check(slices.Contains(Levels, s.Log), "$.log", s.Log, "one of "+strings.Join(Levels, ", "))
+}
+
+func checkRoles(s *Settings, p *decoder.Problems) {
+	p.Check(len(s.Roles) > 0, "$.roles", s.Roles, "entry, control or both")
+	for i, r := range s.Roles {
+		ok := (r == Entry || r == Control) && !slices.Contains(s.Roles[:i], r)
+		p.Check(ok, decoder.Item("$.roles", i), r, "entry or control, each at most once")
+	}
+}
+
+func checkData(s *Settings, p *decoder.Problems) {
+	if s.Data == "" {
+		p.Check(!s.Plays(Control), "$.data", s.Data, "a folder, required for the role control")
+		return
+	}
+	p.Check(filepath.IsAbs(s.Data), "$.data", s.Data, "an absolute path")
+}
+
+func checkListeners(s *Settings, p *decoder.Problems) {
+	if s.Plays(Entry) || s.Callers != "" {
+		_, ok := address(s.Callers)
+		p.Check(ok, "$.callers", s.Callers, listenAllowed)
+		p.Check(s.Plays(Entry), "$.callers", s.Callers, "nothing without the role entry")
+	}
+	_, ok := address(s.Peers)
+	p.Check(ok, "$.peers", s.Peers, listenAllowed)
+	_, ok = address(s.Admin)
+	p.Check(ok, "$.admin", s.Admin, listenAllowed)
+	if !p.Has("$.peers") {
+		p.Check(reachable(s.Advertise), "$.advertise", s.Advertise, peerAllowed+"; required when peers names no such address")
+	}
+	used := make(map[string]string)
+	for _, l := range []struct{ path, value string }{{"$.callers", s.Callers}, {"$.peers", s.Peers}, {"$.admin", s.Admin}} {
+		a, ok := address(l.value)
+		if !ok || a.Port() == 0 {
+			continue
+		}
+		if first, taken := used[l.value]; taken {
+			p.Add(l.path, decoder.Show(l.value), "an address that is not used at "+first)
+		}
+		used[l.value] = l.path
+	}
+}
+
+// reachable reports whether others can connect to the address.
+func reachable(v string) bool {
+	a, ok := address(v)
+	return ok && a.Port() != 0 && !a.Addr().IsUnspecified() && !a.Addr().IsMulticast()
+}
+
+func checkSeeds(s *Settings, p *decoder.Problems) {
+	for i, v := range s.Seeds {
+		at := decoder.Item("$.seeds", i)
+		p.Check(reachable(v), at, v, peerAllowed)
+		p.Check(!slices.Contains(s.Seeds[:i], v), at, v, "each address once")
+	}
+}
+
+func checkControl(s *Settings, p *decoder.Problems) {
+	p.Check(len(s.Control) > 0, "$.control", s.Control, "the control hosts")
+	names := make(map[registrar.HostName]string)
+	addresses := make(map[string]string)
+	for i, m := range s.Control {
+		at := decoder.Item("$.control", i)
+		p.Check(label.MatchString(string(m.Name)), at+".name", m.Name, labelAllowed)
+		p.Check(reachable(m.Address), at+".address", m.Address, peerAllowed)
+		if first, ok := names[m.Name]; ok {
+			p.Add(at+".name", decoder.Show(m.Name), "a name that is not used at "+first)
+		}
+		if first, ok := addresses[m.Address]; ok {
+			p.Add(at+".address", decoder.Show(m.Address), "an address that is not used at "+first)
+		}
+		names[m.Name], addresses[m.Address] = at+".name", at+".address"
+		if m.Name == s.Name && s.Plays(Control) && reachable(s.Advertise) {
+			p.Check(m.Address == s.Advertise, at+".address", m.Address, "this host's own address, "+s.Advertise)
+		}
+	}
+	if _, ok := names[s.Name]; !ok && s.Plays(Control) {
+		p.Add("$.control", fmt.Sprintf("no entry named %q", s.Name), "an entry for this host, because it has the role control")
+	}
+}
+
+func checkBootstrap(s *Settings, p *decoder.Problems) {
+	n := len(s.Bootstrap)
+	p.Check(n == 0 || n%2 == 1 && n <= maxVoters, "$.bootstrap", n, "the names of 1, 3 or 5 control hosts")
+	for i, name := range s.Bootstrap {
+		at := decoder.Item("$.bootstrap", i)
+		listed := slices.ContainsFunc(s.Control, func(m Member) bool { return m.Name == name })
+		p.Check(listed, at, name, "the name of a host in $.control")
+		p.Check(!slices.Contains(s.Bootstrap[:i], name), at, name, "each name once")
+	}
+}
+
+func checkLimits(l Limits, p *decoder.Problems) {
+	p.Check(l.Body >= minBody && l.Body <= maxBody, "$.limits.body", l.Body, fmt.Sprintf("%d to %d bytes", minBody, maxBody))
+	p.Check(l.Header >= minHeader && l.Header <= maxHeader, "$.limits.header", l.Header, fmt.Sprintf("%d to %d bytes", minHeader, maxHeader))
+	p.Check(l.Connections >= 1 && l.Connections <= maxConnections, "$.limits.connections", l.Connections, fmt.Sprintf("1 to %d", maxConnections))
+}
+
+func checkOperators(s *Settings, p *decoder.Problems) {
+	names := make(map[string]string)
+	keys := make(map[string]string)
+	for i, o := range s.Operators {
+		at := decoder.Item("$.operators", i)
+		p.Check(label.MatchString(o.Name), at+".name", o.Name, labelAllowed)
+		if first, ok := names[o.Name]; ok {
+			p.Add(at+".name", decoder.Show(o.Name), "a name that is not used at "+first)
+		}
+		names[o.Name] = at + ".name"
+		p.Check(len(o.Keys) > 0 && len(o.Keys) <= maxKeys, at+".keys", len(o.Keys), fmt.Sprintf("1 to %d keys", maxKeys))
+		for j, k := range o.Keys {
+			path := decoder.Item(at+".keys", j)
+			p.Check(keyHash.MatchString(k), path, k, "the SHA-256 digest of a key as 64 lower-case hex digits")
+			if first, ok := keys[k]; ok {
+				p.Add(path, decoder.Show(k), "a digest that is not used at "+first)
+			}
+			keys[k] = path
+		}
+	}
+}
--- /dev/null
+++ b/internal/settings/loader/settings.go
@@ -0,0 +1,180 @@
+// Package loader reads the settings of amaranthd.
+//
+// # Usage
+//
+//	s, problems := loader.Load("/etc/amaranth/entry.json")
+//	if len(problems) > 0 {
+//		// every problem names the JSON path, the value and what is allowed
+//	}
+//
+// Load opens nothing but the file itself: no folder, no socket. A program that
+// makes its settings in memory, as amaranthd dev does, starts from Default and
+// calls Check. docs/settings.md describes each field.
+package loader
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/amaranthcart/amaranthcart/internal/config/validator"
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+)
+
+// Role is a part that a process plays.
+type Role string
+
+// Roles of a process.
+const (
+	// Entry receives callers' requests and dispatches them.
+	Entry Role = "entry"
+	// Control keeps the durable configuration and claims.
+	Control Role = "control"
+)
+
+// StaleRule tells what an entry host does when it cannot confirm its revision.
+type StaleRule string
+
+// Rules for an unconfirmed revision.
+const (
+	// RefuseStale makes the host unready.
+	RefuseStale StaleRule = "refuse"
+	// ServeStale keeps the host serving under the last revision.
+	ServeStale StaleRule = "serve"
+)
+
+// Settings are read once, when the process starts.
+type Settings struct {
+	// Name is unique in a deployment.
+	Name   registrar.HostName   `json:"name"`
+	Centre registrar.DataCentre `json:"centre"`
+	// Cell groups the upstreams that announce themselves to this host.
+	Cell registrar.CellName `json:"cell,omitempty"`
+	// Data is the folder of all files; without it an entry host keeps its
+	// last revision in memory only.
+	Data  string `json:"data,omitempty"`
+	Roles []Role `json:"roles"`
+	// Callers is where callers' requests are received.
+	Callers string `json:"callers,omitempty"`
+	// Peers is where other processes and upstreams connect.
+	Peers string `json:"peers"`
+	// Advertise is the address of Peers as others reach it.
+	Advertise string `json:"advertise,omitempty"`
+	// Admin serves metrics, health and operators' requests to this host.
+	Admin string `json:"admin"`
+	// Seeds are the peers addresses of entry hosts that are asked first.
+	Seeds []string `json:"seeds,omitempty"`
+	// Control lists the control hosts.
+	Control []Member `json:"control"`
+	// Bootstrap names the control hosts that are the first voters. It only
+	// counts while no group exists.
+	Bootstrap []registrar.HostName `json:"bootstrap,omitempty"`
+	Stale     StaleRule            `json:"stale,omitempty"`
+	// Drain is how long a planned stop waits for open streams.
+	Drain  validator.Duration `json:"drain,omitempty"`
+	Limits Limits             `json:"limits,omitzero"`
+	// Operators may change the configuration and drain hosts.
+	Operators []Operator `json:"operators,omitempty"`
+	TLS       *TLS       `json:"tls,omitempty"`
+	// Log is the lowest level that is written.
+	Log string `json:"log,omitempty"`
+}
+
+// Member is a control host.
+type Member struct {
+	Name registrar.HostName `json:"name"`
+	// Address is the peers address as others reach it.
+	Address string `json:"address"`
+}
+
+// Limits bound what one host takes from callers.
+type Limits struct {
+	// Body is the largest request body in bytes.
+	Body int64 `json:"body,omitempty"`
+	// Header is the largest request header in bytes.
+	Header int `json:"header,omitempty"`
+	// Connections is the largest number of open callers' connections.
+	Connections int `json:"connections,omitempty"`
+}
+
+// Operator is a person or program with operator keys.
+type Operator struct {
+	Name string `json:"name"`
+	// Keys are hex SHA-256 digests.
+	Keys []string `json:"keys"`
+}
+
+// TLS names files in PEM form. It is refused while TLS is not supported.
+type TLS struct {
+	Certificate string `json:"certificate"`
+	Key         string `json:"key"`
+	Authority   string `json:"authority"`
+}
+
+// Defaults of the settings.
+const (
+	DefaultCell = registrar.CellName("main")
+	// DefaultDrain is no shorter than the longest target of a class.
+	DefaultDrain       = validator.MaxTarget
+	DefaultBody        = 8 << 20
+	DefaultHeader      = 64 << 10
+	DefaultConnections = 10_000
+	DefaultLog         = "info"
+)
+
+// Default returns settings with the default of each optional field.
+func Default() *Settings {
+	s := new(Settings)
+	s.complete()
+	return s
+}
+
+// complete fills in the defaults of absent fields.
+func (s *Settings) complete() {
+	setDefault(&s.Cell, DefaultCell)
+	setDefault(&s.Stale, RefuseStale)
+	setDefault(&s.Drain, validator.Duration(DefaultDrain))
+	setDefault(&s.Limits.Body, DefaultBody)
+	setDefault(&s.Limits.Header, DefaultHeader)
+	setDefault(&s.Limits.Connections, DefaultConnections)
+	setDefault(&s.Log, DefaultLog)
+	setDefault(&s.Advertise, s.Peers)
+}
+
+func setDefault[T comparable](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
+}
+
+// Plays reports whether the process has the role.
+func (s *Settings) Plays(r Role) bool { return slices.Contains(s.Roles, r) }
+
+// DrainTime returns how long a planned stop waits for open streams.
+func (s *Settings) DrainTime() time.Duration { return time.Duration(s.Drain) }
+
+// OperatorByKey finds the operator who holds the plain key. It compares every
+// digest in constant time.
+func (s *Settings) OperatorByKey(key string) (string, bool) {
+	sum := sha256.Sum256([]byte(key))
+	digest := []byte(hex.EncodeToString(sum[:]))
+	found := ""
+	for _, o := range s.Operators {
+		for _, k := range o.Keys {
+			if subtle.ConstantTimeCompare([]byte(k), digest) == 1 {
+				found = o.Name
+			}
+		}
+	}
+	return found, found != ""
+}
+
+// address parses an IP address with a port.
+func address(v string) (netip.AddrPort, bool) {
+	a, err := netip.ParseAddrPort(v)
+	return a, err == nil
+}
