dispatcher: schedule requests at the owner of the cell

Cause: eight or nine entry hosts that decide alone give the same engine more work than it has slots for. Each host keeps a scheduler. The owner's schedules all requests of the cell over streams from the other hosts; the others' is the fallback within one host's part of the slots. Open requests move with a change of the owner: held slots are adopted, waiting requests are queued again. Tests: five requests for four slots through three hosts; owner draining, dying and frozen with held slots and a waiting request; a host that is gone.

--- /dev/null
+++ b/internal/entry/dispatcher/cell.go
@@ -0,0 +1,275 @@
+package dispatcher
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/jonboulle/clockwork"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
+)
+
+const (
+	// reviewInterval is how often the owner of the cell is looked up; a
+	// broken link is noticed at once.
+	reviewInterval = 50 * time.Millisecond
+	// collectTime is how long a new owner dispatches only its own part of the
+	// slots while the other hosts report the slots that they hold.
+	collectTime = time.Second
+	// retryInterval is the shortest time between two attempts to open a link.
+	retryInterval = 100 * time.Millisecond
+	// ticketShards spreads the open requests over several locks.
+	ticketShards = 16
+)
+
+// Membership is the view of the hosts that choose the owner of a cell.
+type Membership interface {
+	// Owner names the host that runs the scheduler of the cell.
+	Owner(c registrar.CellName) (registrar.HostName, bool)
+	// Address is where the host serves other hosts.
+	Address(h registrar.HostName) (string, bool)
+	// Hosts counts the live entry hosts.
+	Hosts() int
+	// Upstream looks an upstream up.
+	Upstream(id registrar.UpstreamID) (registrar.Upstream, bool)
+}
+
+// Settings configures a Cell.
+type Settings struct {
+	Host        registrar.HostName
+	Incarnation registrar.Incarnation
+	Cell        registrar.CellName
+	Membership  Membership
+	Local       *Local
+	Client      *http.Client
+	Clock       clockwork.Clock
+	Logger      *zap.Logger
+}
+
+// Cell implements Dispatcher for the upstreams of one cell. It schedules
+// requests at the owner of the cell, or on this host while no owner can be
+// reached.
+type Cell struct {
+	settings Settings
+	shards   [ticketShards]ticketShard
+
+	// Guards the choice of the route; requests are admitted under its read
+	// lock so that none is missed by a hand-over.
+	mu    sync.RWMutex
+	route route
+
+	stop  context.CancelFunc
+	group conc.WaitGroup
+}
+
+type ticketShard struct {
+	mu      sync.Mutex
+	tickets map[scheduler.RequestID]*ticket
+}
+
+// NewCell starts to follow the owner of the cell until Close.
+func NewCell(s Settings) *Cell {
+	ctx, stop := context.WithCancel(context.Background())
+	c := &Cell{settings: s, route: s.Local, stop: stop}
+	for i := range c.shards {
+		c.shards[i].tickets = map[scheduler.RequestID]*ticket{}
+	}
+	c.group.Go(func() { c.follow(ctx) })
+	return c
+}
+
+// Close stops following the owner and waits. Requests must have ended.
+func (c *Cell) Close() {
+	c.stop()
+	c.group.Wait()
+}
+
+// Acquire implements Dispatcher.
+func (c *Cell) Acquire(ctx context.Context, r scheduler.Request) (Slot, error) {
+	t := newTicket(r, c.settings.Clock, c.settings.Membership.Upstream, func() { c.remove(r.ID) })
+	c.admit(t)
+	select {
+	case g := <-t.result:
+		return c.granted(t, g)
+	case <-ctx.Done():
+		if s := t.withdraw(); s != nil {
+			s.Release(scheduler.Abandoned, 0)
+		}
+		c.remove(r.ID)
+		return nil, ctx.Err()
+	}
+}
+
+func (c *Cell) granted(t *ticket, g grant) (Slot, error) {
+	if g.refusal != nil {
+		c.remove(t.request.ID)
+		return nil, g.refusal
+	}
+	return g.slot, nil
+}
+
+func (c *Cell) admit(t *ticket) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	s := c.shard(t.request.ID)
+	s.mu.Lock()
+	s.tickets[t.request.ID] = t
+	s.mu.Unlock()
+	t.move(c.route)
+}
+
+func (c *Cell) remove(id scheduler.RequestID) {
+	s := c.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.tickets, id)
+}
+
+func (c *Cell) shard(id scheduler.RequestID) *ticketShard {
+	return &c.shards[xxhash.Sum64String(string(id))%ticketShards]
+}
+
+// Lost tells the requests that run on an upstream that its lease has ended.
+func (c *Cell) Lost(id registrar.UpstreamID) {
+	for _, t := range c.tickets() {
+		t.lost(id)
+	}
+}
+
+func (c *Cell) tickets() []*ticket {
+	var all []*ticket
+	for i := range c.shards {
+		s := &c.shards[i]
+		s.mu.Lock()
+		for _, t := range s.tickets {
+			all = append(all, t)
+		}
+		s.mu.Unlock()
+	}
+	return all
+}
+
+// follow keeps the route pointed at the owner of the cell.
+func (c *Cell) follow(ctx context.Context) {
+	f := follower{cell: c, since: c.settings.Clock.Now()}
+	t := c.settings.Clock.NewTicker(reviewInterval)
+	defer t.Stop()
+	defer f.drop()
+	for {
+		f.review(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.Chan():
+		case <-f.broken():
+			f.drop()
+		}
+	}
+}
+
+// follower is the state of the goroutine that chooses the route.
+type follower struct {
+	cell *Cell
+	// owning is whether this host owns the cell, and since when it does or
+	// does not.
+	owning bool
+	since  time.Time
+	link   *link
+	// retry is the earliest time for a new link after one has failed.
+	retry time.Time
+}
+
+func (f *follower) review(ctx context.Context) {
+	s := f.cell.settings
+	owner, ok := s.Membership.Owner(s.Cell)
+	owning := ok && owner == s.Host
+	if owning != f.owning {
+		f.owning = owning
+		f.since = s.Clock.Now()
+		s.Logger.Info("cell owner changed", zap.String("cell", string(s.Cell)), zap.String("owner", string(owner)), zap.Bool("self", owning))
+	}
+	f.divide()
+	if owning || !ok {
+		f.drop()
+		f.cell.reroute(s.Local)
+		return
+	}
+	f.connect(ctx, owner)
+}
+
+// divide sets the part of the slots that this host's scheduler may use: all
+// of them once it owns the cell and has collected the held slots.
+func (f *follower) divide() {
+	s := f.cell.settings
+	hosts := s.Membership.Hosts()
+	alone := hosts <= 1
+	collected := f.owning && s.Clock.Since(f.since) >= collectTime
+	if alone || collected {
+		hosts = 1
+	}
+	s.Local.Divide(hosts)
+}
+
+func (f *follower) connect(ctx context.Context, owner registrar.HostName) {
+	s := f.cell.settings
+	if f.link != nil && f.link.owner != owner {
+		f.drop()
+	}
+	if f.link == nil && !s.Clock.Now().Before(f.retry) {
+		f.open(ctx, owner)
+	}
+	if f.link != nil && f.link.ready() {
+		f.cell.reroute(f.link)
+		return
+	}
+	f.cell.reroute(s.Local)
+}
+
+func (f *follower) open(ctx context.Context, owner registrar.HostName) {
+	s := f.cell.settings
+	f.retry = s.Clock.Now().Add(retryInterval)
+	address, ok := s.Membership.Address(owner)
+	if !ok {
+		return
+	}
+	f.link = openLink(ctx, s, owner, address)
+}
+
+func (f *follower) broken() <-chan struct{} {
+	if f.link == nil {
+		return nil
+	}
+	return f.link.broken
+}
+
+// drop leaves the link; its requests go back to this host's scheduler.
+func (f *follower) drop() {
+	if f.link == nil {
+		return
+	}
+	f.cell.reroute(f.cell.settings.Local)
+	f.link.close()
+	f.link = nil
+}
+
+// reroute hands every open request over to another route.
+func (c *Cell) reroute(to route) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.route == to {
+		return
+	}
+	c.route = to
+	for _, t := range c.tickets() {
+		t.move(to)
+	}
+	if l, ok := to.(*link); ok {
+		l.complete()
+	}
+}
--- /dev/null
+++ b/internal/entry/dispatcher/cell_test.go
@@ -0,0 +1,282 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/amaranthcart/amaranthcart/internal/config/validator"
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/dialer"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/wire"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/wire/wireconnect"
+)
+
+// fakeMembership is a view of the hosts that the test sets.
+type fakeMembership struct {
+	mu        sync.Mutex
+	owner     registrar.HostName
+	addresses map[registrar.HostName]string
+	upstreams map[registrar.UpstreamID]registrar.Upstream
+}
+
+func (f *fakeMembership) Owner(registrar.CellName) (registrar.HostName, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.owner, f.owner != ""
+}
+
+func (f *fakeMembership) Address(h registrar.HostName) (string, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	a, ok := f.addresses[h]
+	return a, ok
+}
+
+func (f *fakeMembership) Hosts() int { return len(f.addresses) }
+
+func (f *fakeMembership) Upstream(id registrar.UpstreamID) (registrar.Upstream, bool) {
+	u, ok := f.upstreams[id]
+	return u, ok
+}
+
+func (f *fakeMembership) setOwner(h registrar.HostName) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.owner = h
+}
+
+// member is one entry host of the test's cell.
+type member struct {
+	wireconnect.UnimplementedPeerHandler
+	cell   *Cell
+	server *Server
+	local  *Local
+	http   *http.Server
+	frozen atomic.Bool
+}
+
+func (m *member) Dispatch(ctx context.Context, s *connect.BidiStream[wire.DispatchRequest, wire.DispatchResponse]) error {
+	if m.frozen.Load() {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return m.server.Dispatch(ctx, s)
+}
+
+const slots = 4
+
+func document() *validator.Document {
+	return &validator.Document{
+		Classes:       []validator.Class{{Name: "chat", First: validator.Duration(time.Minute), Wait: validator.Duration(time.Minute)}},
+		Organisations: []validator.Organisation{{Name: "home", Share: 1}},
+		Models:        []validator.Model{{Name: "m", Class: "chat"}},
+	}
+}
+
+func newMembers(t *testing.T, names ...registrar.HostName) (*fakeMembership, map[registrar.HostName]*member) {
+	t.Helper()
+	view := &fakeMembership{
+		owner:     names[0],
+		addresses: map[registrar.HostName]string{},
+		upstreams: map[registrar.UpstreamID]registrar.Upstream{},
+	}
+	u := registrar.Upstream{Name: "engine", Models: []validator.PoolName{"m"}, Slots: slots, Incarnation: 1}
+	view.upstreams[u.Name] = u
+	listeners := map[registrar.HostName]net.Listener{}
+	for _, n := range names {
+		l, err := dialer.Listen(t.Context(), "127.0.0.1:0")
+		assert.NilError(t, err)
+		listeners[n] = l
+		view.addresses[n] = l.Addr().String()
+	}
+	all := map[registrar.HostName]*member{}
+	for _, n := range names {
+		all[n] = newMember(t, n, view, listeners[n], u)
+	}
+	return view, all
+}
+
+func newMember(t *testing.T, n registrar.HostName, view *fakeMembership, l net.Listener, u registrar.Upstream) *member {
+	t.Helper()
+	clock := clockwork.NewRealClock()
+	m := &member{local: NewLocal(scheduler.New(), clock)}
+	s := Settings{Host: n, Incarnation: 1, Cell: "main", Membership: view, Local: m.local, Client: dialer.NewClient(), Clock: clock, Logger: zap.NewNop()}
+	m.local.Configure(document())
+	m.local.Observe(u)
+	m.server = NewServer(s)
+	mux := http.NewServeMux()
+	mux.Handle(wireconnect.NewPeerHandler(m))
+	m.http = dialer.NewServer(mux)
+	served := make(chan struct{})
+	m.local.group.Go(func() {
+		defer close(served)
+		_ = m.http.Serve(l)
+	})
+	m.cell = NewCell(s)
+	t.Cleanup(func() {
+		m.cell.Close()
+		assert.Check(t, m.http.Close())
+		<-served
+		m.local.Close()
+	})
+	return m
+}
+
+func (m *member) linked() bool {
+	m.cell.mu.RLock()
+	defer m.cell.mu.RUnlock()
+	_, ok := m.cell.route.(*link)
+	return ok
+}
+
+func waitFor(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if ok() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(5*time.Millisecond))
+}
+
+func request(id string) scheduler.Request {
+	return scheduler.Request{ID: scheduler.RequestID(id), Pool: "m", Class: "chat", Organisation: "home", Prompt: 10, Repeatable: true, Arrived: time.Now()}
+}
+
+func acquire(t *testing.T, c *Cell, id string) Slot {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	s, err := c.Acquire(ctx, request(id))
+	assert.NilError(t, err)
+	return s
+}
+
+// occupied counts the slots that a host's scheduler believes to be in use.
+func (m *member) occupied() int {
+	m.local.mu.Lock()
+	defer m.local.mu.Unlock()
+	n := 0
+	for _, o := range m.local.requests {
+		n += len(o.held)
+	}
+	return n
+}
+
+// TestOwnerLimitsAllHosts guards against hosts that together give an upstream
+// more work than it has slots for.
+func TestOwnerLimitsAllHosts(t *testing.T) {
+	_, all := newMembers(t, "a", "b", "c")
+	waitFor(t, "links", func() bool { return all["b"].linked() && all["c"].linked() })
+	waitFor(t, "collected", func() bool { return all["a"].full() })
+	var held []Slot
+	for i := range slots {
+		c := all[registrar.HostName([]string{"b", "c"}[i%2])].cell
+		held = append(held, acquire(t, c, fmt.Sprint("r", i)))
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	_, err := all["a"].cell.Acquire(ctx, request("extra"))
+	assert.Assert(t, errors.Is(err, context.DeadlineExceeded), "a fifth slot was granted: %v", err)
+	for _, s := range held {
+		s.Release(scheduler.Completed, 5)
+	}
+	waitFor(t, "slots freed", func() bool { return all["a"].occupied() == 0 })
+}
+
+func (m *member) full() bool {
+	m.local.mu.Lock()
+	defer m.local.mu.Unlock()
+	return m.local.hosts == 1
+}
+
+// TestHandOver guards against requests that are lost, and slots that are
+// forgotten or leaked, when the owner of the cell changes in its several ways.
+func TestHandOver(t *testing.T) {
+	cases := map[string]func(view *fakeMembership, all map[registrar.HostName]*member){
+		"owner drains": func(view *fakeMembership, _ map[registrar.HostName]*member) {
+			view.setOwner("b")
+		},
+		"owner dies": func(view *fakeMembership, all map[registrar.HostName]*member) {
+			_ = all["a"].http.Close()
+			all["a"].frozen.Store(true)
+			view.setOwner("b")
+		},
+		"owner freezes before the others notice": func(view *fakeMembership, all map[registrar.HostName]*member) {
+			all["a"].frozen.Store(true)
+			_ = all["a"].http.Close()
+			time.Sleep(200 * time.Millisecond)
+			view.setOwner("b")
+		},
+	}
+	for name, change := range cases {
+		t.Run(name, func(t *testing.T) {
+			view, all := newMembers(t, "a", "b", "c")
+			waitFor(t, "links", func() bool { return all["b"].linked() && all["c"].linked() })
+			waitFor(t, "collected", func() bool { return all["a"].full() })
+			var held []Slot
+			for i := range slots {
+				held = append(held, acquire(t, all["c"].cell, fmt.Sprint("held", i)))
+			}
+			granted := make(chan Slot, 1)
+			failed := make(chan error, 1)
+			all["c"].local.group.Go(func() {
+				s, err := all["c"].cell.Acquire(t.Context(), request("waiting"))
+				if err != nil {
+					failed <- err
+					return
+				}
+				granted <- s
+			})
+			change(view, all)
+			waitFor(t, "slots adopted by the new owner", func() bool {
+				return all["c"].linked() && all["b"].full() && all["b"].occupied() >= slots
+			})
+			for _, s := range held {
+				s.Release(scheduler.Completed, 5)
+			}
+			select {
+			case s := <-granted:
+				s.Release(scheduler.Completed, 5)
+			case err := <-failed:
+				t.Fatalf("the waiting request failed: %v", err)
+			case <-time.After(20 * time.Second):
+				t.Fatal("the waiting request was lost")
+			}
+			waitFor(t, "slots freed", func() bool { return all["b"].occupied() == 0 && all["c"].occupied() == 0 })
+			assert.Equal(t, len(all["c"].cell.tickets()), 0)
+		})
+	}
+}
+
+// TestLostHost guards against slots that stay occupied after the host that
+// held them is gone, and against slots freed while the host only lost its link.
+func TestLostHost(t *testing.T) {
+	_, all := newMembers(t, "a", "b")
+	waitFor(t, "links", func() bool { return all["b"].linked() && all["a"].full() })
+	acquire(t, all["b"].cell, "r")
+	waitFor(t, "held", func() bool { return all["a"].occupied() == 1 })
+	all["b"].cell.Close()
+	waitFor(t, "link ended", func() bool {
+		all["a"].server.mu.Lock()
+		defer all["a"].server.mu.Unlock()
+		return len(all["a"].server.orphans["b"]) == 1
+	})
+	assert.Equal(t, all["a"].occupied(), 1)
+	all["a"].server.HostDown("b")
+	assert.Equal(t, all["a"].occupied(), 0)
+}
--- /dev/null
+++ b/internal/entry/dispatcher/link.go
@@ -0,0 +1,216 @@
+package dispatcher
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/dialer"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/wire"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/wire/wireconnect"
+)
+
+const (
+	// beatInterval is how often the owner sends on an idle link.
+	beatInterval = 100 * time.Millisecond
+	// silenceLimit is the silence after which a link is given up. It is well
+	// under the smallest first-token target, so that waiting requests still
+	// have time on this host's own part of the slots.
+	silenceLimit = 400 * time.Millisecond
+)
+
+// link is the stream to the owner of the cell. It implements route.
+type link struct {
+	owner    registrar.HostName
+	settings Settings
+	broken   chan struct{}
+	cancel   context.CancelFunc
+	group    conc.WaitGroup
+
+	mu      sync.Mutex
+	up      bool
+	failed  bool
+	heard   time.Time
+	pending *wire.DispatchRequest
+	wake    chan struct{}
+	sinks   map[scheduler.RequestID]sink
+}
+
+func openLink(ctx context.Context, s Settings, owner registrar.HostName, address string) *link {
+	ctx, cancel := context.WithCancel(ctx)
+	l := &link{
+		owner:    owner,
+		settings: s,
+		broken:   make(chan struct{}),
+		cancel:   cancel,
+		heard:    s.Clock.Now(),
+		pending:  &wire.DispatchRequest{},
+		wake:     make(chan struct{}, 1),
+		sinks:    map[scheduler.RequestID]sink{},
+	}
+	client := wireconnect.NewPeerClient(s.Client, dialer.URL(address))
+	stream := client.Dispatch(ctx)
+	l.group.Go(func() { l.write(ctx, stream) })
+	l.group.Go(func() { l.read(stream) })
+	l.group.Go(func() { l.watch(ctx) })
+	return l
+}
+
+func (l *link) close() {
+	l.fail("closed")
+	l.cancel()
+	l.group.Wait()
+}
+
+// ready reports whether the owner has accepted the link.
+func (l *link) ready() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.up && !l.failed
+}
+
+func (l *link) fail(cause string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.failed {
+		return
+	}
+	l.failed = true
+	close(l.broken)
+	l.settings.Logger.Info("link to cell owner ended", zap.String("owner", string(l.owner)), zap.String("cause", cause))
+}
+
+// watch gives the link up after a silence: a frozen owner keeps its
+// connections open.
+func (l *link) watch(ctx context.Context) {
+	t := l.settings.Clock.NewTicker(beatInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.Chan():
+			if l.silent() {
+				l.fail("no message from owner")
+				return
+			}
+		}
+	}
+}
+
+func (l *link) silent() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.settings.Clock.Since(l.heard) > silenceLimit
+}
+
+func (l *link) write(ctx context.Context, stream *connect.BidiStreamForClient[wire.DispatchRequest, wire.DispatchResponse]) {
+	hello := &wire.DispatchRequest{Host: string(l.settings.Host), Incarnation: uint64(l.settings.Incarnation)}
+	if err := stream.Send(hello); err != nil {
+		l.fail(err.Error())
+		return
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.wake:
+		}
+		if err := stream.Send(l.batch()); err != nil {
+			l.fail(err.Error())
+			return
+		}
+	}
+}
+
+func (l *link) batch() *wire.DispatchRequest {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	m := &wire.DispatchRequest{Submits: l.pending.Submits, Progress: l.pending.Progress, Complete: l.pending.Complete}
+	l.pending = &wire.DispatchRequest{}
+	return m
+}
+
+func (l *link) read(stream *connect.BidiStreamForClient[wire.DispatchRequest, wire.DispatchResponse]) {
+	for {
+		m, err := stream.Receive()
+		if err != nil {
+			l.fail(err.Error())
+			return
+		}
+		if m.Moved {
+			l.fail("host is not the owner")
+			return
+		}
+		l.take(m)
+	}
+}
+
+func (l *link) take(m *wire.DispatchResponse) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.up = true
+	l.heard = l.settings.Clock.Now()
+	for _, a := range decodeActions(m) {
+		n, ok := l.sinks[a.id]
+		if !ok {
+			continue
+		}
+		if _, refused := a.action.(scheduler.Refuse); refused {
+			delete(l.sinks, a.id)
+		}
+		n(a.action)
+	}
+}
+
+// complete tells the owner that every slot held by this host is reported.
+func (l *link) complete() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pending.Complete = true
+	l.signal()
+}
+
+func (l *link) submit(r scheduler.Request, n sink) {
+	l.enqueue(r, "", n)
+}
+
+func (l *link) adopt(r scheduler.Request, id registrar.UpstreamID, n sink) {
+	l.enqueue(r, id, n)
+}
+
+func (l *link) enqueue(r scheduler.Request, held registrar.UpstreamID, n sink) {
+	m := encodeRequest(r, held, l.settings.Clock.Now())
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sinks[r.ID] = n
+	l.pending.Submits = append(l.pending.Submits, m)
+	l.signal()
+}
+
+func (l *link) report(e scheduler.Event) {
+	m := encodeProgress(e)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, ok := l.sinks[scheduler.RequestID(m.Id)]; !ok {
+		return
+	}
+	if m.Kind == wire.SlotProgress_KIND_CANCELLED {
+		delete(l.sinks, scheduler.RequestID(m.Id))
+	}
+	l.pending.Progress = append(l.pending.Progress, m)
+	l.signal()
+}
+
+func (l *link) signal() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/entry/dispatcher/local.go
@@ -0,0 +1,215 @@
+package dispatcher
+
+import (
+	"sync"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sourcegraph/conc"
+
+	"github.com/amaranthcart/amaranthcart/internal/config/validator"
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
+)
+
+// sink receives the actions for one request. It is called with the lock of
+// Local held, so it must neither block nor call back.
+type sink func(a scheduler.Action)
+
+// open is a request that waits or holds slots.
+type open struct {
+	notify sink
+	held   map[registrar.UpstreamID]bool
+}
+
+// Local runs the scheduler of a cell on this host. The cell is the unit of
+// sharding, so one lock guards it.
+type Local struct {
+	clock clockwork.Clock
+
+	mu        sync.Mutex
+	scheduler *scheduler.Scheduler
+	upstreams map[registrar.UpstreamID]registrar.Upstream
+	requests  map[scheduler.RequestID]*open
+	hosts     int
+
+	stop  chan struct{}
+	group conc.WaitGroup
+}
+
+// NewLocal starts a scheduler that ticks until Close.
+func NewLocal(s *scheduler.Scheduler, c clockwork.Clock) *Local {
+	l := &Local{
+		clock:     c,
+		scheduler: s,
+		upstreams: map[registrar.UpstreamID]registrar.Upstream{},
+		requests:  map[scheduler.RequestID]*open{},
+		hosts:     1,
+		stop:      make(chan struct{}),
+	}
+	l.group.Go(l.tick)
+	return l
+}
+
+// Close stops the ticks and waits for them.
+func (l *Local) Close() {
+	close(l.stop)
+	l.group.Wait()
+}
+
+func (l *Local) tick() {
+	t := l.clock.NewTicker(scheduler.TickInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-l.stop:
+			return
+		case <-t.Chan():
+			l.mu.Lock()
+			l.step(scheduler.Tick{})
+			l.mu.Unlock()
+		}
+	}
+}
+
+// Configure puts a configuration in force.
+func (l *Local) Configure(d *validator.Document) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.step(scheduler.Configure{Document: d})
+}
+
+// Observe reports a new or changed upstream.
+func (l *Local) Observe(u registrar.Upstream) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.upstreams[u.Name] = u
+	l.step(scheduler.Observe{Upstream: l.divided(u)})
+}
+
+// Forget reports that an upstream has gone.
+func (l *Local) Forget(id registrar.UpstreamID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.upstreams, id)
+	l.step(scheduler.Forget{Upstream: id})
+}
+
+// Divide limits the scheduler to one host's part of each upstream's slots
+// while several hosts dispatch on their own.
+func (l *Local) Divide(hosts int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if hosts = max(hosts, 1); hosts == l.hosts {
+		return
+	}
+	l.hosts = hosts
+	for _, u := range l.upstreams {
+		l.step(scheduler.Observe{Upstream: l.divided(u)})
+	}
+}
+
+func (l *Local) divided(u registrar.Upstream) registrar.Upstream {
+	u.Slots = (u.Slots + l.hosts - 1) / l.hosts
+	return u
+}
+
+// submit queues a request.
+func (l *Local) submit(r scheduler.Request, n sink) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.requests[r.ID] = &open{notify: n, held: map[registrar.UpstreamID]bool{}}
+	l.step(scheduler.Submit{Request: r})
+}
+
+// adopt records a slot that another owner granted.
+func (l *Local) adopt(r scheduler.Request, id registrar.UpstreamID, n sink) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	o, ok := l.requests[r.ID]
+	if !ok {
+		o = &open{held: map[registrar.UpstreamID]bool{}}
+		l.requests[r.ID] = o
+	}
+	o.notify = n
+	if o.held[id] {
+		return
+	}
+	o.held[id] = true
+	l.step(scheduler.Adopt{Request: r, Upstream: id})
+}
+
+// report passes on news of an attempt.
+func (l *Local) report(e scheduler.Event) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch e := e.(type) {
+	case scheduler.Finished:
+		l.finish(e)
+	case scheduler.Cancel:
+		delete(l.requests, e.ID)
+	}
+	l.step(e)
+}
+
+func (l *Local) finish(e scheduler.Finished) {
+	o, ok := l.requests[e.ID]
+	if !ok {
+		return
+	}
+	delete(o.held, e.Upstream)
+	if len(o.held) == 0 {
+		delete(l.requests, e.ID)
+	}
+}
+
+// detach ends the notification of a request whose host is out of reach. It
+// reports whether the request holds slots; one that only waits is withdrawn.
+func (l *Local) detach(id scheduler.RequestID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	o, ok := l.requests[id]
+	if !ok {
+		return false
+	}
+	if len(o.held) > 0 {
+		o.notify = func(scheduler.Action) {}
+		return true
+	}
+	delete(l.requests, id)
+	l.step(scheduler.Cancel{ID: id})
+	return false
+}
+
+// step feeds the scheduler and hands its actions to the requests' sinks.
+func (l *Local) step(e scheduler.Event) {
+	for _, a := range l.scheduler.Step(l.clock.Now(), e) {
+		l.deliver(a)
+	}
+}
+
+func (l *Local) deliver(a scheduler.Action) {
+	switch a := a.(type) {
+	case scheduler.Grant:
+		l.granted(a.ID, a.Upstream, a)
+	case scheduler.Hedge:
+		l.granted(a.ID, a.Upstream, a)
+	case scheduler.Refuse:
+		if o, ok := l.requests[a.ID]; ok {
+			delete(l.requests, a.ID)
+			o.notify(a)
+		}
+	case scheduler.Preempt:
+		if o, ok := l.requests[a.ID]; ok {
+			o.notify(a)
+		}
+	}
+}
+
+func (l *Local) granted(id scheduler.RequestID, u registrar.UpstreamID, a scheduler.Action) {
+	o, ok := l.requests[id]
+	if !ok {
+		return
+	}
+	o.held[u] = true
+	o.notify(a)
+}
--- /dev/null
+++ b/internal/entry/dispatcher/server.go
@@ -0,0 +1,237 @@
+package dispatcher
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/jonboulle/clockwork"
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/wire"
+)
+
+// Server answers the slot requests of other hosts while this host owns the
+// cell. Its Dispatch method implements the Peer service.
+type Server struct {
+	settings Settings
+
+	mu sync.Mutex
+	// orphans are the requests whose link broke while they held slots. They
+	// keep their slots until their host reports again or is gone.
+	orphans map[registrar.HostName]map[scheduler.RequestID]bool
+}
+
+// NewServer returns the serving side of a cell.
+func NewServer(s Settings) *Server {
+	return &Server{settings: s, orphans: map[registrar.HostName]map[scheduler.RequestID]bool{}}
+}
+
+// HostDown frees the slots of a host whose lease has ended.
+func (s *Server) HostDown(h registrar.HostName) {
+	for id := range s.takeOrphans(h) {
+		s.settings.Local.report(scheduler.Cancel{ID: id})
+	}
+}
+
+func (s *Server) takeOrphans(h registrar.HostName) map[scheduler.RequestID]bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ids := s.orphans[h]
+	delete(s.orphans, h)
+	return ids
+}
+
+func (s *Server) orphan(h registrar.HostName, id scheduler.RequestID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.orphans[h] == nil {
+		s.orphans[h] = map[scheduler.RequestID]bool{}
+	}
+	s.orphans[h][id] = true
+}
+
+func (s *Server) owns() bool {
+	owner, ok := s.settings.Membership.Owner(s.settings.Cell)
+	return ok && owner == s.settings.Host
+}
+
+// Dispatch serves one link.
+func (s *Server) Dispatch(ctx context.Context, stream *connect.BidiStream[wire.DispatchRequest, wire.DispatchResponse]) error {
+	hello, err := stream.Receive()
+	if err != nil {
+		return fmt.Errorf("receive hello: %w", err)
+	}
+	if hello.Host == "" {
+		return connect.NewError(connect.CodeInvalidArgument, fmt.Errorf("the first message names no host"))
+	}
+	if !s.owns() {
+		return stream.Send(&wire.DispatchResponse{Moved: true})
+	}
+	n := newSession(s, registrar.HostName(hello.Host))
+	defer n.end()
+	return n.serve(ctx, stream)
+}
+
+// session is one link as the owner sees it.
+type session struct {
+	server  *Server
+	host    registrar.HostName
+	orphans map[scheduler.RequestID]bool
+
+	mu      sync.Mutex
+	open    map[scheduler.RequestID]bool
+	pending *wire.DispatchResponse
+	wake    chan struct{}
+}
+
+func newSession(s *Server, h registrar.HostName) *session {
+	return &session{
+		server:  s,
+		host:    h,
+		orphans: s.takeOrphans(h),
+		open:    map[scheduler.RequestID]bool{},
+		pending: &wire.DispatchResponse{},
+		wake:    make(chan struct{}, 1),
+	}
+}
+
+func (n *session) serve(ctx context.Context, stream *connect.BidiStream[wire.DispatchRequest, wire.DispatchResponse]) error {
+	g := pool.New().WithContext(ctx).WithCancelOnError().WithFirstError()
+	g.Go(func(ctx context.Context) error { return n.write(ctx, stream) })
+	g.Go(func(context.Context) error { return n.read(stream) })
+	return g.Wait()
+}
+
+// errLinkEnded stops the writer when the reader has ended.
+var errLinkEnded = connect.NewError(connect.CodeUnavailable, fmt.Errorf("link ended"))
+
+func (n *session) read(stream *connect.BidiStream[wire.DispatchRequest, wire.DispatchResponse]) error {
+	for {
+		m, err := stream.Receive()
+		if err != nil {
+			return errLinkEnded
+		}
+		n.take(m)
+	}
+}
+
+func (n *session) write(ctx context.Context, stream *connect.BidiStream[wire.DispatchRequest, wire.DispatchResponse]) error {
+	beat := n.clock().NewTicker(beatInterval)
+	defer beat.Stop()
+	for {
+		if !n.server.owns() {
+			return stream.Send(&wire.DispatchResponse{Moved: true})
+		}
+		if err := stream.Send(n.batch()); err != nil {
+			return fmt.Errorf("send grants: %w", err)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-n.wake:
+		case <-beat.Chan():
+		}
+	}
+}
+
+func (n *session) clock() clockwork.Clock { return n.server.settings.Clock }
+
+func (n *session) batch() *wire.DispatchResponse {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	m := n.pending
+	n.pending = &wire.DispatchResponse{}
+	return m
+}
+
+func (n *session) take(m *wire.DispatchRequest) {
+	now := n.clock().Now()
+	for _, r := range m.Submits {
+		n.submit(r, now)
+	}
+	if m.Complete {
+		n.settle()
+	}
+	for _, p := range m.Progress {
+		n.progress(p)
+	}
+}
+
+func (n *session) submit(m *wire.SlotRequest, now time.Time) {
+	r := decodeRequest(m, now)
+	n.track(r.ID)
+	l := n.server.settings.Local
+	if m.Held == "" {
+		l.submit(r, n.notify)
+		return
+	}
+	delete(n.orphans, r.ID)
+	l.adopt(r, registrar.UpstreamID(m.Held), n.notify)
+}
+
+// settle frees the slots that the host released while its link was broken.
+func (n *session) settle() {
+	for id := range n.orphans {
+		n.server.settings.Local.report(scheduler.Cancel{ID: id})
+	}
+	n.orphans = nil
+}
+
+func (n *session) progress(m *wire.SlotProgress) {
+	e := decodeProgress(m)
+	if e == nil {
+		return
+	}
+	if c, ok := e.(scheduler.Cancel); ok {
+		n.untrack(c.ID)
+	}
+	n.server.settings.Local.report(e)
+}
+
+func (n *session) track(id scheduler.RequestID) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.open[id] = true
+}
+
+func (n *session) untrack(id scheduler.RequestID) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.open, id)
+}
+
+// notify is the sink of the host's requests.
+func (n *session) notify(a scheduler.Action) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if r, ok := a.(scheduler.Refuse); ok {
+		delete(n.open, r.ID)
+	}
+	appendAction(n.pending, a)
+	select {
+	case n.wake <- struct{}{}:
+	default:
+	}
+}
+
+// end withdraws the host's waiting requests and keeps its slots for the time
+// that its lease lasts.
+func (n *session) end() {
+	n.mu.Lock()
+	ids := n.open
+	n.open = nil
+	n.mu.Unlock()
+	for id := range n.orphans {
+		n.server.orphan(n.host, id)
+	}
+	for id := range ids {
+		if n.server.settings.Local.detach(id) {
+			n.server.orphan(n.host, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/dispatcher/ticket.go
@@ -0,0 +1,295 @@
+package dispatcher
+
+import (
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
+)
+
+const (
+	// reportTokens and reportInterval bound how often the progress of one
+	// attempt is reported, so that the owner's work does not grow with every
+	// token.
+	reportTokens   = 8
+	reportInterval = 200 * time.Millisecond
+)
+
+// route is the place where a request is scheduled: this host or the owner.
+type route interface {
+	submit(r scheduler.Request, n sink)
+	adopt(r scheduler.Request, id registrar.UpstreamID, n sink)
+	report(e scheduler.Event)
+}
+
+// finder looks an upstream up in this host's view.
+type finder func(registrar.UpstreamID) (registrar.Upstream, bool)
+
+// ticket is one request of this host that waits or holds slots.
+type ticket struct {
+	request scheduler.Request
+	clock   clockwork.Clock
+	find    finder
+
+	mu sync.Mutex
+	// route is where the request is scheduled now; actions from an earlier
+	// route carry a lower epoch and are ignored.
+	route  route
+	epoch  int
+	slots  map[registrar.UpstreamID]*slot
+	closed bool
+	result chan grant
+	// ended is called once when the request holds no slot any more.
+	ended func()
+}
+
+// grant is the answer to Acquire.
+type grant struct {
+	slot    *slot
+	refusal *RefusedError
+}
+
+func newTicket(r scheduler.Request, c clockwork.Clock, find finder, ended func()) *ticket {
+	return &ticket{
+		request: r,
+		clock:   c,
+		find:    find,
+		ended:   ended,
+		slots:   map[registrar.UpstreamID]*slot{},
+		result:  make(chan grant, 1),
+	}
+}
+
+// move hands the request over to another route: held slots are adopted there
+// and a request that still waits is queued again.
+func (t *ticket) move(to route) {
+	t.mu.Lock()
+	if t.closed {
+		t.mu.Unlock()
+		return
+	}
+	from := t.route
+	if from == to {
+		t.mu.Unlock()
+		return
+	}
+	t.route = to
+	t.epoch++
+	notify := t.sink(t.epoch)
+	held := make([]registrar.UpstreamID, 0, len(t.slots))
+	for id := range t.slots {
+		held = append(held, id)
+	}
+	t.mu.Unlock()
+	if from != nil {
+		from.report(scheduler.Cancel{ID: t.request.ID})
+	}
+	if len(held) == 0 {
+		to.submit(t.request, notify)
+	}
+	for _, id := range held {
+		to.adopt(t.request, id, notify)
+	}
+	t.settle(to)
+}
+
+// settle withdraws what was just handed over when the ticket ended meanwhile.
+func (t *ticket) settle(to route) {
+	t.mu.Lock()
+	ended := t.closed
+	t.mu.Unlock()
+	if ended {
+		to.report(scheduler.Cancel{ID: t.request.ID})
+	}
+}
+
+func (t *ticket) sink(epoch int) sink {
+	return func(a scheduler.Action) {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		if t.closed || epoch != t.epoch {
+			return
+		}
+		t.take(a)
+	}
+}
+
+func (t *ticket) take(a scheduler.Action) {
+	switch a := a.(type) {
+	case scheduler.Grant:
+		t.result <- grant{slot: t.open(a.Upstream, a.Priority)}
+	case scheduler.Refuse:
+		t.closed = true
+		t.result <- grant{refusal: &RefusedError{Reason: a.Reason, RetryAfter: a.RetryAfter}}
+	case scheduler.Preempt:
+		if s, ok := t.slots[a.Upstream]; ok {
+			s.preempt()
+		}
+	case scheduler.Hedge:
+		t.hedge(a)
+	}
+}
+
+func (t *ticket) hedge(a scheduler.Hedge) {
+	if len(t.slots) != 1 {
+		return
+	}
+	var first *slot
+	for _, s := range t.slots {
+		first = s
+	}
+	first.hedged <- t.open(a.Upstream, a.Priority)
+}
+
+func (t *ticket) open(id registrar.UpstreamID, priority int) *slot {
+	u, ok := t.find(id)
+	if !ok {
+		// The owner knows an upstream that this host has not learned yet
+		// or has just removed; the attempt fails and is tried elsewhere.
+		u = registrar.Upstream{Name: id}
+	}
+	s := &slot{
+		ticket:    t,
+		upstream:  u,
+		priority:  priority,
+		preempted: make(chan struct{}),
+		gone:      make(chan struct{}),
+		hedged:    make(chan Slot, 1),
+		reported:  t.clock.Now(),
+	}
+	t.slots[id] = s
+	return s
+}
+
+// lost closes the Gone channel of slots on an upstream.
+func (t *ticket) lost(id registrar.UpstreamID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s, ok := t.slots[id]; ok && !s.left {
+		s.left = true
+		close(s.gone)
+	}
+}
+
+// withdraw ends a request whose caller no longer waits. It returns the slot
+// that was granted meanwhile, if any.
+func (t *ticket) withdraw() *slot {
+	t.mu.Lock()
+	select {
+	case g := <-t.result:
+		t.mu.Unlock()
+		return g.slot
+	default:
+	}
+	t.closed = true
+	r := t.route
+	t.mu.Unlock()
+	if r != nil {
+		r.report(scheduler.Cancel{ID: t.request.ID})
+	}
+	return nil
+}
+
+// finish removes a slot and reports whether it was the last one.
+func (t *ticket) finish(s *slot) (route, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.slots, s.upstream.Name)
+	if len(t.slots) == 0 {
+		t.closed = true
+	}
+	return t.route, t.closed
+}
+
+func (t *ticket) current() route {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.route
+}
+
+// slot implements Slot.
+type slot struct {
+	ticket    *ticket
+	upstream  registrar.Upstream
+	priority  int
+	preempted chan struct{}
+	gone      chan struct{}
+	hedged    chan Slot
+
+	// Guarded by the ticket's lock.
+	yielded bool
+	left    bool
+
+	mu       sync.Mutex
+	released bool
+	tokens   int
+	reported time.Time
+}
+
+func (s *slot) Upstream() registrar.Upstream   { return s.upstream }
+func (s *slot) Priority() int                  { return s.priority }
+func (s *slot) Preempted() <-chan struct{}     { return s.preempted }
+func (s *slot) Gone() <-chan struct{}          { return s.gone }
+func (s *slot) Hedged() <-chan Slot            { return s.hedged }
+func (s *slot) identity() scheduler.RequestID  { return s.ticket.request.ID }
+func (s *slot) location() registrar.UpstreamID { return s.upstream.Name }
+func (s *slot) send(e scheduler.Event)         { s.ticket.current().report(e) }
+
+func (s *slot) preempt() {
+	if !s.yielded {
+		s.yielded = true
+		close(s.preempted)
+	}
+}
+
+// FirstToken reports the first token.
+func (s *slot) FirstToken() {
+	s.send(scheduler.FirstToken{ID: s.identity(), Upstream: s.location()})
+}
+
+// Progress reports tokens, at most every few tokens or milliseconds.
+func (s *slot) Progress(tokens int) {
+	now := s.ticket.clock.Now()
+	s.mu.Lock()
+	due := tokens-s.tokens >= reportTokens || now.Sub(s.reported) >= reportInterval
+	if due {
+		s.tokens = tokens
+		s.reported = now
+	}
+	s.mu.Unlock()
+	if due {
+		s.send(scheduler.Progress{ID: s.identity(), Upstream: s.location(), Tokens: tokens})
+	}
+}
+
+// Release ends the attempt; only the first call counts.
+func (s *slot) Release(o scheduler.Outcome, tokens int) {
+	s.mu.Lock()
+	if s.released {
+		s.mu.Unlock()
+		return
+	}
+	s.released = true
+	s.mu.Unlock()
+	s.drainHedge()
+	r, last := s.ticket.finish(s)
+	r.report(scheduler.Finished{ID: s.identity(), Upstream: s.location(), Outcome: o, Tokens: tokens})
+	if last {
+		// A hand-over that ran at the same time may have adopted the slot
+		// after the report above.
+		r.report(scheduler.Cancel{ID: s.identity()})
+		s.ticket.ended()
+	}
+}
+
+// drainHedge releases a hedge that arrived but was never taken.
+func (s *slot) drainHedge() {
+	select {
+	case h := <-s.hedged:
+		h.Release(scheduler.Abandoned, 0)
+	default:
+	}
+}
