Add the registrar

A pure state machine merges announcements and news of other entry hosts, ordered by incarnation and sequence. Each entry host stamps what it receives first with its own version counter; an update holds what a version vector lacks. Compared with a cursor for each peer, news reaches a host once and not once from each peer that it talks to.

Leases of relayed news count from the start of the exchange. After a gap between steps, announcements are turned away for half a second, since a frozen process finds old ones in its socket buffers.

--- /dev/null
+++ b/internal/member/registrar/registrar.go
@@ -0,0 +1,457 @@
+package registrar
+
+import (
+	"encoding/binary"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Times of the membership protocol.
+const (
+	// Lease is how long an announcement is good for, from its receipt by the
+	// first entry host.
+	Lease = 3 * time.Second
+	// Renewal is how often an upstream announces itself. Two announcements
+	// may be lost or late before its lease ends.
+	RenewalInterval = time.Second
+	// Silence is how long the version of an entry host may stand still before
+	// the host is taken for dead. It covers three heartbeats.
+	Silence = 1500 * time.Millisecond
+	// Heartbeat is how often a host's version grows without news.
+	Heartbeat = 400 * time.Millisecond
+	// Retention is how long the last incarnation and sequence of a removed
+	// upstream are remembered. Relayed news is never older than a lease, so
+	// this bounds only announcements that were delayed on their way.
+	Retention = 10 * time.Minute
+	// Relay is how long departures are passed on, other than to hosts that ask
+	// for everything. Any host that missed them for so long has seen the lease
+	// end.
+	Relay = 10 * time.Second
+	// HostRetention is how long a dead entry host stays in the vector.
+	HostRetention = time.Minute
+	// Stall is the longest gap between steps after which announcements may
+	// still be trusted. A process that was frozen finds old ones in its
+	// socket buffers, which would otherwise get a new lease.
+	Stall = time.Second
+	// Settle is how long announcements are turned away after a stall, which
+	// is ample for reading what was buffered.
+	Settle = 500 * time.Millisecond
+)
+
+// Limits.
+const (
+	// MaxUpstreams bounds the memory that announcements can take.
+	MaxUpstreams = 20_000
+	// MaxUpdate bounds the upstreams in one update.
+	MaxUpdate = 5_000
+)
+
+// Registrar merges announcements and news from other entry hosts. Step and
+// Update are for one goroutine at a time; Snapshot may be used by any.
+type Registrar struct {
+	self       Host
+	key        HostKey
+	version    uint64
+	described  uint64
+	beaten     time.Time
+	last       time.Time
+	next       time.Time
+	settled    time.Time
+	incomplete bool
+
+	hosts     map[HostName]*host
+	keys      map[HostKey]*host
+	upstreams map[UpstreamID]*upstream
+	renewable map[UpstreamKey]*upstream
+	view      atomic.Pointer[View]
+	dirty     bool
+	faults    Faults
+	actions   []Action
+}
+
+// Faults switches off single rules, so that tests can show that the checks
+// detect a registrar without them.
+type Faults struct {
+	ForgetTombstones bool
+	ExtendLeases     bool
+	AcceptOlder      bool
+	TrustStalled     bool
+}
+
+// Option changes a new registrar.
+type Option func(*Registrar)
+
+// WithFaults is for tests that show that the checks can fail.
+func WithFaults(f Faults) Option {
+	return func(r *Registrar) { r.faults = f }
+}
+
+type host struct {
+	Host
+	key       HostKey
+	described uint64
+	// heard is the highest version known to exist, have the version up to
+	// which its news has been merged.
+	heard, have uint64
+	at          time.Time
+	up          bool
+}
+
+type upstream struct {
+	slot      *slot
+	key       UpstreamKey
+	stamp     Stamp
+	described Stamp
+	gone      time.Time
+}
+
+// New makes the registrar of the entry host self.
+func New(now time.Time, self Host, options ...Option) *Registrar {
+	r := &Registrar{
+		self:      self,
+		key:       keyOf(self.Name, self.Incarnation),
+		version:   1,
+		described: 1,
+		beaten:    now,
+		last:      now,
+		hosts:     map[HostName]*host{},
+		keys:      map[HostKey]*host{},
+		upstreams: map[UpstreamID]*upstream{},
+		renewable: map[UpstreamKey]*upstream{},
+		dirty:     true,
+	}
+	for _, o := range options {
+		o(r)
+	}
+	r.publish()
+	return r
+}
+
+func keyOf(n HostName, i Incarnation) HostKey {
+	return HostKey(hash(string(n), i))
+}
+
+func hash(name string, i Incarnation) uint64 {
+	b := make([]byte, 0, 64)
+	b = append(b, name...)
+	b = append(b, 0)
+	b = binary.LittleEndian.AppendUint64(b, uint64(i))
+	return xxhash.Sum64(b)
+}
+
+// Step takes an event and returns what follows from it.
+func (r *Registrar) Step(now time.Time, e Event) []Action {
+	r.actions = nil
+	r.observeTime(now)
+	switch e := e.(type) {
+	case Announce:
+		r.announce(now, e.Upstream)
+	case Merge:
+		r.merge(now, e)
+	case Hear:
+		r.mergeHosts(now, now, e.Hosts)
+		r.hear(now, e.Vector)
+	case Describe:
+		r.describe(e)
+	case Tick:
+	}
+	r.publish()
+	return r.actions
+}
+
+func (r *Registrar) act(a Action) {
+	r.actions = append(r.actions, a)
+}
+
+// observeTime ends leases before the event is looked at, so that a host that
+// was frozen never acts on what it knew before.
+func (r *Registrar) observeTime(now time.Time) {
+	if now.Sub(r.last) > Stall && !r.faults.TrustStalled {
+		r.settled = now.Add(Settle)
+	}
+	r.last = now
+	if now.Sub(r.beaten) >= Heartbeat {
+		r.beaten = now
+		r.version++
+	}
+	if now.Before(r.next) {
+		return
+	}
+	r.next = now.Add(Silence)
+	for id, u := range r.upstreams {
+		r.expire(now, id, u)
+	}
+	for n, h := range r.hosts {
+		r.expireHost(now, n, h)
+	}
+}
+
+// expectEnd makes sure that leases are looked at when the time has come. The
+// scan costs in proportion to all upstreams, so it runs only then.
+func (r *Registrar) expectEnd(t time.Time) {
+	if t.Before(r.next) {
+		r.next = t
+	}
+}
+
+func (r *Registrar) expire(now time.Time, id UpstreamID, u *upstream) {
+	e := u.slot.load()
+	switch {
+	case !u.gone.IsZero():
+		if now.Sub(u.gone) > Retention || r.faults.ForgetTombstones && !e.Upstream.Leaving {
+			delete(r.upstreams, id)
+			delete(r.renewable, u.key)
+		}
+	case !now.Before(e.Until):
+		r.remove(now, u, e.Upstream)
+	default:
+		r.expectEnd(e.Until)
+	}
+}
+
+func (r *Registrar) remove(now time.Time, u *upstream, news Upstream) {
+	u.gone = now
+	r.dirty = true
+	r.act(Removed{UpstreamID: news.Name, Incarnation: news.Incarnation, Leaving: news.Leaving})
+}
+
+func (r *Registrar) announce(now time.Time, u Upstream) {
+	ignore := func(why Reason) {
+		var known Incarnation
+		if c := r.upstreams[u.Name]; c != nil {
+			known = c.slot.load().Upstream.Incarnation
+		}
+		r.act(Ignored{UpstreamID: u.Name, Reason: why, Known: known})
+	}
+	if u.Name == "" || u.Incarnation == 0 {
+		ignore(Malformed)
+		return
+	}
+	if now.Before(r.settled) && !u.Leaving {
+		ignore(Stalled)
+		return
+	}
+	r.version++
+	stamp := Stamp{Origin: r.key, Version: r.version}
+	described := stamp
+	if c := r.upstreams[u.Name]; c != nil && sameDescription(c.slot.load().Upstream, u) && r.serves(c.described.Origin) {
+		described = c.described
+	}
+	if why := r.apply(now, News{Upstream: u, Stamp: stamp, Described: described}, now.Add(Lease)); why != "" {
+		ignore(why)
+	}
+}
+
+// serves tells whether the host still counts in vectors. The description of an
+// upstream gets a new stamp once the old origin is dead, since hosts that don't
+// list the origin would be sent the description in every exchange.
+func (r *Registrar) serves(k HostKey) bool {
+	h := r.keys[k]
+	return k == r.key || h != nil && h.up
+}
+
+// apply merges news of an upstream and returns why it was ignored.
+func (r *Registrar) apply(now time.Time, n News, until time.Time) Reason {
+	u := r.upstreams[n.Upstream.Name]
+	if u == nil {
+		if !n.Upstream.Leaving && !now.Before(until) {
+			return Older
+		}
+		if len(r.upstreams) >= MaxUpstreams {
+			return Overfull
+		}
+		u = &upstream{slot: &slot{}, gone: now}
+		r.upstreams[n.Upstream.Name] = u
+	} else if why := r.compare(u, n.Upstream); why != "" {
+		return why
+	}
+	if !n.Upstream.Leaving && !now.Before(until) {
+		return Older
+	}
+	live := u.gone.IsZero()
+	if key := UpstreamKey(hash(string(n.Upstream.Name), n.Upstream.Incarnation)); key != u.key {
+		delete(r.renewable, u.key)
+		u.key = key
+		r.renewable[key] = u
+	}
+	u.stamp, u.described = n.Stamp, n.Described
+	u.slot.store(&Entry{Upstream: n.Upstream, Until: until})
+	switch {
+	case n.Upstream.Leaving && live:
+		r.remove(now, u, n.Upstream)
+	case n.Upstream.Leaving:
+		u.gone = now
+	default:
+		r.dirty = r.dirty || !live
+		u.gone = time.Time{}
+		r.expectEnd(until)
+		r.act(Changed{Upstream: n.Upstream, Until: until})
+	}
+	return ""
+}
+
+func (r *Registrar) compare(u *upstream, n Upstream) Reason {
+	c := u.slot.load().Upstream
+	if r.faults.AcceptOlder {
+		return ""
+	}
+	switch {
+	case n.Incarnation < c.Incarnation:
+		return Older
+	case n.Incarnation > c.Incarnation:
+		return ""
+	case c.Leaving && n.Leaving:
+		return Repeated
+	case c.Leaving:
+		return Final
+	case n.Leaving:
+		// Final whatever its sequence, so that the order of arrival does
+		// not matter.
+		return ""
+	case n.Sequence < c.Sequence:
+		return Older
+	case n.Sequence == c.Sequence:
+		return Repeated
+	}
+	return ""
+}
+
+func sameDescription(a, b Upstream) bool {
+	return a.Incarnation == b.Incarnation && a.Leaving == b.Leaving && a.Address == b.Address &&
+		a.Centre == b.Centre && a.Cell == b.Cell && a.Slots == b.Slots &&
+		slices.Equal(a.Services, b.Services) && slices.Equal(a.Models, b.Models) &&
+		slices.Equal(a.Adapters, b.Adapters) && slices.Equal(a.Versions, b.Versions)
+}
+
+func (r *Registrar) merge(now time.Time, m Merge) {
+	began := m.Began
+	if began.After(now) {
+		began = now
+	}
+	r.mergeHosts(now, began, m.Update.Hosts)
+	complete := true
+	for _, n := range m.Update.News {
+		r.apply(now, n, r.until(now, began, n.Remaining))
+	}
+	for _, n := range m.Update.Renewals {
+		u := r.renewable[n.Key]
+		if u == nil {
+			complete = false
+			continue
+		}
+		next := u.slot.load().Upstream
+		next.Sequence, next.Load = n.Sequence, n.Load
+		if next.Leaving {
+			continue
+		}
+		r.apply(now, News{Upstream: next, Stamp: n.Stamp, Described: u.described}, r.until(now, began, n.Remaining))
+	}
+	r.hear(began, m.Update.Vector)
+	if !complete {
+		// A renewal of an unknown upstream means that its description was
+		// missed: ask for everything next.
+		r.incomplete = true
+		return
+	}
+	for k, v := range m.Update.Vector {
+		if h := r.keys[k]; h != nil {
+			h.have = max(h.have, v)
+		}
+	}
+}
+
+func (r *Registrar) until(now, began time.Time, remaining time.Duration) time.Time {
+	if r.faults.ExtendLeases {
+		return now.Add(Lease)
+	}
+	return began.Add(min(remaining, Lease))
+}
+
+func (r *Registrar) describe(e Describe) {
+	if r.self.Draining == e.Draining && r.self.Left == e.Left && r.self.Revision == e.Revision {
+		return
+	}
+	r.self.Draining, r.self.Left, r.self.Revision = e.Draining, e.Left, e.Revision
+	r.version++
+	r.described = r.version
+	r.dirty = true
+}
+
+// Update returns what a host with the vector lacks. A nil vector asks for
+// everything.
+func (r *Registrar) Update(now time.Time, known Vector) Update {
+	u := Update{Vector: r.Vector()}
+	if known[r.key] < r.described {
+		u.Hosts = append(u.Hosts, HostNews{Host: r.self, Described: r.described})
+	}
+	for _, h := range r.hosts {
+		relayed := h.up || h.Left && now.Sub(h.at) < Relay
+		if v, ok := known[h.key]; relayed && (!ok || v < h.described) {
+			u.Hosts = append(u.Hosts, HostNews{Host: h.Host, Described: h.described, Age: now.Sub(h.at)})
+		}
+	}
+	for _, c := range r.upstreams {
+		if len(u.News)+len(u.Renewals) >= MaxUpdate {
+			// The rest follows: without the vector the receiver does not
+			// count this update as complete.
+			u.Vector = Vector{}
+			break
+		}
+		e := c.slot.load()
+		remaining := e.Until.Sub(now)
+		switch {
+		case e.Upstream.Leaving:
+			if len(known) > 0 && now.Sub(c.gone) > Relay {
+				continue
+			}
+		case remaining <= 0 || !c.gone.IsZero():
+			continue
+		}
+		switch {
+		case known[c.described.Origin] < c.described.Version:
+			u.News = append(u.News, News{Upstream: e.Upstream, Stamp: c.stamp, Described: c.described, Remaining: max(remaining, 0)})
+		case known[c.stamp.Origin] < c.stamp.Version && !e.Upstream.Leaving:
+			u.Renewals = append(u.Renewals, Renewal{Key: c.key, Sequence: e.Upstream.Sequence, Load: e.Upstream.Load, Stamp: c.stamp, Remaining: remaining})
+		}
+	}
+	return u
+}
+
+// Self returns the description of this host as other hosts get it.
+func (r *Registrar) Self() HostNews {
+	return HostNews{Host: r.self, Described: r.described}
+}
+
+// Key returns the key of this host in version vectors.
+func (r *Registrar) Key() HostKey { return r.key }
+
+// Vector returns the version vector of this host.
+func (r *Registrar) Vector() Vector {
+	v := make(Vector, len(r.hosts)+1)
+	v[r.key] = r.version
+	for _, h := range r.hosts {
+		v[h.key] = h.have
+	}
+	return v
+}
+
+// Repair reports, once, that news was missed and everything must be asked for.
+func (r *Registrar) Repair() bool {
+	i := r.incomplete
+	r.incomplete = false
+	return i
+}
+
+// String lists the names of the live hosts, for logs.
+func (r *Registrar) String() string {
+	var b strings.Builder
+	for _, h := range r.Snapshot().Hosts() {
+		b.WriteString(string(h.Name))
+		b.WriteByte(' ')
+	}
+	return strings.TrimSpace(b.String())
+}
--- /dev/null
+++ b/internal/member/registrar/view.go
@@ -0,0 +1,142 @@
+package registrar
+
+import (
+	"encoding/binary"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Entry is a live upstream and the end of its lease.
+type Entry struct {
+	Upstream Upstream
+	Until    time.Time
+}
+
+// slot holds the latest entry of one upstream. Renewals replace only its
+// content; the maps of a view change when an upstream comes or goes.
+type slot struct {
+	entry atomic.Pointer[Entry]
+}
+
+func (s *slot) load() *Entry   { return s.entry.Load() }
+func (s *slot) store(e *Entry) { s.entry.Store(e) }
+
+// View is what an entry host knows. Readers share it without locks. The set
+// of upstreams and hosts is fixed; loads and leases are the latest.
+type View struct {
+	self  HostName
+	slots map[UpstreamID]*slot
+	hosts []Host
+}
+
+// Snapshot returns the current view.
+func (r *Registrar) Snapshot() *View { return r.view.Load() }
+
+func (r *Registrar) publish() {
+	if !r.dirty {
+		return
+	}
+	r.dirty = false
+	v := &View{self: r.self.Name, slots: make(map[UpstreamID]*slot, len(r.upstreams))}
+	for id, u := range r.upstreams {
+		if u.gone.IsZero() {
+			v.slots[id] = u.slot
+		}
+	}
+	if !r.self.Left {
+		v.hosts = append(v.hosts, r.self)
+	}
+	for _, h := range r.hosts {
+		if h.up {
+			v.hosts = append(v.hosts, h.Host)
+		}
+	}
+	slices.SortFunc(v.hosts, func(a, b Host) int { return strings.Compare(string(a.Name), string(b.Name)) })
+	r.view.Store(v)
+}
+
+// Upstream returns a live upstream.
+func (v *View) Upstream(now time.Time, id UpstreamID) (Upstream, bool) {
+	s := v.slots[id]
+	if s == nil {
+		return Upstream{}, false
+	}
+	e := s.load()
+	return e.Upstream, e.live(now)
+}
+
+// Upstreams returns the upstreams whose lease runs at the time.
+func (v *View) Upstreams(now time.Time) []Upstream {
+	list := make([]Upstream, 0, len(v.slots))
+	for _, s := range v.slots {
+		if e := s.load(); e.live(now) {
+			list = append(list, e.Upstream)
+		}
+	}
+	return list
+}
+
+func (e *Entry) live(now time.Time) bool {
+	return now.Before(e.Until) && !e.Upstream.Leaving
+}
+
+// Hosts returns the live entry hosts, this one included, sorted by name.
+func (v *View) Hosts() []Host { return slices.Clone(v.hosts) }
+
+// Host returns a live entry host.
+func (v *View) Host(n HostName) (Host, bool) {
+	for _, h := range v.hosts {
+		if h.Name == n {
+			return h, true
+		}
+	}
+	return Host{}, false
+}
+
+// Owner returns the entry host that dispatches the cell: the highest rendezvous
+// hash among the live hosts that are not draining. Hosts of the cell itself and
+// hosts without a cell come first, other hosts only where there is none.
+func (v *View) Owner(c CellName) HostName {
+	if n := v.owner(c, func(h Host) bool { return h.Cell == c || h.Cell == "" }); n != "" {
+		return n
+	}
+	return v.owner(c, func(Host) bool { return true })
+}
+
+func (v *View) owner(c CellName, eligible func(Host) bool) HostName {
+	var best HostName
+	var highest uint64
+	b := make([]byte, 0, 64)
+	for _, h := range v.hosts {
+		if h.Draining || !eligible(h) {
+			continue
+		}
+		b = append(b[:0], c...)
+		b = append(b, 0)
+		b = append(b, h.Name...)
+		if s := xxhash.Sum64(b); best == "" || s > highest {
+			best, highest = h.Name, s
+		}
+	}
+	return best
+}
+
+// Digest folds the live upstreams and hosts into one number: hosts with equal
+// digests see the same fleet.
+func (v *View) Digest(now time.Time) uint64 {
+	var sum uint64
+	for _, u := range v.Upstreams(now) {
+		sum += hash(string(u.Name), u.Incarnation)
+	}
+	for _, h := range v.hosts {
+		sum += hash(string(h.Name), h.Incarnation)
+	}
+	return xxhash.Sum64(binary.LittleEndian.AppendUint64(nil, sum))
+}
+
+// Size returns the number of upstreams.
+func (v *View) Size() int { return len(v.slots) }
