Add the gossiper

Carries the registrar's news between entry hosts, receives announcements and passes on crash fingerprints and the age of configuration confirmations. A silent connection is replaced within one exchange.

--- /dev/null
+++ b/internal/member/gossiper/announce.go
@@ -0,0 +1,160 @@
+package gossiper
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+
+	"go.uber.org/zap"
+
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+)
+
+// AnnouncePath is where upstreams announce themselves with POST.
+const AnnouncePath = "/upstreams/announce"
+
+// Limits of an announcement.
+const (
+	// MaxBody bounds an announcement in bytes.
+	MaxBody = 64 << 10
+	// MaxText bounds each name and address in bytes.
+	MaxText = 256
+	// MaxList bounds each list of models, services, adapters or versions.
+	MaxList = 512
+	// MaxSlots bounds the slots of one upstream.
+	MaxSlots = 1 << 20
+)
+
+// Reply is the answer to an announcement.
+type Reply struct {
+	Accepted bool `json:"accepted"`
+	// Lease and Renew are durations in Go's notation.
+	Lease string `json:"lease"`
+	Renew string `json:"renew"`
+	// Reason tells why an announcement was not accepted.
+	Reason string `json:"reason,omitempty"`
+	// Known is the newest incarnation known of the upstream, when the
+	// announcement is older; a restarted upstream has to exceed it.
+	Known registrar.Incarnation `json:"known,omitempty"`
+	// Problems lists every fault of an announcement that can't be read.
+	Problems []string `json:"problems,omitempty"`
+}
+
+// DecodeAnnouncement reads an announcement. Unknown fields are permitted, since
+// upstreams may be newer than this host. The error joins all faults.
+func DecodeAnnouncement(body []byte) (registrar.Upstream, error) {
+	var u registrar.Upstream
+	if err := json.Unmarshal(body, &u); err != nil {
+		return registrar.Upstream{}, fmt.Errorf("decode announcement: %w", err)
+	}
+	var faults []error
+	fault := func(bad bool, format string, args ...any) {
+		if bad {
+			faults = append(faults, fmt.Errorf(format, args...))
+		}
+	}
+	fault(u.Name == "", "name: must not be empty")
+	fault(u.Incarnation == 0, "incarnation: must be at least 1")
+	for _, t := range [][2]string{{"name", string(u.Name)}, {"address", u.Address}, {"centre", string(u.Centre)}, {"cell", string(u.Cell)}} {
+		fault(len(t[1]) > MaxText, "%s: %d bytes, at most %d are allowed", t[0], len(t[1]), MaxText)
+	}
+	checkList(fault, "services", u.Services)
+	checkList(fault, "models", u.Models)
+	checkList(fault, "adapters", u.Adapters)
+	checkList(fault, "versions", u.Versions)
+	fault(u.Slots < 0 || u.Slots > MaxSlots, "slots: %d, must be between 0 and %d", u.Slots, MaxSlots)
+	fault(u.Load.Running < 0, "load.running: %d, must not be negative", u.Load.Running)
+	fault(u.Load.Waiting < 0, "load.waiting: %d, must not be negative", u.Load.Waiting)
+	fault(math.IsNaN(u.Load.Cache) || u.Load.Cache < 0 || u.Load.Cache > 1, "load.cache: %v, must be between 0 and 1", u.Load.Cache)
+	if !u.Leaving {
+		_, _, err := net.SplitHostPort(u.Address)
+		fault(err != nil, "address: %q must be host:port", u.Address)
+		fault(len(u.Models)+len(u.Services) == 0, "models, services: at least one is needed")
+	}
+	if len(faults) > 0 {
+		return registrar.Upstream{}, errors.Join(faults...)
+	}
+	return u, nil
+}
+
+func checkList[T ~string](fault func(bool, string, ...any), name string, list []T) {
+	fault(len(list) > MaxList, "%s: %d items, at most %d are allowed", name, len(list), MaxList)
+	for i, t := range list {
+		fault(t == "" || len(t) > MaxText, "%s[%d]: %d bytes, must be 1 to %d", name, i, len(t), MaxText)
+	}
+}
+
+// ServeHTTP answers announcements.
+func (a announcer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodPost {
+		w.Header().Set("Allow", http.MethodPost)
+		a.reply(w, http.StatusMethodNotAllowed, Reply{Reason: "only POST is allowed"})
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBody))
+	if err != nil {
+		var large *http.MaxBytesError
+		if errors.As(err, &large) {
+			a.reply(w, http.StatusRequestEntityTooLarge, Reply{Reason: fmt.Sprintf("the announcement is larger than %d bytes", MaxBody)})
+			return
+		}
+		a.reply(w, http.StatusBadRequest, Reply{Reason: "the announcement was cut off"})
+		return
+	}
+	u, err := DecodeAnnouncement(body)
+	if err != nil {
+		a.reply(w, http.StatusBadRequest, Reply{Reason: "the announcement is invalid", Problems: problems(err)})
+		return
+	}
+	status, reply := a.g.announce(u)
+	a.reply(w, status, reply)
+}
+
+func problems(err error) []string {
+	joined, ok := err.(interface{ Unwrap() []error })
+	if !ok {
+		return []string{err.Error()}
+	}
+	var list []string
+	for _, e := range joined.Unwrap() {
+		list = append(list, e.Error())
+	}
+	return list
+}
+
+type announcer struct{ g *Gossiper }
+
+func (a announcer) reply(w http.ResponseWriter, status int, reply Reply) {
+	reply.Lease = registrar.Lease.String()
+	reply.Renew = registrar.RenewalInterval.String()
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	if err := json.NewEncoder(w).Encode(reply); err != nil {
+		a.g.log.Debug("The reply to an announcement was not sent.", zap.Error(err))
+	}
+}
+
+// announce applies the announcement of an upstream that reached this host.
+func (g *Gossiper) announce(u registrar.Upstream) (int, Reply) {
+	if u.Cell == "" {
+		u.Cell = g.cell
+	}
+	for _, a := range g.step(registrar.Announce{Upstream: u}) {
+		i, ok := a.(registrar.Ignored)
+		if !ok {
+			continue
+		}
+		switch i.Reason {
+		case registrar.Repeated:
+		case registrar.Stalled, registrar.Overfull:
+			return http.StatusServiceUnavailable, Reply{Reason: "this host can't take announcements now: " + string(i.Reason)}
+		default:
+			return http.StatusConflict, Reply{Reason: "newer news is known: " + string(i.Reason), Known: i.Known}
+		}
+	}
+	return http.StatusOK, Reply{Accepted: true}
+}
--- /dev/null
+++ b/internal/member/gossiper/encode.go
@@ -0,0 +1,199 @@
+package gossiper
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/amaranthcart/amaranthcart/internal/config/validator"
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/wire"
+)
+
+// thousandths is the unit of the cache share in renewals.
+const thousandths = 1000
+
+func encodeVector(v registrar.Vector) (keys, versions []uint64) {
+	keys = make([]uint64, 0, len(v))
+	for k := range v {
+		keys = append(keys, uint64(k))
+	}
+	slices.Sort(keys)
+	versions = make([]uint64, len(keys))
+	for i, k := range keys {
+		versions[i] = v[registrar.HostKey(k)]
+	}
+	return keys, versions
+}
+
+func decodeVector(keys, versions []uint64) registrar.Vector {
+	v := make(registrar.Vector, len(keys))
+	for i := range min(len(keys), len(versions)) {
+		v[registrar.HostKey(keys[i])] = versions[i]
+	}
+	return v
+}
+
+func encodeHost(n registrar.HostNews) *wire.EntryHost {
+	return &wire.EntryHost{
+		Name:        string(n.Host.Name),
+		Address:     n.Host.Address,
+		Centre:      string(n.Host.Centre),
+		Cell:        string(n.Host.Cell),
+		Incarnation: uint64(n.Host.Incarnation),
+		Draining:    n.Host.Draining,
+		Left:        n.Host.Left,
+		Revision:    n.Host.Revision,
+		Age:         n.Age.Milliseconds(),
+		Described:   n.Described,
+	}
+}
+
+func decodeHost(h *wire.EntryHost) registrar.HostNews {
+	return registrar.HostNews{
+		Host: registrar.Host{
+			Name:        registrar.HostName(h.GetName()),
+			Address:     h.GetAddress(),
+			Centre:      registrar.DataCentre(h.GetCentre()),
+			Cell:        registrar.CellName(h.GetCell()),
+			Incarnation: registrar.Incarnation(h.GetIncarnation()),
+			Draining:    h.GetDraining(),
+			Left:        h.GetLeft(),
+			Revision:    h.GetRevision(),
+		},
+		Described: h.GetDescribed(),
+		Age:       milliseconds(h.GetAge()),
+	}
+}
+
+// milliseconds keeps odd numbers from a peer within an hour, so that they
+// can't overflow.
+func milliseconds(n int64) time.Duration {
+	return time.Duration(min(max(n, 0), time.Hour.Milliseconds())) * time.Millisecond
+}
+
+func encodeUpdate(u registrar.Update, out *wire.GossipResponse) {
+	out.Keys, out.Versions = encodeVector(u.Vector)
+	for _, h := range u.Hosts {
+		out.Hosts = append(out.Hosts, encodeHost(h))
+	}
+	for _, n := range u.News {
+		out.Upstreams = append(out.Upstreams, encodeUpstream(n))
+	}
+	index := make(map[registrar.HostKey]uint32, len(out.Keys))
+	for i, k := range out.Keys {
+		index[registrar.HostKey(k)] = uint32(i)
+	}
+	for _, r := range u.Renewals {
+		i, ok := index[r.Stamp.Origin]
+		if !ok {
+			i = uint32(len(out.Keys))
+			index[r.Stamp.Origin] = i
+			// Version 0 claims no news of a host that is only referred to.
+			out.Keys, out.Versions = append(out.Keys, uint64(r.Stamp.Origin)), append(out.Versions, 0)
+		}
+		out.Renewals = append(out.Renewals, &wire.Renewal{
+			Key:       uint64(r.Key),
+			Sequence:  r.Sequence,
+			Running:   count(r.Load.Running),
+			Waiting:   count(r.Load.Waiting),
+			Cache:     uint32(math.Round(r.Load.Cache * thousandths)),
+			Remaining: r.Remaining.Milliseconds(),
+			Origin:    i,
+			Version:   r.Stamp.Version,
+		})
+	}
+}
+
+func decodeUpdate(in *wire.GossipResponse) registrar.Update {
+	u := registrar.Update{Vector: decodeVector(in.GetKeys(), in.GetVersions())}
+	for _, h := range in.GetHosts() {
+		u.Hosts = append(u.Hosts, decodeHost(h))
+	}
+	for _, n := range in.GetUpstreams() {
+		u.News = append(u.News, decodeUpstream(n))
+	}
+	keys := in.GetKeys()
+	for _, r := range in.GetRenewals() {
+		if int(r.GetOrigin()) >= len(keys) {
+			continue
+		}
+		u.Renewals = append(u.Renewals, registrar.Renewal{
+			Key:       registrar.UpstreamKey(r.GetKey()),
+			Sequence:  r.GetSequence(),
+			Load:      registrar.Load{Running: int(r.GetRunning()), Waiting: int(r.GetWaiting()), Cache: float64(r.GetCache()) / thousandths},
+			Stamp:     registrar.Stamp{Origin: registrar.HostKey(keys[r.GetOrigin()]), Version: r.GetVersion()},
+			Remaining: milliseconds(r.GetRemaining()),
+		})
+	}
+	return u
+}
+
+func encodeUpstream(n registrar.News) *wire.Upstream {
+	u := n.Upstream
+	return &wire.Upstream{
+		Name:        string(u.Name),
+		Address:     u.Address,
+		Centre:      string(u.Centre),
+		Cell:        string(u.Cell),
+		Services:    texts(u.Services),
+		Models:      texts(u.Models),
+		Adapters:    u.Adapters,
+		Versions:    u.Versions,
+		Incarnation: uint64(u.Incarnation),
+		Sequence:    u.Sequence,
+		Slots:       count(u.Slots),
+		Running:     count(u.Load.Running),
+		Waiting:     count(u.Load.Waiting),
+		Cache:       u.Load.Cache,
+		Leaving:     u.Leaving,
+		Remaining:   n.Remaining.Milliseconds(),
+		Origin:      uint64(n.Stamp.Origin),
+		Version:     n.Stamp.Version,
+		Describer:   uint64(n.Described.Origin),
+		Described:   n.Described.Version,
+	}
+}
+
+func decodeUpstream(u *wire.Upstream) registrar.News {
+	return registrar.News{
+		Upstream: registrar.Upstream{
+			Name:        registrar.UpstreamID(u.GetName()),
+			Address:     u.GetAddress(),
+			Centre:      registrar.DataCentre(u.GetCentre()),
+			Cell:        registrar.CellName(u.GetCell()),
+			Services:    pools(u.GetServices()),
+			Models:      pools(u.GetModels()),
+			Adapters:    u.GetAdapters(),
+			Versions:    u.GetVersions(),
+			Incarnation: registrar.Incarnation(u.GetIncarnation()),
+			Sequence:    u.GetSequence(),
+			Slots:       int(u.GetSlots()),
+			Load:        registrar.Load{Running: int(u.GetRunning()), Waiting: int(u.GetWaiting()), Cache: u.GetCache()},
+			Leaving:     u.GetLeaving(),
+		},
+		Stamp:     registrar.Stamp{Origin: registrar.HostKey(u.GetOrigin()), Version: u.GetVersion()},
+		Described: registrar.Stamp{Origin: registrar.HostKey(u.GetDescriber()), Version: u.GetDescribed()},
+		Remaining: milliseconds(u.GetRemaining()),
+	}
+}
+
+func count(n int) uint32 {
+	return uint32(min(max(n, 0), math.MaxInt32))
+}
+
+func texts(list []validator.PoolName) []string {
+	out := make([]string, len(list))
+	for i, p := range list {
+		out[i] = string(p)
+	}
+	return out
+}
+
+func pools(list []string) []validator.PoolName {
+	var out []validator.PoolName
+	for _, s := range list {
+		out = append(out, validator.PoolName(s))
+	}
+	return out
+}
--- /dev/null
+++ b/internal/member/gossiper/peer.go
@@ -0,0 +1,310 @@
+package gossiper
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
+	"github.com/sourcegraph/conc/pool"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/dialer"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/wire"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/wire/wireconnect"
+)
+
+// printsInterval is how often unchanged fingerprints are sent to the same host
+// again, in case they were lost.
+const printsInterval = 5 * time.Second
+
+// Announcements returns the handler of upstream announcements.
+func (g *Gossiper) Announcements() http.Handler { return announcer{g} }
+
+// Gossip answers another host with what its version vector lacks.
+func (g *Gossiper) Gossip(_ context.Context, r *connect.Request[wire.GossipRequest]) (*connect.Response[wire.GossipResponse], error) {
+	q := r.Msg
+	a, err := g.Answer(q)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	return connect.NewResponse(a), nil
+}
+
+// Answer answers the request of another host.
+func (g *Gossiper) Answer(q *wire.GossipRequest) (*wire.GossipResponse, error) {
+	from := decodeHost(q.GetFrom())
+	if from.Host.Name == "" {
+		return nil, fmt.Errorf("the request names no host")
+	}
+	now := g.clock.Now()
+	hear := registrar.Hear{Vector: decodeVector(q.GetKeys(), q.GetVersions())}
+	if from.Host.Address != "" {
+		hear.Hosts = append(hear.Hosts, from)
+	}
+	g.step(hear)
+	a := &wire.GossipResponse{Confirmed: -1}
+	g.revise(func(c Confirmation) {
+		a.Revision, a.Check, a.Confirmed = c.Revision, c.Check, encodeAge(c.Age)
+	})
+	g.mu.Lock()
+	update := g.registrar.Update(g.clock.Now(), decodeVector(q.GetKeys(), q.GetVersions()))
+	self := g.registrar.Self()
+	g.mu.Unlock()
+	encodeUpdate(update, a)
+	a.From = &wire.EntryHost{Name: string(self.Host.Name), Incarnation: uint64(self.Host.Incarnation)}
+	a.Fingerprints = g.printsFor(string(from.Host.Name))
+	address := from.Host.Address
+	if h, ok := g.Snapshot().Host(from.Host.Name); ok {
+		address = h.Address
+	}
+	// The age was true when the request was sent, which is not known here: a
+	// request can lie in a buffer. Its confirmation counts only as a hint that
+	// the revision exists.
+	g.learn(address, now, Confirmation{Revision: q.GetRevision(), Check: q.GetCheck(), Age: -1}, q.GetFingerprints())
+	return a, nil
+}
+
+// Fetch returns a configuration revision that this host has.
+func (g *Gossiper) Fetch(_ context.Context, r *connect.Request[wire.FetchRequest]) (*connect.Response[wire.FetchResponse], error) {
+	if g.revisions != nil {
+		if d := g.revisions.Document(r.Msg.GetRevision()); d != nil {
+			return connect.NewResponse(&wire.FetchResponse{Revision: d}), nil
+		}
+	}
+	return nil, connect.NewError(connect.CodeNotFound, fmt.Errorf("revision %d is not on this host", r.Msg.GetRevision()))
+}
+
+// printsFor returns the fingerprints that the other host may lack.
+func (g *Gossiper) printsFor(peer string) []*wire.Fingerprint {
+	if g.prints == nil {
+		return nil
+	}
+	list := g.prints.Fingerprints()
+	if len(list) == 0 || !g.peers.lacks(peer, fold(list), g.clock.Now()) {
+		return nil
+	}
+	return list
+}
+
+func fold(list []*wire.Fingerprint) uint64 {
+	var sum uint64
+	for _, p := range list {
+		sum += xxhash.Sum64String(p.GetDigest()) * uint64(1+p.GetCrashes()+uint32(len(p.GetUpstreams()))<<16)
+	}
+	return sum
+}
+
+func (g *Gossiper) sayGoodbye() {
+	g.describe(func(d *registrar.Describe) { d.Draining, d.Left = true, true })
+	ctx, cancel := context.WithTimeout(context.Background(), Timeout)
+	defer cancel()
+	calls := pool.New().WithMaxGoroutines(Farewells)
+	g.mu.Lock()
+	self := g.registrar.Self()
+	key := uint64(g.registrar.Key())
+	g.mu.Unlock()
+	for _, h := range g.Snapshot().Hosts() {
+		if h.Address == "" || h.Name == self.Host.Name {
+			continue
+		}
+		calls.Go(func() {
+			q := &wire.GossipRequest{Confirmed: -1, From: encodeHost(self)}
+			q.Keys, q.Versions = []uint64{key}, []uint64{self.Described}
+			if _, err := g.exchanger.Exchange(ctx, h.Address, q); err != nil {
+				g.log.Debug("A host was not told goodbye.")
+			}
+		})
+	}
+	calls.Wait()
+}
+
+// peers chooses hosts to ask and remembers what was sent to them.
+type peers struct {
+	mu    sync.Mutex
+	self  string
+	seeds []string
+	// lost are the addresses of hosts that went down.
+	lost   []string
+	busy   map[string]bool
+	known  map[string]uint64
+	sent   map[string]sent
+	rounds int
+}
+
+type sent struct {
+	fold uint64
+	at   time.Time
+}
+
+func newPeers(self string, seeds []string) *peers {
+	return &peers{self: self, seeds: seeds, busy: map[string]bool{}, known: map[string]uint64{}, sent: map[string]sent{}}
+}
+
+// choose picks a live host at random that no exchange is open with, and
+// sometimes a seed or a lost host.
+func (p *peers) choose(random *rand.Rand, v *registrar.View) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rounds++
+	live := map[string]bool{p.self: true, "": true}
+	var candidates, others []string
+	for _, h := range v.Hosts() {
+		if !live[h.Address] {
+			live[h.Address] = true
+			candidates = append(candidates, h.Address)
+		}
+	}
+	for _, a := range slices.Concat(p.seeds, p.lost) {
+		if !live[a] {
+			others = append(others, a)
+		}
+	}
+	if len(others) > 0 && (len(candidates) == 0 || p.rounds%Revisit == 0) {
+		candidates = others
+	}
+	candidates = slices.DeleteFunc(candidates, func(a string) bool { return p.busy[a] })
+	if len(candidates) == 0 {
+		return ""
+	}
+	a := candidates[random.IntN(len(candidates))]
+	p.busy[a] = true
+	return a
+}
+
+func (p *peers) free(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.busy, address)
+}
+
+// observe follows which addresses are lost.
+func (p *peers) observe(a registrar.Action) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch a := a.(type) {
+	case registrar.HostDown:
+		delete(p.known, a.Host.Address)
+		delete(p.sent, a.Host.Address)
+		delete(p.sent, string(a.Host.Name))
+		if !a.Host.Left && !slices.Contains(p.lost, a.Host.Address) {
+			p.lost = append(p.lost, a.Host.Address)
+			p.lost = p.lost[max(0, len(p.lost)-MaxAddresses):]
+		}
+	case registrar.HostUp:
+		p.lost = slices.DeleteFunc(p.lost, func(l string) bool { return l == a.Host.Address })
+	}
+}
+
+// introduce describes this host in full only to hosts that don't know the
+// description yet.
+func (p *peers) introduce(address string, self registrar.HostNews) *wire.EntryHost {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.known[address] >= self.Described {
+		return &wire.EntryHost{Name: string(self.Host.Name), Incarnation: uint64(self.Host.Incarnation)}
+	}
+	return encodeHost(self)
+}
+
+// answered notes whether the other host lists this one.
+func (p *peers) answered(address string, a *wire.GossipResponse, self uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if i := slices.Index(a.GetKeys(), self); i >= 0 && i < len(a.GetVersions()) {
+		p.known[address] = a.GetVersions()[i]
+	} else {
+		delete(p.known, address)
+	}
+}
+
+func (p *peers) lacks(peer string, fold uint64, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.sent[peer]; s.fold == fold && now.Sub(s.at) < printsInterval {
+		return false
+	}
+	p.sent[peer] = sent{fold: fold, at: now}
+	return true
+}
+
+// caller makes exchanges over the network.
+type caller struct {
+	mu      sync.Mutex
+	clients map[string]*dialer.Client
+}
+
+func newCaller() *caller { return &caller{clients: map[string]*dialer.Client{}} }
+
+func (c *caller) client(address string) *dialer.Client {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d := c.clients[address]
+	if d == nil {
+		if len(c.clients) > MaxAddresses {
+			for a, old := range c.clients {
+				old.Close()
+				delete(c.clients, a)
+			}
+		}
+		d = dialer.New()
+		c.clients[address] = d
+	}
+	return d
+}
+
+// Exchange makes a call. When half of the time passes without an answer the
+// connection may be silent for good, so the call is made once more on a new
+// connection; an exchange may be repeated without harm.
+func (c *caller) Exchange(ctx context.Context, address string, q *wire.GossipRequest) (*wire.GossipResponse, error) {
+	d := c.client(address)
+	client := wireconnect.NewPeerClient(d, "http://"+address, dialer.Options()...)
+	first, cancel := context.WithTimeout(ctx, Timeout/2)
+	defer cancel()
+	a, err := client.Gossip(first, connect.NewRequest(q))
+	if err == nil {
+		return a.Msg, nil
+	}
+	d.Renew()
+	if first.Err() == nil || ctx.Err() != nil {
+		return nil, fmt.Errorf("exchange with %s: %w", address, err)
+	}
+	if a, err = client.Gossip(ctx, connect.NewRequest(q)); err != nil {
+		return nil, fmt.Errorf("exchange with %s on a new connection: %w", address, err)
+	}
+	return a.Msg, nil
+}
+
+// Close closes the connections.
+func (c *caller) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, d := range c.clients {
+		d.Close()
+	}
+}
+
+// Traffic counts what the exchanges that this host started have carried.
+type Traffic struct {
+	Exchanges, Sent, Received uint64
+}
+
+type traffic struct{ exchanges, sent, received atomic.Uint64 }
+
+func (t *traffic) count(q *wire.GossipRequest, a *wire.GossipResponse) {
+	t.exchanges.Add(1)
+	t.sent.Add(uint64(proto.Size(q)))
+	t.received.Add(uint64(proto.Size(a)))
+}
+
+// Traffic returns what was carried so far, in messages and bytes.
+func (g *Gossiper) Traffic() Traffic {
+	return Traffic{g.traffic.exchanges.Load(), g.traffic.sent.Load(), g.traffic.received.Load()}
+}
--- /dev/null
+++ b/internal/member/gossiper/session_test.go
@@ -0,0 +1,121 @@
+package gossiper_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/jonboulle/clockwork"
+	"github.com/sourcegraph/conc"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/amaranthcart/amaranthcart/internal/member/gossiper"
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/dialer"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/wire"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/wire/wireconnect"
+)
+
+// peerService shows how the Peer service is completed outside this package.
+type peerService struct {
+	*gossiper.Gossiper
+}
+
+func (peerService) Dispatch(context.Context, *connect.BidiStream[wire.DispatchRequest, wire.DispatchResponse]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("not served here"))
+}
+
+type node struct {
+	*gossiper.Gossiper
+	address string
+	stop    func()
+}
+
+func startNode(t testing.TB, i int, seeds ...string) node {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := l.Addr().String()
+	g := gossiper.New(registrar.Host{Name: registrar.HostName(fmt.Sprintf("entry-%d", i)), Address: address},
+		gossiper.WithSeeds(seeds...), gossiper.WithSeed(uint64(i)))
+	mux := http.NewServeMux()
+	mux.Handle(gossiper.AnnouncePath, g.Announcements())
+	mux.Handle(wireconnect.NewPeerHandler(peerService{g}))
+	s := &http.Server{Handler: mux, Protocols: dialer.Protocols()}
+	var serving conc.WaitGroup
+	serving.Go(func() { _ = s.Serve(l) })
+	g.Start()
+	n := node{Gossiper: g, address: address}
+	n.stop = func() {
+		g.Close()
+		_ = s.Close()
+		serving.Wait()
+	}
+	return n
+}
+
+func announceTo(t *testing.T, n node, body string) (int, gossiper.Reply) {
+	t.Helper()
+	r, err := http.Post("http://"+n.address+gossiper.AnnouncePath, "application/json", strings.NewReader(body))
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, r.Body.Close()) }()
+	var reply gossiper.Reply
+	assert.NilError(t, json.NewDecoder(r.Body).Decode(&reply))
+	return r.StatusCode, reply
+}
+
+// Guards against an exchange that works in memory but not over HTTP/2, and
+// against a stopped host that stays a candidate for cell ownership.
+func TestHostsShareAnnouncementsOverTheNetwork(t *testing.T) {
+	a := startNode(t, 1)
+	b := startNode(t, 2, a.address)
+	c := startNode(t, 3, a.address)
+	defer a.stop()
+	defer b.stop()
+	stopped := false
+	defer func() {
+		if !stopped {
+			c.stop()
+		}
+	}()
+	clock := clockwork.NewRealClock()
+	agree := func(hosts int, upstream bool) poll.Check {
+		return func(poll.LogT) poll.Result {
+			for _, n := range []node{a, b} {
+				v := n.Snapshot()
+				_, found := v.Upstream(clock.Now(), "hay-1")
+				if len(v.Hosts()) != hosts || found != upstream {
+					return poll.Continue("%d hosts, upstream %t", len(v.Hosts()), found)
+				}
+			}
+			return poll.Success()
+		}
+	}
+	poll.WaitOn(t, agree(3, false), poll.WithTimeout(30*time.Second), poll.WithDelay(10*time.Millisecond))
+	sequence := 0
+	body := func(leaving bool) string {
+		sequence++
+		return fmt.Sprintf(`{"name":"hay-1","address":"127.0.0.1:9","models":["hay"],"incarnation":1,"sequence":%d,"slots":4,"leaving":%t}`, sequence, leaving)
+	}
+	poll.WaitOn(t, func(l poll.LogT) poll.Result {
+		status, reply := announceTo(t, c, body(false))
+		if status != http.StatusOK {
+			return poll.Continue("%d %s", status, reply.Reason)
+		}
+		return agree(3, true)(l)
+	}, poll.WithTimeout(30*time.Second), poll.WithDelay(300*time.Millisecond))
+	status, reply := announceTo(t, c, body(true))
+	assert.Equal(t, status, http.StatusOK, reply.Reason)
+	c.stop()
+	stopped = true
+	poll.WaitOn(t, agree(2, false), poll.WithTimeout(30*time.Second), poll.WithDelay(10*time.Millisecond))
+	assert.Equal(t, a.Snapshot().Owner("main"), b.Snapshot().Owner("main"))
+}
