Add the follower

Keeps the configuration in force fresh through a control stream, confirmations by control or by peers, and fetches from peers. A confirmation of a revision at or below the current one renews the lease: no revision after the current one was accepted up to that time. Otherwise every change of configuration would leave all hosts unready until their next confirmation.

--- /dev/null
+++ b/internal/config/follower/control.go
@@ -0,0 +1,210 @@
+package follower
+
+import (
+	"context"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/amaranthcart/amaranthcart/internal/rpc/wire"
+)
+
+// Times of the calls to control.
+const (
+	// CallTimeout bounds one call.
+	CallTimeout = 700 * time.Millisecond
+	// Hedge is how long a control host may take to confirm before the next one
+	// is asked as well. A quorum check takes a few round trips; a host that is
+	// silently cut off never answers.
+	Hedge = 250 * time.Millisecond
+	// AskAge is the age of the youngest known confirmation from which on hosts
+	// ask control themselves.
+	AskAge = 2 * time.Second
+	// AskSpread is the time over which the hosts' questions are spread. With
+	// the age, one hedge and one call it stays below the lease.
+	AskSpread = 800 * time.Millisecond
+	// RetryInterval is the mean time between questions while none is answered.
+	RetryInterval = 500 * time.Millisecond
+	// Silence is how long a stream may bring no message before it is replaced.
+	// Control sends a heartbeat each second.
+	Silence = 3 * time.Second
+	// Reconnect is the mean time before a stream that ended is opened again.
+	Reconnect = 200 * time.Millisecond
+	// MaxReconnect bounds it when all control hosts fail.
+	MaxReconnect = 2 * time.Second
+)
+
+// askPlan says when this host asks control.
+type askPlan struct {
+	// confirmed is the confirmation that the delay was drawn for.
+	confirmed time.Time
+	delay     time.Duration
+	tried     time.Time
+}
+
+// askDelay draws how long after AskAge a host asks. The delays are distributed
+// so that about as many hosts ask within the time that the first answer needs
+// to reach the others, whatever the size of the fleet: most draw a long delay
+// and give it up when they hear of the answer.
+func askDelay(u float64, fleet int) time.Duration {
+	n := math.Max(float64(fleet), 2)
+	share := 1 + math.Log(math.Max(u, 1/n))/math.Log(n)
+	return time.Duration(share * float64(AskSpread))
+}
+
+// askNow reports whether this host has to ask control.
+func (f *Follower) askNow() bool {
+	fleet := f.fleet()
+	u := f.float()
+	now := f.clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	at := f.core.Confirmed()
+	if !at.Equal(f.asks.confirmed) {
+		f.asks = askPlan{confirmed: at, delay: askDelay(u, fleet)}
+	}
+	if !at.IsZero() && now.Sub(at) < AskAge+f.asks.delay {
+		return false
+	}
+	if !f.asks.tried.IsZero() && now.Sub(f.asks.tried) < time.Duration((0.5+u)*float64(RetryInterval)) {
+		return false
+	}
+	f.asks.tried = now
+	return true
+}
+
+func (f *Follower) confirmOften() {
+	turn := int(f.float() * float64(len(f.controls)))
+	failed := make(map[string]time.Time, len(f.controls))
+	for {
+		select {
+		case <-f.context.Done():
+			return
+		case <-f.clock.After(tickInterval):
+		}
+		if f.askNow() {
+			f.ask(turn, failed)
+			turn++
+		}
+	}
+}
+
+// ask asks control hosts in turn, those that failed lately last, until one has
+// confirmed.
+func (f *Follower) ask(turn int, failed map[string]time.Time) {
+	order := make([]string, 0, len(f.controls))
+	for i := range f.controls {
+		order = append(order, f.controls[(turn+i)%len(f.controls)])
+	}
+	now := f.clock.Now()
+	lately := func(a string) int {
+		if t, ok := failed[a]; ok && now.Sub(t) < Lease {
+			return 1
+		}
+		return 0
+	}
+	slices.SortStableFunc(order, func(a, b string) int { return lately(a) - lately(b) })
+
+	ctx, cancel := context.WithCancel(f.context)
+	var calls conc.WaitGroup
+	defer calls.Wait()
+	defer cancel()
+	var mu sync.Mutex
+	results := make(chan bool, len(order))
+	pending := 0
+	for _, a := range order {
+		calls.Go(func() {
+			err := f.confirmWith(ctx, a)
+			mu.Lock()
+			defer mu.Unlock()
+			delete(failed, a)
+			if err != nil && ctx.Err() == nil {
+				failed[a] = f.clock.Now()
+			}
+			results <- err == nil
+		})
+		pending++
+		select {
+		case ok := <-results:
+			pending--
+			if ok {
+				return
+			}
+		case <-f.clock.After(Hedge):
+			mu.Lock()
+			failed[a] = f.clock.Now()
+			mu.Unlock()
+		case <-ctx.Done():
+			return
+		}
+	}
+	for ; pending > 0; pending-- {
+		if <-results {
+			return
+		}
+	}
+}
+
+func (f *Follower) confirmWith(ctx context.Context, address string) error {
+	began := f.clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
+	defer cancel()
+	f.mu.Lock()
+	number := f.core.Current().Number
+	f.mu.Unlock()
+	a, err := f.network.Confirm(ctx, address, &wire.ConfirmRequest{Host: f.host, Centre: f.centre, Revision: number})
+	if err != nil {
+		f.log.Debug("A control host did not confirm.", zap.Error(err))
+		return err
+	}
+	f.apply(Confirmed{Number: a.GetRevision(), Check: Check(a.GetDigest()), At: began, Source: Source{Address: address}})
+	return nil
+}
+
+// watchAlways keeps one stream to a control host open and moves to the next one
+// when it ends or goes silent.
+func (f *Follower) watchAlways() {
+	turn := int(f.float() * float64(len(f.controls)))
+	for failures := 0; ; {
+		address := f.controls[turn%len(f.controls)]
+		turn++
+		if f.watch(address) {
+			failures = 0
+		} else {
+			failures++
+		}
+		pause := min(Reconnect<<min(failures, 8), MaxReconnect)
+		select {
+		case <-f.context.Done():
+			return
+		case <-f.clock.After(time.Duration((0.5 + f.float()) * float64(pause))):
+		}
+	}
+}
+
+// watch follows one control host and reports whether it sent anything.
+func (f *Follower) watch(address string) bool {
+	ctx, cancel := context.WithCancel(f.context)
+	defer cancel()
+	silence := f.clock.AfterFunc(Silence, cancel)
+	defer silence.Stop()
+	f.mu.Lock()
+	number := f.core.Current().Number
+	f.mu.Unlock()
+	heard := false
+	err := f.network.Watch(ctx, address, &wire.WatchRequest{Host: f.host, Centre: f.centre, Revision: number}, func(m *wire.WatchResponse) {
+		heard = true
+		silence.Reset(Silence)
+		if r := m.GetRevision(); r != nil {
+			f.apply(Offered{Revision: decodeRevision(r), Source: Source{Address: address}})
+		}
+	})
+	if f.context.Err() == nil {
+		f.log.Warn("The stream from control ended; trying the next control host.", zap.String("address", address), zap.Error(err))
+	}
+	return heard
+}
--- /dev/null
+++ b/internal/config/follower/file.go
@@ -0,0 +1,95 @@
+package follower
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+// FileName is the file in the data folder that holds the last revision.
+const FileName = "revision.json"
+
+type record struct {
+	Number   uint64    `json:"number"`
+	Digest   string    `json:"digest"`
+	Accepted time.Time `json:"accepted"`
+	// Document is kept as a string, since the digest covers its exact bytes.
+	Document string `json:"document"`
+}
+
+// load reads the revision kept in the folder. A file that is there but can't be
+// read is an error: starting without it could revert the configuration.
+func load(folder string) (Revision, error) {
+	data, err := os.ReadFile(filepath.Join(folder, FileName))
+	if errors.Is(err, fs.ErrNotExist) {
+		return Revision{}, nil
+	}
+	if err != nil {
+		return Revision{}, fmt.Errorf("read the last revision: %w", err)
+	}
+	var r record
+	if err := json.Unmarshal(data, &r); err != nil {
+		return Revision{}, fmt.Errorf("read the last revision in %s: %w", FileName, err)
+	}
+	sum := sha256.Sum256([]byte(r.Document))
+	if r.Number == 0 || hex.EncodeToString(sum[:]) != r.Digest {
+		return Revision{}, fmt.Errorf("read the last revision in %s: the document of revision %d does not match its digest", FileName, r.Number)
+	}
+	return Revision{Number: r.Number, Digest: r.Digest, Accepted: r.Accepted, Document: []byte(r.Document)}, nil
+}
+
+// save replaces the file so that after a crash it holds either revision whole.
+func save(folder string, r Revision) (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("store revision %d: %w", r.Number, err)
+		}
+	}()
+	data, err := json.Marshal(record{Number: r.Number, Digest: r.Digest, Accepted: r.Accepted, Document: string(r.Document)})
+	if err != nil {
+		return err
+	}
+	f, err := os.CreateTemp(folder, FileName+".*.tmp")
+	if err != nil {
+		return err
+	}
+	defer func() {
+		if err != nil {
+			err = errors.Join(err, ignoreMissing(os.Remove(f.Name())))
+		}
+	}()
+	if _, err = f.Write(data); err != nil {
+		return errors.Join(err, f.Close())
+	}
+	if err = f.Sync(); err != nil {
+		return errors.Join(err, f.Close())
+	}
+	if err = f.Close(); err != nil {
+		return err
+	}
+	if err = os.Rename(f.Name(), filepath.Join(folder, FileName)); err != nil {
+		return err
+	}
+	return syncFolder(folder)
+}
+
+func ignoreMissing(err error) error {
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+	return err
+}
+
+func syncFolder(folder string) error {
+	d, err := os.Open(folder)
+	if err != nil {
+		return err
+	}
+	return errors.Join(d.Sync(), d.Close())
+}
--- /dev/null
+++ b/internal/config/follower/follower.go
@@ -0,0 +1,381 @@
+// Package follower keeps the configuration in force on an entry host.
+//
+// New revisions arrive on a stream from one control host, and from peers that
+// have a newer one. A revision is enforced only while it is fresh: at some time
+// within the lease a quorum of control hosts, asked by this host or by a peer,
+// said that it was the current one. A lower revision is never enforced, also
+// after a restart when a data folder is set.
+//
+// # Usage
+//
+//	f, err := follower.New(decode, follower.WithControls("10.0.0.1:7100"), follower.WithFolder(dir))
+//	if err != nil {
+//		return err
+//	}
+//	g := gossiper.New(self, gossiper.WithRevisions(f))
+//	f.Start()
+//	defer f.Close()
+//	snapshot, ok := f.Current() // ok is false when the host must refuse new work
+package follower
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/amaranthcart/amaranthcart/internal/member/gossiper"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/wire"
+)
+
+// Stale says what happens when the freshness lease has ended.
+type Stale string
+
+// Settings of Stale.
+const (
+	// Refuse refuses new work.
+	Refuse Stale = "refuse"
+	// Serve keeps enforcing the last revision. It must have been confirmed
+	// to this process once or come from the data folder.
+	Serve Stale = "serve"
+)
+
+// faultInterval is the least time between two log entries about one revision.
+const faultInterval = 10 * time.Second
+
+// Follower keeps the revision in force.
+type Follower struct {
+	host      string
+	centre    string
+	controls  []string
+	folder    string
+	stale     Stale
+	clock     clockwork.Clock
+	log       *zap.Logger
+	network   Network
+	fleet     func() int
+	onEnforce func(Snapshot)
+	faults    Faults
+
+	randomMu sync.Mutex
+	random   *rand.Rand
+
+	mu       sync.Mutex
+	core     *Core
+	closed   bool
+	reported map[uint64]time.Time
+	asks     askPlan
+
+	storing sync.Mutex
+	stored  uint64
+
+	enforcing sync.Mutex
+	announced uint64
+
+	state   atomic.Pointer[state]
+	context context.Context
+	cancel  context.CancelFunc
+	group   conc.WaitGroup
+	closing sync.Once
+}
+
+// state is what Current reads without a lock.
+type state struct {
+	snapshot Snapshot
+	until    time.Time
+	vouched  bool
+}
+
+// Option changes a new follower.
+type Option func(*Follower)
+
+// WithHost names this host to control.
+func WithHost(name, centre string) Option {
+	return func(f *Follower) { f.host, f.centre = name, centre }
+}
+
+// WithControls names the addresses of the control hosts.
+func WithControls(addresses ...string) Option {
+	return func(f *Follower) { f.controls = append(f.controls, addresses...) }
+}
+
+// WithFolder keeps the last revision in the folder.
+func WithFolder(path string) Option { return func(f *Follower) { f.folder = path } }
+
+// WithStale sets what happens when the freshness lease has ended.
+func WithStale(s Stale) Option { return func(f *Follower) { f.stale = s } }
+
+// WithClock sets the clock.
+func WithClock(c clockwork.Clock) Option { return func(f *Follower) { f.clock = c } }
+
+// WithLogger sets the logger.
+func WithLogger(l *zap.Logger) Option { return func(f *Follower) { f.log = l.Named("follower") } }
+
+// WithNetwork replaces the network.
+func WithNetwork(n Network) Option { return func(f *Follower) { f.network = n } }
+
+// WithFleet tells the number of entry hosts that exchange confirmations, which
+// bounds how many of them ask control.
+func WithFleet(size func() int) Option { return func(f *Follower) { f.fleet = size } }
+
+// WithSeed sets the seed of the random choices.
+func WithSeed(seed uint64) Option {
+	return func(f *Follower) { f.random = rand.New(rand.NewPCG(seed, 0)) }
+}
+
+// WithOnEnforce calls h with each revision put in force, in ascending order.
+func WithOnEnforce(h func(Snapshot)) Option { return func(f *Follower) { f.onEnforce = h } }
+
+// WithFaults is for tests that show that the checks can fail.
+func WithFaults(x Faults) Option { return func(f *Follower) { f.faults = x } }
+
+// New makes a follower and puts the revision of the data folder in force. That
+// revision is not fresh until it is confirmed.
+func New(decode Decode, options ...Option) (*Follower, error) {
+	f := &Follower{
+		stale:    Refuse,
+		clock:    clockwork.NewRealClock(),
+		log:      zap.NewNop(),
+		fleet:    func() int { return 1 },
+		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		reported: map[uint64]time.Time{},
+	}
+	for _, o := range options {
+		o(f)
+	}
+	if f.network == nil {
+		f.network = newNetwork()
+	}
+	f.core = NewCore(decode, f.faults)
+	f.state.Store(&state{})
+	f.context, f.cancel = context.WithCancel(context.Background())
+	if f.folder != "" {
+		if err := f.restore(decode); err != nil {
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+func (f *Follower) restore(decode Decode) error {
+	r, err := load(f.folder)
+	if err != nil || r.Number == 0 {
+		return err
+	}
+	if _, err := decode(r.Document); err != nil {
+		return fmt.Errorf("decode the stored revision %d: %w", r.Number, err)
+	}
+	f.stored = r.Number
+	f.apply(Offered{Revision: r})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := *f.state.Load()
+	s.vouched = true
+	f.state.Store(&s)
+	return nil
+}
+
+// Start begins to follow control.
+func (f *Follower) Start() {
+	f.group.Go(f.tick)
+	if len(f.controls) > 0 {
+		f.group.Go(f.watchAlways)
+		f.group.Go(f.confirmOften)
+	}
+}
+
+// Close stops following and waits until nothing runs.
+func (f *Follower) Close() {
+	f.closing.Do(func() {
+		f.mu.Lock()
+		f.closed = true
+		f.mu.Unlock()
+		f.cancel()
+		f.group.Wait()
+		f.network.Close()
+	})
+}
+
+// Current returns the configuration in force, and whether new work may be
+// accepted under it.
+func (f *Follower) Current() (Snapshot, bool) {
+	s := f.state.Load()
+	if s.snapshot.Revision == 0 {
+		return Snapshot{}, false
+	}
+	fresh := f.clock.Now().Before(s.until)
+	return s.snapshot, fresh || f.stale == Serve && s.vouched
+}
+
+// Confirmation describes the revision in force for peers.
+func (f *Follower) Confirmation() gossiper.Confirmation {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := f.core.Current()
+	c := gossiper.Confirmation{Revision: r.Number, Check: Check(r.Digest), Age: -1}
+	if at := f.core.Confirmed(); !at.IsZero() {
+		c.Age = f.clock.Since(at)
+	}
+	return c
+}
+
+// Learn takes what a peer told in an exchange that started at began.
+func (f *Follower) Learn(address string, began time.Time, c gossiper.Confirmation) {
+	s := Source{Address: address, Peer: true}
+	if c.Age < 0 {
+		f.apply(Heard{Number: c.Revision, Check: c.Check, Source: s})
+		return
+	}
+	f.apply(Confirmed{Number: c.Revision, Check: c.Check, At: began.Add(-c.Age), Source: s})
+}
+
+// Document returns the revision in force when it is the given one or later.
+func (f *Follower) Document(number uint64) *wire.Revision {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if r := f.core.Current(); r.Number > 0 && r.Number >= number {
+		return encodeRevision(r)
+	}
+	return nil
+}
+
+// apply passes an event to the core and carries out what follows.
+func (f *Follower) apply(e Event) {
+	f.mu.Lock()
+	actions := f.core.Step(f.clock.Now(), e)
+	f.publish(actions)
+	f.mu.Unlock()
+	for _, a := range actions {
+		f.carryOut(a)
+	}
+}
+
+// publish updates what Current reads. The caller holds mu.
+func (f *Follower) publish(actions []Action) {
+	old := f.state.Load()
+	s := *old
+	for _, a := range actions {
+		if e, ok := a.(Enforce); ok {
+			s.snapshot = e.Snapshot
+		}
+	}
+	s.until = f.core.Until()
+	s.vouched = s.vouched || !f.core.Confirmed().IsZero()
+	if s != *old {
+		f.state.Store(&s)
+	}
+}
+
+func (f *Follower) carryOut(a Action) {
+	switch a := a.(type) {
+	case Store:
+		if err := f.store(a.Revision); err != nil {
+			f.log.Error("The revision was not stored and is not enforced.", zap.Uint64("revision", a.Revision.Number), zap.Error(err))
+			return
+		}
+		f.apply(Stored{Number: a.Revision.Number})
+	case Enforce:
+		f.announce(a.Snapshot)
+	case Fetch:
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if !f.closed {
+			f.group.Go(func() { f.fetch(a) })
+		}
+	case Fault:
+		f.report(a)
+	case Freshness:
+		f.log.Info("The freshness of the configuration changed.", zap.Bool("fresh", a.Fresh))
+	}
+}
+
+// store makes the revision durable before it is enforced.
+func (f *Follower) store(r Revision) error {
+	if f.folder == "" {
+		return nil
+	}
+	f.storing.Lock()
+	defer f.storing.Unlock()
+	if r.Number <= f.stored {
+		return nil
+	}
+	if err := save(f.folder, r); err != nil {
+		return err
+	}
+	f.stored = r.Number
+	return nil
+}
+
+func (f *Follower) announce(s Snapshot) {
+	f.enforcing.Lock()
+	defer f.enforcing.Unlock()
+	if s.Revision <= f.announced {
+		return
+	}
+	f.announced = s.Revision
+	f.log.Info("A revision is in force.", zap.Uint64("revision", s.Revision), zap.String("digest", s.Digest))
+	if f.onEnforce != nil {
+		f.onEnforce(s)
+	}
+}
+
+func (f *Follower) report(a Fault) {
+	now := f.clock.Now()
+	f.mu.Lock()
+	last, again := f.reported[a.Number]
+	again = again && now.Sub(last) < faultInterval
+	if !again {
+		if len(f.reported) > maxReported {
+			clear(f.reported)
+		}
+		f.reported[a.Number] = now
+	}
+	f.mu.Unlock()
+	if !again {
+		f.log.Error("A revision is refused.", zap.Uint64("revision", a.Number), zap.String("source", a.Source.Address), zap.Error(a.Err))
+	}
+}
+
+// maxReported bounds the revisions whose last log entry is remembered.
+const maxReported = 1000
+
+func (f *Follower) fetch(a Fetch) {
+	ctx, cancel := context.WithTimeout(f.context, CallTimeout)
+	defer cancel()
+	r, err := f.network.Fetch(ctx, a.Source, a.Number)
+	if err != nil {
+		if !errors.Is(err, context.Canceled) {
+			f.log.Warn("A newer revision could not be fetched.", zap.Uint64("revision", a.Number), zap.Error(err))
+		}
+		return
+	}
+	f.apply(Offered{Revision: decodeRevision(r), Source: a.Source})
+}
+
+func (f *Follower) tick() {
+	t := f.clock.NewTicker(tickInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-f.context.Done():
+			return
+		case <-t.Chan():
+			f.apply(Tick{})
+		}
+	}
+}
+
+const tickInterval = 100 * time.Millisecond
+
+func (f *Follower) float() float64 {
+	f.randomMu.Lock()
+	defer f.randomMu.Unlock()
+	return f.random.Float64()
+}
