--- a/internal/entry/dispatcher/cell.go
+++ b/internal/entry/dispatcher/cell.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 	"github.com/sourcegraph/conc"
@@ -47,7 +47,7 @@
 	Cell        registrar.CellName
 	Membership  Membership
 	Local       *Local
-	Client      *http.Client
+	Client      connect.HTTPClient
 	Clock       clockwork.Clock
 	Logger      *zap.Logger
 }
--- a/internal/entry/dispatcher/cell_test.go
+++ b/internal/entry/dispatcher/cell_test.go
@@ -114,7 +114,7 @@
 	t.Helper()
 	clock := clockwork.NewRealClock()
 	m := &member{local: NewLocal(scheduler.New(), clock)}
-	s := Settings{Host: n, Incarnation: 1, Cell: "main", Membership: view, Local: m.local, Client: dialer.NewClient(), Clock: clock, Logger: zap.NewNop()}
+	s := Settings{Host: n, Incarnation: 1, Cell: "main", Membership: view, Local: m.local, Client: dialer.New(), Clock: clock, Logger: zap.NewNop()}
 	m.local.Configure(document())
 	m.local.Observe(u)
 	m.server = NewServer(s)
--- a/internal/rpc/dialer/dialer.go
+++ b/internal/rpc/dialer/dialer.go
@@ -1,77 +1,125 @@
-// Package dialer makes the HTTP/2 clients and servers that amaranthcart's own
-// processes use between each other.
+// Package dialer makes HTTP clients for calls between the system's own hosts.
 //
-// # Usage
+// The clients use HTTP/2 without TLS. A connection that goes silent is closed
+// after a ping stays unanswered; a caller whose call timed out replaces it
+// earlier through Renew.
 //
-//	client := dialer.NewClient()
-//	defer client.CloseIdleConnections()
-//	peer := wireconnect.NewPeerClient(client, dialer.URL("127.0.0.1:7000"))
+// # Usage
 //
-//	server := dialer.NewServer(handler)
+//	c := dialer.New()
+//	defer c.Close()
+//	peer := wireconnect.NewPeerClient(c, "http://10.0.0.7:7000", dialer.Options()...)
 package dialer
 
 import (
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"time"
 
+	"connectrpc.com/connect"
 	"golang.org/x/sys/unix"
 )
 
+// Times of a connection.
 const (
-	// dialTimeout bounds the set-up of a connection; hosts are at most a few
-	// milliseconds apart.
-	dialTimeout = time.Second
-	// pingAfter is the silence after which a connection is probed.
-	pingAfter = time.Second
-	// pingTimeout is how long a probe may stay unanswered before the
-	// connection is closed and replaced.
-	pingTimeout = time.Second
-	// userTimeout closes a connection whose data stays unacknowledged, which
-	// a keepalive probe alone does not notice.
-	userTimeout = 3 * time.Second
-	// headerTimeout bounds the reading of request headers.
-	headerTimeout = 5 * time.Second
-	// maxHeaderBytes bounds the headers of a request between processes.
-	maxHeaderBytes = 64 << 10
+	// Dial bounds the set-up of a connection. Data centres are a few
+	// milliseconds apart; a lost SYN is sent again after a second, which a
+	// caller rather replaces by another host.
+	Dial = 700 * time.Millisecond
+	// Idle is the time without data after which a connection is probed.
+	Idle = time.Second
+	// Ping is how long the answer to a probe may take.
+	Ping = 700 * time.Millisecond
+	// Unused is when a connection without calls is closed.
+	Unused = 30 * time.Second
+	// Unacknowledged closes a connection whose data the other side has not
+	// acknowledged for this time, which a keepalive probe does not notice.
+	Unacknowledged = 3 * time.Second
+	// Headers bounds the reading of a request's headers.
+	Headers = 5 * time.Second
 )
 
-// URL returns the base URL of a process's address.
-func URL(address string) string {
-	return "http://" + address
+// MaxHeaderBytes bounds the headers of a request between hosts.
+const MaxHeaderBytes = 64 << 10
+
+// Client makes calls over connections that can be replaced. It implements
+// connect.HTTPClient.
+type Client struct {
+	inner atomic.Pointer[http.Client]
+}
+
+// New makes a client.
+func New() *Client {
+	c := &Client{}
+	c.inner.Store(fresh())
+	return c
 }
 
-// NewClient returns a client that speaks HTTP/2 without TLS and replaces
-// connections that have gone silent.
-func NewClient() *http.Client {
-	var protocols http.Protocols
-	protocols.SetUnencryptedHTTP2(true)
-	d := &net.Dialer{Timeout: dialTimeout, Control: setUserTimeout}
+func fresh() *http.Client {
+	p := new(http.Protocols)
+	p.SetUnencryptedHTTP2(true)
+	d := net.Dialer{Timeout: Dial, KeepAlive: 5 * time.Second, Control: setUserTimeout}
 	return &http.Client{Transport: &http.Transport{
-		Protocols:   &protocols,
-		DialContext: d.DialContext,
-		HTTP2:       &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+		DialContext:     d.DialContext,
+		Protocols:       p,
+		IdleConnTimeout: Unused,
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout:  Idle,
+			PingTimeout:      Ping,
+			WriteByteTimeout: Ping,
+		},
 	}}
 }
 
-// NewServer returns a server that speaks HTTP/1 and HTTP/2 without TLS.
+// Do makes a call.
+func (c *Client) Do(r *http.Request) (*http.Response, error) {
+	return c.inner.Load().Do(r)
+}
+
+// Renew makes later calls use new connections. Calls that are open stay on the
+// old ones.
+func (c *Client) Renew() {
+	c.inner.Swap(fresh()).CloseIdleConnections()
+}
+
+// Close closes connections that are not in use.
+func (c *Client) Close() {
+	c.inner.Load().CloseIdleConnections()
+}
+
+// Options are the connect options of calls between hosts: the messages are
+// small, so that compressing them costs more processor time than it saves.
+func Options() []connect.ClientOption {
+	return []connect.ClientOption{connect.WithAcceptCompression("gzip", nil, nil)}
+}
+
+// Protocols returns what a server for these clients accepts.
+func Protocols() *http.Protocols {
+	p := new(http.Protocols)
+	p.SetHTTP1(true)
+	p.SetUnencryptedHTTP2(true)
+	return p
+}
+
+// URL returns the base URL of a host's address.
+func URL(address string) string { return "http://" + address }
+
+// NewServer returns a server for these clients.
 func NewServer(handler http.Handler) *http.Server {
-	var protocols http.Protocols
-	protocols.SetHTTP1(true)
-	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
 		Handler:           handler,
-		Protocols:         &protocols,
-		HTTP2:             &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
-		ReadHeaderTimeout: headerTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+		Protocols:         Protocols(),
+		HTTP2:             &http.HTTP2Config{SendPingTimeout: Idle, PingTimeout: Ping},
+		ReadHeaderTimeout: Headers,
+		MaxHeaderBytes:    MaxHeaderBytes,
 	}
 }
 
-// Listen opens a listener whose connections time out when the other side
-// stops acknowledging data.
+// Listen opens a listener whose connections end when the other side no longer
+// acknowledges data.
 func Listen(ctx context.Context, address string) (net.Listener, error) {
 	c := net.ListenConfig{Control: setUserTimeout}
 	return c.Listen(ctx, "tcp", address)
@@ -80,7 +128,7 @@
 func setUserTimeout(_, _ string, c syscall.RawConn) error {
 	var failure error
 	set := func(fd uintptr) {
-		failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+		failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(Unacknowledged.Milliseconds()))
 	}
 	if err := c.Control(set); err != nil {
 		return err
