--- /dev/null
+++ b/internal/control/applier/applier.go
@@ -0,0 +1,233 @@
+// Package applier is the state that control hosts build from the replicated
+// log: configuration revisions, change IDs, the audit trail and claims.
+//
+// # Determinism
+//
+// Every replica applies the same entries in the same order and must reach the
+// same state. Time is the leader's time in the entries, and never goes back.
+// What depends on the version of the program (validation, the differences
+// between documents) is computed by the leader before it proposes a command.
+//
+// # Retention
+//
+//   - Documents: the last keptRevisions revisions.
+//   - Audit entries: the last keptAudit.
+//   - Change IDs: the last keptChanges that reached the log, accepted or in
+//     conflict. Invalid changes aren't remembered.
+//   - Claims: done and unknown ones for claimRetention after they ended,
+//     released ones for releasedRetention. A running claim ends at its
+//     deadline, when it becomes unknown.
+//   - Answers: up to maximumAnswer bytes each and maximumAnswers bytes in all;
+//     a larger one is left out, and the claim is done without an answer.
+//   - At most maximumClaims claims; a claim beyond that isn't granted.
+//
+// # Usage
+//
+//	s := applier.New()
+//	result := s.Apply(entry)
+//	data := s.Encode()
+package applier
+
+import (
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/amaranthcart/amaranthcart/internal/rpc/record"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/wire"
+)
+
+const (
+	// keptRevisions is enough for an entry host that was away for an hour at
+	// 1,600 changes a day.
+	keptRevisions = 64
+	// keptAudit is two months at 1,600 changes a day.
+	keptAudit = 100_000
+	// keptChanges is six days at 1,600 changes a day.
+	keptChanges = 10_000
+
+	claimRetention    = 24 * time.Hour
+	releasedRetention = 10 * time.Minute
+	// MaximumDeadline bounds the deadline of a claim.
+	MaximumDeadline = time.Hour
+	// defaultDeadline is used for a claim without a deadline.
+	defaultDeadline = time.Minute
+
+	maximumAnswer  = 64 << 10
+	maximumAnswers = 64 << 20
+	maximumClaims  = 200_000
+)
+
+// Result is the outcome of one entry for the caller who proposed it. One field
+// is set.
+type Result struct {
+	Apply    *wire.ApplyResponse
+	Claim    *wire.ClaimResponse
+	Complete *wire.CompleteResponse
+	// Full is true when a claim wasn't granted because the table is full.
+	Full bool
+}
+
+// State is the applied state. It isn't safe for concurrent use.
+type State struct {
+	time      int64
+	revision  uint64
+	revisions []*wire.Revision
+	audit     []*wire.AuditEntry
+	changes   changeTable
+	claims    claimTable
+}
+
+// New returns the state of an empty log.
+func New() *State {
+	return &State{changes: newChangeTable(), claims: newClaimTable()}
+}
+
+// Apply applies a committed entry.
+func (s *State) Apply(e *record.Entry) Result {
+	s.time = max(s.time, e.Time)
+	s.claims.expire(s.time)
+	if e.Kind != record.Entry_KIND_COMMAND {
+		return Result{}
+	}
+	c := &record.Command{}
+	if err := proto.Unmarshal(e.Data, c); err != nil {
+		// An entry from a later version. Every replica of this version ignores
+		// it in the same way.
+		return Result{}
+	}
+	switch c := c.Change.(type) {
+	case *record.Command_Apply:
+		return Result{Apply: s.apply(c.Apply)}
+	case *record.Command_Claim:
+		return s.claims.claim(s.time, c.Claim)
+	case *record.Command_Complete:
+		return Result{Complete: s.claims.complete(s.time, c.Complete)}
+	}
+	return Result{}
+}
+
+// apply accepts a change when its base is the current revision.
+func (s *State) apply(c *record.ApplyCommand) *wire.ApplyResponse {
+	q := c.Request
+	if r := s.Resent(q); r != nil {
+		return r
+	}
+	r := &wire.ApplyResponse{Outcome: wire.ApplyResponse_OUTCOME_CONFLICT, Current: s.revision}
+	if q.Base == s.revision {
+		s.accept(c)
+		r = &wire.ApplyResponse{
+			Outcome:  wire.ApplyResponse_OUTCOME_ACCEPTED,
+			Revision: s.revision, Current: s.revision,
+		}
+	}
+	s.changes.add(&record.ChangeRecord{Change: q.Change, Content: content(q), Response: r})
+	return proto.CloneOf(r)
+}
+
+// accept makes the document the current revision.
+func (s *State) accept(c *record.ApplyCommand) {
+	q := c.Request
+	s.revision++
+	s.revisions = append(s.revisions, &wire.Revision{
+		Number: s.revision, Document: q.Document, Digest: c.Digest, Accepted: s.time,
+	})
+	if over := len(s.revisions) - keptRevisions; over > 0 {
+		s.revisions = append([]*wire.Revision(nil), s.revisions[over:]...)
+	}
+	s.audit = append(s.audit, &wire.AuditEntry{
+		Revision: s.revision, Base: q.Base, Change: q.Change, Operator: q.Operator,
+		Note: q.Note, Accepted: s.time, Digest: c.Digest, Differences: c.Differences,
+	})
+	if over := len(s.audit) - keptAudit; over > keptAudit/10 {
+		s.audit = append([]*wire.AuditEntry(nil), s.audit[over:]...)
+	}
+}
+
+// Resent returns the answer when the change ID was used before, and nil
+// otherwise.
+func (s *State) Resent(q *wire.ApplyRequest) *wire.ApplyResponse {
+	c := s.changes.get(q.Change)
+	if c == nil {
+		return nil
+	}
+	if string(c.Content) != string(content(q)) {
+		return &wire.ApplyResponse{Outcome: wire.ApplyResponse_OUTCOME_REUSED, Current: s.revision}
+	}
+	r := proto.CloneOf(c.Response)
+	r.Repeated = true
+	return r
+}
+
+// Current returns the current revision, or nil when there is none.
+func (s *State) Current() *wire.Revision {
+	if len(s.revisions) == 0 {
+		return nil
+	}
+	return s.revisions[len(s.revisions)-1]
+}
+
+// Revision returns a revision whose document is still kept, or nil.
+func (s *State) Revision(number uint64) *wire.Revision {
+	for _, r := range s.revisions {
+		if r.Number == number {
+			return r
+		}
+	}
+	return nil
+}
+
+// After returns the kept revisions after the given one, oldest first.
+func (s *State) After(number uint64) []*wire.Revision {
+	for i, r := range s.revisions {
+		if r.Number > number {
+			return append([]*wire.Revision(nil), s.revisions[i:]...)
+		}
+	}
+	return nil
+}
+
+// History returns up to limit audit entries after a revision, oldest first.
+func (s *State) History(after uint64, limit int) []*wire.AuditEntry {
+	first := len(s.audit)
+	if n := len(s.audit); n > 0 {
+		// Revisions in the trail have no gaps.
+		oldest := s.audit[0].Revision
+		first = int(min(max(after+1, oldest)-oldest, uint64(n)))
+	}
+	end := min(first+limit, len(s.audit))
+	return append([]*wire.AuditEntry(nil), s.audit[first:end]...)
+}
+
+// Claims returns the number of claims in the table.
+func (s *State) Claims() int { return len(s.claims.records) }
+
+// Encode serialises the state. Equal states give equal bytes.
+func (s *State) Encode() ([]byte, error) {
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(&record.State{
+		Time: s.time, Revision: s.revision, Revisions: s.revisions, Audit: s.audit,
+		Changes: s.changes.list(), Claims: s.claims.list(),
+	})
+	if err != nil {
+		return nil, fmt.Errorf("encode state: %w", err)
+	}
+	return data, nil
+}
+
+// Decode restores a state that Encode wrote.
+func Decode(data []byte) (*State, error) {
+	p := &record.State{}
+	if err := proto.Unmarshal(data, p); err != nil {
+		return nil, fmt.Errorf("decode state: %w", err)
+	}
+	s := New()
+	s.time, s.revision, s.revisions, s.audit = p.Time, p.Revision, p.Revisions, p.Audit
+	for _, c := range p.Changes {
+		s.changes.add(c)
+	}
+	for _, c := range p.Claims {
+		s.claims.put(c)
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/control/replicator/log.go
@@ -0,0 +1,127 @@
+package replicator
+
+import (
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/amaranthcart/amaranthcart/internal/rpc/record"
+)
+
+// entryLog is the log in memory. Entries follow base without a gap; the
+// snapshot covers at least the entries up to base.
+type entryLog struct {
+	base     uint64
+	baseTerm uint64
+	entries  []*record.Entry
+	snapshot *record.Snapshot
+	// durable is the last index known to be on disk.
+	durable uint64
+	size    int
+}
+
+// reset empties the log and starts it after the index.
+func (l *entryLog) reset(index, term uint64) {
+	l.base, l.baseTerm = index, term
+	l.entries = nil
+	l.durable = index
+	l.size = 0
+}
+
+func (l *entryLog) last() uint64 { return l.base + uint64(len(l.entries)) }
+
+func (l *entryLog) lastTerm() uint64 { return l.term(l.last()) }
+
+// term returns the term of the entry, or 0 when the log doesn't hold it.
+func (l *entryLog) term(index uint64) uint64 {
+	switch {
+	case index == l.base:
+		return l.baseTerm
+	case index < l.base || index > l.last():
+		return 0
+	}
+	return l.entries[index-l.base-1].Term
+}
+
+// holds reports whether the term of index is known.
+func (l *entryLog) holds(index uint64) bool { return index >= l.base && index <= l.last() }
+
+// slice returns the entries from first up to but not including end.
+func (l *entryLog) slice(first, end uint64) []*record.Entry {
+	return l.entries[first-l.base-1 : end-l.base-1 : end-l.base-1]
+}
+
+// batch returns entries from first up to a size in bytes.
+func (l *entryLog) batch(first uint64, limit int) []*record.Entry {
+	size := 0
+	end := first
+	for end <= l.last() {
+		size += entrySize(l.entries[end-l.base-1])
+		if size > limit && end > first {
+			break
+		}
+		end++
+	}
+	return l.slice(first, end)
+}
+
+// append adds entries at the end.
+func (l *entryLog) append(entries []*record.Entry) {
+	for _, e := range entries {
+		l.size += entrySize(e)
+	}
+	l.entries = append(l.entries, entries...)
+}
+
+// truncate drops the entries from index on.
+func (l *entryLog) truncate(index uint64) {
+	for _, e := range l.entries[index-l.base-1:] {
+		l.size -= entrySize(e)
+	}
+	kept := l.entries[: index-l.base-1 : index-l.base-1]
+	l.entries = append([]*record.Entry(nil), kept...)
+	l.durable = min(l.durable, index-1)
+}
+
+// trim drops the entries up to index.
+func (l *entryLog) trim(index uint64) {
+	if index <= l.base {
+		return
+	}
+	l.baseTerm = l.term(index)
+	for _, e := range l.entries[:index-l.base] {
+		l.size -= entrySize(e)
+	}
+	l.entries = append([]*record.Entry(nil), l.entries[index-l.base:]...)
+	l.base = index
+}
+
+// atLeast reports whether a log that ends with term and index is as complete
+// as this one.
+func (l *entryLog) atLeast(term, index uint64) bool {
+	return term > l.lastTerm() || term == l.lastTerm() && index >= l.last()
+}
+
+func (l *entryLog) bytes() int { return l.size }
+
+// entrySize approximates the encoded size.
+func entrySize(e *record.Entry) int { return len(e.Data) + 24 }
+
+// decodeMembership reads the data of a membership entry. Only this package
+// writes them, so a failure means damaged memory or disk.
+func decodeMembership(e *record.Entry) *record.Membership {
+	m := &record.Membership{}
+	if err := proto.Unmarshal(e.Data, m); err != nil {
+		panic(fmt.Sprintf("replicator: membership entry %d: %v", e.Index, err))
+	}
+	return m
+}
+
+// encode serialises a message of this package.
+func encode(m proto.Message) []byte {
+	data, err := proto.Marshal(m)
+	if err != nil {
+		panic(fmt.Sprintf("replicator: encode: %v", err))
+	}
+	return data
+}
--- /dev/null
+++ b/internal/control/replicator/progress.go
@@ -0,0 +1,280 @@
+package replicator
+
+import (
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/amaranthcart/amaranthcart/internal/rpc/record"
+)
+
+// progress is what the leader knows of a member's log.
+type progress struct {
+	// match is the last entry known to be durable there.
+	match uint64
+	// next is the first entry to send.
+	next uint64
+	// probing limits sending to one append until the logs are aligned.
+	probing bool
+	paused  bool
+	// inflight holds the last index of each unacknowledged append.
+	inflight []uint64
+	activeAt time.Time
+	// round is the last confirmation round acknowledged.
+	round uint64
+	// transfer is the snapshot being sent.
+	transfer *transfer
+}
+
+// transfer is a snapshot on its way to a member.
+type transfer struct {
+	snapshot *record.Snapshot
+	data     []byte
+	offset   uint64
+}
+
+// heartbeat lets a paused member be tried again: the last probe may be lost.
+func (p *progress) heartbeat() { p.paused = false }
+
+// acknowledge notes that entries up to index are durable at the member.
+func (p *progress) acknowledge(index uint64) bool {
+	p.probing, p.paused = false, false
+	p.next = max(p.next, index+1)
+	done := 0
+	for done < len(p.inflight) && p.inflight[done] <= index {
+		done++
+	}
+	p.inflight = p.inflight[done:]
+	if index <= p.match {
+		return false
+	}
+	p.match = index
+	return true
+}
+
+// back steps back after a rejection at index.
+func (p *progress) back(index, hint uint64) {
+	if index <= p.match || p.probing && index != p.next-1 {
+		return
+	}
+	p.next = max(min(hint, index-1), p.match) + 1
+	p.probing, p.paused = true, false
+	p.inflight = nil
+}
+
+// syncProgress keeps one progress for each other member.
+func (r *Replicator) syncProgress() {
+	seen := map[ID]bool{}
+	for _, m := range r.membership().Members {
+		id := ID(m.Id)
+		if id == r.id {
+			continue
+		}
+		seen[id] = true
+		if r.progress[id] == nil {
+			r.progress[id] = &progress{next: r.log.last() + 1, probing: true}
+		}
+	}
+	for id := range r.progress {
+		if !seen[id] {
+			delete(r.progress, id)
+		}
+	}
+}
+
+// appendEntries gives entries their place in the log and sends them.
+func (r *Replicator) appendEntries(entries []*record.Entry) {
+	index := r.log.last()
+	for _, e := range entries {
+		index++
+		e.Index, e.Term = index, r.term
+	}
+	r.log.append(entries)
+	r.addMemberships(entries)
+	r.saveEntries(entries)
+	r.replicate()
+}
+
+// replicate sends new entries to the members that are ready for them.
+func (r *Replicator) replicate() {
+	for _, m := range r.membership().Members {
+		if p := r.progress[ID(m.Id)]; p != nil {
+			r.sendNew(m, p)
+		}
+	}
+}
+
+// sendNew sends the entries that a member lacks, as far as the window allows.
+func (r *Replicator) sendNew(m *record.Member, p *progress) {
+	for p.next <= r.log.last() && !p.paused && len(p.inflight) < maximumInflight && p.transfer == nil {
+		r.sendAppend(m, p, false)
+	}
+}
+
+// sendAppend sends one append. An empty one is sent only when asked for.
+func (r *Replicator) sendAppend(m *record.Member, p *progress, empty bool) {
+	if p.transfer != nil && p.transfer.offset < uint64(len(p.transfer.data)) {
+		if empty {
+			r.sendChunk(m, p)
+		}
+		return
+	}
+	if !r.log.holds(p.next - 1) {
+		r.startSnapshot(m, p)
+		return
+	}
+	var entries []*record.Entry
+	if !p.paused && len(p.inflight) < maximumInflight {
+		entries = r.log.batch(p.next, maximumAppend)
+	}
+	if len(entries) == 0 && !empty {
+		return
+	}
+	previous := p.next - 1
+	if len(entries) > 0 {
+		last := entries[len(entries)-1].Index
+		if p.probing {
+			p.paused = true
+		} else {
+			p.next = last + 1
+			p.inflight = append(p.inflight, last)
+		}
+	}
+	r.send(m, &record.Message{
+		Kind: record.Message_KIND_APPEND, Term: r.term,
+		Index: previous, Previous: r.log.term(previous),
+		Entries: entries, Commit: r.commit, Round: r.round,
+	}, false)
+}
+
+// startSnapshot begins to send the snapshot to a member that is too far behind.
+func (r *Replicator) startSnapshot(m *record.Member, p *progress) {
+	s := r.log.snapshot
+	p.transfer = &transfer{snapshot: s, data: encode(s)}
+	p.inflight = nil
+	r.sendChunk(m, p)
+}
+
+// sendChunk sends the next part of the snapshot.
+func (r *Replicator) sendChunk(m *record.Member, p *progress) {
+	t := p.transfer
+	end := min(t.offset+maximumChunk, uint64(len(t.data)))
+	r.send(m, &record.Message{
+		Kind: record.Message_KIND_SNAPSHOT, Term: r.term, Index: t.snapshot.Index,
+		Previous: t.snapshot.Term, Chunk: t.data[t.offset:end],
+		Offset: t.offset, Size: uint64(len(t.data)), Round: r.round,
+	}, false)
+}
+
+// receiveSnapshotReply sends the next part.
+func (r *Replicator) receiveSnapshotReply(m *record.Message) {
+	p := r.progress[ID(m.From)]
+	if r.role != Leader || p == nil {
+		return
+	}
+	p.activeAt = r.now
+	r.acknowledgeRound(p, m.Round)
+	t := p.transfer
+	if t == nil || t.snapshot.Index != m.Index || m.Offset > uint64(len(t.data)) {
+		return
+	}
+	if m.Offset == t.offset && m.Offset != 0 {
+		// A repeated answer; the heartbeat sends the part again if it was lost.
+		return
+	}
+	t.offset = m.Offset
+	if member := r.member(ID(m.From)); member != nil && t.offset < uint64(len(t.data)) {
+		r.sendChunk(member, p)
+	}
+}
+
+// receiveAppendReply moves a member's progress.
+func (r *Replicator) receiveAppendReply(m *record.Message) {
+	p := r.progress[ID(m.From)]
+	if r.role != Leader || p == nil {
+		return
+	}
+	p.activeAt = r.now
+	if m.Reject {
+		p.back(m.Index, m.Hint)
+	} else {
+		if t := p.transfer; t != nil && m.Index >= t.snapshot.Index {
+			p.transfer = nil
+			p.next = m.Index + 1
+		}
+		if p.acknowledge(m.Index) {
+			r.advanceCommit()
+		}
+	}
+	r.acknowledgeRound(p, m.Round)
+	if r.role != Leader {
+		return
+	}
+	if member := r.member(ID(m.From)); member != nil {
+		r.sendNew(member, p)
+	}
+	if r.transferee == ID(m.From) {
+		r.continueTransfer()
+	}
+}
+
+// advanceCommit commits what a quorum holds durably. Only entries of the
+// leader's own term are committed by counting: an entry of an earlier term that
+// is on a quorum can still be replaced by a leader that never saw it.
+func (r *Replicator) advanceCommit() {
+	var matches []uint64
+	for _, m := range r.membership().Members {
+		switch {
+		case !m.Voter:
+		case ID(m.Id) == r.id:
+			matches = append(matches, r.log.durable)
+		default:
+			matches = append(matches, r.progress[ID(m.Id)].match)
+		}
+	}
+	if len(matches) == 0 {
+		return
+	}
+	slices.Sort(matches)
+	index := matches[len(matches)-r.quorum()]
+	if index <= r.commit {
+		return
+	}
+	if r.log.term(index) != r.term && r.options.Unsafe != CommitOldTerms {
+		return
+	}
+	r.commit = index
+	r.notifyCommit = true
+}
+
+// propose appends commands on the leader.
+func (r *Replicator) propose(e Propose) {
+	if !r.ready() || r.transferee != 0 {
+		r.emit(Refused{})
+		return
+	}
+	entries := make([]*record.Entry, 0, len(e.Commands))
+	for _, c := range e.Commands {
+		entries = append(entries, &record.Entry{
+			Kind: record.Entry_KIND_COMMAND, Data: c, Time: e.Time,
+		})
+	}
+	r.emit(Appended{First: r.log.last() + 1, Term: r.term})
+	r.appendEntries(entries)
+}
+
+// ready reports whether this is a leader that knows all committed entries,
+// which it does when one of its own term is committed.
+func (r *Replicator) ready() bool {
+	return r.role == Leader && r.log.term(r.commit) == r.term
+}
+
+// decodeSnapshot reads a snapshot received in parts.
+func decodeSnapshot(data []byte) (*record.Snapshot, error) {
+	s := &record.Snapshot{}
+	if err := proto.Unmarshal(data, s); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/storage/journaler/frame.go
@@ -0,0 +1,68 @@
+package journaler
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"hash/crc32"
+)
+
+// A frame is one record: magic, length, CRC-32C of length and payload, and
+// the payload. One frame is written and synced before the next one is
+// started, so that a crash can tear only the last frame of a file.
+const (
+	frameMagic  = "amf1"
+	frameHeader = len(frameMagic) + 4 + 4
+	// maximumFrame bounds the allocation for a damaged length.
+	maximumFrame = 1 << 30
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+var errFrame = errors.New("incomplete or damaged frame")
+
+// appendFrame adds a frame with the payload to the buffer.
+func appendFrame(buffer, payload []byte) []byte {
+	var length [4]byte
+	binary.LittleEndian.PutUint32(length[:], uint32(len(payload)))
+	sum := crc32.Update(crc32.Checksum(length[:], castagnoli), castagnoli, payload)
+	buffer = append(buffer, frameMagic...)
+	buffer = append(buffer, length[:]...)
+	buffer = binary.LittleEndian.AppendUint32(buffer, sum)
+	return append(buffer, payload...)
+}
+
+// readFrame returns the payload of the frame at the start of data and the
+// size of the frame.
+func readFrame(data []byte) ([]byte, int, error) {
+	if len(data) < frameHeader || string(data[:len(frameMagic)]) != frameMagic {
+		return nil, 0, errFrame
+	}
+	length := data[len(frameMagic) : len(frameMagic)+4]
+	size := binary.LittleEndian.Uint32(length)
+	if size > maximumFrame || int(size) > len(data)-frameHeader {
+		return nil, 0, errFrame
+	}
+	payload := data[frameHeader : frameHeader+int(size)]
+	sum := crc32.Update(crc32.Checksum(length, castagnoli), castagnoli, payload)
+	if sum != binary.LittleEndian.Uint32(data[len(frameMagic)+4:]) {
+		return nil, 0, errFrame
+	}
+	return payload, frameHeader + int(size), nil
+}
+
+// holdsFrame reports whether an intact frame starts anywhere in data. An
+// intact frame behind a damaged one proves that the damage is no torn tail.
+func holdsFrame(data []byte) bool {
+	for len(data) > 0 {
+		i := bytes.Index(data, []byte(frameMagic))
+		if i < 0 {
+			return false
+		}
+		if _, _, err := readFrame(data[i:]); err == nil {
+			return true
+		}
+		data = data[i+1:]
+	}
+	return false
+}
