Add the coordinator that serves the Control service

Groups of 1, 3 and 5 hosts form over loopback with real files, and any host answers Apply and Confirm. The packages have no fault tests yet.

--- a/internal/control/applier/claim.go
+++ b/internal/control/applier/claim.go
@@ -201,3 +201,6 @@
 	*h = old[:len(old)-1]
 	return x
 }
+
+// Stores reports whether an answer is small enough to be stored.
+func Stores(a *wire.Answer) bool { return answerSize(a) <= maximumAnswer }
--- a/internal/control/applier/difference.go
+++ b/internal/control/applier/difference.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"strings"
 )
 
 const (
@@ -62,7 +63,8 @@
 		}
 	}
 	if s, t := show(a), show(b); s != t {
-		d.lines = append(d.lines, fmt.Sprintf("%s: %s -> %s", path, clip(s), clip(t)))
+		line := fmt.Sprintf("%s: %s -> %s", clip(path), clip(s), clip(t))
+		d.lines = append(d.lines, strings.ToValidUTF8(line, "?"))
 	}
 }
 
--- /dev/null
+++ b/internal/control/coordinator/service.go
@@ -0,0 +1,256 @@
+package coordinator
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"net/http"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/amaranthcart/amaranthcart/internal/control/applier"
+	"github.com/amaranthcart/amaranthcart/internal/control/replicator"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/record"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/wire"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/wire/wireconnect"
+)
+
+const (
+	// maximumDocument bounds a configuration document.
+	maximumDocument = 1 << 20
+	// maximumField bounds the other fields of a request.
+	maximumField = 1 << 10
+	// maximumHistory bounds the entries of a History answer.
+	maximumHistory = 1000
+	defaultHistory = 100
+)
+
+// service adapts the coordinator to the Control service.
+type service struct{ c *Coordinator }
+
+var _ wireconnect.ControlHandler = service{}
+
+// Handler returns the path and the handler of the Control service.
+func (c *Coordinator) Handler() (string, http.Handler) {
+	return wireconnect.NewControlHandler(service{c}, connect.WithReadMaxBytes(maximumRequest))
+}
+
+// Apply submits a configuration.
+func (s service) Apply(ctx context.Context, q *connect.Request[wire.ApplyRequest]) (*connect.Response[wire.ApplyResponse], error) {
+	m := q.Msg
+	if m.Change == "" || len(m.Document) == 0 {
+		return nil, invalid("a change needs an ID and a document")
+	}
+	if len(m.Document) > maximumDocument {
+		return nil, invalid(fmt.Sprintf("the document has %d bytes; at most %d are allowed", len(m.Document), maximumDocument))
+	}
+	if err := bounded(m.Change, m.Operator, m.Note); err != nil {
+		return nil, err
+	}
+	return answerAtLeader(ctx, s.c, q, func(ctx context.Context) (*wire.ApplyResponse, error) {
+		return s.c.apply(ctx, m)
+	}, wireconnect.ControlClient.Apply)
+}
+
+// apply checks and proposes a change on the leader.
+func (c *Coordinator) apply(ctx context.Context, q *wire.ApplyRequest) (*wire.ApplyResponse, error) {
+	var resent *wire.ApplyResponse
+	var before []byte
+	current := false
+	c.core.inspect(func(s *applier.State) {
+		resent = s.Resent(q)
+		if r := s.Current(); r != nil {
+			current = r.Number == q.Base
+			before = r.Document
+			return
+		}
+		current = q.Base == 0
+	})
+	if resent != nil {
+		return resent, nil
+	}
+	if problems := c.settings.Check(q.Document); len(problems) > 0 {
+		return &wire.ApplyResponse{Outcome: wire.ApplyResponse_OUTCOME_INVALID, Problems: problems}, nil
+	}
+	sum := sha256.Sum256(q.Document)
+	a := &record.ApplyCommand{Request: q, Digest: hex.EncodeToString(sum[:])}
+	if current {
+		a.Differences = applier.Differences(before, q.Document)
+	}
+	r, err := c.submit(ctx, &record.Command{Change: &record.Command_Apply{Apply: a}})
+	if err != nil {
+		return nil, err
+	}
+	return r.Apply, nil
+}
+
+// Get returns a revision.
+func (s service) Get(ctx context.Context, q *connect.Request[wire.GetRequest]) (*connect.Response[wire.GetResponse], error) {
+	if q.Msg.Revision != 0 {
+		if r := s.c.revision(q.Msg.Revision); r != nil {
+			return connect.NewResponse(&wire.GetResponse{Revision: r}), nil
+		}
+	}
+	return answerAtLeader(ctx, s.c, q, func(ctx context.Context) (*wire.GetResponse, error) {
+		if err := s.c.confirm(ctx); err != nil {
+			return nil, err
+		}
+		r := s.c.revision(q.Msg.Revision)
+		if r == nil {
+			return nil, connect.NewError(connect.CodeNotFound, errors.New("there is no such revision, or its document is no longer kept"))
+		}
+		return &wire.GetResponse{Revision: r}, nil
+	}, wireconnect.ControlClient.Get)
+}
+
+// revision returns an applied revision; 0 asks for the latest.
+func (c *Coordinator) revision(number uint64) *wire.Revision {
+	var r *wire.Revision
+	c.core.inspect(func(s *applier.State) {
+		if number == 0 {
+			r = s.Current()
+			return
+		}
+		r = s.Revision(number)
+	})
+	return r
+}
+
+// History returns the audit trail.
+func (s service) History(ctx context.Context, q *connect.Request[wire.HistoryRequest]) (*connect.Response[wire.HistoryResponse], error) {
+	limit := int(q.Msg.Limit)
+	if limit == 0 {
+		limit = defaultHistory
+	}
+	limit = min(limit, maximumHistory)
+	return answerAtLeader(ctx, s.c, q, func(ctx context.Context) (*wire.HistoryResponse, error) {
+		if err := s.c.confirm(ctx); err != nil {
+			return nil, err
+		}
+		r := &wire.HistoryResponse{}
+		s.c.core.inspect(func(a *applier.State) { r.Entries = a.History(q.Msg.After, limit) })
+		return r, nil
+	}, wireconnect.ControlClient.History)
+}
+
+// Status describes this replica.
+func (s service) Status(context.Context, *connect.Request[wire.StatusRequest]) (*connect.Response[wire.StatusResponse], error) {
+	v := s.c.core.view()
+	p := v.replica
+	r := &wire.StatusResponse{
+		Id: uint64(p.ID), Term: p.Term, Leader: uint64(p.Leader), Role: roleName(p),
+		Committed: p.Commit, Applied: p.Applied,
+		Followers: s.c.followers.list(s.c.clock.Now()),
+	}
+	s.c.core.inspect(func(a *applier.State) { r.Revision = revisionOf(a) })
+	for _, m := range p.Membership.Members {
+		matched := p.Matched[replicator.ID(m.Id)]
+		if replicator.ID(m.Id) == p.ID {
+			matched = p.Last
+		}
+		r.Replicas = append(r.Replicas, &wire.Replica{
+			Id: m.Id, Address: m.Address, Centre: m.Centre, Voter: m.Voter, Matched: matched,
+		})
+	}
+	return connect.NewResponse(r), nil
+}
+
+// roleName names the role of a replica, with names for those without a vote.
+func roleName(s replicator.Status) string {
+	switch {
+	case s.Group == 0:
+		return "blank"
+	case !s.Voter:
+		return "learner"
+	}
+	return s.Role.String()
+}
+
+// Confirm returns the current revision.
+func (s service) Confirm(ctx context.Context, q *connect.Request[wire.ConfirmRequest]) (*connect.Response[wire.ConfirmResponse], error) {
+	if err := bounded(q.Msg.Host, q.Msg.Centre); err != nil {
+		return nil, err
+	}
+	s.c.followers.report(s.c.clock.Now(), q.Msg.Host, q.Msg.Centre, q.Msg.Revision)
+	return answerAtLeader(ctx, s.c, q, func(ctx context.Context) (*wire.ConfirmResponse, error) {
+		if err := s.c.confirm(ctx); err != nil {
+			return nil, err
+		}
+		r := &wire.ConfirmResponse{}
+		if v := s.c.revision(0); v != nil {
+			r.Revision, r.Digest = v.Number, v.Digest
+		}
+		return r, nil
+	}, wireconnect.ControlClient.Confirm)
+}
+
+// Claim records that a call is about to run.
+func (s service) Claim(ctx context.Context, q *connect.Request[wire.ClaimRequest]) (*connect.Response[wire.ClaimResponse], error) {
+	m := q.Msg
+	if m.Key == "" || m.Token == "" {
+		return nil, invalid("a claim needs a key and a token")
+	}
+	if err := bounded(m.Organisation, m.Service, m.Key, m.Token, m.Host, string(m.Digest)); err != nil {
+		return nil, err
+	}
+	return answerAtLeader(ctx, s.c, q, func(ctx context.Context) (*wire.ClaimResponse, error) {
+		r, err := s.c.submit(ctx, &record.Command{Change: &record.Command_Claim{Claim: m}})
+		if err != nil {
+			return nil, err
+		}
+		if r.Full {
+			return nil, connect.NewError(connect.CodeResourceExhausted, errors.New("the claim table is full"))
+		}
+		return r.Claim, nil
+	}, wireconnect.ControlClient.Claim)
+}
+
+// Complete records the result of a claimed call.
+func (s service) Complete(ctx context.Context, q *connect.Request[wire.CompleteRequest]) (*connect.Response[wire.CompleteResponse], error) {
+	m := q.Msg
+	if err := bounded(m.Organisation, m.Service, m.Key, m.Token); err != nil {
+		return nil, err
+	}
+	if !applier.Stores(m.Answer) {
+		// The result matters more than the answer. The caller keeps its own
+		// copy of the message, so this one is cut in a copy.
+		m = proto.CloneOf(m)
+		m.Answer = nil
+	}
+	return answerAtLeader(ctx, s.c, q, func(ctx context.Context) (*wire.CompleteResponse, error) {
+		r, err := s.c.submit(ctx, &record.Command{Change: &record.Command_Complete{Complete: m}})
+		if err != nil {
+			return nil, err
+		}
+		return r.Complete, nil
+	}, wireconnect.ControlClient.Complete)
+}
+
+// Exchange takes messages of the replicated log.
+func (s service) Exchange(_ context.Context, q *connect.Request[wire.ExchangeRequest]) (*connect.Response[wire.ExchangeResponse], error) {
+	for _, data := range q.Msg.Messages {
+		m := &record.Message{}
+		if err := proto.Unmarshal(data, m); err != nil {
+			return nil, connect.NewError(connect.CodeInvalidArgument, err)
+		}
+		s.c.receive(m)
+	}
+	return connect.NewResponse(&wire.ExchangeResponse{}), nil
+}
+
+// bounded refuses fields that are too long.
+func bounded(fields ...string) error {
+	for _, f := range fields {
+		if len(f) > maximumField {
+			return invalid(fmt.Sprintf("a field has %d bytes; at most %d are allowed", len(f), maximumField))
+		}
+	}
+	return nil
+}
+
+func invalid(text string) error {
+	return connect.NewError(connect.CodeInvalidArgument, errors.New(text))
+}
--- /dev/null
+++ b/internal/control/coordinator/transport.go
@@ -0,0 +1,264 @@
+package coordinator
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/amaranthcart/amaranthcart/internal/control/replicator"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/record"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/wire"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/wire/wireconnect"
+)
+
+const (
+	// exchangeTimeout is below the election timeout: a connection that went
+	// silent is replaced before the followers miss the leader.
+	exchangeTimeout = 400 * time.Millisecond
+	connectTimeout  = 300 * time.Millisecond
+	// pingInterval and pingTimeout find silent connections of other calls.
+	pingInterval = time.Second
+	pingTimeout  = time.Second
+	// userTimeout bounds unacknowledged data of a TCP connection.
+	userTimeout = 3 * time.Second
+	// maximumQueued bounds the messages to a host that isn't reachable.
+	maximumQueued = 4096
+	// maximumExchange bounds the messages of one request in bytes.
+	maximumExchange = 2 << 20
+	// maximumRequest bounds what a control host reads: a batch of messages
+	// with one large entry, or a configuration document.
+	maximumRequest = 8 << 20
+)
+
+// newHTTPClient returns a client for HTTP/2 without TLS.
+func newHTTPClient() *http.Client {
+	p := &http.Protocols{}
+	p.SetUnencryptedHTTP2(true)
+	d := &net.Dialer{Timeout: connectTimeout, Control: setUserTimeout}
+	return &http.Client{Transport: &http.Transport{
+		Protocols:   p,
+		DialContext: d.DialContext,
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout:  pingInterval,
+			PingTimeout:      pingTimeout,
+			WriteByteTimeout: userTimeout,
+		},
+	}}
+}
+
+// setUserTimeout makes the kernel close connections whose data stays
+// unacknowledged.
+func setUserTimeout(_, _ string, c syscall.RawConn) error {
+	var failure error
+	err := c.Control(func(fd uintptr) {
+		failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failure
+}
+
+// transport sends messages to the other control hosts.
+type transport struct {
+	logger *zap.Logger
+	name   string
+	group  *conc.WaitGroup
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu        sync.Mutex
+	addresses map[string]string
+	lanes     map[string]*lane
+	clients   map[string]*caller
+	closed    bool
+}
+
+// lane is the queue of messages to one host.
+type lane struct {
+	mu       sync.Mutex
+	messages []*record.Message
+	wake     chan struct{}
+}
+
+// caller is a client for forwarded calls.
+type caller struct {
+	http    *http.Client
+	control wireconnect.ControlClient
+}
+
+func newTransport(l *zap.Logger, name string, peers []Peer, g *conc.WaitGroup) *transport {
+	t := &transport{
+		logger: l, name: name, group: g, addresses: map[string]string{},
+		lanes: map[string]*lane{}, clients: map[string]*caller{},
+	}
+	t.ctx, t.cancel = context.WithCancel(context.Background())
+	for _, p := range peers {
+		t.addresses[p.Name] = p.Address
+	}
+	return t
+}
+
+// learn notes the address that a host gives in its introduction, which is
+// newer than the one in the settings.
+func (t *transport) learn(m *record.Message) {
+	if m.Address == "" || m.Name == t.name {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.addresses[m.Name] = m.Address
+}
+
+// address returns where a host is reached; the fallback comes from the
+// membership.
+func (t *transport) address(name, fallback string) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if a := t.addresses[name]; a != "" {
+		return a
+	}
+	return fallback
+}
+
+// send queues a message. It may be lost.
+func (t *transport) send(s replicator.Send) {
+	t.mu.Lock()
+	l := t.lanes[s.Name]
+	if l == nil && !t.closed {
+		l = &lane{wake: make(chan struct{}, 1)}
+		t.lanes[s.Name] = l
+		t.group.Go(func() { t.run(s.Name, l) })
+	}
+	t.mu.Unlock()
+	if l != nil {
+		l.add(s.Message)
+	}
+}
+
+func (l *lane) add(m *record.Message) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.messages) >= maximumQueued {
+		return
+	}
+	l.messages = append(l.messages, m)
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// take returns encoded messages up to a size.
+func (l *lane) take() [][]byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var encoded [][]byte
+	size, n := 0, 0
+	for _, m := range l.messages {
+		data, err := proto.Marshal(m)
+		if err == nil && size > 0 && size+len(data) > maximumExchange {
+			break
+		}
+		n++
+		if err != nil {
+			continue
+		}
+		size += len(data)
+		encoded = append(encoded, data)
+	}
+	l.messages = l.messages[n:]
+	if len(l.messages) == 0 {
+		l.messages = nil
+	}
+	return encoded
+}
+
+// drop empties the queue: the replica repeats what matters.
+func (l *lane) drop() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.messages = nil
+}
+
+// run sends the messages of a lane, one request at a time and in order.
+func (t *transport) run(name string, l *lane) {
+	client := newHTTPClient()
+	reachable := true
+	for {
+		select {
+		case <-t.ctx.Done():
+			client.CloseIdleConnections()
+			return
+		case <-l.wake:
+		}
+		for messages := l.take(); len(messages) > 0; messages = l.take() {
+			err := t.exchange(client, name, messages)
+			if (err == nil) != reachable && t.ctx.Err() == nil {
+				reachable = err == nil
+				t.logger.Info("reachability of a control host changed",
+					zap.String("host", name), zap.Bool("reachable", reachable), zap.Error(err))
+			}
+			if err != nil {
+				// The connection may be silent for good; a new one may work.
+				client.CloseIdleConnections()
+				client = newHTTPClient()
+				l.drop()
+			}
+		}
+	}
+}
+
+// exchange sends one request.
+func (t *transport) exchange(client *http.Client, name string, messages [][]byte) error {
+	ctx, cancel := context.WithTimeout(t.ctx, exchangeTimeout)
+	defer cancel()
+	c := wireconnect.NewControlClient(client, "http://"+t.address(name, ""))
+	_, err := c.Exchange(ctx, connect.NewRequest(&wire.ExchangeRequest{Messages: messages}))
+	return err
+}
+
+// client returns a client for forwarded calls to an address.
+func (t *transport) client(address string) *caller {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := t.clients[address]
+	if c == nil {
+		h := newHTTPClient()
+		c = &caller{http: h, control: wireconnect.NewControlClient(h, "http://"+address, connect.WithReadMaxBytes(maximumRequest))}
+		t.clients[address] = c
+	}
+	return c
+}
+
+// renew replaces a client whose connection failed.
+func (t *transport) renew(address string, old *caller) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.clients[address] == old {
+		delete(t.clients, address)
+		old.http.CloseIdleConnections()
+	}
+}
+
+// close ends the lanes.
+func (t *transport) close() {
+	t.mu.Lock()
+	t.closed = true
+	clients := t.clients
+	t.clients = map[string]*caller{}
+	t.mu.Unlock()
+	t.cancel()
+	for _, c := range clients {
+		c.http.CloseIdleConnections()
+	}
+}
--- a/internal/control/replicator/log.go
+++ b/internal/control/replicator/log.go
@@ -96,6 +96,18 @@
 	l.base = index
 }
 
+// keepFrom returns the index up to which entries may go when a snapshot at
+// index exists.
+func (l *entryLog) keepFrom(index uint64) uint64 {
+	size, count := 0, 0
+	for index > l.base && count < keptEntries && size < keptBytes {
+		size += entrySize(l.entries[index-l.base-1])
+		count++
+		index--
+	}
+	return index
+}
+
 // atLeast reports whether a log that ends with term and index is as complete
 // as this one.
 func (l *entryLog) atLeast(term, index uint64) bool {
--- a/internal/control/replicator/replicator.go
+++ b/internal/control/replicator/replicator.go
@@ -110,6 +110,8 @@
 	// keptEntries stay in memory behind a snapshot so that a follower that is
 	// a little behind needs no snapshot.
 	keptEntries = 512
+	// keptBytes bounds the size of these entries.
+	keptBytes = 4 << 20
 	// keptRetired bounds the identities that are remembered as removed.
 	keptRetired = 1024
 	// catchUpLag is how far behind a learner may be when it is promoted.
@@ -371,9 +373,7 @@
 		Membership: r.membershipAt(e.Index), Data: e.Data,
 	}
 	r.log.snapshot = s
-	if e.Index > keptEntries {
-		r.log.trim(e.Index - keptEntries)
-	}
+	r.log.trim(r.log.keepFrom(e.Index))
 	for len(r.memberships) > 1 && r.memberships[1].index <= r.log.base {
 		r.memberships = r.memberships[1:]
 	}
