--- /dev/null
+++ b/cmd/amaranthstub/main.go
@@ -0,0 +1,78 @@
+// Command amaranthstub is a stand-in model engine and plain service for tests.
+//
+// # Usage
+//
+//	amaranthstub --name a --listen 127.0.0.1:9001 --model story --service shop --entry 127.0.0.1:8080
+//
+// It exits with status 3 when a prompt with the marker [[crash=N]] crashes it.
+package main
+
+import (
+	"context"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/amaranthcart/amaranthcart/internal/config/validator"
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"github.com/amaranthcart/amaranthcart/internal/stub/responder"
+)
+
+// crashStatus is the exit status of a crash asked for by a prompt.
+const crashStatus = 3
+
+func main() {
+	app := kingpin.New("amaranthstub", "Stand-in model engine and plain service.")
+	name := app.Flag("name", "Name of the upstream.").Required().String()
+	listen := app.Flag("listen", "Address to listen on.").Default("127.0.0.1:0").String()
+	address := app.Flag("address", "Address to announce; default is the listening one.").String()
+	centre := app.Flag("centre", "Data centre.").String()
+	cell := app.Flag("cell", "Cell.").String()
+	models := app.Flag("model", "Model to serve; repeatable.").Strings()
+	services := app.Flag("service", "Plain service to serve; repeatable.").Strings()
+	entries := app.Flag("entry", "Entry host to announce to; repeatable.").Strings()
+	slots := app.Flag("slots", "Generations at once.").Default("64").Int()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+
+	logger, err := zap.NewProduction()
+	app.FatalIfError(err, "logger")
+	listener, err := net.Listen("tcp", *listen)
+	app.FatalIfError(err, "listen")
+	r := responder.New(responder.Options{
+		Name:     registrar.UpstreamID(*name),
+		Address:  *address,
+		Centre:   registrar.DataCentre(*centre),
+		Cell:     registrar.CellName(*cell),
+		Models:   pools(*models),
+		Services: pools(*services),
+		Slots:    *slots,
+		Entries:  *entries,
+		Logger:   logger,
+		Crash:    func() { os.Exit(crashStatus) },
+	})
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	logger.Info("serving", zap.String("address", listener.Addr().String()))
+	var group conc.WaitGroup
+	group.Go(func() {
+		<-ctx.Done()
+		_ = r.Close()
+	})
+	err = r.Serve(listener)
+	stop()
+	group.Wait()
+	app.FatalIfError(err, "serve")
+}
+
+func pools(names []string) []validator.PoolName {
+	list := make([]validator.PoolName, 0, len(names))
+	for _, n := range names {
+		list = append(list, validator.PoolName(n))
+	}
+	return list
+}
--- /dev/null
+++ b/internal/stub/responder/announcer.go
@@ -0,0 +1,88 @@
+package responder
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+)
+
+// announceTimeout is under the interval, so a dead entry host delays no
+// announcement to the others.
+const announceTimeout = 900 * time.Millisecond
+
+// announce sends the news to every entry host each second.
+func (r *Responder) announce() {
+	client := &http.Client{Timeout: announceTimeout}
+	defer client.CloseIdleConnections()
+	ticker := r.clock.NewTicker(AnnounceInterval)
+	defer ticker.Stop()
+	for {
+		r.announceOnce(client)
+		select {
+		case <-ticker.Chan():
+		case <-r.context.Done():
+			return
+		}
+	}
+}
+
+func (r *Responder) announceOnce(client *http.Client) {
+	body, err := json.Marshal(r.News())
+	if err != nil {
+		r.logger.Error("cannot encode announcement", zap.Error(err))
+		return
+	}
+	var group conc.WaitGroup
+	for _, host := range r.options.Entries {
+		group.Go(func() {
+			if err := post(r.context, client, host, body); err != nil {
+				r.logger.Warn("announcement failed", zap.String("host", host), zap.Error(err))
+			}
+		})
+	}
+	group.Wait()
+}
+
+func post(ctx context.Context, client *http.Client, host string, body []byte) error {
+	url := "http://" + host + "/upstreams/announce"
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := client.Do(request)
+	if err != nil {
+		return err
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxBody))
+	return response.Body.Close()
+}
+
+// News returns the next announcement.
+func (r *Responder) News() registrar.Upstream {
+	running, waiting := r.gate.load()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sequence++
+	return registrar.Upstream{
+		Name:        r.options.Name,
+		Address:     r.address,
+		Centre:      r.options.Centre,
+		Cell:        r.options.Cell,
+		Models:      r.options.Models,
+		Services:    r.options.Services,
+		Incarnation: r.options.Incarnation,
+		Sequence:    r.sequence,
+		Slots:       r.options.Slots,
+		Load:        registrar.Load{Running: running, Waiting: waiting},
+		Leaving:     r.leaving.Load(),
+	}
+}
--- /dev/null
+++ b/internal/stub/responder/control.go
@@ -0,0 +1,132 @@
+package responder
+
+import (
+	"encoding/json"
+	"io"
+	"maps"
+	"net/http"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/amaranthcart/amaranthcart/internal/config/validator"
+)
+
+// Behaviour is the disturbance that a responder shows.
+type Behaviour struct {
+	// First delays the first token or the answer of a plain call.
+	First validator.Duration `json:"first,omitempty"`
+	// Gap is the time between tokens.
+	Gap validator.Duration `json:"gap,omitempty"`
+	// Cut ends streams cleanly, but without an end marker, after so many
+	// tokens.
+	Cut int `json:"cut,omitempty"`
+	// Break closes the connection after so many tokens.
+	Break int `json:"break,omitempty"`
+	// Hang goes silent on the connection after so many tokens.
+	Hang int `json:"hang,omitempty"`
+	// Short declares a longer body than is sent, then closes the connection.
+	Short bool `json:"short,omitempty"`
+	// Lose runs plain calls and closes the connection without an answer.
+	Lose bool `json:"lose,omitempty"`
+	// Status answers with this status and runs nothing.
+	Status int `json:"status,omitempty"`
+	// Times is the number of requests that the disturbance applies to; zero
+	// means all.
+	Times int `json:"times,omitempty"`
+}
+
+// order is the body of a control request.
+type order struct {
+	Behaviour *Behaviour `json:"behaviour,omitempty"`
+	Silence   bool       `json:"silence,omitempty"`
+	Leave     bool       `json:"leave,omitempty"`
+	Crash     bool       `json:"crash,omitempty"`
+}
+
+// Set replaces the behaviour.
+func (r *Responder) Set(b Behaviour) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.behaviour = b
+}
+
+// take returns the behaviour for one request and counts it.
+func (r *Responder) take() Behaviour {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b := r.behaviour
+	if b.Times == 1 {
+		r.behaviour = Behaviour{First: b.First, Gap: b.Gap}
+	}
+	if b.Times > 1 {
+		r.behaviour.Times--
+	}
+	return b
+}
+
+// Runs returns how often each plain call ran, by its key, and under
+// "generations" how many generations started.
+func (r *Responder) Runs() map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.runs)
+}
+
+func (r *Responder) count(key string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.runs[key]++
+	return r.runs[key]
+}
+
+func (r *Responder) getControl(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	r.mu.Lock()
+	b := r.behaviour
+	r.mu.Unlock()
+	writeJSON(w, http.StatusOK, b)
+}
+
+func (r *Responder) getRuns(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	writeJSON(w, http.StatusOK, r.Runs())
+}
+
+func (r *Responder) postControl(w http.ResponseWriter, q *http.Request, _ httprouter.Params) {
+	var o order
+	if err := json.NewDecoder(io.LimitReader(q.Body, maxBody)).Decode(&o); err != nil {
+		writeError(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	if o.Behaviour != nil {
+		r.Set(*o.Behaviour)
+	}
+	if o.Leave {
+		r.Leave()
+	}
+	writeJSON(w, http.StatusOK, o)
+	if o.Silence {
+		r.Silence()
+	}
+	if o.Crash {
+		r.crash()
+	}
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		status, body = http.StatusInternalServerError, []byte("{}")
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+}
+
+func writeError(w http.ResponseWriter, status int, message string) {
+	type fault struct {
+		Message string `json:"message"`
+		Type    string `json:"type"`
+	}
+	writeJSON(w, status, struct {
+		Error fault `json:"error"`
+	}{fault{message, "invalid_request_error"}})
+}
