--- /dev/null
+++ b/internal/entry/forwarder/candidate.go
@@ -0,0 +1,232 @@
+package forwarder
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"mime"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync/atomic"
+
+	"github.com/amaranthcart/amaranthcart/internal/entry/dispatcher"
+	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
+)
+
+const (
+	// maxWhole bounds a whole answer.
+	maxWhole = 32 << 20
+	// maxErrorBody bounds the body of an upstream's refusal.
+	maxErrorBody = 64 << 10
+	// maxHead bounds the events before the first token.
+	maxHead = 64
+)
+
+// candidate is one attempt on one upstream.
+type candidate struct {
+	forwarder *Forwarder
+	slot      dispatcher.Slot
+	context   context.Context
+	cancel    context.CancelCauseFunc
+	transport *agedTransport
+	stream    bool
+	response  *http.Response
+	events    *EventReader
+	// head holds the events up to the first token.
+	head [][]byte
+	// whole is the body of an answer that is not streamed.
+	whole []byte
+	// connected is set when a connection was there to send on.
+	connected atomic.Bool
+	reused    atomic.Bool
+	answered  bool
+	err       error
+}
+
+// statusError is an upstream's refusal.
+type statusError struct{ status int }
+
+func (e *statusError) Error() string {
+	return fmt.Sprintf("upstream answered with status %d", e.status)
+}
+
+// newCandidate prepares an attempt; ctx is the caller's.
+func (f *Forwarder) newCandidate(ctx context.Context, slot dispatcher.Slot, stream bool) *candidate {
+	c := &candidate{forwarder: f, slot: slot, stream: stream}
+	c.context, c.cancel = context.WithCancelCause(ctx)
+	c.transport = f.pool.transport(slot.Upstream().Address)
+	return c
+}
+
+// connect sends the request and reads up to the first token, or to the end of
+// an answer that is not streamed.
+func (c *candidate) connect(call *GenerationCall, text string, emitted int) {
+	c.err = c.send(call, text, emitted)
+	if c.err != nil {
+		return
+	}
+	if c.stream {
+		c.err = c.readHead()
+		return
+	}
+	c.err = c.readWhole()
+}
+
+func (c *candidate) send(call *GenerationCall, text string, emitted int) error {
+	g := call.Generation
+	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		c.reused.Store(i.Reused)
+		c.connected.Store(true)
+	}}
+	body := g.body(c.stream, c.slot.Priority(), text, emitted)
+	url := "http://" + c.slot.Upstream().Address + g.Kind.path()
+	ctx := httptrace.WithClientTrace(c.context, trace)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("make request: %w", err)
+	}
+	// The session counts its attempts, so the transport must not repeat any.
+	request.GetBody = nil
+	request.Header["Content-Type"] = []string{"application/json"}
+	request.Header["X-Request-Id"] = []string{string(call.Request.ID)}
+	c.response, err = c.transport.RoundTrip(request)
+	if err != nil {
+		return fmt.Errorf("call upstream: %w", err)
+	}
+	if c.response.StatusCode == http.StatusOK {
+		c.answered = true
+		return nil
+	}
+	return c.refused()
+}
+
+// refused reads an answer that is not a success. A fault of the request is
+// the final answer; anything else may go better elsewhere.
+func (c *candidate) refused() error {
+	status := c.response.StatusCode
+	if status < 400 || status >= 500 || status == http.StatusTooManyRequests ||
+		status == http.StatusRequestTimeout || status == http.StatusNotFound {
+		return &statusError{status}
+	}
+	body, err := io.ReadAll(io.LimitReader(c.response.Body, maxErrorBody))
+	if err != nil {
+		return fmt.Errorf("read refusal: %w", err)
+	}
+	return &Error{
+		Status:  status,
+		Type:    "invalid_request_error",
+		Code:    "upstream_refused",
+		Message: "the engine refused the request",
+		Run:     DidRun,
+		Answer: &Answer{
+			Status: status,
+			Header: http.Header{"Content-Type": c.response.Header["Content-Type"]},
+			Body:   body,
+		},
+	}
+}
+
+func (c *candidate) readHead() error {
+	kind, _, err := mime.ParseMediaType(c.response.Header.Get("Content-Type"))
+	if err != nil || kind != "text/event-stream" {
+		return fmt.Errorf("%w: content type is not an event stream", errBadAnswer)
+	}
+	c.events = NewEventReader(c.response.Body)
+	for len(c.head) < maxHead {
+		data, err := c.events.Next()
+		if err != nil {
+			return endError(err)
+		}
+		c.head = append(c.head, bytes.Clone(data))
+		if bytes.Equal(data, doneMark) {
+			return nil
+		}
+		k, err := decodeChunk(data)
+		if err != nil {
+			return fmt.Errorf("%w: %w", errBadAnswer, err)
+		}
+		if present(k.Error) {
+			return fmt.Errorf("%w: error event", errBadAnswer)
+		}
+		if k.hasToken() {
+			return nil
+		}
+	}
+	return fmt.Errorf("%w: no token in %d events", errBadAnswer, maxHead)
+}
+
+func (c *candidate) readWhole() error {
+	body, err := io.ReadAll(io.LimitReader(c.response.Body, maxWhole+1))
+	if err != nil {
+		return fmt.Errorf("read answer: %w", err)
+	}
+	if len(body) > maxWhole {
+		return fmt.Errorf("%w: it is too long", errBadAnswer)
+	}
+	k, err := decodeChunk(body)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errBadAnswer, err)
+	}
+	if len(k.Choices) == 0 {
+		return fmt.Errorf("%w: it has no choices", errBadAnswer)
+	}
+	for i := range k.Choices {
+		if k.Choices[i].FinishReason == "" {
+			return errNoEnd
+		}
+	}
+	c.whole = body
+	return nil
+}
+
+// close ends the attempt and gives the slot back.
+func (c *candidate) close(o scheduler.Outcome, tokens int) {
+	c.cancel(errLost)
+	if c.response != nil {
+		_ = c.response.Body.Close()
+	}
+	c.slot.Release(o, tokens)
+}
+
+// outcome classifies the error that ended the attempt.
+func (c *candidate) outcome(err error) scheduler.Outcome {
+	switch cause := context.Cause(c.context); {
+	case errors.Is(cause, errPreempted):
+		return scheduler.Preempted
+	case errors.Is(cause, errSilent):
+		return scheduler.Silent
+	case errors.Is(cause, errGone):
+		return scheduler.Crashed
+	case cause != nil:
+		return scheduler.Abandoned
+	}
+	var status *statusError
+	var final *Error
+	switch {
+	case errors.As(err, &status), errors.As(err, &final):
+		return scheduler.Failed
+	case errors.Is(err, errNoEnd), errors.Is(err, errBadAnswer), errors.Is(err, errEventTooLong):
+		return scheduler.Failed
+	case !c.connected.Load(), c.stale(err):
+		return scheduler.Failed
+	}
+	return scheduler.Crashed
+}
+
+// stale reports whether the upstream had closed the idle connection before
+// the request was sent on it, which tells nothing about the upstream. The
+// transport's error for this case has no exported name.
+func (c *candidate) stale(err error) bool {
+	return c.reused.Load() && strings.Contains(err.Error(), "server closed idle connection")
+}
+
+// endError names the end of a stream that has no end marker.
+func endError(err error) error {
+	if err == io.EOF {
+		return errNoEnd
+	}
+	return err
+}
--- /dev/null
+++ b/internal/entry/forwarder/encoder.go
@@ -0,0 +1,132 @@
+package forwarder
+
+import (
+	"encoding/json"
+)
+
+// chunkEnd is a chunk that the forwarder writes itself; without a reason it
+// has no choice.
+type chunkEnd struct{ Reason string }
+
+type ownDelta struct{}
+
+type ownChoice struct {
+	Index        int       `json:"index"`
+	Delta        *ownDelta `json:"delta,omitempty"`
+	Text         *string   `json:"text,omitempty"`
+	Logprobs     *string   `json:"logprobs"`
+	FinishReason string    `json:"finish_reason"`
+}
+
+type ownChunk struct {
+	ID      string      `json:"id"`
+	Object  string      `json:"object"`
+	Created int64       `json:"created"`
+	Model   string      `json:"model"`
+	System  string      `json:"system_fingerprint,omitempty"`
+	Choices []ownChoice `json:"choices"`
+	Usage   *usage      `json:"usage,omitempty"`
+}
+
+func (s *session) ownChunk(object string) ownChunk {
+	return ownChunk{
+		ID:      s.identity.id,
+		Object:  object,
+		Created: s.identity.created,
+		Model:   s.identity.model,
+		System:  s.system,
+		Choices: []ownChoice{},
+	}
+}
+
+// emitOwn passes a chunk that ends an answer in place of the upstream.
+func (s *session) emitOwn(end chunkEnd, counts *usage) error {
+	object := "text_completion"
+	if s.call.Generation.Kind == Chat {
+		object = "chat.completion.chunk"
+	}
+	k := s.ownChunk(object)
+	k.Usage = counts
+	if end.Reason != "" {
+		c := ownChoice{FinishReason: end.Reason}
+		if s.call.Generation.Kind == Chat {
+			c.Delta = &ownDelta{}
+		} else {
+			c.Text = new(string)
+		}
+		k.Choices = append(k.Choices, c)
+	}
+	return s.emit(encode(k), true)
+}
+
+type wholeMessage struct {
+	Role             string `json:"role"`
+	Content          string `json:"content"`
+	ReasoningContent string `json:"reasoning_content,omitempty"`
+	Reasoning        string `json:"reasoning,omitempty"`
+	Refusal          string `json:"refusal,omitempty"`
+}
+
+type wholeChoice struct {
+	Index        int           `json:"index"`
+	Message      *wholeMessage `json:"message,omitempty"`
+	Text         *string       `json:"text,omitempty"`
+	Logprobs     *string       `json:"logprobs"`
+	FinishReason string        `json:"finish_reason"`
+}
+
+type wholeAnswer struct {
+	ID      string        `json:"id"`
+	Object  string        `json:"object"`
+	Created int64         `json:"created"`
+	Model   string        `json:"model"`
+	System  string        `json:"system_fingerprint,omitempty"`
+	Choices []wholeChoice `json:"choices"`
+	Usage   *usage        `json:"usage"`
+}
+
+// encode writes the whole answer that was collected from streams.
+func (s *session) encode() []byte {
+	text := s.text.String()
+	choice := wholeChoice{FinishReason: s.reason}
+	answer := wholeAnswer{
+		ID:      s.identity.id,
+		Object:  "text_completion",
+		Created: s.identity.created,
+		Model:   s.identity.model,
+		System:  s.system,
+		Usage:   s.counts(),
+	}
+	if s.call.Generation.Kind == Chat {
+		answer.Object = "chat.completion"
+		choice.Message = &wholeMessage{
+			Role:             "assistant",
+			Content:          text,
+			ReasoningContent: s.extras.reasoningContent,
+			Reasoning:        s.extras.reasoning,
+			Refusal:          s.extras.refusal,
+		}
+	} else {
+		choice.Text = &text
+	}
+	answer.Choices = []wholeChoice{choice}
+	return encode(answer)
+}
+
+func (e *extras) add(d *delta) {
+	e.reasoningContent += d.ReasoningContent
+	e.reasoning += d.Reasoning
+	e.refusal += d.Refusal
+}
+
+// noteTokens reads the token counts of an answer that was fetched whole.
+func (s *session) noteTokens(c *candidate) {
+	var answer struct {
+		Usage usage `json:"usage"`
+	}
+	if err := json.Unmarshal(c.whole, &answer); err != nil {
+		return
+	}
+	s.tokens = answer.Usage.Completion
+	c.slot.Progress(s.tokens)
+}
--- /dev/null
+++ b/internal/entry/forwarder/forwarder.go
@@ -0,0 +1,129 @@
+// Package forwarder calls upstreams on behalf of callers.
+//
+// A generation is repeatable: when its upstream fails, the forwarder resumes
+// the answer on another one after the tokens that the caller already has. A
+// plain call is repeated only if the configuration marks it so; any other is
+// sent once, on a connection of its own.
+//
+// # Usage
+//
+//	f := forwarder.New(forwarder.Options{Dispatcher: d})
+//	defer f.Close()
+//	err := f.Stream(ctx, call, sink)      // streamed answer
+//	answer, err := f.Collect(ctx, call)   // whole answer
+//	answer, err := f.Call(ctx, plainCall) // plain service
+//
+// A failed call returns an *Error with the status for the caller and the
+// verdict on whether the request ran.
+package forwarder
+
+import (
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/amaranthcart/amaranthcart/internal/config/validator"
+	"github.com/amaranthcart/amaranthcart/internal/entry/dispatcher"
+	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
+)
+
+const (
+	// maxAttempts bounds the attempts of one request, preemptions aside.
+	maxAttempts = 4
+	// maxPreemptions bounds how often a request gives way before it fails.
+	maxPreemptions = 32
+)
+
+// Deadlines are derived from a class's targets: a generous multiple, because
+// a deadline that passes costs the work done so far, but not less than a floor
+// that covers a queue in a busy engine.
+const (
+	firstMultiple = 10
+	firstFloor    = 2 * time.Second
+	firstDefault  = 60 * time.Second
+	gapMultiple   = 50
+	gapFloor      = 2 * time.Second
+	gapDefault    = 15 * time.Second
+	totalMultiple = 10
+	totalFloor    = 10 * time.Second
+	totalDefault  = 5 * time.Minute
+	// goneGrace is how long an upstream whose lease has ended may be silent.
+	goneGrace = time.Second
+)
+
+// Options configures a Forwarder.
+type Options struct {
+	Dispatcher dispatcher.Dispatcher
+	Clock      clockwork.Clock
+	Logger     *zap.Logger
+}
+
+// Forwarder sends requests to the upstreams that the dispatcher grants.
+type Forwarder struct {
+	dispatcher dispatcher.Dispatcher
+	clock      clockwork.Clock
+	logger     *zap.Logger
+	pool       *pool
+	group      conc.WaitGroup
+}
+
+// New returns a Forwarder.
+func New(o Options) *Forwarder {
+	if o.Clock == nil {
+		o.Clock = clockwork.NewRealClock()
+	}
+	if o.Logger == nil {
+		o.Logger = zap.NewNop()
+	}
+	return &Forwarder{
+		dispatcher: o.Dispatcher,
+		clock:      o.Clock,
+		logger:     o.Logger.Named("forwarder"),
+		pool:       newPool(o.Clock),
+	}
+}
+
+// Close closes idle connections and waits for attempts that were cancelled.
+// No call may be in progress.
+func (f *Forwarder) Close() error {
+	f.pool.close()
+	f.group.Wait()
+	return nil
+}
+
+// GenerationCall is one request for a model's answer.
+type GenerationCall struct {
+	Generation *Generation
+	Request    scheduler.Request
+	Class      validator.Class
+}
+
+// deadlines bound the silence of an upstream.
+type deadlines struct {
+	first time.Duration
+	gap   time.Duration
+	total time.Duration
+}
+
+func newDeadlines(c validator.Class) deadlines {
+	return deadlines{
+		first: bound(c.First, firstMultiple, firstFloor, firstDefault),
+		gap:   bound(c.Gap, gapMultiple, gapFloor, gapDefault),
+		total: bound(c.Total, totalMultiple, totalFloor, totalDefault),
+	}
+}
+
+func bound(target validator.Duration, multiple int, floor, otherwise time.Duration) time.Duration {
+	if target <= 0 {
+		return otherwise
+	}
+	return max(time.Duration(target)*time.Duration(multiple), floor)
+}
+
+// CallDeadline is the longest time that a plain call of the class may take,
+// including its wait for a slot.
+func CallDeadline(c validator.Class) time.Duration {
+	return time.Duration(c.Wait) + newDeadlines(c).total
+}
--- /dev/null
+++ b/internal/entry/forwarder/generation.go
@@ -0,0 +1,321 @@
+package forwarder
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/amaranthcart/amaranthcart/internal/config/validator"
+)
+
+// Kind tells the two generating calls of the OpenAI protocol apart.
+type Kind int
+
+// Kinds of generation.
+const (
+	Chat Kind = iota
+	Completion
+)
+
+func (k Kind) path() string {
+	if k == Chat {
+		return "/v1/chat/completions"
+	}
+	return "/v1/completions"
+}
+
+func (k Kind) content() string {
+	if k == Chat {
+		return "messages"
+	}
+	return "prompt"
+}
+
+const (
+	// bytesPerToken estimates prompt lengths; English text has about four.
+	bytesPerToken = 4
+	// prefixBlock is the part of a prompt that one prefix hash covers, about
+	// 64 tokens.
+	prefixBlock = 64 * bytesPerToken
+	// maxPrefixBlocks bounds the hashes to the first 8,192 tokens or so.
+	maxPrefixBlocks = 128
+	// maxChoices bounds n.
+	maxChoices = 128
+)
+
+// RequestError tells what is wrong with a caller's request.
+type RequestError struct {
+	Param   string
+	Message string
+}
+
+// Error describes the fault.
+func (e *RequestError) Error() string {
+	return e.Message
+}
+
+// Generation is a decoded request for an answer of a model.
+type Generation struct {
+	Kind  Kind
+	Model validator.PoolName
+	// Stream asks for a streamed answer.
+	Stream bool
+	// IncludeUsage asks for token counts at the end of the stream.
+	IncludeUsage bool
+	// ContinuousUsage asks for token counts in every chunk.
+	ContinuousUsage bool
+	// Limit is the largest number of tokens; zero means unknown.
+	Limit int
+
+	fields     map[string]json.RawMessage
+	names      []string
+	limitField string
+	minimum    int
+	stops      []string
+	prompt     string
+	choices    int
+	resumable  bool
+}
+
+// known are the fields that the forwarder reads.
+type known struct {
+	Model         string `json:"model"`
+	Stream        bool   `json:"stream"`
+	StreamOptions struct {
+		IncludeUsage         bool `json:"include_usage"`
+		ContinuousUsageStats bool `json:"continuous_usage_stats"`
+	} `json:"stream_options"`
+	MaxTokens           int             `json:"max_tokens"`
+	MaxCompletionTokens int             `json:"max_completion_tokens"`
+	MinTokens           int             `json:"min_tokens"`
+	Choices             int             `json:"n"`
+	BestOf              int             `json:"best_of"`
+	Stop                json.RawMessage `json:"stop"`
+}
+
+// DecodeGeneration reads the body of a request. Unknown fields are passed on
+// to the engine.
+func DecodeGeneration(k Kind, body []byte) (*Generation, error) {
+	fields, err := decodeFields(body)
+	if err != nil {
+		return nil, &RequestError{Message: "the body is not a JSON object"}
+	}
+	var n known
+	if err := json.Unmarshal(body, &n); err != nil {
+		return nil, &RequestError{Message: "the body has a field of the wrong type: " + typeFault(err)}
+	}
+	g := &Generation{
+		Kind:            k,
+		Model:           validator.PoolName(n.Model),
+		Stream:          n.Stream,
+		IncludeUsage:    n.StreamOptions.IncludeUsage,
+		ContinuousUsage: n.StreamOptions.ContinuousUsageStats,
+		fields:          fields,
+		minimum:         n.MinTokens,
+		choices:         max(n.Choices, 1),
+	}
+	if n.Model == "" {
+		return nil, &RequestError{Param: "model", Message: "the model is missing"}
+	}
+	if n.Choices < 0 || n.Choices > maxChoices {
+		return nil, &RequestError{Param: "n", Message: fmt.Sprintf("n must be between 1 and %d", maxChoices)}
+	}
+	if n.MaxTokens < 0 || n.MaxCompletionTokens < 0 {
+		return nil, &RequestError{Param: "max_tokens", Message: "the largest number of tokens is negative"}
+	}
+	if err := g.decodeContent(); err != nil {
+		return nil, err
+	}
+	if g.stops, err = decodeStops(n.Stop); err != nil {
+		return nil, err
+	}
+	g.decodeLimit(n)
+	g.resumable = g.resumable && n.Choices <= 1 && n.BestOf <= 1 && !g.needsOneEngine()
+	delete(fields, "stream")
+	delete(fields, "stream_options")
+	delete(fields, "priority")
+	g.names = slices.Sorted(maps.Keys(fields))
+	return g, nil
+}
+
+// typeFault names the field without quoting the request.
+func typeFault(err error) string {
+	if t, ok := err.(*json.UnmarshalTypeError); ok {
+		return fmt.Sprintf("%s must be %s", t.Field, t.Type)
+	}
+	return "it is not valid JSON"
+}
+
+func (g *Generation) decodeContent() error {
+	name := g.Kind.content()
+	raw := bytes.TrimSpace(g.fields[name])
+	if !present(raw) {
+		return &RequestError{Param: name, Message: "the " + name + " field is missing or empty"}
+	}
+	if g.Kind == Chat {
+		var messages []json.RawMessage
+		if err := json.Unmarshal(raw, &messages); err != nil || len(messages) == 0 {
+			return &RequestError{Param: name, Message: "messages must be a list with at least one message"}
+		}
+		g.resumable = true
+		return nil
+	}
+	// Lists of prompts and token ids are passed on, but not resumed.
+	g.resumable = json.Unmarshal(raw, &g.prompt) == nil
+	return nil
+}
+
+func decodeStops(raw json.RawMessage) ([]string, error) {
+	if !present(raw) {
+		return nil, nil
+	}
+	var one string
+	if json.Unmarshal(raw, &one) == nil {
+		return []string{one}, nil
+	}
+	var many []string
+	if err := json.Unmarshal(raw, &many); err != nil {
+		return nil, &RequestError{Param: "stop", Message: "stop must be a string or a list of strings"}
+	}
+	return many, nil
+}
+
+func (g *Generation) decodeLimit(n known) {
+	switch {
+	case n.MaxCompletionTokens > 0:
+		g.Limit, g.limitField = n.MaxCompletionTokens, "max_completion_tokens"
+	case n.MaxTokens > 0:
+		g.Limit, g.limitField = n.MaxTokens, "max_tokens"
+	}
+}
+
+// needsOneEngine reports whether the answer has parts beyond its text, or
+// depends on state that a partial answer does not carry to another engine:
+// tool calls, log probabilities, grammars, and partial messages of the
+// caller's own.
+func (g *Generation) needsOneEngine() bool {
+	for _, name := range []string{
+		"tools", "functions", "top_logprobs", "prompt_logprobs", "suffix",
+		"response_format", "guided_json", "guided_regex", "guided_choice",
+		"guided_grammar", "structured_outputs", "audio", "modalities",
+	} {
+		if present(g.fields[name]) {
+			return true
+		}
+	}
+	for _, name := range []string{"logprobs", "echo", "continue_final_message", "use_beam_search"} {
+		raw := g.fields[name]
+		if present(raw) && string(raw) != "false" {
+			return true
+		}
+	}
+	return false
+}
+
+// canResume reports whether the answer can go on after the text on another
+// engine. A stop string that may have begun in the text prevents it, because
+// the next engine would not see its start as a part of the answer.
+func (g *Generation) canResume(text string) bool {
+	if !g.resumable {
+		return false
+	}
+	for _, s := range g.stops {
+		for n := 1; n < len(s); n++ {
+			if strings.HasSuffix(text, s[:n]) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// PromptTokens estimates the length of the prompt.
+func (g *Generation) PromptTokens() int {
+	return len(g.fields[g.Kind.content()])/bytesPerToken + 1
+}
+
+// Fingerprint identifies the model and the content.
+func (g *Generation) Fingerprint() string {
+	h := sha256.New()
+	_, _ = h.Write([]byte(g.Model))
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write(g.fields[g.Kind.content()])
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+// Prefix returns the chained hashes of the prompt's whole blocks.
+func (g *Generation) Prefix() []uint64 {
+	raw := g.fields[g.Kind.content()]
+	blocks := min(len(raw)/prefixBlock, maxPrefixBlocks)
+	list := make([]uint64, 0, blocks)
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(string(g.Model))
+	for i := range blocks {
+		_, _ = d.Write(raw[i*prefixBlock : (i+1)*prefixBlock])
+		list = append(list, d.Sum64())
+	}
+	return list
+}
+
+// body encodes the request for an engine: the whole answer, or what follows
+// the text that the caller already has.
+func (g *Generation) body(stream bool, priority int, text string, emitted int) []byte {
+	fields := g.fields
+	names := g.names
+	if text != "" {
+		fields = g.continued(text, emitted)
+		names = slices.Sorted(maps.Keys(fields))
+	}
+	size := 128
+	for _, name := range names {
+		size += len(name) + len(fields[name]) + 4
+	}
+	b := make([]byte, 0, size)
+	b = append(b, '{')
+	for _, name := range names {
+		b = append(b, encode(name)...)
+		b = append(b, ':')
+		b = append(b, fields[name]...)
+		b = append(b, ',')
+	}
+	b = append(b, `"priority":`...)
+	b = strconv.AppendInt(b, int64(priority), 10)
+	if stream {
+		b = append(b, `,"stream":true,"stream_options":{"include_usage":true,"continuous_usage_stats":true}`...)
+	}
+	return append(b, '}')
+}
+
+func (g *Generation) continued(text string, emitted int) map[string]json.RawMessage {
+	fields := maps.Clone(g.fields)
+	if g.Kind == Chat {
+		type message struct {
+			Role    string `json:"role"`
+			Content string `json:"content"`
+		}
+		raw := bytes.TrimSpace(fields["messages"])
+		list := append(bytes.Clone(raw[:len(raw)-1]), ',')
+		list = append(list, encode(message{"assistant", text})...)
+		fields["messages"] = append(list, ']')
+		fields["continue_final_message"] = encode(true)
+		fields["add_generation_prompt"] = encode(false)
+	} else {
+		fields["prompt"] = encode(g.prompt + text)
+	}
+	if g.limitField != "" {
+		fields[g.limitField] = encode(max(g.Limit-emitted, 1))
+	}
+	if g.minimum > 0 {
+		fields["min_tokens"] = encode(max(g.minimum-emitted, 0))
+	}
+	return fields
+}
--- /dev/null
+++ b/internal/entry/forwarder/once.go
@@ -0,0 +1,91 @@
+package forwarder
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+
+	"github.com/sourcegraph/conc"
+)
+
+// maxInterim bounds the 1xx answers before the final one.
+const maxInterim = 8
+
+// sendOnce sends a call that must not be repeated. It writes the request on a
+// connection that it dialled for it and reads one answer: net/http's Transport
+// repeats some requests by itself when a pooled connection turns out dead,
+// among them those with an Idempotency-Key header, and so takes no part here.
+func (t *plainAttempt) sendOnce(ctx context.Context) (*http.Response, error) {
+	request, err := t.newRequest(ctx)
+	if err != nil {
+		return nil, err
+	}
+	request.Close = true
+	connection, err := t.forwarder.pool.dial(ctx, "tcp", t.slot.Upstream().Address)
+	if err != nil {
+		return nil, fmt.Errorf("dial upstream: %w", err)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
+	if ctx.Err() != nil {
+		_ = connection.Close()
+		return nil, context.Cause(ctx)
+	}
+	t.sent.Store(true)
+	x := &exchange{connection: connection, stop: stop}
+	// The upstream may answer before it has read the whole body.
+	x.group.Go(func() { x.written = request.Write(connection) })
+	head := &io.LimitedReader{R: connection, N: maxAnswerHeader}
+	response, err := readResponse(bufio.NewReaderSize(head, readBuffer), request)
+	if err != nil {
+		err = errors.Join(err, x.Close())
+		return nil, fmt.Errorf("read answer: %w", err)
+	}
+	head.N = math.MaxInt64
+	x.body = response.Body
+	response.Body = x
+	return response, nil
+}
+
+func readResponse(r *bufio.Reader, q *http.Request) (*http.Response, error) {
+	for range maxInterim {
+		response, err := http.ReadResponse(r, q)
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= 200 {
+			return response, nil
+		}
+		if response.StatusCode == http.StatusSwitchingProtocols {
+			break
+		}
+	}
+	return nil, fmt.Errorf("%w: no final status", errBadAnswer)
+}
+
+// exchange is the body of an answer on a connection of its own.
+type exchange struct {
+	connection net.Conn
+	stop       func() bool
+	group      conc.WaitGroup
+	written    error
+	body       io.ReadCloser
+}
+
+// Read reads the answer's body.
+func (x *exchange) Read(b []byte) (int, error) {
+	return x.body.Read(b)
+}
+
+// Close closes the connection and waits for the writer. It returns the error
+// of sending the request.
+func (x *exchange) Close() error {
+	x.stop()
+	_ = x.connection.Close()
+	x.group.Wait()
+	return x.written
+}
--- /dev/null
+++ b/internal/entry/forwarder/plain.go
@@ -0,0 +1,297 @@
+package forwarder
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/amaranthcart/amaranthcart/internal/config/validator"
+	"github.com/amaranthcart/amaranthcart/internal/entry/dispatcher"
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
+)
+
+// maxBuffered is the part of a plain answer that is read before any of it is
+// passed on. An upstream that fails within it causes a clear error instead of
+// a broken answer.
+const maxBuffered = 1 << 20
+
+// PlainCall is one request for a plain service.
+type PlainCall struct {
+	Request scheduler.Request
+	Class   validator.Class
+	Method  string
+	// Target is the path below the service with the query, as it was sent.
+	Target string
+	Header http.Header
+	Body   []byte
+	// Whole asks for the whole answer in Body, up to the bound of a whole
+	// answer.
+	Whole bool
+}
+
+// Answer is an upstream's answer to a plain call.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	// Tail is the part after Body; nil when Body is all of it.
+	Tail io.Reader
+	// Size is the declared length, or -1.
+	Size  int64
+	close func(error)
+}
+
+// Close gives the slot back. The error tells how reading Tail ended.
+func (a *Answer) Close(err error) {
+	if a.close != nil {
+		a.close(err)
+	}
+}
+
+// Call runs a plain call: once if the request is not repeatable, and up to the
+// bound of attempts otherwise.
+func (f *Forwarder) Call(ctx context.Context, p PlainCall) (*Answer, error) {
+	p.Header = forwardable(p.Header, p.Request.ID)
+	run := NotRun
+	request := p.Request
+	for attempt := 1; ; attempt++ {
+		slot, err := f.dispatcher.Acquire(ctx, request)
+		if err != nil && ctx.Err() != nil {
+			return nil, &Error{Status: statusClientGone, Code: "caller_gone", Message: "the caller went away", Run: run, cause: err}
+		}
+		if err != nil {
+			return nil, refusal(err, run)
+		}
+		t := &plainAttempt{forwarder: f, call: &p, slot: slot}
+		answer, err := t.run(ctx)
+		if err == nil {
+			return answer, nil
+		}
+		if t.sent.Load() {
+			run = MayHaveRun
+		}
+		if !request.Repeatable || attempt >= maxAttempts || ctx.Err() != nil {
+			return nil, broken(err, run)
+		}
+		request.Retry = true
+		request.Avoid = append(append([]registrar.UpstreamID(nil), request.Avoid...), slot.Upstream().Name)
+	}
+}
+
+// statusClientGone is for logs only; nobody reads the answer.
+const statusClientGone = 499
+
+// plainAttempt is one attempt of a plain call.
+type plainAttempt struct {
+	forwarder *Forwarder
+	call      *PlainCall
+	slot      dispatcher.Slot
+	// sent is set before the first byte may leave.
+	sent atomic.Bool
+}
+
+func (t *plainAttempt) run(ctx context.Context) (*Answer, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	limit := newDeadlines(t.call.Class).total
+	timer := t.forwarder.clock.AfterFunc(limit, func() { cancel(errSilent) })
+	var response *http.Response
+	var err error
+	if t.call.Request.Repeatable {
+		response, err = t.sendPooled(ctx)
+	} else {
+		response, err = t.sendOnce(ctx)
+	}
+	end := func(err error) {
+		timer.Stop()
+		o := t.outcome(ctx, err)
+		cancel(errLost)
+		if response != nil {
+			_ = response.Body.Close()
+		}
+		t.slot.Release(o, 0)
+	}
+	if err != nil {
+		err = causeOf(ctx, err)
+		end(err)
+		return nil, err
+	}
+	t.slot.FirstToken()
+	answer, err := t.read(response)
+	if err != nil {
+		err = causeOf(ctx, err)
+		end(err)
+		return nil, err
+	}
+	if answer.Tail == nil {
+		end(nil)
+		return answer, nil
+	}
+	answer.close = end
+	answer.Tail = &tail{reader: answer.Tail, timer: timer, limit: limit}
+	return answer, nil
+}
+
+func causeOf(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	return err
+}
+
+func (t *plainAttempt) outcome(ctx context.Context, err error) scheduler.Outcome {
+	var status *statusError
+	switch {
+	case err == nil:
+		return scheduler.Completed
+	case errors.Is(context.Cause(ctx), errSilent):
+		return scheduler.Silent
+	case ctx.Err() != nil:
+		return scheduler.Abandoned
+	case !t.sent.Load(), errors.Is(err, errBadAnswer), errors.As(err, &status):
+		return scheduler.Failed
+	}
+	return scheduler.Crashed
+}
+
+// read checks that the end of the answer can be told from a lost connection
+// and reads its first part.
+func (t *plainAttempt) read(r *http.Response) (*Answer, error) {
+	a := &Answer{Status: r.StatusCode, Header: backward(r.Header), Size: r.ContentLength}
+	if t.call.Request.Repeatable && retryable(r.StatusCode) {
+		return nil, &statusError{r.StatusCode}
+	}
+	if t.call.Method == http.MethodHead {
+		return a, nil
+	}
+	chunked := len(r.TransferEncoding) > 0 && r.TransferEncoding[0] == "chunked"
+	if r.ContentLength < 0 && !chunked {
+		return nil, fmt.Errorf("%w: neither a length nor chunks show its end", errBadAnswer)
+	}
+	limit := int64(maxBuffered)
+	if t.call.Whole {
+		limit = maxWhole
+	}
+	var buffer bytes.Buffer
+	if r.ContentLength > 0 {
+		buffer.Grow(int(min(r.ContentLength, limit)) + bytes.MinRead)
+	}
+	n, err := buffer.ReadFrom(io.LimitReader(r.Body, limit))
+	if err != nil {
+		return nil, fmt.Errorf("read answer: %w", err)
+	}
+	a.Body = buffer.Bytes()
+	if n < limit || n == r.ContentLength {
+		a.Size = n
+		return a, nil
+	}
+	if t.call.Whole {
+		return nil, fmt.Errorf("%w: it is too long", errBadAnswer)
+	}
+	a.Tail = r.Body
+	return a, nil
+}
+
+// retryable reports whether a repeatable call may go better elsewhere.
+func retryable(status int) bool {
+	switch status {
+	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout, http.StatusTooManyRequests:
+		return true
+	}
+	return false
+}
+
+// tail moves the deadline with each part of a long answer.
+type tail struct {
+	reader io.Reader
+	timer  interface{ Reset(time.Duration) bool }
+	limit  time.Duration
+}
+
+func (t *tail) Read(b []byte) (int, error) {
+	n, err := t.reader.Read(b)
+	t.timer.Reset(t.limit)
+	return n, err
+}
+
+func (t *plainAttempt) newRequest(ctx context.Context) (*http.Request, error) {
+	url := "http://" + t.slot.Upstream().Address + t.call.Target
+	var body io.Reader
+	if len(t.call.Body) > 0 {
+		body = bytes.NewReader(t.call.Body)
+	}
+	request, err := http.NewRequestWithContext(ctx, t.call.Method, url, body)
+	if err != nil {
+		return nil, fmt.Errorf("make request: %w", err)
+	}
+	request.GetBody = nil
+	request.Header = t.call.Header.Clone()
+	return request, nil
+}
+
+// sendPooled sends a repeatable call on a connection that may have been used.
+func (t *plainAttempt) sendPooled(ctx context.Context) (*http.Response, error) {
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { t.sent.Store(true) }}
+	request, err := t.newRequest(httptrace.WithClientTrace(ctx, trace))
+	if err != nil {
+		return nil, err
+	}
+	response, err := t.forwarder.pool.transport(t.slot.Upstream().Address).RoundTrip(request)
+	if err != nil {
+		return nil, fmt.Errorf("call upstream: %w", err)
+	}
+	return response, nil
+}
+
+// hopHeaders concern one connection only.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+}
+
+func withoutHops(h http.Header) http.Header {
+	c := h.Clone()
+	if c == nil {
+		c = http.Header{}
+	}
+	for _, line := range c["Connection"] {
+		for _, name := range strings.Split(line, ",") {
+			c.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		c.Del(name)
+	}
+	return c
+}
+
+// forwardable returns the caller's headers for an upstream. The API key stays
+// on the entry host.
+func forwardable(h http.Header, id scheduler.RequestID) http.Header {
+	c := withoutHops(h)
+	c.Del("Authorization")
+	c.Del("Content-Length")
+	c.Del("Amaranth-Class")
+	c.Set("X-Request-Id", string(id))
+	if _, ok := c["User-Agent"]; !ok {
+		c["User-Agent"] = []string{""}
+	}
+	return c
+}
+
+// backward returns an upstream's headers for the caller.
+func backward(h http.Header) http.Header {
+	c := withoutHops(h)
+	c.Del("Content-Length")
+	c.Del("X-Request-Id")
+	c.Del("Amaranth-Run")
+	return c
+}
--- /dev/null
+++ b/internal/entry/forwarder/pool.go
@@ -0,0 +1,152 @@
+package forwarder
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/jonboulle/clockwork"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// dialTimeout bounds the start of a connection; hosts are a few
+	// milliseconds apart.
+	dialTimeout = time.Second
+	// userTimeout is how long sent bytes may stay unacknowledged before the
+	// kernel closes the connection.
+	userTimeout = 3 * time.Second
+	// idleTimeout is under the 5 s after which common engine servers close
+	// an idle connection, so a request rarely meets a closing one.
+	idleTimeout = 4 * time.Second
+	// maxConnectionAge bounds how long new requests use the same connections.
+	maxConnectionAge = 2 * time.Minute
+	// maxIdleConnections is for one upstream.
+	maxIdleConnections = 256
+	maxAnswerHeader    = 64 << 10
+	poolShards         = 16
+	keepAliveIdle      = 5 * time.Second
+	keepAliveInterval  = time.Second
+	keepAliveCount     = 3
+)
+
+// newDialer returns a dialer whose connections notice a dead peer.
+func newDialer() *net.Dialer {
+	return &net.Dialer{
+		Timeout: dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     keepAliveIdle,
+			Interval: keepAliveInterval,
+			Count:    keepAliveCount,
+		},
+		Control: setUserTimeout,
+	}
+}
+
+func setUserTimeout(_, _ string, c syscall.RawConn) error {
+	var failed error
+	err := c.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout/time.Millisecond))
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
+// pool keeps a transport for each upstream address. A transport is replaced
+// when it is old or when one of its connections went silent, because then the
+// others may be dead too.
+type pool struct {
+	clock  clockwork.Clock
+	dialer *net.Dialer
+	shards [poolShards]poolShard
+}
+
+type poolShard struct {
+	mu         sync.Mutex
+	transports map[string]*agedTransport
+}
+
+type agedTransport struct {
+	*http.Transport
+	since time.Time
+}
+
+func newPool(c clockwork.Clock) *pool {
+	p := &pool{clock: c, dialer: newDialer()}
+	for i := range p.shards {
+		p.shards[i].transports = map[string]*agedTransport{}
+	}
+	return p
+}
+
+func (p *pool) shard(address string) *poolShard {
+	return &p.shards[xxhash.Sum64String(address)%poolShards]
+}
+
+func (p *pool) transport(address string) *agedTransport {
+	now := p.clock.Now()
+	s := p.shard(address)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.transports[address]
+	if t != nil && now.Sub(t.since) < maxConnectionAge {
+		return t
+	}
+	if t != nil {
+		t.CloseIdleConnections()
+	}
+	for a, old := range s.transports {
+		if now.Sub(old.since) > 2*maxConnectionAge {
+			old.CloseIdleConnections()
+			delete(s.transports, a)
+		}
+	}
+	t = &agedTransport{Transport: p.newTransport(), since: now}
+	s.transports[address] = t
+	return t
+}
+
+// discard drops the transport, so the next request makes a new connection.
+func (p *pool) discard(address string, t *agedTransport) {
+	s := p.shard(address)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.transports[address] == t {
+		delete(s.transports, address)
+	}
+	t.CloseIdleConnections()
+}
+
+func (p *pool) close() {
+	for i := range p.shards {
+		s := &p.shards[i]
+		s.mu.Lock()
+		for a, t := range s.transports {
+			t.CloseIdleConnections()
+			delete(s.transports, a)
+		}
+		s.mu.Unlock()
+	}
+}
+
+func (p *pool) newTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:            p.dial,
+		MaxIdleConnsPerHost:    maxIdleConnections,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxAnswerHeader,
+		ReadBufferSize:         readBuffer,
+	}
+}
+
+func (p *pool) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	return p.dialer.DialContext(ctx, network, address)
+}
--- /dev/null
+++ b/internal/entry/forwarder/sse.go
@@ -0,0 +1,110 @@
+package forwarder
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+)
+
+// maxEvent bounds one server-sent event; engines send a token or a few.
+const maxEvent = 1 << 20
+
+// readBuffer holds many small events, so one read of the connection yields
+// all that arrived.
+const readBuffer = 16 << 10
+
+var errEventTooLong = errors.New("event of the stream is too long")
+
+// EventReader splits a stream into the data of its server-sent events.
+type EventReader struct {
+	reader *bufio.Reader
+	data   []byte
+}
+
+// NewEventReader reads events from r.
+func NewEventReader(r io.Reader) *EventReader {
+	return &EventReader{reader: bufio.NewReaderSize(r, readBuffer)}
+}
+
+// Next returns the data of the next event that has any; it is valid until the
+// next call. It returns io.EOF at the end of the stream and
+// io.ErrUnexpectedEOF when the stream ends inside an event.
+func (r *EventReader) Next() ([]byte, error) {
+	r.data = r.data[:0]
+	seen := false
+	partial := false
+	for {
+		line, err := r.line()
+		if errors.Is(err, io.EOF) && (partial || len(line) > 0) {
+			return nil, io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return nil, err
+		}
+		if len(line) == 0 {
+			if seen {
+				return r.data, nil
+			}
+			partial = false
+			continue
+		}
+		partial = true
+		field, value, _ := bytes.Cut(line, []byte{':'})
+		if string(field) != "data" {
+			continue
+		}
+		if seen {
+			r.data = append(r.data, '\n')
+		}
+		seen = true
+		r.data = append(r.data, bytes.TrimPrefix(value, []byte{' '})...)
+		if len(r.data) > maxEvent {
+			return nil, errEventTooLong
+		}
+	}
+}
+
+// Ready reports whether a further event has already arrived.
+func (r *EventReader) Ready() bool {
+	data, err := r.reader.Peek(r.reader.Buffered())
+	return err == nil && bytes.Contains(data, []byte("\n\n"))
+}
+
+// line returns the next line without its end.
+func (r *EventReader) line() ([]byte, error) {
+	line, err := r.reader.ReadSlice('\n')
+	if errors.Is(err, bufio.ErrBufferFull) {
+		return r.longLine(line)
+	}
+	if err != nil {
+		return line, wrapRead(err)
+	}
+	return bytes.TrimSuffix(line[:len(line)-1], []byte{'\r'}), nil
+}
+
+func (r *EventReader) longLine(start []byte) ([]byte, error) {
+	line := bytes.Clone(start)
+	for {
+		part, err := r.reader.ReadSlice('\n')
+		line = append(line, part...)
+		if len(line) > maxEvent {
+			return nil, errEventTooLong
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
+		if err != nil {
+			return line, wrapRead(err)
+		}
+		return bytes.TrimSuffix(line[:len(line)-1], []byte{'\r'}), nil
+	}
+}
+
+func wrapRead(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.EOF
+	}
+	return fmt.Errorf("read stream: %w", err)
+}
--- /dev/null
+++ b/internal/entry/forwarder/stream.go
@@ -0,0 +1,232 @@
+package forwarder
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"math/bits"
+	"sync/atomic"
+	"time"
+
+	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
+)
+
+// choices keeps which choices of an answer have begun and ended.
+type choices struct {
+	begun [maxChoices / 64]uint64
+	ended [maxChoices / 64]uint64
+}
+
+func (c *choices) begin(i int) { c.begun[i/64] |= 1 << (i % 64) }
+func (c *choices) end(i int)   { c.ended[i/64] |= 1 << (i % 64) }
+
+func (c *choices) complete(expected int) bool {
+	n := 0
+	for _, w := range c.ended {
+		n += bits.OnesCount64(w)
+	}
+	return n >= expected && c.begun == c.ended
+}
+
+// complete reports whether every choice has its finish reason.
+func (s *session) complete() bool {
+	return s.choice.complete(s.call.Generation.choices)
+}
+
+// exhausted reports whether the answer is as long as the caller permits and
+// only its end marker is missing.
+func (s *session) exhausted() bool {
+	g := s.call.Generation
+	return g.resumable && g.Limit > 0 && s.tokens >= g.Limit
+}
+
+// readStream reads the rest of a streamed answer.
+func (s *session) readStream(c *candidate) error {
+	var gap atomic.Int64
+	gap.Store(int64(s.deadlines.gap))
+	cause := atomic.Pointer[error]{}
+	cause.Store(&errSilent)
+	timer := s.forwarder.clock.AfterFunc(s.deadlines.gap, func() { c.cancel(*cause.Load()) })
+	defer timer.Stop()
+	c.watch(&s.forwarder.group, func() {
+		cause.Store(&errGone)
+		gap.Store(int64(goneGrace))
+		timer.Reset(goneGrace)
+	})
+	for _, data := range c.head {
+		if end, err := s.pass(c, data, false); end || err != nil {
+			return s.endAttempt(c, err)
+		}
+	}
+	for {
+		data, err := c.events.Next()
+		if err != nil {
+			return s.endAttempt(c, endError(err))
+		}
+		timer.Reset(time.Duration(gap.Load()))
+		end, err := s.pass(c, data, c.events.Ready())
+		if end || err != nil {
+			return s.endAttempt(c, err)
+		}
+	}
+}
+
+func (s *session) endAttempt(c *candidate, err error) error {
+	tokens := s.tokens - s.base
+	if err == nil {
+		c.close(scheduler.Completed, tokens)
+		return nil
+	}
+	if sink, ok := err.(sinkError); ok {
+		c.close(scheduler.Abandoned, tokens)
+		return sink
+	}
+	return s.settle(c, tokens, err)
+}
+
+// pass takes one event; end reports that it was the last one.
+func (s *session) pass(c *candidate, data []byte, more bool) (end bool, err error) {
+	if bytes.Equal(data, doneMark) {
+		if !s.complete() {
+			return false, errNoEnd
+		}
+		return true, s.emit(doneMark, false)
+	}
+	k, err := decodeChunk(data)
+	if err != nil {
+		return false, fmt.Errorf("%w: %w", errBadAnswer, err)
+	}
+	if present(k.Error) {
+		return false, fmt.Errorf("%w: error event", errBadAnswer)
+	}
+	if err := s.take(k); err != nil {
+		return false, err
+	}
+	c.slot.Progress(s.tokens - s.base)
+	if s.sink == nil {
+		return false, nil
+	}
+	return false, s.passChunk(k, data, more)
+}
+
+// take adds the chunk to the answer so far.
+func (s *session) take(k *chunk) error {
+	if s.identity.id == "" {
+		s.identity = identity{k.ID, k.Created, k.Model}
+		s.system = k.SystemFingerprint
+	}
+	grew := false
+	for i := range k.Choices {
+		p := &k.Choices[i]
+		if p.Index < 0 || p.Index >= maxChoices {
+			return fmt.Errorf("%w: choice index", errBadAnswer)
+		}
+		s.choice.begin(p.Index)
+		if p.FinishReason != "" {
+			s.choice.end(p.Index)
+			s.reason = p.FinishReason
+		}
+		content := p.Delta.Content + p.Text
+		grew = grew || content != ""
+		s.text.WriteString(content)
+		if p.Delta.beyondText() {
+			s.mixed = true
+			grew = true
+			s.extras.add(&p.Delta)
+		}
+	}
+	return s.count(k, grew)
+}
+
+// count follows the token counts: the engine's own where it sends them, else
+// one for each chunk with content.
+func (s *session) count(k *chunk, grew bool) error {
+	if !present(k.Usage) {
+		if grew {
+			s.tokens++
+		}
+		return nil
+	}
+	var u usage
+	if err := json.Unmarshal(k.Usage, &u); err != nil {
+		return fmt.Errorf("%w: usage: %w", errBadAnswer, err)
+	}
+	s.tokens = s.base + u.Completion
+	if s.prompt == 0 {
+		s.prompt = max(u.Prompt-s.base, 0)
+	}
+	if len(k.Choices) == 0 {
+		s.usage = &u
+	}
+	return nil
+}
+
+// counts returns the token counts of the answer over all attempts.
+func (s *session) counts() *usage {
+	return &usage{Prompt: s.prompt, Completion: s.tokens, Total: s.prompt + s.tokens}
+}
+
+func (s *session) passChunk(k *chunk, data []byte, more bool) error {
+	g := s.call.Generation
+	last := len(k.Choices) == 0 && present(k.Usage)
+	if last && !g.IncludeUsage {
+		return nil
+	}
+	keep := last || g.IncludeUsage && g.ContinuousUsage
+	var err error
+	switch {
+	case s.base > 0 || s.passed > 0 && k.ID != s.identity.id:
+		if !last && !k.hasToken() {
+			return nil
+		}
+		var counts *usage
+		if keep {
+			counts = s.counts()
+		}
+		data, err = s.identity.adopt(data, counts)
+	case !keep:
+		data, err = withoutUsage(data, k)
+	}
+	if err != nil {
+		return fmt.Errorf("%w: %w", errBadAnswer, err)
+	}
+	s.passed++
+	return s.emit(data, more)
+}
+
+func (s *session) emit(data []byte, more bool) error {
+	if s.sink == nil {
+		return nil
+	}
+	if err := s.sink.Event(data, more); err != nil {
+		return sinkError{err}
+	}
+	return nil
+}
+
+// closeAnswer ends an answer whose text is whole and of which only the end of
+// the stream was lost.
+func (s *session) closeAnswer(cause error) error {
+	if !s.complete() {
+		s.reason = "length"
+		if err := s.emitOwn(chunkEnd{Reason: s.reason}, nil); err != nil {
+			return err
+		}
+	}
+	if s.usage == nil && (s.prompt == 0 || s.tokens == 0) && s.wantsCounts() {
+		return broken(cause, s.run)
+	}
+	if s.sink == nil {
+		return nil
+	}
+	if s.usage == nil && s.wantsCounts() {
+		if err := s.emitOwn(chunkEnd{}, s.counts()); err != nil {
+			return err
+		}
+	}
+	return s.emit(doneMark, false)
+}
+
+func (s *session) wantsCounts() bool {
+	return s.sink == nil || s.call.Generation.IncludeUsage
+}
--- /dev/null
+++ b/internal/entry/receiver/client_test.go
@@ -0,0 +1,54 @@
+package receiver_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+	"gotest.tools/v3/assert"
+)
+
+// TestOfficialClient guards against answers that the published client library
+// does not accept: streamed and whole, chat and completions, with counts.
+func TestOfficialClient(t *testing.T) {
+	h := newHarness(t)
+	client := openai.NewClient(option.WithBaseURL(h.url+"/v1"), option.WithAPIKey(testKey), option.WithMaxRetries(0))
+	ctx := context.Background()
+	chat := openai.ChatCompletionNewParams{
+		Model:         "story",
+		Messages:      []openai.ChatCompletionMessageParamUnion{openai.UserMessage("the fox [[length=20]]")},
+		StreamOptions: openai.ChatCompletionStreamOptionsParam{IncludeUsage: openai.Bool(true)},
+	}
+	stream := client.Chat.Completions.NewStreaming(ctx, chat)
+	acc := openai.ChatCompletionAccumulator{}
+	for stream.Next() {
+		assert.Assert(t, acc.AddChunk(stream.Current()))
+	}
+	assert.NilError(t, stream.Err())
+	chat.StreamOptions = openai.ChatCompletionStreamOptionsParam{}
+	whole, err := client.Chat.Completions.New(ctx, chat)
+	assert.NilError(t, err)
+	assert.Equal(t, whole.Choices[0].Message.Content, acc.Choices[0].Message.Content)
+	assert.Equal(t, whole.Choices[0].FinishReason, "stop")
+	assert.Equal(t, whole.Usage.CompletionTokens, int64(20))
+	assert.Equal(t, acc.Usage.CompletionTokens, int64(20))
+
+	completion := openai.CompletionNewParams{
+		Model:  "story",
+		Prompt: openai.CompletionNewParamsPromptUnion{OfString: openai.String("hay [[length=9]]")},
+	}
+	text, err := client.Completions.New(ctx, completion)
+	assert.NilError(t, err)
+	parts := client.Completions.NewStreaming(ctx, completion)
+	streamed := ""
+	for parts.Next() {
+		streamed += parts.Current().Choices[0].Text
+	}
+	assert.NilError(t, parts.Err())
+	assert.Equal(t, streamed, text.Choices[0].Text)
+
+	models, err := client.Models.List(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, models.Data[0].ID, "story")
+}
--- /dev/null
+++ b/internal/entry/receiver/generation.go
@@ -0,0 +1,167 @@
+package receiver
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/amaranthcart/amaranthcart/internal/config/validator"
+	"github.com/amaranthcart/amaranthcart/internal/entry/forwarder"
+	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
+)
+
+// readBody reads the bounded body of the request.
+func (c *call) readBody() ([]byte, error) {
+	limit := c.receiver.options.Limits.Body
+	tooLong := refuse(http.StatusRequestEntityTooLarge, "invalid_request_error", "too_large", "the body is too long", 0)
+	if c.request.ContentLength > limit {
+		return nil, tooLong
+	}
+	if c.request.ContentLength == 0 {
+		return nil, nil
+	}
+	control := http.NewResponseController(c.writer)
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	var b bytes.Buffer
+	if n := c.request.ContentLength; n > 0 {
+		b.Grow(int(n) + bytes.MinRead)
+	}
+	n, err := b.ReadFrom(io.LimitReader(c.request.Body, limit+1))
+	if err != nil {
+		return nil, refuse(http.StatusBadRequest, "invalid_request_error", "incomplete_body", "the body did not arrive whole", 0)
+	}
+	if n > limit {
+		return nil, tooLong
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	return b.Bytes(), nil
+}
+
+func generate(k forwarder.Kind) func(*call) error {
+	return func(c *call) error {
+		body, err := c.readBody()
+		if err != nil {
+			return err
+		}
+		g, err := forwarder.DecodeGeneration(k, body)
+		if err != nil {
+			return err
+		}
+		m := c.index.models[g.Model]
+		if m == nil {
+			return refuse(http.StatusNotFound, "invalid_request_error", "model_not_found", "the model does not exist", 0)
+		}
+		class, ok := c.index.modelClass(m, validator.ClassName(c.request.Header.Get(ClassHeader)))
+		if !ok {
+			return invalid("class_not_permitted", "the model does not permit the class")
+		}
+		return c.generate(forwarder.GenerationCall{
+			Generation: g,
+			Class:      class,
+			Request: scheduler.Request{
+				ID:           c.id,
+				Pool:         g.Model,
+				Class:        class.Name,
+				Organisation: c.organisation.Name,
+				Prompt:       g.PromptTokens(),
+				Limit:        g.Limit,
+				Prefix:       g.Prefix(),
+				Repeatable:   true,
+				Fingerprint:  g.Fingerprint(),
+				Arrived:      c.arrived,
+			},
+		})
+	}
+}
+
+func (c *call) generate(g forwarder.GenerationCall) error {
+	ctx := c.request.Context()
+	if !g.Generation.Stream {
+		answer, err := c.receiver.options.Forwarder.Collect(ctx, g)
+		if err != nil {
+			return err
+		}
+		c.writer.Header()[RunHeader] = []string{string(forwarder.DidRun)}
+		writeWhole(c.writer, http.StatusOK, http.Header{"Content-Type": {"application/json"}}, answer)
+		return nil
+	}
+	s := &eventSink{writer: c.writer, control: http.NewResponseController(c.writer)}
+	err := c.receiver.options.Forwarder.Stream(ctx, g, s)
+	if err == nil || !s.started {
+		return err
+	}
+	c.receiver.failures.Inc(1)
+	c.receiver.logger.Info("stream broken off", zap.String("request", string(c.id)), zap.Error(err))
+	var e *forwarder.Error
+	if errors.As(err, &e) && ctx.Err() == nil {
+		_ = s.Event(encodeError(e, ""), false)
+	}
+	// Aborting the connection keeps the caller from taking the answer as
+	// whole.
+	panic(http.ErrAbortHandler)
+}
+
+// eventSink writes server-sent events to the caller.
+type eventSink struct {
+	writer  http.ResponseWriter
+	control *http.ResponseController
+	buffer  []byte
+	started bool
+}
+
+// maxUnflushed bounds the events kept for one write.
+const maxUnflushed = 16 << 10
+
+// Event writes one event, at once unless another one follows.
+func (s *eventSink) Event(data []byte, more bool) error {
+	if !s.started {
+		s.started = true
+		h := s.writer.Header()
+		h["Content-Type"] = []string{"text/event-stream"}
+		h["Cache-Control"] = []string{"no-cache"}
+		h[RunHeader] = []string{string(forwarder.DidRun)}
+	}
+	for line := range bytes.SplitSeq(data, []byte{'\n'}) {
+		s.buffer = append(s.buffer, "data: "...)
+		s.buffer = append(s.buffer, line...)
+		s.buffer = append(s.buffer, '\n')
+	}
+	s.buffer = append(s.buffer, '\n')
+	if more && len(s.buffer) < maxUnflushed {
+		return nil
+	}
+	_ = s.control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_, err := s.writer.Write(s.buffer)
+	s.buffer = s.buffer[:0]
+	if err != nil {
+		return err
+	}
+	return s.control.Flush()
+}
+
+func listModels(c *call) error {
+	type model struct {
+		ID      validator.PoolName `json:"id"`
+		Object  string             `json:"object"`
+		Created int64              `json:"created"`
+		OwnedBy string             `json:"owned_by"`
+	}
+	list := make([]model, 0, len(c.index.document.Models))
+	for _, m := range c.index.document.Models {
+		list = append(list, model{m.Name, "model", 0, "amaranthcart"})
+	}
+	body, err := json.Marshal(struct {
+		Object string  `json:"object"`
+		Data   []model `json:"data"`
+	}{"list", list})
+	if err != nil {
+		return err
+	}
+	writeWhole(c.writer, http.StatusOK, http.Header{"Content-Type": {"application/json"}}, body)
+	return nil
+}
