--- a/internal/config/validator/decode.go
+++ b/internal/config/validator/decode.go
@@ -76,7 +76,8 @@
 	return p.List()
 }
 
-// checker finds the faults of one document.
+// checker finds the faults of one document. Of a list that is too long it
+// checks only the permitted number of items, which bounds its time.
 type checker struct {
 	*decoder.Problems
 	document *Document
@@ -91,6 +92,7 @@
 func (c *checker) checkClasses() {
 	l := c.document.Classes
 	c.Check(len(l) > 0 && len(l) <= maxClasses, "$.classes", len(l), fmt.Sprintf("1 to %d classes", maxClasses))
+	l = l[:min(len(l), maxClasses)]
 	var floors float64
 	seen := make(map[string]string)
 	for i, v := range l {
@@ -112,6 +114,7 @@
 func (c *checker) checkOrganisations() {
 	l := c.document.Organisations
 	c.Check(len(l) <= maxOrganisations, "$.organisations", len(l), fmt.Sprintf("at most %d organisations", maxOrganisations))
+	l = l[:min(len(l), maxOrganisations)]
 	seen := make(map[string]string)
 	keys := make(map[string]string)
 	for i, v := range l {
@@ -121,7 +124,7 @@
 		c.Check(v.Limit >= 0 && v.Limit <= maxNumber, at+".limit", v.Limit, "0 (no limit) to 1000000")
 		c.Check(v.Rate >= 0 && v.Rate <= maxNumber, at+".rate", v.Rate, "0 (no limit) to 1000000")
 		c.Check(len(v.Keys) <= maxKeys, at+".keys", len(v.Keys), fmt.Sprintf("at most %d keys", maxKeys))
-		for j, k := range v.Keys {
+		for j, k := range v.Keys[:min(len(v.Keys), maxKeys)] {
 			p := decoder.Item(at+".keys", j)
 			c.Check(keyHash.MatchString(k), p, k, keyAllowed)
 			if first, ok := keys[k]; ok {
@@ -140,17 +143,18 @@
 	n := len(d.Models) + len(d.Services)
 	c.Check(n <= maxPools, "$.models", n, fmt.Sprintf("at most %d models and services", maxPools))
 	seen := make(map[string]string)
-	for i, v := range d.Models {
+	for i, v := range d.Models[:min(len(d.Models), maxPools)] {
 		at := decoder.Item("$.models", i)
 		c.name(at, string(v.Name), modelName, modelNameAllowed, seen)
 		c.class(at+".class", v.Class)
-		for j, n := range v.Classes {
+		c.Check(len(v.Classes) < maxClasses, at+".classes", len(v.Classes), fmt.Sprintf("fewer than %d classes", maxClasses))
+		for j, n := range v.Classes[:min(len(v.Classes), maxClasses)] {
 			p := decoder.Item(at+".classes", j)
 			c.class(p, n)
 			c.Check(n != v.Class && !slices.Contains(v.Classes[:j], n), p, n, "each class once")
 		}
 	}
-	for i, v := range d.Services {
+	for i, v := range d.Services[:min(len(d.Services), maxPools)] {
 		at := decoder.Item("$.services", i)
 		c.name(at, string(v.Name), name, nameAllowed, seen)
 		c.class(at+".class", v.Class)
@@ -160,6 +164,7 @@
 
 func (c *checker) checkCalls(at string, l []Call) {
 	c.Check(len(l) <= maxCalls, at, len(l), fmt.Sprintf("at most %d calls", maxCalls))
+	l = l[:min(len(l), maxCalls)]
 	seen := make(map[string]string)
 	for i, v := range l {
 		p := decoder.Item(at, i)
