--- a/internal/settings/loader/settings.go
+++ b/internal/settings/loader/settings.go
@@ -13,9 +13,6 @@
 package loader
 
 import (
-	"crypto/sha256"
-	"crypto/subtle"
-	"encoding/hex"
 	"net/netip"
 	"slices"
 	"time"
@@ -157,22 +154,6 @@
 // DrainTime returns how long a planned stop waits for open streams.
 func (s *Settings) DrainTime() time.Duration { return time.Duration(s.Drain) }
 
-// OperatorByKey finds the operator who holds the plain key. It compares every
-// digest in constant time.
-func (s *Settings) OperatorByKey(key string) (string, bool) {
-	sum := sha256.Sum256([]byte(key))
-	digest := []byte(hex.EncodeToString(sum[:]))
-	found := ""
-	for _, o := range s.Operators {
-		for _, k := range o.Keys {
-			if subtle.ConstantTimeCompare([]byte(k), digest) == 1 {
-				found = o.Name
-			}
-		}
-	}
-	return found, found != ""
-}
-
 // address parses an IP address with a port.
 func address(v string) (netip.AddrPort, bool) {
 	a, err := netip.ParseAddrPort(v)
