runner: serve the whole path in one daemon, with a development set-up

amaranthd run starts the roles that the settings name; amaranthd dev runs control, an entry host and two stand-ins in one process over the same code.

--- /dev/null
+++ b/cmd/amaranthd/dev.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"go.uber.org/zap"
+
+	"github.com/amaranthcart/amaranthcart/internal/daemon/runner"
+	"github.com/amaranthcart/amaranthcart/internal/ops/reporter"
+)
+
+// runDev runs the development set-up until it is stopped.
+func runDev(folder, callers string) int {
+	logger, err := reporter.NewLogger("warn", os.Stderr)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	if folder == "" {
+		temporary, err := os.MkdirTemp("", "amaranthd-dev-")
+		if err != nil {
+			logger.Error("cannot make a temporary folder", zap.Error(err))
+			return exitFailed
+		}
+		defer func() { _ = os.RemoveAll(temporary) }()
+		folder = temporary
+	}
+	folder, err = filepath.Abs(folder)
+	if err != nil {
+		logger.Error("cannot resolve the data folder", zap.Error(err))
+		return exitFailed
+	}
+	d, err := runner.StartDev(folder, callers, logger)
+	if err != nil {
+		logger.Error("start failed", zap.Error(err))
+		return exitFailed
+	}
+	printHint(d)
+	return wait(d.Daemon, d, logger, closeMargin)
+}
+
+func printHint(d *runner.Dev) {
+	fmt.Printf(`ready on http://%[1]s, admin on http://%[2]s; try
+
+  curl -N http://%[1]s/v1/chat/completions -H 'Authorization: Bearer %[3]s' -H 'Content-Type: application/json' \
+    -d '{"model": "%[4]s", "stream": true, "messages": [{"role": "user", "content": "Tell me a story."}]}'
+  curl http://%[1]s/svc/%[5]s/status -H 'Authorization: Bearer %[3]s'
+
+`, d.Callers(), d.Admin(), runner.DevKey, runner.DevModel, runner.DevService)
+}
--- /dev/null
+++ b/cmd/amaranthd/main.go
@@ -0,0 +1,136 @@
+// Command amaranthd runs an entry host, a control host or both.
+//
+// # Usage
+//
+//	amaranthd run --settings /etc/amaranth/host.json
+//	amaranthd check --settings /etc/amaranth/host.json
+//	amaranthd dev
+//
+// It exits with 0 after a planned stop, 1 after a failure and 2 when the
+// arguments or the settings are wrong. SIGTERM starts a planned stop.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"go.uber.org/zap"
+
+	"github.com/amaranthcart/amaranthcart/internal/daemon/runner"
+	"github.com/amaranthcart/amaranthcart/internal/ops/reporter"
+	"github.com/amaranthcart/amaranthcart/internal/settings/loader"
+)
+
+// Exit codes.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// closeMargin is added to the drain time for handing over and closing.
+const closeMargin = 15 * time.Second
+
+func main() {
+	app := kingpin.New("amaranthd", "Router for language-model traffic beside plain requests.")
+	app.Version(version())
+	app.HelpFlag.Short('h')
+	run := app.Command("run", "Run the roles that the settings name.")
+	runFile := run.Flag("settings", "Settings file.").Required().String()
+	check := app.Command("check", "Check a settings file and open nothing.")
+	checkFile := check.Flag("settings", "Settings file.").Required().String()
+	dev := app.Command("dev", "Run control, an entry host and two stand-in upstreams on loopback.")
+	devData := dev.Flag("data", "Data folder; default is a temporary one.").String()
+	devCallers := dev.Flag("callers", "Address for callers.").Default("127.0.0.1:8080").String()
+	command, err := app.Parse(os.Args[1:])
+	if err != nil {
+		app.Errorf("%s, try --help", err)
+		os.Exit(exitUsage)
+	}
+	switch command {
+	case run.FullCommand():
+		os.Exit(runDaemon(*runFile))
+	case check.FullCommand():
+		os.Exit(checkSettings(*checkFile))
+	case dev.FullCommand():
+		os.Exit(runDev(*devData, *devCallers))
+	}
+}
+
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	return info.Main.Version
+}
+
+func load(path string) (*loader.Settings, bool) {
+	s, problems := loader.Load(path)
+	for _, p := range problems {
+		fmt.Fprintln(os.Stderr, p)
+	}
+	return s, len(problems) == 0
+}
+
+func checkSettings(path string) int {
+	s, ok := load(path)
+	if !ok {
+		return exitUsage
+	}
+	fmt.Printf("settings of %s are valid\n", s.Name)
+	return 0
+}
+
+func runDaemon(path string) int {
+	s, ok := load(path)
+	if !ok {
+		return exitUsage
+	}
+	logger, err := reporter.NewLogger(s.Log, os.Stderr)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	d, err := runner.Start(s, runner.WithLogger(logger.With(zap.String("host", string(s.Name)))))
+	if err != nil {
+		logger.Error("start failed", zap.Error(err))
+		return exitFailed
+	}
+	return wait(d, d, logger, time.Duration(s.Drain)+closeMargin)
+}
+
+// closer is what a planned stop closes.
+type closer interface {
+	Close(ctx context.Context) error
+}
+
+// wait runs until a signal, an operator or a failure stops the process.
+func wait(d *runner.Daemon, all closer, logger *zap.Logger, limit time.Duration) int {
+	signals, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	select {
+	case <-signals.Done():
+	case <-d.Stop():
+	case err := <-d.Fatal():
+		// The state on disk may be damaged, so nothing is handed over.
+		logger.Error("stopping after a failure", zap.Error(err))
+		return exitFailed
+	}
+	// A second signal ends the process at once.
+	stop()
+	logger.Info("planned stop begins")
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	if err := all.Close(ctx); err != nil {
+		logger.Error("planned stop was not clean", zap.Error(err))
+		return exitFailed
+	}
+	logger.Info("planned stop is complete")
+	return 0
+}
--- a/internal/control/coordinator/service.go
+++ b/internal/control/coordinator/service.go
@@ -34,8 +34,9 @@
 var _ wireconnect.ControlHandler = service{}
 
 // Handler returns the path and the handler of the Control service.
-func (c *Coordinator) Handler() (string, http.Handler) {
-	return wireconnect.NewControlHandler(service{c}, connect.WithReadMaxBytes(maximumRequest))
+func (c *Coordinator) Handler(options ...connect.HandlerOption) (string, http.Handler) {
+	options = append(options, connect.WithReadMaxBytes(maximumRequest))
+	return wireconnect.NewControlHandler(service{c}, options...)
 }
 
 // Apply submits a configuration.
--- /dev/null
+++ b/internal/daemon/runner/entry.go
@@ -0,0 +1,255 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"github.com/amaranthcart/amaranthcart/internal/config/decoder"
+	"github.com/amaranthcart/amaranthcart/internal/config/follower"
+	"github.com/amaranthcart/amaranthcart/internal/config/validator"
+	"github.com/amaranthcart/amaranthcart/internal/entry/claimer"
+	"github.com/amaranthcart/amaranthcart/internal/entry/dispatcher"
+	"github.com/amaranthcart/amaranthcart/internal/entry/forwarder"
+	"github.com/amaranthcart/amaranthcart/internal/entry/receiver"
+	"github.com/amaranthcart/amaranthcart/internal/member/gossiper"
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"github.com/amaranthcart/amaranthcart/internal/ops/reporter"
+	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/dialer"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/wire"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/wire/wireconnect"
+	"github.com/amaranthcart/amaranthcart/internal/settings/loader"
+)
+
+// entry holds the parts of the entry role.
+type entry struct {
+	settings  *loader.Settings
+	clock     clockwork.Clock
+	logger    *zap.Logger
+	notice    time.Duration
+	reporter  *reporter.Reporter
+	client    *dialer.Client
+	local     *dispatcher.Local
+	gossiper  *gossiper.Gossiper
+	follower  *follower.Follower
+	cell      *dispatcher.Cell
+	server    *dispatcher.Server
+	forwarder *forwarder.Forwarder
+	claimer   *claimer.Claimer
+	receiver  *receiver.Receiver
+}
+
+// peer serves the Peer service from its two halves.
+type peer struct {
+	*gossiper.Gossiper
+	dispatcher *dispatcher.Server
+}
+
+// Dispatch implements wireconnect.PeerHandler.
+func (p peer) Dispatch(ctx context.Context, s *connect.BidiStream[wire.DispatchRequest, wire.DispatchResponse]) error {
+	return p.dispatcher.Dispatch(ctx, s)
+}
+
+func (d *Daemon) startEntry(mux *http.ServeMux) error {
+	e := &entry{
+		settings: d.settings,
+		clock:    d.clock,
+		logger:   d.logger.Named("entry"),
+		notice:   d.notice,
+		reporter: d.reporter,
+		client:   dialer.New(),
+		local:    dispatcher.NewLocal(scheduler.New(scheduler.WithSeed(uint64(d.clock.Now().UnixNano()))), d.clock),
+	}
+	d.entry = e
+	if err := e.startFollower(); err != nil {
+		return err
+	}
+	e.startGossiper()
+	e.startDispatcher(d.logger)
+	e.startReceiver(d.logger)
+	mux.Handle(wireconnect.NewPeerHandler(peer{e.gossiper, e.server}))
+	mux.Handle(gossiper.AnnouncePath, e.gossiper.Announcements())
+	return nil
+}
+
+func (e *entry) startFollower() error {
+	s := e.settings
+	options := []follower.Option{
+		follower.WithHost(string(s.Name), string(s.Centre)),
+		follower.WithControls(e.controls()...),
+		follower.WithStale(follower.Stale(s.Stale)),
+		follower.WithClock(e.clock),
+		follower.WithLogger(e.logger),
+		follower.WithFleet(func() int { return len(e.gossiper.Snapshot().Hosts()) }),
+		follower.WithOnEnforce(e.enforce),
+	}
+	if s.Data != "" {
+		options = append(options, follower.WithFolder(s.Data))
+	}
+	f, err := follower.New(decodeDocument, options...)
+	if err != nil {
+		return fmt.Errorf("open the stored revision: %w", err)
+	}
+	e.follower = f
+	return nil
+}
+
+// enforce puts a revision in force in every part that keeps one.
+func (e *entry) enforce(c follower.Snapshot) {
+	e.local.Configure(c.Document)
+	e.reporter.Configure(c.Document)
+}
+
+func (e *entry) controls() []string {
+	var all []string
+	for _, m := range e.settings.Control {
+		all = append(all, m.Address)
+	}
+	return all
+}
+
+func decodeDocument(data []byte) (*validator.Document, error) {
+	d, problems := validator.Decode(data)
+	if len(problems) > 0 {
+		return nil, &documentError{problems}
+	}
+	return d, nil
+}
+
+// documentError reports a document that this version does not accept.
+type documentError struct{ problems []decoder.Problem }
+
+// Error lists the problems.
+func (e *documentError) Error() string { return strings.Join(describe(e.problems), "; ") }
+
+func describe(problems []decoder.Problem) []string {
+	var all []string
+	for _, p := range problems {
+		all = append(all, p.String())
+	}
+	return all
+}
+
+func (e *entry) startGossiper() {
+	s := e.settings
+	self := registrar.Host{
+		Name:        s.Name,
+		Address:     s.Advertise,
+		Centre:      s.Centre,
+		Cell:        s.Cell,
+		Incarnation: registrar.Incarnation(e.clock.Now().UnixNano()),
+	}
+	e.gossiper = gossiper.New(self,
+		gossiper.WithSeeds(s.Seeds...),
+		gossiper.WithClock(e.clock),
+		gossiper.WithLogger(e.logger),
+		gossiper.WithFingerprints(crashes{e.local}),
+		gossiper.WithRevisions(e.follower),
+		gossiper.WithOnAction(e.apply),
+	)
+}
+
+// apply passes membership news on to the scheduler. Upstreams of other cells
+// are not this host's to schedule.
+func (e *entry) apply(a registrar.Action) {
+	switch a := a.(type) {
+	case registrar.Changed:
+		if e.mine(a.Upstream) {
+			e.local.Observe(a.Upstream)
+		}
+	case registrar.Removed:
+		e.local.Forget(a.UpstreamID)
+		if !a.Leaving {
+			e.cell.Lost(a.UpstreamID)
+		}
+	case registrar.HostDown:
+		e.server.HostDown(a.Host.Name)
+	}
+}
+
+func (e *entry) mine(u registrar.Upstream) bool {
+	return u.Cell == "" || u.Cell == e.settings.Cell
+}
+
+func (e *entry) startDispatcher(logger *zap.Logger) {
+	s := dispatcher.Settings{
+		Host:       e.settings.Name,
+		Cell:       e.settings.Cell,
+		Membership: membership{e.gossiper, e.clock, e.settings.Name},
+		Local:      e.local,
+		Client:     e.client,
+		Clock:      e.clock,
+		Logger:     logger.Named("dispatcher"),
+	}
+	e.server = dispatcher.NewServer(s)
+	e.cell = dispatcher.NewCell(s)
+}
+
+func (e *entry) startReceiver(logger *zap.Logger) {
+	e.forwarder = forwarder.New(forwarder.Options{Dispatcher: e.cell, Clock: e.clock, Logger: logger})
+	e.claimer = claimer.New(claimer.Options{
+		Addresses: e.controls(),
+		Host:      string(e.settings.Name),
+		Client:    e.client,
+		Clock:     e.clock,
+		Logger:    logger.Named("claimer"),
+	})
+	l := e.settings.Limits
+	e.receiver = receiver.New(receiver.Options{
+		Forwarder:     e.forwarder,
+		Claimer:       e.claimer,
+		Configuration: e.configuration,
+		Clock:         e.clock,
+		Logger:        logger,
+		Limits:        receiver.Limits{Connections: l.Connections, Body: l.Body, Header: l.Header},
+	})
+}
+
+func (e *entry) configuration() (receiver.Snapshot, bool) {
+	s, fresh := e.follower.Current()
+	return receiver.Snapshot{Revision: s.Revision, Document: s.Document}, fresh
+}
+
+// drain is the planned stop: unready at once, then no new work, then the open
+// requests run to their end. Another host takes the cell over meanwhile.
+func (e *entry) drain(ctx context.Context) error {
+	e.receiver.Unready()
+	e.gossiper.Drain(true)
+	select {
+	case <-e.clock.After(e.notice):
+	case <-ctx.Done():
+	}
+	ctx, cancel := clockwork.WithTimeout(ctx, e.clock, time.Duration(e.settings.Drain))
+	defer cancel()
+	if err := e.receiver.Drain(ctx); err != nil {
+		return fmt.Errorf("drain: %w", err)
+	}
+	return nil
+}
+
+func (e *entry) close() error {
+	var failed error
+	if e.receiver != nil {
+		failed = errors.Join(failed, e.receiver.Close(), e.claimer.Close(), e.forwarder.Close())
+	}
+	if e.cell != nil {
+		e.cell.Close()
+	}
+	if e.gossiper != nil {
+		e.gossiper.Close()
+	}
+	if e.follower != nil {
+		e.follower.Close()
+	}
+	e.local.Close()
+	e.client.Close()
+	return failed
+}
--- a/internal/entry/dispatcher/cell.go
+++ b/internal/entry/dispatcher/cell.go
@@ -42,14 +42,13 @@
 
 // Settings configures a Cell.
 type Settings struct {
-	Host        registrar.HostName
-	Incarnation registrar.Incarnation
-	Cell        registrar.CellName
-	Membership  Membership
-	Local       *Local
-	Client      connect.HTTPClient
-	Clock       clockwork.Clock
-	Logger      *zap.Logger
+	Host       registrar.HostName
+	Cell       registrar.CellName
+	Membership Membership
+	Local      *Local
+	Client     connect.HTTPClient
+	Clock      clockwork.Clock
+	Logger     *zap.Logger
 }
 
 // Cell implements Dispatcher for the upstreams of one cell. It schedules
--- a/internal/entry/dispatcher/cell_test.go
+++ b/internal/entry/dispatcher/cell_test.go
@@ -46,7 +46,11 @@
 	return a, ok
 }
 
-func (f *fakeMembership) Hosts() int { return len(f.addresses) }
+func (f *fakeMembership) Hosts() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.addresses)
+}
 
 func (f *fakeMembership) Upstream(id registrar.UpstreamID) (registrar.Upstream, bool) {
 	u, ok := f.upstreams[id]
@@ -114,7 +118,7 @@
 	t.Helper()
 	clock := clockwork.NewRealClock()
 	m := &member{local: NewLocal(scheduler.New(), clock)}
-	s := Settings{Host: n, Incarnation: 1, Cell: "main", Membership: view, Local: m.local, Client: dialer.New(), Clock: clock, Logger: zap.NewNop()}
+	s := Settings{Host: n, Cell: "main", Membership: view, Local: m.local, Client: dialer.New(), Clock: clock, Logger: zap.NewNop()}
 	m.local.Configure(document())
 	m.local.Observe(u)
 	m.server = NewServer(s)
@@ -280,3 +284,22 @@
 	all["a"].server.HostDown("b")
 	assert.Equal(t, all["a"].occupied(), 0)
 }
+
+// TestHostDownBeforeLink guards against slots that leak when a host is declared
+// dead before its link is seen to break, and when a second link of a host
+// arrives before the first has ended.
+func TestHostDownBeforeLink(t *testing.T) {
+	view, all := newMembers(t, "a", "b")
+	waitFor(t, "links", func() bool { return all["b"].linked() && all["a"].full() })
+	acquire(t, all["b"].cell, "r")
+	waitFor(t, "held", func() bool { return all["a"].occupied() == 1 })
+	second := all["a"].server.begin("b")
+	second.end()
+	assert.Equal(t, all["a"].occupied(), 1)
+	view.mu.Lock()
+	delete(view.addresses, "b")
+	view.mu.Unlock()
+	all["a"].server.HostDown("b")
+	all["b"].cell.Close()
+	waitFor(t, "slots freed", func() bool { return all["a"].occupied() == 0 })
+}
--- a/internal/entry/dispatcher/link.go
+++ b/internal/entry/dispatcher/link.go
@@ -111,7 +111,7 @@
 }
 
 func (l *link) write(ctx context.Context, stream *connect.BidiStreamForClient[wire.DispatchRequest, wire.DispatchResponse]) {
-	hello := &wire.DispatchRequest{Host: string(l.settings.Host), Incarnation: uint64(l.settings.Incarnation)}
+	hello := &wire.DispatchRequest{Host: string(l.settings.Host)}
 	if err := stream.Send(hello); err != nil {
 		l.fail(err.Error())
 		return
--- a/internal/entry/dispatcher/local.go
+++ b/internal/entry/dispatcher/local.go
@@ -8,6 +8,7 @@
 
 	"github.com/amaranthcart/amaranthcart/internal/config/validator"
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"github.com/amaranthcart/amaranthcart/internal/policy/detector"
 	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
 )
 
@@ -213,3 +214,31 @@
 	o.held[u] = true
 	o.notify(a)
 }
+
+// Crashes returns what the scheduler knows about requests that crash upstreams.
+func (l *Local) Crashes() []detector.Record {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.scheduler.Crashes(l.clock.Now())
+}
+
+// Learn reports what other hosts know about requests that crash upstreams.
+func (l *Local) Learn(records []detector.Record) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.step(scheduler.Learn{Records: records})
+}
+
+// Explain tells what the scheduler would do with a request.
+func (l *Local) Explain(r scheduler.Request) scheduler.Explanation {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.scheduler.Explain(l.clock.Now(), r)
+}
+
+// Used counts the slots in use on an upstream, as far as this host knows.
+func (l *Local) Used(id registrar.UpstreamID) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.scheduler.Used(id)
+}
--- a/internal/entry/dispatcher/server.go
+++ b/internal/entry/dispatcher/server.go
@@ -24,11 +24,17 @@
 	// orphans are the requests whose link broke while they held slots. They
 	// keep their slots until their host reports again or is gone.
 	orphans map[registrar.HostName]map[scheduler.RequestID]bool
+	// sessions are the latest links of each host.
+	sessions map[registrar.HostName]*session
 }
 
 // NewServer returns the serving side of a cell.
 func NewServer(s Settings) *Server {
-	return &Server{settings: s, orphans: map[registrar.HostName]map[scheduler.RequestID]bool{}}
+	return &Server{
+		settings: s,
+		orphans:  map[registrar.HostName]map[scheduler.RequestID]bool{},
+		sessions: map[registrar.HostName]*session{},
+	}
 }
 
 // HostDown frees the slots of a host whose lease has ended.
@@ -72,16 +78,48 @@
 	if !s.owns() {
 		return stream.Send(&wire.DispatchResponse{Moved: true})
 	}
-	n := newSession(s, registrar.HostName(hello.Host))
-	defer n.end()
+	n := s.begin(registrar.HostName(hello.Host))
+	defer s.finish(n)
 	return n.serve(ctx, stream)
 }
 
+// begin replaces the host's earlier link, which may not have noticed yet that
+// it is broken.
+func (s *Server) begin(h registrar.HostName) *session {
+	n := newSession(s, h)
+	s.mu.Lock()
+	earlier := s.sessions[h]
+	s.sessions[h] = n
+	s.mu.Unlock()
+	if earlier != nil {
+		earlier.end()
+	}
+	n.orphans = s.takeOrphans(h)
+	return n
+}
+
+func (s *Server) finish(n *session) {
+	n.end()
+	s.mu.Lock()
+	if s.sessions[n.host] == n {
+		delete(s.sessions, n.host)
+	}
+	s.mu.Unlock()
+	// A host that went down before its link broke reports no end any more.
+	if _, alive := s.settings.Membership.Address(n.host); !alive {
+		s.HostDown(n.host)
+	}
+}
+
 // session is one link as the owner sees it.
 type session struct {
-	server  *Server
-	host    registrar.HostName
+	server *Server
+	host   registrar.HostName
+
+	// taking orders the host's messages against the end of the session.
+	taking  sync.Mutex
 	orphans map[scheduler.RequestID]bool
+	ended   bool
 
 	mu      sync.Mutex
 	open    map[scheduler.RequestID]bool
@@ -93,7 +131,6 @@
 	return &session{
 		server:  s,
 		host:    h,
-		orphans: s.takeOrphans(h),
 		open:    map[scheduler.RequestID]bool{},
 		pending: &wire.DispatchResponse{},
 		wake:    make(chan struct{}, 1),
@@ -150,6 +187,11 @@
 }
 
 func (n *session) take(m *wire.DispatchRequest) {
+	n.taking.Lock()
+	defer n.taking.Unlock()
+	if n.ended {
+		return
+	}
 	now := n.clock().Now()
 	for _, r := range m.Submits {
 		n.submit(r, now)
@@ -222,9 +264,15 @@
 // end withdraws the host's waiting requests and keeps its slots for the time
 // that its lease lasts.
 func (n *session) end() {
+	n.taking.Lock()
+	defer n.taking.Unlock()
+	if n.ended {
+		return
+	}
+	n.ended = true
 	n.mu.Lock()
 	ids := n.open
-	n.open = nil
+	n.open = map[scheduler.RequestID]bool{}
 	n.mu.Unlock()
 	for id := range n.orphans {
 		n.server.orphan(n.host, id)
--- a/internal/entry/receiver/receiver.go
+++ b/internal/entry/receiver/receiver.go
@@ -114,6 +114,7 @@
 	failures metrics.Counter
 	latency  metrics.Timer
 
+	unready  atomic.Bool
 	draining atomic.Bool
 	open     atomic.Int64
 	idle     chan struct{}
@@ -230,6 +231,16 @@
 	return netutil.LimitListener(l, r.options.Limits.Connections)
 }
 
+// Unready makes the readiness check fail while requests are still accepted, so
+// that a balancer stops sending them before any is refused.
+func (r *Receiver) Unready() { r.unready.Store(true) }
+
+// Draining reports whether a planned stop has begun.
+func (r *Receiver) Draining() bool { return r.unready.Load() || r.draining.Load() }
+
+// Open counts the requests in progress.
+func (r *Receiver) Open() int { return int(r.open.Load()) }
+
 // Drain makes the receiver unready, refuses new work and waits for the open
 // requests.
 func (r *Receiver) Drain(ctx context.Context) error {
@@ -260,7 +271,7 @@
 func (r *Receiver) ready(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 	_, fresh := r.options.Configuration()
 	switch {
-	case r.draining.Load():
+	case r.Draining():
 		writeWhole(w, http.StatusServiceUnavailable, nil, []byte("draining\n"))
 	case !fresh:
 		writeWhole(w, http.StatusServiceUnavailable, nil, []byte("configuration is not confirmed\n"))
--- a/internal/member/registrar/view.go
+++ b/internal/member/registrar/view.go
@@ -80,6 +80,17 @@
 	return list
 }
 
+// Entries returns the live upstreams with the ends of their leases.
+func (v *View) Entries(now time.Time) []Entry {
+	list := make([]Entry, 0, len(v.slots))
+	for _, s := range v.slots {
+		if e := s.load(); e.live(now) {
+			list = append(list, *e)
+		}
+	}
+	return list
+}
+
 func (e *Entry) live(now time.Time) bool {
 	return now.Before(e.Until) && !e.Upstream.Leaving
 }
