--- /dev/null
+++ b/cmd/amaranthd/process_test.go
@@ -0,0 +1,399 @@
+package main_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"gotest.tools/v3/assert"
+
+	"github.com/amaranthcart/amaranthcart/builder"
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"github.com/amaranthcart/amaranthcart/internal/settings/loader"
+)
+
+const (
+	key = "process-test-key"
+	// patience bounds every wait; a pass never depends on it.
+	patience = 60 * time.Second
+)
+
+// binaries are built once for all tests.
+var binaries = sync.OnceValues(func() (string, error) {
+	folder, err := os.MkdirTemp("", "amaranthcart-bin-")
+	if err != nil {
+		return "", err
+	}
+	out, err := exec.Command("go", "build", "-o", folder, "../...").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("%w: %s", err, out)
+	}
+	return folder, nil
+})
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if folder, err := binaries(); err == nil {
+		_ = os.RemoveAll(folder)
+	}
+	os.Exit(code)
+}
+
+// process is one program under test.
+type process struct {
+	name    string
+	program string
+	args    []string
+	command *exec.Cmd
+	log     *os.File
+	done    chan struct{}
+}
+
+// deployment is a set of processes on loopback.
+type deployment struct {
+	t         *testing.T
+	folder    string
+	group     conc.WaitGroup
+	processes map[string]*process
+	settings  map[string]*loader.Settings
+	control   []string
+	entries   []string
+	stubs     map[string]string
+}
+
+func freePort(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func deploy(t *testing.T, controls, entries int) *deployment {
+	t.Helper()
+	d := &deployment{
+		t: t, folder: t.TempDir(),
+		processes: map[string]*process{}, settings: map[string]*loader.Settings{}, stubs: map[string]string{},
+	}
+	t.Cleanup(d.close)
+	var members []loader.Member
+	for i := range controls {
+		name := fmt.Sprint("control-", i+1)
+		d.control = append(d.control, name)
+		members = append(members, loader.Member{Name: registrar.HostName(name), Address: freePort(t)})
+	}
+	for i := range entries {
+		d.entries = append(d.entries, fmt.Sprint("entry-", i+1))
+	}
+	var seeds []string
+	for i, name := range append(d.control, d.entries...) {
+		s := loader.Default()
+		s.Name, s.Centre = registrar.HostName(name), "centre-1"
+		s.Data = filepath.Join(d.folder, name)
+		s.Admin = freePort(t)
+		s.Control = members
+		if i < controls {
+			s.Roles = []loader.Role{loader.Control}
+			s.Peers = members[i].Address
+			for _, m := range members {
+				s.Bootstrap = append(s.Bootstrap, m.Name)
+			}
+		} else {
+			s.Roles = []loader.Role{loader.Entry}
+			s.Peers = freePort(t)
+			s.Callers = freePort(t)
+			seeds = append(seeds, s.Peers)
+		}
+		d.settings[name] = s
+	}
+	for _, name := range d.entries {
+		d.settings[name].Seeds = seeds
+	}
+	for _, name := range append(d.control, d.entries...) {
+		d.startDaemon(name)
+	}
+	return d
+}
+
+func (d *deployment) startDaemon(name string) {
+	data, err := json.Marshal(d.settings[name])
+	assert.NilError(d.t, err)
+	file := filepath.Join(d.folder, name+".json")
+	assert.NilError(d.t, os.WriteFile(file, data, 0o600))
+	d.start(name, "amaranthd", "run", "--settings", file)
+}
+
+func (d *deployment) start(name, program string, args ...string) {
+	folder, err := binaries()
+	assert.NilError(d.t, err)
+	log, err := os.OpenFile(filepath.Join(d.folder, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	assert.NilError(d.t, err)
+	c := exec.Command(filepath.Join(folder, program), args...)
+	c.Stdout, c.Stderr = log, log
+	assert.NilError(d.t, c.Start())
+	p := &process{name: name, program: program, args: args, command: c, log: log, done: make(chan struct{})}
+	d.processes[name] = p
+	d.group.Go(func() {
+		defer close(p.done)
+		_ = c.Wait()
+	})
+}
+
+// startStub starts a stand-in upstream that announces itself to one entry host
+// only, so that the others learn of it from that host.
+func (d *deployment) startStub(name string, args ...string) {
+	if d.stubs[name] == "" {
+		d.stubs[name] = freePort(d.t)
+	}
+	base := []string{"--name", name, "--listen", d.stubs[name]}
+	for _, e := range d.entries {
+		base = append(base, "--entry", d.settings[e].Peers)
+	}
+	d.start(name, "amaranthstub", append(base, args...)...)
+}
+
+func (d *deployment) signal(name string, s syscall.Signal) {
+	d.t.Helper()
+	assert.NilError(d.t, d.processes[name].command.Process.Signal(s))
+}
+
+func (d *deployment) kill(name string) {
+	d.t.Helper()
+	d.signal(name, syscall.SIGKILL)
+	<-d.processes[name].done
+}
+
+// stop makes a planned stop and checks that it was clean.
+func (d *deployment) stop(name string) {
+	d.t.Helper()
+	d.signal(name, syscall.SIGTERM)
+	select {
+	case <-d.processes[name].done:
+	case <-time.After(patience):
+		d.t.Fatalf("%s did not stop:\n%s", name, d.tail(name))
+	}
+	assert.Equal(d.t, d.processes[name].command.ProcessState.ExitCode(), 0, "%s:\n%s", name, d.tail(name))
+}
+
+func (d *deployment) restart(name string) {
+	p := d.processes[name]
+	d.start(name, p.program, p.args...)
+}
+
+func (d *deployment) close() {
+	for _, p := range d.processes {
+		_ = p.command.Process.Signal(syscall.SIGCONT)
+		_ = p.command.Process.Kill()
+	}
+	d.group.Wait()
+	for _, p := range d.processes {
+		_ = p.log.Close()
+	}
+	if d.t.Failed() {
+		for name := range d.processes {
+			d.t.Logf("--- %s\n%s", name, d.tail(name))
+		}
+	}
+}
+
+func (d *deployment) tail(name string) string {
+	data, err := os.ReadFile(filepath.Join(d.folder, name+".log"))
+	if err != nil {
+		return err.Error()
+	}
+	return string(data[max(0, len(data)-4000):])
+}
+
+func (d *deployment) waitFor(what string, ok func() bool) {
+	d.t.Helper()
+	for end := time.Now().Add(patience); !ok(); {
+		if time.Now().After(end) {
+			d.t.Fatalf("gave up waiting for %s", what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// document is a configuration of the test's own with a known key.
+func document(t *testing.T, note string) string {
+	t.Helper()
+	var b bytes.Buffer
+	chat := builder.Class("chat", builder.Tier(0), builder.First(2*time.Second), builder.Gap(time.Second), builder.Wait(10*time.Second))
+	plain := builder.Class("plain", builder.Tier(1), builder.Total(2*time.Second), builder.Wait(10*time.Second))
+	extra := builder.Class("extra-"+note, builder.Tier(3), builder.Total(time.Minute), builder.Wait(time.Minute))
+	assert.NilError(t, builder.New(
+		chat, plain, extra,
+		builder.Organisation("home", builder.Share(1), builder.Key(key)),
+		builder.Model("lucka", chat),
+		builder.Service("shop", plain, builder.Once("POST", "/renew"), builder.Repeatable("GET", "/check")),
+	).Print(&b))
+	file := filepath.Join(t.TempDir(), "document.json")
+	assert.NilError(t, os.WriteFile(file, b.Bytes(), 0o600))
+	return file
+}
+
+// ctl runs the operators' client and returns its exit code and output.
+func (d *deployment) ctl(args ...string) (int, string) {
+	d.t.Helper()
+	folder, err := binaries()
+	assert.NilError(d.t, err)
+	var addresses []string
+	for _, name := range d.control {
+		addresses = append(addresses, d.settings[name].Peers)
+	}
+	args = append([]string{"--control", strings.Join(addresses, ",")}, args...)
+	c := exec.Command(filepath.Join(folder, "amaranthctl"), args...)
+	out, err := c.CombinedOutput()
+	if c.ProcessState == nil {
+		d.t.Fatal(err)
+	}
+	return c.ProcessState.ExitCode(), string(out)
+}
+
+// apply submits a document until the control group has a leader.
+func (d *deployment) apply(file string, base int) {
+	d.t.Helper()
+	var out string
+	d.waitFor("apply", func() bool {
+		var code int
+		code, out = d.ctl("apply", file, "--revision", fmt.Sprint(base), "--change", "change-"+filepath.Base(d.t.TempDir())+fmt.Sprint(base))
+		return code == 0
+	})
+}
+
+func (d *deployment) ready(entry string) bool {
+	c := http.Client{Timeout: time.Second}
+	r, err := c.Get("http://" + d.settings[entry].Callers + "/ready")
+	if err != nil {
+		return false
+	}
+	defer func() { _ = r.Body.Close() }()
+	return r.StatusCode == http.StatusOK
+}
+
+// waitUpstreams waits until an entry host is ready and knows the upstreams.
+func (d *deployment) waitUpstreams(entry string, count int) {
+	d.t.Helper()
+	d.waitFor(entry+" to know its upstreams", func() bool {
+		if !d.ready(entry) {
+			return false
+		}
+		var list struct{ Upstreams []any }
+		r, err := http.Get("http://" + d.settings[entry].Admin + "/admin/upstreams")
+		if err != nil {
+			return false
+		}
+		defer func() { _ = r.Body.Close() }()
+		return json.NewDecoder(r.Body).Decode(&list) == nil && len(list.Upstreams) == count
+	})
+}
+
+// answer is what a caller received.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (d *deployment) send(ctx context.Context, entry, method, path, body string, header ...string) answer {
+	q, err := http.NewRequestWithContext(ctx, method, "http://"+d.settings[entry].Callers+path, strings.NewReader(body))
+	if err != nil {
+		return answer{err: err}
+	}
+	q.Header.Set("Authorization", "Bearer "+key)
+	q.Header.Set("Content-Type", "application/json")
+	for i := 0; i+1 < len(header); i += 2 {
+		q.Header.Set(header[i], header[i+1])
+	}
+	r, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = r.Body.Close() }()
+	data, err := io.ReadAll(r.Body)
+	return answer{status: r.StatusCode, header: r.Header, body: string(data), err: err}
+}
+
+func chat(prompt string, stream bool) string {
+	data, _ := json.Marshal(map[string]any{
+		"model": "lucka", "stream": stream, "max_tokens": 2000,
+		"messages": []map[string]string{{"role": "user", "content": prompt}},
+	})
+	return string(data)
+}
+
+// whole returns the text of a chat completion, streamed or not, and whether it
+// was complete.
+func whole(a answer) (string, bool) {
+	if a.err != nil || a.status != http.StatusOK {
+		return "", false
+	}
+	var text strings.Builder
+	if !strings.HasPrefix(a.body, "data:") {
+		var c struct {
+			Choices []struct{ Message struct{ Content string } }
+		}
+		if json.Unmarshal([]byte(a.body), &c) != nil || len(c.Choices) != 1 {
+			return "", false
+		}
+		return c.Choices[0].Message.Content, true
+	}
+	for line := range strings.SplitSeq(a.body, "\n") {
+		var c struct {
+			Choices []struct{ Delta struct{ Content string } }
+		}
+		data, ok := strings.CutPrefix(line, "data: ")
+		if ok && json.Unmarshal([]byte(data), &c) == nil && len(c.Choices) == 1 {
+			text.WriteString(c.Choices[0].Delta.Content)
+		}
+	}
+	return text.String(), strings.Contains(a.body, "data: [DONE]")
+}
+
+// TestWholePath guards against a path that works only inside one process:
+// three control hosts, two entry hosts, two engines and a service.
+func TestWholePath(t *testing.T) {
+	d := deploy(t, 3, 2)
+	d.apply(document(t, "a"), 0)
+	d.startStub("engine-1", "--model", "lucka")
+	d.startStub("engine-2", "--model", "lucka")
+	d.startStub("shop-1", "--service", "shop")
+	var texts []string
+	for _, e := range d.entries {
+		d.waitUpstreams(e, 3)
+		for _, stream := range []bool{true, false} {
+			text, ok := whole(d.send(t.Context(), e, "POST", "/v1/chat/completions", chat("Tell me of the night. [[length=30]]", stream)))
+			assert.Assert(t, ok && text != "")
+			texts = append(texts, text)
+		}
+		a := d.send(t.Context(), e, "GET", "/svc/shop/check", "")
+		assert.NilError(t, a.err)
+		assert.Equal(t, a.status, http.StatusOK, a.body)
+	}
+	for _, text := range texts {
+		assert.Equal(t, text, texts[0])
+	}
+	renewals := map[string]bool{}
+	for _, e := range d.entries {
+		a := d.send(t.Context(), e, "POST", "/svc/shop/renew", "{}", "Idempotency-Key", "renewal-1")
+		assert.Equal(t, a.status, http.StatusOK, a.body)
+		renewals[a.body] = true
+	}
+	assert.Equal(t, len(renewals), 1, "the resend through another entry host got another answer")
+	code, out := d.ctl("history")
+	assert.Equal(t, code, 0, out)
+}
