Add amaranthctl

When no answer arrives, the command says whether the change was sent at all and how to send it again.

A port that speaks HTTP/1 only gives different errors from run to run, because it closes the connection while the request is written; the hint at a wrong port therefore depends on the kind of error and not on its text.

--- /dev/null
+++ b/internal/ctl/commander/client.go
@@ -0,0 +1,151 @@
+package commander
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/amaranthcart/amaranthcart/internal/rpc/wire/wireconnect"
+)
+
+// maxAnswer bounds what is read of one answer. A history of 1000 entries with
+// 200 lines each stays below it.
+const maxAnswer = 64 << 20
+
+// newTransport returns a transport for HTTP/2 without TLS, which control hosts
+// speak.
+func newTransport(timeout time.Duration) *http.Transport {
+	var p http.Protocols
+	p.SetUnencryptedHTTP2(true)
+	return &http.Transport{
+		Protocols:   &p,
+		DialContext: (&net.Dialer{Timeout: timeout}).DialContext,
+	}
+}
+
+// try is the failure of one host.
+type try struct {
+	address string
+	err     error
+}
+
+// triesError tells that no control host gave an answer.
+type triesError struct {
+	// tries holds the last failure of each host.
+	tries []try
+	// sent tells that at least one host may have received the request.
+	sent bool
+}
+
+// Error lists the last failure of each host.
+func (e *triesError) Error() string {
+	l := []string{"no control host answered:"}
+	for _, t := range e.tries {
+		l = append(l, fmt.Sprintf("  %s: %s", t.address, explainError(t.err)))
+	}
+	return strings.Join(l, "\n")
+}
+
+// explainError adds a hint to errors whose cause is often a wrong address.
+func explainError(err error) string {
+	text := err.Error()
+	var e *connect.Error
+	if errors.As(err, &e) {
+		text = e.Message()
+	}
+	text = printable(text)
+	switch connect.CodeOf(err) {
+	case connect.CodeUnimplemented:
+		return text + " (the host does not serve this request: is this the peers address of a control host, and has it the same version as amaranthctl?)"
+	case connect.CodeDeadlineExceeded:
+		return "no answer in time"
+	}
+	if !connect.IsWireError(err) && !undelivered(err) {
+		// A port that speaks HTTP/1 or TLS answers in its own protocol, or
+		// closes the connection before its answer is read.
+		return text + " (the connection broke off: is this the peers address, which speaks HTTP/2 without TLS?)"
+	}
+	return text
+}
+
+// final reports whether no other host would answer otherwise.
+func final(err error) bool {
+	switch connect.CodeOf(err) {
+	case connect.CodeInvalidArgument, connect.CodeNotFound, connect.CodeAlreadyExists, connect.CodeOutOfRange,
+		connect.CodeUnauthenticated, connect.CodePermissionDenied:
+		return connect.IsWireError(err)
+	}
+	return false
+}
+
+// undelivered reports whether the request provably did not reach the host.
+func undelivered(err error) bool {
+	var o *net.OpError
+	return errors.As(err, &o) && o.Op == "dial"
+}
+
+// call sends a request to the control hosts in turn until one answers, in
+// several rounds because a group without a leader elects one within 2 s.
+func call[Q, A any](ctx context.Context, c *command, method func(wireconnect.ControlClient, context.Context, *connect.Request[Q]) (*connect.Response[A], error), message *Q) (*A, error) {
+	if len(c.controls) == 0 {
+		return nil, fail(ExitUsage, "the addresses of control hosts are required: set --control or AMARANTH_CONTROL")
+	}
+	failed := &triesError{tries: make([]try, len(c.controls))}
+	for round := range rounds {
+		if err := c.pause(ctx, round); err != nil {
+			return nil, err
+		}
+		for i, address := range c.controls {
+			answer, err := callOne(ctx, c, address, method, message)
+			if err == nil {
+				return answer, nil
+			}
+			if final(err) {
+				return nil, fail(ExitFailed, "%s refused the request: %s", address, explainError(err))
+			}
+			failed.tries[i] = try{address, err}
+			failed.sent = failed.sent || !undelivered(err)
+		}
+	}
+	return nil, &exitError{code: ExitUnreachable, err: failed}
+}
+
+// pause waits before every round but the first.
+func (c *command) pause(ctx context.Context, round int) error {
+	if round == 0 {
+		return nil
+	}
+	select {
+	case <-ctx.Done():
+		return fmt.Errorf("interrupted: %w", ctx.Err())
+	case <-time.After(c.Pause):
+		return nil
+	}
+}
+
+func callOne[Q, A any](ctx context.Context, c *command, address string, method func(wireconnect.ControlClient, context.Context, *connect.Request[Q]) (*connect.Response[A], error), message *Q) (*A, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	t := newTransport(c.timeout)
+	defer t.CloseIdleConnections()
+	client := wireconnect.NewControlClient(&http.Client{Transport: t}, "http://"+address, connect.WithReadMaxBytes(maxAnswer))
+	request := connect.NewRequest(message)
+	c.authorize(request.Header())
+	response, err := method(client, ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	return response.Msg, nil
+}
+
+func (c *command) authorize(h http.Header) {
+	if c.key != "" {
+		h.Set("Authorization", "Bearer "+c.key)
+	}
+}
