Add seeded fault simulation of the control group

A thousand runs of crashes, lost disks, failed syncs, partitions and bad networks check one leader a term, unchanged committed entries, equal replicas and linearizable histories. Four variants with a broken rule are noticed.

The first runs showed that a repeated Complete with NOT_RUN was answered differently when another token had claimed the key in between, because the record forgot the releasing token. The record now keeps the last 16 tokens that released it, which also keeps a delayed Claim of such a token from being granted.

--- a/internal/control/applier/applier.go
+++ b/internal/control/applier/applier.go
@@ -49,6 +49,9 @@
 
 	claimRetention    = 24 * time.Hour
 	releasedRetention = 10 * time.Minute
+	// keptReleased bounds the tokens remembered for one claim; each is a
+	// failed attempt to start the call.
+	keptReleased = 16
 	// MaximumDeadline bounds the deadline of a claim.
 	MaximumDeadline = time.Hour
 	// defaultDeadline is used for a claim without a deadline.
--- a/internal/control/applier/claim.go
+++ b/internal/control/applier/claim.go
@@ -40,7 +40,7 @@
 func (t *claimTable) claim(now int64, q *wire.ClaimRequest) Result {
 	k := claimKey{q.Organisation, q.Service, q.Key}
 	c := t.records[k]
-	if c != nil && (c.State != record.ClaimRecord_STATE_RELEASED || c.Token == q.Token) {
+	if c != nil && (c.State != record.ClaimRecord_STATE_RELEASED || slices.Contains(c.Released, q.Token)) {
 		return Result{Claim: answerClaim(c, q)}
 	}
 	if c == nil && len(t.records) >= maximumClaims {
@@ -57,18 +57,21 @@
 		Organisation: q.Organisation, Service: q.Service, Key: q.Key, Digest: q.Digest,
 		Token: q.Token, Host: q.Host, State: record.ClaimRecord_STATE_RUNNING,
 		Deadline: now + int64(deadline), Expires: now + int64(deadline),
+		Released: c.GetReleased(),
 	})
 	return Result{Claim: &wire.ClaimResponse{State: wire.ClaimResponse_STATE_GRANTED}}
 }
 
 // answerClaim describes an existing claim. A request repeated by the owner is
-// granted again: its first answer may be lost. A released claim whose token
-// asks again is a request that was delayed in the network, and must not be
-// granted after its owner has given up.
+// granted again: its first answer may be lost. A request of a token that
+// released the claim was delayed in the network, and must not be granted after
+// its owner has given up.
 func answerClaim(c *record.ClaimRecord, q *wire.ClaimRequest) *wire.ClaimResponse {
 	r := &wire.ClaimResponse{}
 	switch {
-	case c.State != record.ClaimRecord_STATE_RELEASED && !bytes.Equal(c.Digest, q.Digest):
+	case slices.Contains(c.Released, q.Token):
+		r.State = wire.ClaimResponse_STATE_UNKNOWN
+	case !bytes.Equal(c.Digest, q.Digest):
 		r.State = wire.ClaimResponse_STATE_MISMATCH
 	case c.State == record.ClaimRecord_STATE_RUNNING && c.Token == q.Token:
 		r.State = wire.ClaimResponse_STATE_GRANTED
@@ -87,10 +90,13 @@
 // the first answer.
 func (t *claimTable) complete(now int64, q *wire.CompleteRequest) *wire.CompleteResponse {
 	c := t.records[claimKey{q.Organisation, q.Service, q.Key}]
+	state := completed(q.Result)
+	if c != nil && slices.Contains(c.Released, q.Token) {
+		return &wire.CompleteResponse{Recorded: state == record.ClaimRecord_STATE_RELEASED}
+	}
 	if c == nil || c.Token != q.Token {
 		return &wire.CompleteResponse{}
 	}
-	state := completed(q.Result)
 	if c.State != record.ClaimRecord_STATE_RUNNING {
 		// The state unknown may come from the deadline.
 		repeated := c.State == state && state != record.ClaimRecord_STATE_UNKNOWN
@@ -107,6 +113,10 @@
 		}
 	case record.ClaimRecord_STATE_RELEASED:
 		n.Expires = now + int64(releasedRetention)
+		n.Released = append(n.Released, q.Token)
+		if over := len(n.Released) - keptReleased; over > 0 {
+			n.Released = n.Released[over:]
+		}
 	}
 	t.put(n)
 	return &wire.CompleteResponse{Recorded: true}
--- a/internal/control/coordinator/core.go
+++ b/internal/control/coordinator/core.go
@@ -85,6 +85,8 @@
 	pending  map[uint64]placed
 	reads    map[uint64]func(error)
 	readings uint64
+	// observe is given all committed entries; tests set it.
+	observe func([]*record.Entry)
 	// since is the size of the entries applied after the last snapshot.
 	since int
 	// snapshot is the size of the last snapshot.
@@ -228,6 +230,9 @@
 
 // apply applies committed entries and answers their callers.
 func (c *core) apply(entries []*record.Entry) {
+	if c.observe != nil {
+		c.observe(entries)
+	}
 	c.mu.Lock()
 	before := revisionOf(c.state)
 	results := make([]applier.Result, 0, len(entries))
--- /dev/null
+++ b/internal/control/coordinator/fault_test.go
@@ -0,0 +1,89 @@
+package coordinator
+
+import (
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc/pool"
+	"gotest.tools/v3/assert"
+)
+
+const (
+	// runsVariable sets the number of seeds, for longer searches.
+	runsVariable = "AMARANTH_RUNS"
+	defaultRuns  = 1000
+	// faultyTime is the virtual time with faults in a run.
+	faultyTime = 5 * time.Second
+	// simulationWorkers leaves cores to others.
+	simulationWorkers = 4
+)
+
+func runs(t *testing.T) int {
+	v := os.Getenv(runsVariable)
+	if v == "" {
+		return defaultRuns
+	}
+	n, err := strconv.Atoi(v)
+	assert.NilError(t, err)
+	return n
+}
+
+// simulate runs one seed and returns the simulation with its verdict.
+func simulate(seed uint64, v variant) *simulation {
+	s := newSimulation(seed, v)
+	s.run(faultyTime)
+	if s.failure == "" {
+		s.linearizable()
+	}
+	return s
+}
+
+// TestFaults guards against lost or changed committed entries, two leaders in
+// a term, replicas that differ, calls that run twice and a group that doesn't
+// recover, under crashes, lost disks, failed syncs, partitions and bad
+// networks.
+func TestFaults(t *testing.T) {
+	results := make([]*simulation, runs(t))
+	p := pool.New().WithMaxGoroutines(simulationWorkers)
+	for i := range results {
+		p.Go(func() {
+			s := simulate(uint64(i), intact)
+			s.nodes, s.timers, s.committed = nil, nil, nil
+			results[i] = s
+		})
+	}
+	p.Wait()
+	calls, wipes, chased := 0, 0, 0
+	for seed, s := range results {
+		if s.failure != "" {
+			t.Errorf("seed %d: %s", seed, s.failure)
+		}
+		calls += len(s.history)
+		wipes += s.wipes
+		chased += s.chased
+	}
+	t.Logf("%d runs, %d calls, %d lost disks, %d repairs followed by a lost disk", len(results), calls, wipes, chased)
+	assert.Assert(t, wipes > len(results)/10, "too few lost disks to prove anything")
+}
+
+// TestBrokenVariants guards against checks that can't fail: each broken rule
+// must be noticed within the seeds.
+func TestBrokenVariants(t *testing.T) {
+	for name, v := range map[string]variant{
+		"reused identity": reusedIdentity, "ignored sync": ignoredSync,
+		"early replies": earlyReplies, "unconfirmed reads": unconfirmedReads,
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(500) {
+				s := simulate(seed, v)
+				if s.failure != "" && s.failure != unsettled {
+					t.Logf("seed %d: %s", seed, s.failure)
+					return
+				}
+			}
+			t.Fatal("no seed noticed the broken rule")
+		})
+	}
+}
--- /dev/null
+++ b/internal/control/coordinator/simulation_test.go
@@ -0,0 +1,523 @@
+package coordinator
+
+import (
+	"container/heap"
+	"crypto/sha256"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/amaranthcart/amaranthcart/internal/control/applier"
+	"github.com/amaranthcart/amaranthcart/internal/control/replicator"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/record"
+	"github.com/amaranthcart/amaranthcart/internal/storage/journaler"
+)
+
+// variant breaks a rule on purpose, to show that the checks notice.
+type variant int
+
+const (
+	intact variant = iota
+	// reusedIdentity votes under the old identity after a disk loss.
+	reusedIdentity
+	// ignoredSync acknowledges what isn't on disk.
+	ignoredSync
+	// earlyReplies sends votes and acknowledgements before the disk write.
+	earlyReplies
+	// unconfirmedReads answers reads without asking a quorum.
+	unconfirmedReads
+)
+
+// unsettled is the failure of a group that makes no progress.
+const unsettled = "the group doesn't settle after all faults are healed"
+
+// simulation runs a group on a fake network, fake disks and a virtual clock.
+// All of it follows from the seed.
+type simulation struct {
+	random   *rand.Rand
+	variant  variant
+	now      time.Time
+	timers   timerHeap
+	sequence int64
+	nodes    []*simulatedNode
+	blocked  map[[2]string]bool
+	loss     float64
+	faults   bool
+	failure  string
+	// wiped is the node that lost its disk last, until it is repaired.
+	wiped  *simulatedNode
+	wipes  int
+	chased int
+
+	leaders    map[uint64]replicator.ID
+	committed  map[uint64][32]byte
+	last       uint64
+	membership *record.Membership
+	clients    []*simulatedClient
+	history    []operation
+}
+
+type timer struct {
+	at       time.Time
+	sequence int64
+	run      func()
+}
+
+type timerHeap []timer
+
+func (h timerHeap) Len() int { return len(h) }
+func (h timerHeap) Less(i, j int) bool {
+	if !h[i].at.Equal(h[j].at) {
+		return h[i].at.Before(h[j].at)
+	}
+	return h[i].sequence < h[j].sequence
+}
+func (h timerHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *timerHeap) Push(x any)   { *h = append(*h, x.(timer)) }
+func (h *timerHeap) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return x
+}
+
+// simulatedNode is a control host of the simulation.
+type simulatedNode struct {
+	s       *simulation
+	name    string
+	skew    time.Duration
+	disk    *journaler.Memory
+	journal *journaler.Journal
+	core    *core
+	id      uint64
+	// lost is the identity on the last disk that was lost.
+	lost uint64
+	up   bool
+	// epoch tells timers of an earlier run of the process.
+	epoch   int
+	queue   []work
+	writing bool
+}
+
+func newSimulation(seed uint64, v variant) *simulation {
+	s := &simulation{
+		random: rand.New(rand.NewPCG(seed, 1)), variant: v,
+		now: time.Unix(1_700_000_000, 0), blocked: map[[2]string]bool{},
+		leaders: map[uint64]replicator.ID{}, committed: map[uint64][32]byte{},
+	}
+	size := 3
+	if s.random.IntN(5) == 0 {
+		size = 5
+	}
+	for i := range size {
+		n := &simulatedNode{
+			s: s, name: fmt.Sprintf("n%d", i), disk: journaler.NewMemory(),
+			skew: time.Duration(s.random.IntN(400)-200) * time.Millisecond,
+		}
+		n.disk.IgnoreSync(v == ignoredSync)
+		s.nodes = append(s.nodes, n)
+	}
+	for _, n := range s.nodes {
+		n.start()
+	}
+	for i := range 4 {
+		c := &simulatedClient{s: s, id: i}
+		s.clients = append(s.clients, c)
+		s.after(s.between(300, 700), c.next)
+	}
+	return s
+}
+
+// run lets faults happen for a time, then heals everything and waits until the
+// clients have their answers and the replicas agree.
+func (s *simulation) run(faulty time.Duration) {
+	s.faults = true
+	s.after(s.between(300, 1500), s.fault)
+	s.until(s.now.Add(faulty), func() bool { return false })
+	s.faults = false
+	s.blocked, s.loss = map[[2]string]bool{}, 0
+	for _, n := range s.nodes {
+		n.disk.FailSync(false)
+		if !n.up {
+			n.start()
+		}
+	}
+	if !s.until(s.now.Add(time.Minute), s.settled) && s.failure == "" {
+		s.fail(unsettled)
+	}
+	s.checkStates()
+}
+
+// until runs timers up to a time or until the condition holds.
+func (s *simulation) until(end time.Time, done func() bool) bool {
+	for s.failure == "" && len(s.timers) > 0 && s.timers[0].at.Before(end) {
+		t := heap.Pop(&s.timers).(timer)
+		s.now = t.at
+		t.run()
+		if done() {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *simulation) after(d time.Duration, f func()) {
+	s.sequence++
+	heap.Push(&s.timers, timer{at: s.now.Add(d), sequence: s.sequence, run: f})
+}
+
+// between returns a random duration in milliseconds.
+func (s *simulation) between(from, to int) time.Duration {
+	return time.Duration(from*1000+s.random.IntN((to-from)*1000)) * time.Microsecond
+}
+
+func (s *simulation) fail(text string) {
+	if s.failure == "" {
+		s.failure = text
+	}
+}
+
+func (s *simulation) failf(format string, arguments ...any) {
+	s.fail(fmt.Sprintf(format, arguments...))
+}
+
+func (s *simulation) node(name string) *simulatedNode {
+	for _, n := range s.nodes {
+		if n.name == name {
+			return n
+		}
+	}
+	return nil
+}
+
+// settled reports whether all clients are done and all replicas have applied
+// the same log.
+func (s *simulation) settled() bool {
+	for _, c := range s.clients {
+		if c.busy {
+			return false
+		}
+	}
+	if !s.repaired() {
+		return false
+	}
+	for _, n := range s.nodes {
+		if n.core.view().replica.Applied != s.last {
+			return false
+		}
+	}
+	return true
+}
+
+// repaired reports whether each node has a vote under its present identity.
+func (s *simulation) repaired() bool {
+	if s.membership == nil || len(s.membership.Members) != len(s.nodes) {
+		return false
+	}
+	for _, n := range s.nodes {
+		voter := func(m *record.Member) bool { return m.Id == n.id && m.Voter }
+		if !slices.ContainsFunc(s.membership.Members, voter) {
+			return false
+		}
+	}
+	return true
+}
+
+// fault makes something go wrong and plans the next fault.
+func (s *simulation) fault() {
+	if !s.faults {
+		return
+	}
+	n := s.nodes[s.random.IntN(len(s.nodes))]
+	switch x := s.random.IntN(100); {
+	case x < 25:
+		s.crash(n, s.between(50, 800))
+	case x < 45:
+		s.isolate(n, true, true)
+	case x < 60:
+		in := s.random.IntN(2) == 0
+		s.isolate(n, in, !in)
+	case x < 70:
+		s.loss = 0.2
+		s.after(s.between(100, 500), func() { s.loss = 0 })
+	case x < 85:
+		s.wipe(n)
+	case x < 92:
+		n.disk.FailSync(true)
+	case n.up:
+		n.step(replicator.Transfer{})
+	}
+	s.after(s.between(50, 500), s.fault)
+}
+
+func (s *simulation) crash(n *simulatedNode, down time.Duration) {
+	if !n.up {
+		return
+	}
+	n.stop()
+	s.after(down, func() {
+		if !n.up {
+			n.disk.FailSync(false)
+			n.start()
+		}
+	})
+}
+
+// isolate cuts a node off in one or both directions for a while.
+func (s *simulation) isolate(n *simulatedNode, in, out bool) {
+	for _, o := range s.nodes {
+		if in {
+			s.blocked[[2]string{o.name, n.name}] = true
+		}
+		if out {
+			s.blocked[[2]string{n.name, o.name}] = true
+		}
+	}
+	s.after(s.between(200, 1500), func() {
+		for _, o := range s.nodes {
+			delete(s.blocked, [2]string{o.name, n.name})
+			delete(s.blocked, [2]string{n.name, o.name})
+		}
+	})
+}
+
+// wipe loses a disk, but only while every other node has its own: with the
+// disks of a quorum lost no system could keep its promises.
+func (s *simulation) wipe(n *simulatedNode) {
+	if !s.repaired() {
+		return
+	}
+	s.wipes++
+	n.stop()
+	n.disk.Wipe()
+	n.lost, n.id = n.id, 0
+	s.after(s.between(20, 300), func() {
+		if !n.up {
+			n.disk.FailSync(false)
+			n.start()
+		}
+	})
+	s.chase(n)
+}
+
+// chase loses the next disk right after a repair.
+func (s *simulation) chase(first *simulatedNode) {
+	if !s.faults {
+		return
+	}
+	if first.up && s.repaired() {
+		s.chased++
+		if s.random.IntN(3) > 0 {
+			other := s.nodes[s.random.IntN(len(s.nodes))]
+			s.wipe(other)
+		}
+		return
+	}
+	s.after(5*time.Millisecond, func() { s.chase(first) })
+}
+
+// start opens the disk and starts the process.
+func (n *simulatedNode) start() {
+	var founders []string
+	for _, o := range n.s.nodes {
+		founders = append(founders, o.name)
+	}
+	identity := func() uint64 {
+		if n.s.variant == reusedIdentity && n.lost != 0 {
+			return n.lost
+		}
+		return n.s.random.Uint64()
+	}
+	j, stored, err := journaler.Open(n.disk, n.name, identity)
+	if err != nil {
+		n.s.failf("%s: open: %v", n.name, err)
+		return
+	}
+	n.journal, n.id = j, stored.Vote.Id
+	n.core, err = newCore(n.time(), coreOptions{
+		replica: replicator.Options{
+			Name: n.name, Founders: founders, Seed: n.s.random.Uint64(), Keep: 4, Chunk: 300,
+		},
+		compact: 1 + n.s.random.IntN(4000),
+	}, stored, n)
+	if err != nil {
+		n.s.failf("%s: restore: %v", n.name, err)
+		return
+	}
+	n.core.observe = n.s.observe
+	n.up, n.writing, n.queue = true, false, nil
+	n.epoch++
+	n.tick(n.epoch)
+}
+
+// stop ends the process and loses what isn't on disk. Sometimes the end comes
+// between the write and the sync.
+func (n *simulatedNode) stop() {
+	if n.up && len(n.queue) > 0 && n.s.random.IntN(2) == 0 {
+		n.disk.FailSync(true)
+		_, _, _ = flush(n.journal, n.queue)
+		n.disk.FailSync(false)
+	}
+	n.up = false
+	n.epoch++
+	n.disk.Crash(n.s.random)
+}
+
+func (n *simulatedNode) time() time.Time { return n.s.now.Add(n.skew) }
+
+func (n *simulatedNode) tick(epoch int) {
+	if n.epoch != epoch {
+		return
+	}
+	n.step(replicator.Tick{})
+	n.s.after(n.s.between(5, 15), func() { n.tick(epoch) })
+}
+
+func (n *simulatedNode) step(e replicator.Event) {
+	defer n.recover()
+	n.core.step(n.time(), e)
+	n.check()
+}
+
+// recover reports a violated invariant inside the replica.
+func (n *simulatedNode) recover() {
+	if p := recover(); p != nil {
+		n.s.failf("%s: %v", n.name, p)
+	}
+}
+
+// check guards against two leaders in a term.
+func (n *simulatedNode) check() {
+	v := n.core.view()
+	if v.role != replicator.Leader {
+		return
+	}
+	if l, found := n.s.leaders[v.replica.Term]; found && l != v.replica.ID {
+		n.s.failf("two leaders in term %d", v.replica.Term)
+	}
+	n.s.leaders[v.replica.Term] = v.replica.ID
+}
+
+// enqueue implements port.
+func (n *simulatedNode) enqueue(w work) {
+	if w.send != nil && n.s.variant == earlyReplies {
+		n.transmit(*w.send)
+		return
+	}
+	n.queue = append(n.queue, w)
+	if n.writing {
+		return
+	}
+	n.writing = true
+	epoch := n.epoch
+	n.s.after(n.s.between(0, 6), func() { n.write(epoch) })
+}
+
+// write carries out the disk queue.
+func (n *simulatedNode) write(epoch int) {
+	if n.epoch != epoch {
+		return
+	}
+	n.writing = false
+	items := n.queue
+	n.queue = nil
+	sends, events, err := flush(n.journal, items)
+	if err != nil {
+		// The process stops and comes back with a disk that works.
+		n.s.crash(n, n.s.between(50, 500))
+		return
+	}
+	for _, m := range sends {
+		n.transmit(m)
+	}
+	for _, e := range events {
+		n.step(e)
+	}
+}
+
+// transmit implements port: messages are lost, doubled and reordered.
+func (n *simulatedNode) transmit(m replicator.Send) {
+	copies := 1
+	switch x := n.s.random.Float64(); {
+	case n.s.blocked[[2]string{n.name, m.Name}] || x < n.s.loss:
+		return
+	case x > 0.97:
+		copies = 2
+	}
+	to := n.s.node(m.Name)
+	for range copies {
+		delay := n.s.between(0, 4)
+		if n.s.random.IntN(50) == 0 {
+			delay = n.s.between(4, 200)
+		}
+		n.s.after(delay, func() {
+			if to.up {
+				to.step(replicator.Receive{Message: m.Message})
+			}
+		})
+	}
+}
+
+// note implements port.
+func (n *simulatedNode) note(string, ...zap.Field) {}
+
+// observe guards against committed entries that change.
+func (s *simulation) observe(entries []*record.Entry) {
+	for _, e := range entries {
+		data, err := proto.MarshalOptions{Deterministic: true}.Marshal(e)
+		if err != nil {
+			s.failf("marshal entry: %v", err)
+		}
+		sum := sha256.Sum256(data)
+		if old, found := s.committed[e.Index]; found && old != sum {
+			s.failf("committed entry %d changed", e.Index)
+		}
+		s.committed[e.Index] = sum
+		if e.Index <= s.last {
+			continue
+		}
+		s.last = e.Index
+		if e.Kind == record.Entry_KIND_MEMBERSHIP {
+			s.membership = &record.Membership{}
+			if err := proto.Unmarshal(e.Data, s.membership); err != nil {
+				s.failf("membership entry: %v", err)
+			}
+		}
+	}
+}
+
+// checkStates guards against replicas that differ and against accepted changes
+// that are missing.
+func (s *simulation) checkStates() {
+	if s.failure != "" {
+		return
+	}
+	var first []byte
+	for _, n := range s.nodes {
+		data, err := n.core.state.Encode()
+		if err != nil {
+			s.failf("encode: %v", err)
+		}
+		if first == nil {
+			first = data
+		}
+		if string(first) != string(data) {
+			s.failf("%s has another state than %s", n.name, s.nodes[0].name)
+		}
+	}
+	audit := map[string]uint64{}
+	s.nodes[0].core.inspect(func(a *applier.State) {
+		for _, e := range a.History(0, 1<<20) {
+			audit[e.Change] = e.Revision
+		}
+	})
+	for _, o := range s.history {
+		if o.accepted() && audit[o.change] != o.revision {
+			s.failf("accepted change %s with revision %d is missing", o.change, o.revision)
+		}
+	}
+}
--- a/internal/control/replicator/exchange.go
+++ b/internal/control/replicator/exchange.go
@@ -8,9 +8,6 @@
 func (r *Replicator) send(to *record.Member, m *record.Message, durable bool) {
 	m.Group, m.From, m.To = r.group, uint64(r.id), to.Id
 	m.Name = r.options.Name
-	if r.options.Unsafe == EarlyReplies {
-		durable = false
-	}
 	r.emit(Send{Name: to.Name, Message: m, Durable: durable})
 }
 
@@ -27,7 +24,7 @@
 		r.receiveHello(m)
 		return
 	}
-	if ID(m.To) != r.id && r.options.Unsafe != AnyIdentity {
+	if ID(m.To) != r.id {
 		return
 	}
 	if !r.join(m) {
--- a/internal/control/replicator/log.go
+++ b/internal/control/replicator/log.go
@@ -98,9 +98,9 @@
 
 // keepFrom returns the index up to which entries may go when a snapshot at
 // index exists.
-func (l *entryLog) keepFrom(index uint64) uint64 {
+func (l *entryLog) keepFrom(index uint64, keep int) uint64 {
 	size, count := 0, 0
-	for index > l.base && count < keptEntries && size < keptBytes {
+	for index > l.base && count < keep && size < keptBytes {
 		size += entrySize(l.entries[index-l.base-1])
 		count++
 		index--
--- a/internal/control/replicator/progress.go
+++ b/internal/control/replicator/progress.go
@@ -159,7 +159,7 @@
 // sendChunk sends the next part of the snapshot.
 func (r *Replicator) sendChunk(m *record.Member, p *progress) {
 	t := p.transfer
-	end := min(t.offset+maximumChunk, uint64(len(t.data)))
+	end := min(t.offset+uint64(r.options.Chunk), uint64(len(t.data)))
 	r.send(m, &record.Message{
 		Kind: record.Message_KIND_SNAPSHOT, Term: r.term, Index: t.snapshot.Index,
 		Previous: t.snapshot.Term, Chunk: t.data[t.offset:end],
@@ -241,7 +241,7 @@
 	if index <= r.commit {
 		return
 	}
-	if r.log.term(index) != r.term && r.options.Unsafe != CommitOldTerms {
+	if r.log.term(index) != r.term {
 		return
 	}
 	r.commit = index
--- a/internal/control/replicator/read.go
+++ b/internal/control/replicator/read.go
@@ -16,10 +16,6 @@
 		r.emit(ReadFailed{Token: token})
 		return
 	}
-	if r.options.Unsafe == UnconfirmedReads {
-		r.emit(ReadReady{Token: token, Index: r.commit})
-		return
-	}
 	idle := len(r.reads) == 0
 	r.reads = append(r.reads, pendingRead{token: token, index: r.commit, round: r.round + 1})
 	if idle {
--- a/internal/control/replicator/replicator.go
+++ b/internal/control/replicator/replicator.go
@@ -59,6 +59,7 @@
 package replicator
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -105,12 +106,9 @@
 	maximumAppend = 512 << 10
 	// maximumInflight is the number of unacknowledged appends to a follower.
 	maximumInflight = 64
-	// maximumChunk is the size of a part of a snapshot.
-	maximumChunk = 512 << 10
-	// keptEntries stay in memory behind a snapshot so that a follower that is
-	// a little behind needs no snapshot.
-	keptEntries = 512
-	// keptBytes bounds the size of these entries.
+	defaultChunk    = 512 << 10
+	defaultKeep     = 512
+	// keptBytes bounds the size of the entries kept behind a snapshot.
 	keptBytes = 4 << 20
 	// keptRetired bounds the identities that are remembered as removed.
 	keptRetired = 1024
@@ -127,27 +125,14 @@
 	Founders []string
 	// Seed randomises election timeouts and the group number.
 	Seed uint64
-	// Unsafe weakens a rule to show that tests notice; it stays zero otherwise.
-	Unsafe Fault
+	// Keep is the number of entries that stay in memory behind a snapshot, so
+	// that a follower that is a little behind needs no snapshot; 0 takes the
+	// default.
+	Keep int
+	// Chunk is the size of a part of a snapshot; 0 takes the default.
+	Chunk int
 }
 
-// Fault names a safety rule that a test switches off.
-type Fault int
-
-// Faults.
-const (
-	// NoFault keeps all rules.
-	NoFault Fault = iota
-	// CommitOldTerms commits entries of earlier terms by counting replicas.
-	CommitOldTerms
-	// AnyIdentity accepts messages addressed to another identity.
-	AnyIdentity
-	// EarlyReplies sends acknowledgements before entries are durable.
-	EarlyReplies
-	// UnconfirmedReads answers reads without asking a quorum.
-	UnconfirmedReads
-)
-
 // Replicator is one replica of the log.
 type Replicator struct {
 	options Options
@@ -197,6 +182,8 @@
 // New restores a replica from its data folder.
 func New(now time.Time, o Options, s Stored) *Replicator {
 	o.Founders = slices.Sorted(slices.Values(o.Founders))
+	o.Keep = cmp.Or(o.Keep, defaultKeep)
+	o.Chunk = cmp.Or(o.Chunk, defaultChunk)
 	r := &Replicator{
 		options:       o,
 		random:        rand.New(rand.NewPCG(o.Seed, s.Vote.Id)),
@@ -373,7 +360,7 @@
 		Membership: r.membershipAt(e.Index), Data: e.Data,
 	}
 	r.log.snapshot = s
-	r.log.trim(r.log.keepFrom(e.Index))
+	r.log.trim(r.log.keepFrom(e.Index, r.options.Keep))
 	for len(r.memberships) > 1 && r.memberships[1].index <= r.log.base {
 		r.memberships = r.memberships[1:]
 	}
