--- a/internal/stub/responder/control.go
+++ b/internal/stub/responder/control.go
@@ -30,8 +30,8 @@
 	Lose bool `json:"lose,omitempty"`
 	// Status answers with this status and runs nothing.
 	Status int `json:"status,omitempty"`
-	// Times is the number of requests that the disturbance applies to; zero
-	// means all.
+	// Times is the number of requests that the behaviour applies to; zero means
+	// all.
 	Times int `json:"times,omitempty"`
 }
 
@@ -56,7 +56,7 @@
 	defer r.mu.Unlock()
 	b := r.behaviour
 	if b.Times == 1 {
-		r.behaviour = Behaviour{First: b.First, Gap: b.Gap}
+		r.behaviour = Behaviour{}
 	}
 	if b.Times > 1 {
 		r.behaviour.Times--
--- a/internal/stub/responder/engine.go
+++ b/internal/stub/responder/engine.go
@@ -343,6 +343,7 @@
 	if a.behaviour.Short {
 		a.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
 		_, _ = io.WriteString(a.writer, body[:len(body)-1])
+		a.flush()
 		panic(http.ErrAbortHandler)
 	}
 	a.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
--- a/internal/stub/responder/service.go
+++ b/internal/stub/responder/service.go
@@ -40,6 +40,7 @@
 	if b.Short {
 		w.Header().Set("Content-Length", strconv.Itoa(len(answer)+1))
 		_, _ = io.WriteString(w, answer)
+		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
