Run the whole path as separate processes

A test builds the programs and runs three control hosts, two entry hosts, two engines and a service: streamed and whole completions and plain calls through each entry host, and a resend through the other host that gets the stored answer. scripts/demo does the same by hand. Found by the first run: an entry host with a data folder that does not exist yet never enforced a revision; the folder is now made at start.

--- a/cmd/amaranthd/main.go
+++ b/cmd/amaranthd/main.go
@@ -97,7 +97,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
 	}
-	d, err := runner.Start(s, runner.WithLogger(logger.With(zap.String("host", string(s.Name)))))
+	d, err := runner.Start(s, runner.WithLogger(logger.With(zap.String("self", string(s.Name)))))
 	if err != nil {
 		logger.Error("start failed", zap.Error(err))
 		return exitFailed
--- a/cmd/amaranthd/process_test.go
+++ b/cmd/amaranthd/process_test.go
@@ -266,10 +266,9 @@
 // apply submits a document until the control group has a leader.
 func (d *deployment) apply(file string, base int) {
 	d.t.Helper()
-	var out string
 	d.waitFor("apply", func() bool {
-		var code int
-		code, out = d.ctl("apply", file, "--revision", fmt.Sprint(base), "--change", "change-"+filepath.Base(d.t.TempDir())+fmt.Sprint(base))
+		code, out := d.ctl("apply", file, "--revision", fmt.Sprint(base), "--change", fmt.Sprint("change-", base))
+		d.t.Log(out)
 		return code == 0
 	})
 }
--- a/internal/daemon/runner/entry.go
+++ b/internal/daemon/runner/entry.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -29,6 +30,9 @@
 	"github.com/amaranthcart/amaranthcart/internal/settings/loader"
 )
 
+// folderMode keeps other users out of the data folder.
+const folderMode = 0o700
+
 // entry holds the parts of the entry role.
 type entry struct {
 	settings  *loader.Settings
@@ -92,6 +96,9 @@
 		follower.WithOnEnforce(e.enforce),
 	}
 	if s.Data != "" {
+		if err := os.MkdirAll(s.Data, folderMode); err != nil {
+			return fmt.Errorf("make the data folder: %w", err)
+		}
 		options = append(options, follower.WithFolder(s.Data))
 	}
 	f, err := follower.New(decodeDocument, options...)
