--- a/internal/entry/receiver/harness_test.go
+++ b/internal/entry/receiver/harness_test.go
@@ -46,6 +46,9 @@
 	slots     []*fakeSlot
 	releases  []release
 	quiet     bool
+	// hedge sends a second slot with every so many grants; zero means none.
+	hedge  int
+	grants int
 }
 
 type fakeSlot struct {
@@ -73,7 +76,12 @@
 	}
 	for _, u := range d.upstreams {
 		if u.Serves(r.Pool) && !slices.Contains(r.Avoid, u.Name) {
-			return d.grant(u), nil
+			s := d.grant(u)
+			d.grants++
+			if d.hedge > 0 && d.grants%d.hedge == 0 {
+				s.hedged <- d.grant(d.upstreams[len(d.upstreams)-1])
+			}
+			return s, nil
 		}
 	}
 	return nil, &dispatcher.RefusedError{Reason: scheduler.NoUpstream, RetryAfter: 1500 * time.Millisecond}
--- /dev/null
+++ b/internal/entry/receiver/once_test.go
@@ -0,0 +1,201 @@
+package receiver_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/pool"
+	"gotest.tools/v3/assert"
+
+	"github.com/amaranthcart/amaranthcart/internal/stub/responder"
+)
+
+// hangUp is a server that answers the first request on each connection, when
+// that is a GET, and closes the connection on receiving any other request.
+type hangUp struct {
+	listener net.Listener
+	group    conc.WaitGroup
+	mu       sync.Mutex
+	received int
+}
+
+func newHangUp(t *testing.T) *hangUp {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := &hangUp{listener: l}
+	s.group.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.group.Go(func() { s.serve(c) })
+		}
+	})
+	t.Cleanup(func() {
+		_ = l.Close()
+		s.group.Wait()
+	})
+	return s
+}
+
+func (s *hangUp) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for {
+		q, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, q.Body)
+		if q.Method != http.MethodGet {
+			s.mu.Lock()
+			s.received++
+			s.mu.Unlock()
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	}
+}
+
+func (s *hangUp) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.received
+}
+
+// TestTransportReplay guards against the transport's own resending of a sale
+// on a pooled connection that dies. The first part shows that the server
+// springs that trap with a plain client.
+func TestTransportReplay(t *testing.T) {
+	trap := newHangUp(t)
+	address := trap.listener.Addr().String()
+	plain := &http.Client{Transport: &http.Transport{}}
+	defer plain.CloseIdleConnections()
+	warm, err := plain.Get("http://" + address)
+	assert.NilError(t, err)
+	_, _ = io.Copy(io.Discard, warm.Body)
+	_ = warm.Body.Close()
+	q, err := http.NewRequest(http.MethodPost, "http://"+address, strings.NewReader("bale"))
+	assert.NilError(t, err)
+	q.Header.Set("Idempotency-Key", "k")
+	_, err = plain.Do(q)
+	assert.Assert(t, err != nil)
+	assert.Equal(t, trap.count(), 2, "net/http no longer resends; the trap needs another form")
+
+	for _, c := range []struct {
+		method, body string
+		header       []string
+	}{
+		{"POST", "bale", []string{"Idempotency-Key", "k"}},
+		{"POST", "bale", []string{"X-Idempotency-Key", "k"}},
+		{"POST", "", nil},
+		{"PUT", "", nil},
+		{"DELETE", "", nil},
+	} {
+		t.Run(c.method+fmt.Sprint(c.header), func(t *testing.T) {
+			trap := newHangUp(t)
+			h := newHarness(t, withUpstreams(1), withClaimer(&fakeClaimer{}))
+			h.dispatcher.upstreams[0].Address = trap.listener.Addr().String()
+			assert.Equal(t, h.do(http.MethodGet, "/svc/ledger/warm", "").body, "ok")
+			a := h.do(c.method, "/svc/ledger/sales", c.body, c.header...)
+			assert.Equal(t, a.status, http.StatusBadGateway)
+			assert.Equal(t, a.run(), "unknown")
+			assert.Equal(t, trap.count(), 1)
+		})
+	}
+}
+
+// TestSilentSale guards against a silent upstream that holds a sale for good,
+// or against a "no" for a sale that it may have run.
+func TestSilentSale(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	h := newHarness(t, withClock(clock), withUpstreams(2))
+	h.responders[0].Set(responder.Behaviour{First: 1 << 60})
+	answers := make(chan answer, 1)
+	background(t, func() { answers <- h.do(http.MethodPost, "/svc/ledger/sales", "bale") })
+	eventually(t, "the sale runs", func() bool { return h.responders[0].Runs()["POST /sales"] == 1 })
+	clock.Advance(5 * time.Minute)
+	a := <-answers
+	assert.Equal(t, a.status, http.StatusGatewayTimeout)
+	assert.Equal(t, a.run(), "unknown")
+	assert.Equal(t, len(h.responders[1].Runs()), 0)
+}
+
+// TestCallerGone guards against upstream work that goes on for a caller that
+// has left.
+func TestCallerGone(t *testing.T) {
+	for _, stream := range []bool{true, false} {
+		h := newHarness(t, withUpstreams(1))
+		h.responders[0].Set(responder.Behaviour{Hang: 3})
+		ctx, leave := context.WithCancel(context.Background())
+		background(t, func() {
+			h.doContext(ctx, http.MethodPost, "/v1/chat/completions", chatBody("x [[length=9]]", stream, ""))
+		})
+		eventually(t, "three tokens", func() bool {
+			slot := h.dispatcher.slot(0)
+			return slot != nil && slot.progress.Load() == 3
+		})
+		leave()
+		eventually(t, "the slot is free", func() bool { return len(h.dispatcher.outcomes()) == 1 })
+		eventually(t, "the engine is idle", func() bool { return h.responders[0].News().Load.Running == 0 })
+		assert.Equal(t, len(h.dispatcher.requests), 1)
+	}
+}
+
+// TestCrossing guards against answers that reach another caller, or parts of
+// them, when attempts break, hedge, or end late under concurrency.
+func TestCrossing(t *testing.T) {
+	const seed, callers, rounds = 7, 24, 6
+	t.Logf("seed %d", seed)
+	h := newHarness(t, withUpstreams(3))
+	h.dispatcher.hedge = 3
+	stop := make(chan struct{})
+	background(t, func() {
+		random := rand.New(rand.NewSource(seed))
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(time.Millisecond):
+				h.responders[random.Intn(2)].Set(responder.Behaviour{Break: 1 + random.Intn(9), Times: 3})
+			}
+		}
+	})
+	defer close(stop)
+	p := pool.New().WithErrors()
+	for i := range callers {
+		p.Go(func() error {
+			for j := range rounds {
+				s := shapes(fmt.Sprintf("caller %d asks %d [[length=%d]]", i, j, 5+(i+j)%20))[(i+j)%4]
+				a := h.do(http.MethodPost, s.path, s.body)
+				q, err := http.Post("http://"+h.dispatcher.upstreams[2].Address+s.path, "", strings.NewReader(s.body))
+				if err != nil {
+					return err
+				}
+				direct, err := io.ReadAll(q.Body)
+				_ = q.Body.Close()
+				if err != nil || a.err != nil {
+					return fmt.Errorf("%w %w", err, a.err)
+				}
+				want := readGenerated(t, answer{body: string(direct)}, s.stream).text
+				if got := readGenerated(t, a, s.stream).text; got != want {
+					return fmt.Errorf("caller %d round %d: got %q, want %q", i, j, got, want)
+				}
+			}
+			return nil
+		})
+	}
+	assert.NilError(t, p.Wait())
+}
