--- a/internal/config/decoder/node.go
+++ b/internal/config/decoder/node.go
@@ -11,7 +11,7 @@
 )
 
 // MaxSize is the largest document in bytes. 430 organisations with ten keys
-// each need about 350 KB.
+// each take 351 KB when indented.
 const MaxSize = 1 << 20
 
 // maxDepth bounds nesting; documents need five levels.
--- a/internal/config/validator/decode_test.go
+++ b/internal/config/validator/decode_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"reflect"
 	"strings"
 	"testing"
@@ -89,6 +90,14 @@
 		{"POST", "/lots/searches", validator.Rule{Class: "appraisal"}},
 		{"POST", "/lots/search/../sales", validator.Rule{Class: "appraisal"}},
 		{"POST", "/lots//search", validator.Rule{Class: "appraisal"}},
+		{"POST", "/lots/search%20x", validator.Rule{Class: "appraisal"}},
+		{"POST", "/lots/search/a%20b", validator.Rule{Repeat: true, Class: "appraisal"}},
+		{"POST", "/lots%2Fsearch", validator.Rule{Class: "appraisal"}},
+		{"POST", "/lots/search/%2e%2e/sales", validator.Rule{Class: "appraisal"}},
+		{"POST", "/lots/search/%252e%252e", validator.Rule{Class: "appraisal"}},
+		{"POST", "/lots/search/%5c..", validator.Rule{Class: "appraisal"}},
+		{"POST", "/lots/search/%zz", validator.Rule{Class: "appraisal"}},
+		{"HEAD", "/lots", validator.Rule{Class: "summary"}},
 		{"GET", "/lots/search", validator.Rule{Class: "summary"}},
 		{"GET", "/lots/", validator.Rule{Class: "summary"}},
 		{"GET", "/", validator.Rule{Repeat: true, Class: "appraisal"}},
@@ -121,6 +130,27 @@
 	assert.Equal(t, len(validator.Differences(nil, []byte(reordered))), 2)
 }
 
+// BenchmarkDecode measures a document of the size expected in two years: 430
+// organisations and 7 models.
+func BenchmarkDecode(b *testing.B) {
+	d, problems := validator.Decode([]byte(valid))
+	assert.Equal(b, len(problems), 0)
+	for i := range 430 {
+		d.Organisations = append(d.Organisations, validator.Organisation{
+			Name: validator.OrganisationName(fmt.Sprint("o", i)), Share: 1,
+			Keys: []string{validator.HashKey(fmt.Sprint("a", i)), validator.HashKey(fmt.Sprint("b", i))},
+		})
+	}
+	data, err := json.Marshal(d)
+	assert.NilError(b, err)
+	b.SetBytes(int64(len(data)))
+	for b.Loop() {
+		if _, problems := validator.Decode(data); len(problems) > 0 {
+			b.Fatal(problems)
+		}
+	}
+}
+
 // FuzzDecode guards against panics on hostile input and against accepted
 // documents that change when they are written and read again.
 func FuzzDecode(f *testing.F) {
--- a/internal/config/validator/index.go
+++ b/internal/config/validator/index.go
@@ -3,6 +3,8 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"net/http"
+	"net/url"
 	"path"
 	"strings"
 )
@@ -120,29 +122,47 @@
 
 // Rule returns how a call is treated, by the longest matching path. Paths
 // match by whole segments: "/sales" covers "/sales" and "/sales/7" but not
-// "/salesrooms". The path is the decoded one, without the query.
+// "/salesrooms". A rule for GET covers HEAD unless HEAD has its own. The path
+// starts with a slash, is the escaped one (url.URL.EscapedPath) and has no
+// query.
 //
-// A path with empty or dot segments is never repeatable, because the service
-// may resolve it to a path with another rule.
-func (x *Index) Rule(n PoolName, method, callPath string) (Rule, bool) {
+// A path that the service may resolve to one with another rule is never
+// repeatable: one with empty or dot segments, with backslashes, or with
+// escaped slashes, dots, backslashes or percent signs.
+func (x *Index) Rule(n PoolName, method, escaped string) (Rule, bool) {
 	s, ok := x.services[n]
 	if !ok {
 		return Rule{}, false
 	}
-	clean := path.Clean("/" + callPath)
+	clean, plain := resolve(escaped)
 	r := Rule{Repeat: safe(method), Class: s.Class}
-	if c, ok := longest(x.rules[n], method, clean); ok {
+	c, ok := longest(x.rules[n], method, clean)
+	if !ok && method == http.MethodHead {
+		c, ok = longest(x.rules[n], http.MethodGet, clean)
+	}
+	if ok {
 		r.Repeat = c.Repeat
 		if c.Class != "" {
 			r.Class = c.Class
 		}
 	}
-	if clean != callPath && clean+"/" != callPath {
-		r.Repeat = false
-	}
+	r.Repeat = r.Repeat && plain
 	return r, true
 }
 
+// resolve returns the unescaped path without empty and dot segments, and
+// whether every service resolves it in the same way.
+func resolve(escaped string) (string, bool) {
+	decoded, err := url.PathUnescape(escaped)
+	if err != nil {
+		decoded = escaped
+	}
+	clean := path.Clean("/" + decoded)
+	same := clean == decoded || clean+"/" == decoded
+	hidden := strings.Count(decoded, "/") != strings.Count(escaped, "/") || strings.Count(decoded, ".") != strings.Count(escaped, ".")
+	return clean, err == nil && same && !hidden && !strings.ContainsAny(decoded, `\%`)
+}
+
 func longest(rules map[string]Call, method, clean string) (Call, bool) {
 	p := strings.TrimSuffix(clean, "/")
 	for {
@@ -158,7 +178,7 @@
 }
 
 func safe(method string) bool {
-	return method == "GET" || method == "HEAD" || method == "OPTIONS"
+	return method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions
 }
 
 // HashKey returns the digest under which a key is stored.
--- a/internal/settings/loader/page_test.go
+++ b/internal/settings/loader/page_test.go
@@ -21,6 +21,18 @@
 	checkPage(t, "../../../docs/configuration.md", fieldPaths(validator.Document{}))
 }
 
+// TestPageExamples guards against examples on the page that are refused.
+func TestPageExamples(t *testing.T) {
+	text, err := os.ReadFile("../../../docs/settings.md")
+	assert.NilError(t, err)
+	examples := regexp.MustCompile("(?s)```json\n(.*?)```").FindAllSubmatch(text, -1)
+	assert.Equal(t, len(examples), 2)
+	for _, e := range examples {
+		_, problems := loader.Decode(e[1])
+		assert.Equal(t, len(problems), 0, "%v", problems)
+	}
+}
+
 // fieldPaths lists the paths of all fields of a struct type in the order of their
 // declaration, with [] for list items.
 func fieldPaths(v any) []string {
