--- /dev/null
+++ b/cmd/amaranthd/fault_test.go
@@ -0,0 +1,432 @@
+package main_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"gotest.tools/v3/assert"
+)
+
+// balancer sends requests to the entry hosts that last were ready, as the
+// platform's balancer does.
+type balancer struct {
+	d     *deployment
+	ready sync.Map
+	stop  chan struct{}
+	group conc.WaitGroup
+}
+
+func newBalancer(d *deployment) *balancer {
+	b := &balancer{d: d, stop: make(chan struct{})}
+	for _, e := range d.entries {
+		b.group.Go(func() { b.check(e) })
+	}
+	d.t.Cleanup(func() {
+		close(b.stop)
+		b.group.Wait()
+	})
+	return b
+}
+
+func (b *balancer) check(entry string) {
+	for {
+		b.ready.Store(entry, b.d.ready(entry))
+		select {
+		case <-b.stop:
+			return
+		case <-time.After(200 * time.Millisecond):
+		}
+	}
+}
+
+func (b *balancer) pick() string {
+	for range 1000 {
+		e := b.d.entries[rand.IntN(len(b.d.entries))]
+		if ok, _ := b.ready.Load(e); ok == true {
+			return e
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return b.d.entries[0]
+}
+
+// load runs callers until its stop is called, which returns the failures.
+type load struct {
+	served   atomic.Int64
+	mu       sync.Mutex
+	failures []string
+	done     chan struct{}
+	group    conc.WaitGroup
+}
+
+func (l *load) fail(format string, args ...any) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.failures = append(l.failures, fmt.Sprintf(format, args...))
+}
+
+func (l *load) stop() []string {
+	close(l.done)
+	l.group.Wait()
+	return l.failures
+}
+
+// startLoad runs callers that stream chats and check every answer against the
+// text of an undisturbed run.
+func startLoad(d *deployment, b *balancer, callers int, prompt, want string) *load {
+	l := &load{done: make(chan struct{})}
+	for range callers {
+		l.group.Go(func() {
+			for {
+				select {
+				case <-l.done:
+					return
+				default:
+				}
+				e := b.pick()
+				a := d.send(context.Background(), e, "POST", "/v1/chat/completions", chat(prompt, rand.IntN(2) == 0))
+				if text, ok := whole(a); !ok || text != want {
+					l.fail("%s at %s: status %d, error %v, whole %v, body %.300q", e, time.Now().Format(time.StampMilli), a.status, a.err, ok, a.body)
+					continue
+				}
+				l.served.Add(1)
+			}
+		})
+	}
+	return l
+}
+
+func (d *deployment) order(stub, body string) {
+	d.t.Helper()
+	r, err := http.Post("http://"+d.stubs[stub]+"/control", "application/json", strings.NewReader(body))
+	assert.NilError(d.t, err)
+	assert.NilError(d.t, r.Body.Close())
+}
+
+// runs sums the stand-ins' own counts of executed calls by key.
+func (d *deployment) runs(stubs ...string) map[string]int {
+	d.t.Helper()
+	all := map[string]int{}
+	for _, s := range stubs {
+		r, err := http.Get("http://" + d.stubs[s] + "/control/runs")
+		assert.NilError(d.t, err)
+		var counts map[string]int
+		assert.NilError(d.t, json.NewDecoder(r.Body).Decode(&counts))
+		assert.NilError(d.t, r.Body.Close())
+		for k, n := range counts {
+			all[k] += n
+		}
+	}
+	return all
+}
+
+// leader returns the name of the control host that leads.
+func (d *deployment) leader() string {
+	d.t.Helper()
+	var name string
+	d.waitFor("a control leader", func() bool {
+		for _, c := range d.control {
+			code, out := d.ctlAt(d.settings[c].Peers, "--output", "json", "status")
+			if code == 0 && strings.Contains(out, `"role": "leader"`) {
+				name = c
+				return true
+			}
+		}
+		return false
+	})
+	return name
+}
+
+// TestRollingRestart guards against a planned stop that cuts off a request:
+// every host of the deployment restarts under load.
+func TestRollingRestart(t *testing.T) {
+	d := deploy(t, 3, 3)
+	d.apply(document(t, "a"), 0)
+	for _, s := range []string{"engine-1", "engine-2", "engine-3"} {
+		d.startStub(s, "--model", "lucka")
+	}
+	for _, e := range d.entries {
+		d.waitUpstreams(e, 3)
+	}
+	prompt := "Tell me of the sea. [[length=60]]"
+	want, ok := whole(d.send(t.Context(), "entry-1", "POST", "/v1/chat/completions", chat(prompt, true)))
+	assert.Assert(t, ok)
+	for _, s := range []string{"engine-1", "engine-2", "engine-3"} {
+		d.order(s, `{"behaviour": {"gap": "5ms"}}`)
+	}
+	l := startLoad(d, newBalancer(d), 12, prompt, want)
+	for _, name := range append(append([]string{}, d.entries...), d.control...) {
+		d.stop(name)
+		d.restart(name)
+		if strings.HasPrefix(name, "entry") {
+			d.waitUpstreams(name, 3)
+		} else {
+			d.leader()
+		}
+	}
+	for _, f := range l.stop() {
+		t.Error(f)
+	}
+	t.Logf("served %d requests", l.served.Load())
+	assert.Assert(t, l.served.Load() > 100)
+}
+
+// TestUpstreamKilled guards against answers that are cut short or mixed up when
+// an engine dies in the middle of them.
+func TestUpstreamKilled(t *testing.T) {
+	d := deploy(t, 1, 2)
+	d.apply(document(t, "a"), 0)
+	stubs := []string{"engine-1", "engine-2", "engine-3"}
+	for _, s := range stubs {
+		d.startStub(s, "--model", "lucka")
+	}
+	for _, e := range d.entries {
+		d.waitUpstreams(e, 3)
+	}
+	prompt := "Tell me of the snow. [[length=100]]"
+	want, ok := whole(d.send(t.Context(), "entry-1", "POST", "/v1/chat/completions", chat(prompt, true)))
+	assert.Assert(t, ok)
+	for _, s := range stubs {
+		d.order(s, `{"behaviour": {"gap": "5ms"}}`)
+	}
+	l := startLoad(d, newBalancer(d), 8, prompt, want)
+	for i := range 3 {
+		before := l.served.Load()
+		d.waitFor("some answers", func() bool { return l.served.Load() > before+10 })
+		d.kill(stubs[i])
+		d.restart(stubs[i])
+	}
+	before := l.served.Load()
+	d.waitFor("some answers", func() bool { return l.served.Load() > before+10 })
+	for _, f := range l.stop() {
+		t.Error(f)
+	}
+	t.Logf("served %d requests", l.served.Load())
+}
+
+// TestOwnerFrozen guards against requests that wait for a host that owns the
+// cell but is frozen with its connections open, and against a host that wakes
+// up and acts on its old state.
+func TestOwnerFrozen(t *testing.T) {
+	d := deploy(t, 1, 3)
+	d.apply(document(t, "a"), 0)
+	d.startStub("engine-1", "--model", "lucka")
+	for _, e := range d.entries {
+		d.waitUpstreams(e, 1)
+	}
+	code, out := d.explain("entry-1")
+	assert.Equal(t, code, 0, out)
+	var owner string
+	for _, e := range d.entries {
+		if strings.Contains(out, `"owner": "`+e+`"`) {
+			owner = e
+		}
+	}
+	assert.Assert(t, owner != "", out)
+	d.signal(owner, syscall.SIGSTOP)
+	began := time.Now()
+	for i := 0; time.Since(began) < 6*time.Second; i++ {
+		e := d.entries[i%len(d.entries)]
+		if e == owner {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		a := d.send(ctx, e, "POST", "/v1/chat/completions", chat("Hello. [[length=5]]", false))
+		cancel()
+		_, ok := whole(a)
+		assert.Assert(t, ok, "%s after %v: %v %d %s", e, time.Since(began), a.err, a.status, a.body)
+		time.Sleep(20 * time.Millisecond)
+	}
+	d.apply(document(t, "b"), 1)
+	d.signal(owner, syscall.SIGCONT)
+	d.waitFor("the woken host to serve", func() bool {
+		_, ok := whole(d.send(t.Context(), owner, "POST", "/v1/chat/completions", chat("Hello. [[length=5]]", false)))
+		return ok
+	})
+	_, out = d.explain(owner)
+	assert.Assert(t, strings.Contains(out, `"revision": 2`), "the woken host serves under an old revision: %s", out)
+}
+
+func (d *deployment) explain(entry string) (int, string) {
+	return d.ctl("--entry", d.settings[entry].Admin, "--output", "json", "explain", "--organisation", "home", "--pool", "lucka")
+}
+
+// TestRunsOnce guards against a renewal that runs twice or whose answer is
+// lost: callers resend under one key through all entry hosts while the control
+// leader and an entry host are killed and the service loses answers.
+func TestRunsOnce(t *testing.T) {
+	d := deploy(t, 3, 3)
+	d.apply(document(t, "a"), 0)
+	d.startStub("shop-1", "--service", "shop")
+	d.startStub("shop-2", "--service", "shop")
+	for _, e := range d.entries {
+		d.waitUpstreams(e, 2)
+	}
+	d.order("shop-1", `{"behaviour": {"first": "20ms"}}`)
+	d.order("shop-2", `{"behaviour": {"first": "20ms", "lose": true, "times": 5}}`)
+	var group conc.WaitGroup
+	var mu sync.Mutex
+	answers := map[string]map[string]bool{}
+	refused := map[string]bool{}
+	const renewals = 120
+	for i := range renewals {
+		group.Go(func() {
+			time.Sleep(time.Duration(i) * 25 * time.Millisecond)
+			k := fmt.Sprint("renewal-", i)
+			for try := range 40 {
+				e := d.entries[(i+try)%len(d.entries)]
+				ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+				a := d.send(ctx, e, "POST", "/svc/shop/renew", `{"box":1}`, "Idempotency-Key", k)
+				cancel()
+				run := a.header.Get("Amaranth-Run")
+				mu.Lock()
+				if a.err == nil && a.status == http.StatusOK {
+					if answers[k] == nil {
+						answers[k] = map[string]bool{}
+					}
+					answers[k][a.body] = true
+				}
+				if a.err == nil && run == "unknown" {
+					refused[k] = true
+				}
+				final := a.err == nil && (a.status == http.StatusOK || run == "unknown")
+				mu.Unlock()
+				if final && try > 2 {
+					return
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+		})
+	}
+	time.Sleep(700 * time.Millisecond)
+	d.kill(d.leader())
+	time.Sleep(700 * time.Millisecond)
+	d.kill("entry-2")
+	d.restart("entry-2")
+	group.Wait()
+	counts := d.runs("shop-1", "shop-2")
+	for i := range renewals {
+		k := fmt.Sprint("renewal-", i)
+		assert.Assert(t, counts[k] <= 1, "%s ran %d times", k, counts[k])
+		assert.Assert(t, len(answers[k]) <= 1, "%s got different answers: %v", k, answers[k])
+		assert.Assert(t, len(answers[k]) == 1 || refused[k], "%s got no final answer", k)
+		assert.Assert(t, len(answers[k]) == 0 || counts[k] == 1, "%s was answered but ran %d times", k, counts[k])
+	}
+	t.Logf("%d renewals, %d answered, %d unknown", renewals, len(answers), len(refused))
+	assert.Assert(t, len(answers) > renewals/2)
+}
+
+// TestControlDiskLost guards against an accepted change that goes missing, or
+// reverts on an entry host, when a control host loses its disk and a second one
+// is lost right after the repair.
+func TestControlDiskLost(t *testing.T) {
+	d := deploy(t, 3, 2)
+	revision := 0
+	for range 3 {
+		d.apply(document(t, fmt.Sprint(revision)), revision)
+		revision++
+	}
+	d.kill("control-2")
+	assert.NilError(t, os.RemoveAll(d.settings["control-2"].Data))
+	d.apply(document(t, fmt.Sprint(revision)), revision)
+	revision++
+	d.restart("control-2")
+	d.waitFor("the replaced replica to vote", func() bool {
+		code, out := d.ctlAt(d.settings[d.leader()].Peers, "--output", "json", "status")
+		return code == 0 && strings.Count(out, `"voter": true`) == 3
+	})
+	d.apply(document(t, fmt.Sprint(revision)), revision)
+	revision++
+	d.kill("control-3")
+	assert.NilError(t, os.RemoveAll(d.settings["control-3"].Data))
+	d.apply(document(t, fmt.Sprint(revision)), revision)
+	revision++
+	code, out := d.ctl("--output", "json", "history")
+	assert.Equal(t, code, 0, out)
+	for i := range revision {
+		assert.Assert(t, strings.Contains(out, fmt.Sprintf(`"change-%d"`, i)), "change %d is missing: %s", i, out)
+	}
+	for _, e := range d.entries {
+		d.waitFor(e+" to enforce the last revision", func() bool {
+			_, out := d.explain(e)
+			return strings.Contains(out, fmt.Sprintf(`"revision": %d`, revision))
+		})
+	}
+}
+
+// TestLeaving guards against new work for an upstream that is leaving, also
+// when only one entry host heard of it and dies next.
+func TestLeaving(t *testing.T) {
+	d := deploy(t, 1, 3)
+	d.apply(document(t, "a"), 0)
+	d.startStub("shop-1", "--service", "shop")
+	d.startStub("shop-2", "--service", "shop")
+	for _, e := range d.entries {
+		d.waitUpstreams(e, 2)
+	}
+	d.order("shop-1", `{"leave": true}`)
+	d.kill("entry-1")
+	time.Sleep(3 * time.Second)
+	before := d.runs("shop-1")["GET /check"]
+	for i := range 60 {
+		a := d.send(t.Context(), d.entries[1+i%2], "GET", "/svc/shop/check", "")
+		assert.NilError(t, a.err)
+		assert.Equal(t, a.status, http.StatusOK, a.body)
+	}
+	assert.Equal(t, d.runs("shop-1")["GET /check"], before)
+}
+
+// TestPoison guards against one request that crashes every engine that runs it,
+// sent again by its caller, and against innocent requests that are lost with it.
+func TestPoison(t *testing.T) {
+	d := deploy(t, 1, 2)
+	d.apply(document(t, "a"), 0)
+	stubs := []string{"engine-1", "engine-2", "engine-3", "engine-4"}
+	for _, s := range stubs {
+		d.startStub(s, "--model", "lucka")
+	}
+	for _, e := range d.entries {
+		d.waitUpstreams(e, len(stubs))
+	}
+	prompt := "Tell me of the moon. [[length=100]]"
+	want, ok := whole(d.send(t.Context(), "entry-1", "POST", "/v1/chat/completions", chat(prompt, true)))
+	assert.Assert(t, ok)
+	for _, s := range stubs {
+		d.order(s, `{"behaviour": {"gap": "5ms"}}`)
+	}
+	l := startLoad(d, newBalancer(d), 8, prompt+" ", want)
+	_ = l
+	var last answer
+	for i := range 12 {
+		e := d.entries[i%2]
+		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+		last = d.send(ctx, e, "POST", "/v1/chat/completions", chat("Break it. [[crash=3]]", true))
+		cancel()
+	}
+	crashed := 0
+	for _, s := range stubs {
+		select {
+		case <-d.processes[s].done:
+			crashed++
+		default:
+		}
+	}
+	failures := l.stop()
+	assert.Assert(t, crashed <= 2, "%d engines were lost", crashed)
+	assert.Assert(t, crashed > 0, "the prompt crashed nothing")
+	assert.Assert(t, last.err == nil && last.status >= 400 && last.status < 500, "the last answer was %d %v %s", last.status, last.err, last.body)
+	assert.Equal(t, last.header.Get("Amaranth-Run"), "no")
+	assert.Equal(t, len(failures), 0, "%v", errors.New(strings.Join(failures, "\n")))
+}
--- a/cmd/amaranthd/process_test.go
+++ b/cmd/amaranthd/process_test.go
@@ -248,13 +248,18 @@
 // ctl runs the operators' client and returns its exit code and output.
 func (d *deployment) ctl(args ...string) (int, string) {
 	d.t.Helper()
-	folder, err := binaries()
-	assert.NilError(d.t, err)
 	var addresses []string
 	for _, name := range d.control {
 		addresses = append(addresses, d.settings[name].Peers)
 	}
-	args = append([]string{"--control", strings.Join(addresses, ",")}, args...)
+	return d.ctlAt(strings.Join(addresses, ","), args...)
+}
+
+func (d *deployment) ctlAt(control string, args ...string) (int, string) {
+	d.t.Helper()
+	folder, err := binaries()
+	assert.NilError(d.t, err)
+	args = append([]string{"--control", control}, args...)
 	c := exec.Command(filepath.Join(folder, "amaranthctl"), args...)
 	out, err := c.CombinedOutput()
 	if c.ProcessState == nil {
--- a/internal/control/coordinator/call.go
+++ b/internal/control/coordinator/call.go
@@ -77,6 +77,10 @@
 	client := c.transport.client(address)
 	p := connect.NewRequest(q.Msg)
 	p.Header().Set(forwardedHeader, c.settings.Name)
+	// The leader checks the operator's key itself.
+	if key := q.Header().Get("Authorization"); key != "" {
+		p.Header().Set("Authorization", key)
+	}
 	r, err := remote(client.control, ctx, p)
 	if err != nil && retriable(err) && ctx.Err() != nil {
 		c.transport.renew(address, client)
