--- a/internal/daemon/runner/admin.go
+++ b/internal/daemon/runner/admin.go
@@ -39,6 +39,9 @@
 	if _, fresh := d.entry.follower.Current(); !fresh {
 		return false, "the configuration is not confirmed as current"
 	}
+	if !d.entry.joined() {
+		return false, "no other entry host has answered yet"
+	}
 	return true, ""
 }
 
--- a/internal/daemon/runner/entry.go
+++ b/internal/daemon/runner/entry.go
@@ -30,6 +30,10 @@
 	"github.com/amaranthcart/amaranthcart/internal/settings/loader"
 )
 
+// joinTime is how long a starting host waits for an answer from another one.
+// It covers several exchanges with each seed.
+const joinTime = 3 * time.Second
+
 // folderMode keeps other users out of the data folder.
 const folderMode = 0o700
 
@@ -39,6 +43,7 @@
 	clock     clockwork.Clock
 	logger    *zap.Logger
 	notice    time.Duration
+	started   time.Time
 	reporter  *reporter.Reporter
 	client    *dialer.Client
 	local     *dispatcher.Local
@@ -68,6 +73,7 @@
 		clock:    d.clock,
 		logger:   d.logger.Named("entry"),
 		notice:   d.notice,
+		started:  d.clock.Now(),
 		reporter: d.reporter,
 		client:   dialer.New(),
 		local:    dispatcher.NewLocal(scheduler.New(scheduler.WithSeed(uint64(d.clock.Now().UnixNano()))), d.clock),
@@ -222,7 +228,22 @@
 
 func (e *entry) configuration() (receiver.Snapshot, bool) {
 	s, fresh := e.follower.Current()
-	return receiver.Snapshot{Revision: s.Revision, Document: s.Document}, fresh
+	return receiver.Snapshot{Revision: s.Revision, Document: s.Document}, fresh && e.joined()
+}
+
+// joined reports whether this host has met another entry host, or has tried for
+// long enough. Before that it would take itself for the owner of the cell and
+// dispatch beside the real one, without knowing which requests crash upstreams.
+func (e *entry) joined() bool {
+	if len(e.gossiper.Snapshot().Hosts()) > 1 || e.clock.Since(e.started) > joinTime {
+		return true
+	}
+	for _, address := range e.settings.Seeds {
+		if address != e.settings.Advertise {
+			return false
+		}
+	}
+	return true
 }
 
 // drain is the planned stop: unready at once, then no new work, then the open
--- a/internal/entry/dispatcher/cell.go
+++ b/internal/entry/dispatcher/cell.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -57,6 +59,7 @@
 type Cell struct {
 	settings Settings
 	shards   [ticketShards]ticketShard
+	serial   atomic.Uint64
 
 	// Guards the choice of the route; requests are admitted under its read
 	// lock so that none is missed by a hand-over.
@@ -91,6 +94,9 @@
 
 // Acquire implements Dispatcher.
 func (c *Cell) Acquire(ctx context.Context, r scheduler.Request) (Slot, error) {
+	// Each call has an ID of its own: a late end of the last attempt must not
+	// withdraw the next one of the same request.
+	r.ID += scheduler.RequestID("/" + strconv.FormatUint(c.serial.Add(1), 10))
 	t := newTicket(r, c.settings.Clock, c.settings.Membership.Upstream, func() { c.remove(r.ID) })
 	c.admit(t)
 	select {
--- a/internal/entry/dispatcher/cell_test.go
+++ b/internal/entry/dispatcher/cell_test.go
@@ -303,3 +303,16 @@
 	all["b"].cell.Close()
 	waitFor(t, "slots freed", func() bool { return all["a"].occupied() == 0 })
 }
+
+// TestReacquire guards against a request that is withdrawn by the end of its
+// own last attempt when it is sent again at once over a link: the owner took
+// new submissions of a batch before the ends in it, and the caller hung.
+func TestReacquire(t *testing.T) {
+	_, all := newMembers(t, "a", "b")
+	waitFor(t, "links", func() bool { return all["b"].linked() && all["a"].full() })
+	for range 200 {
+		s := acquire(t, all["b"].cell, "same")
+		s.Release(scheduler.Failed, 0)
+	}
+	waitFor(t, "slots freed", func() bool { return all["a"].occupied() == 0 })
+}
