--- a/internal/control/replicator/replicator.go
+++ b/internal/control/replicator/replicator.go
@@ -275,8 +275,11 @@
 	s := Status{
 		ID: r.id, Group: r.group, Term: r.term, Role: r.role, Leader: r.leader,
 		Commit: r.commit, Applied: r.applied, Last: r.log.last(),
-		Membership: r.membership(), Matched: map[ID]uint64{},
-		Ready: r.ready(), Voter: r.isVoter(r.id), Heard: r.heardAt, Stored: r.log.bytes(),
+		Membership: r.membership(),
+		Ready:      r.ready(), Voter: r.isVoter(r.id), Heard: r.heardAt, Stored: r.log.bytes(),
+	}
+	if r.role == Leader {
+		s.Matched = make(map[ID]uint64, len(r.progress))
 	}
 	for id, p := range r.progress {
 		s.Matched[id] = p.match
