Keep a group from being formed by a founder that forgets it

The first founder sent its pre-votes before the new group was on its disk and crashed; the others had joined a group that nobody could lead.

--- a/internal/control/coordinator/benchmark_test.go
+++ b/internal/control/coordinator/benchmark_test.go
@@ -38,6 +38,32 @@
 	}
 }
 
+// BenchmarkFailover measures the time from the sudden end of the leader to the
+// next accepted change.
+func BenchmarkFailover(b *testing.B) {
+	c := newCluster(b, 3)
+	revision := uint64(0)
+	for range b.N {
+		revision = apply(b, c.hosts[0], fmt.Sprint("c", revision), revision, "{}").Revision
+		l := c.leader()
+		h := c.hosts[l]
+		await(b, "all followers", func() bool {
+			for _, o := range c.hosts {
+				if o.coordinator.core.view().leader == nil {
+					return false
+				}
+			}
+			return true
+		})
+		b.StartTimer()
+		h.coordinator.stop()
+		revision = apply(b, c.hosts[(l+1)%3], fmt.Sprint("c", revision), revision, "{}").Revision
+		b.StopTimer()
+		h.stop(b)
+		h.start(b, nil)
+	}
+}
+
 // BenchmarkRestart measures the start of a host, up to its being the leader,
 // after 5,000 changes of a document of 10 KiB.
 func BenchmarkRestart(b *testing.B) {
--- a/internal/control/coordinator/core.go
+++ b/internal/control/coordinator/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -91,6 +92,10 @@
 	since int
 	// snapshot is the size of the last snapshot.
 	snapshot int
+	// delay is added to the size at which the next snapshot is taken, so that
+	// the replicas don't all write theirs at the same time.
+	delay  int
+	random *rand.Rand
 
 	mu      sync.RWMutex
 	state   *applier.State
@@ -114,7 +119,9 @@
 	c := &core{
 		options: o, port: p, state: applier.New(), changed: make(chan struct{}),
 		pending: map[uint64]placed{}, reads: map[uint64]func(error){},
+		random: rand.New(rand.NewPCG(o.replica.Seed, s.Vote.Id)),
 	}
+	c.drawDelay()
 	if s.Snapshot != nil {
 		if err := c.restore(s.Snapshot); err != nil {
 			return nil, err
@@ -274,7 +281,7 @@
 // compact takes a snapshot when the log has grown enough. The bound grows with
 // the snapshot so that writing snapshots stays a fraction of all writing.
 func (c *core) compact(now time.Time) {
-	if c.since < max(c.options.compact, c.snapshot) {
+	if c.since < max(c.options.compact, c.snapshot)+c.delay {
 		return
 	}
 	data, err := c.state.Encode()
@@ -282,11 +289,16 @@
 		panic(err)
 	}
 	c.since, c.snapshot = 0, len(data)
+	c.drawDelay()
 	for _, a := range c.replica.Step(now, replicator.Compact{Index: c.replica.Status().Applied, Data: data}) {
 		c.perform(a, nil)
 	}
 }
 
+func (c *core) drawDelay() {
+	c.delay = c.random.IntN(max(c.options.compact, c.snapshot)/2 + 1)
+}
+
 // updateView copies what handlers read.
 func (c *core) updateView() {
 	s := c.replica.Status()
--- a/internal/control/coordinator/simulation_test.go
+++ b/internal/control/coordinator/simulation_test.go
@@ -48,10 +48,8 @@
 	loss     float64
 	faults   bool
 	failure  string
-	// wiped is the node that lost its disk last, until it is repaired.
-	wiped  *simulatedNode
-	wipes  int
-	chased int
+	wipes    int
+	chased   int
 
 	leaders    map[uint64]replicator.ID
 	committed  map[uint64][32]byte
@@ -277,7 +275,11 @@
 			s.blocked[[2]string{n.name, o.name}] = true
 		}
 	}
-	s.after(s.between(200, 1500), func() {
+	length := s.between(200, 1500)
+	if s.random.IntN(5) == 0 {
+		length = faultyTime
+	}
+	s.after(length, func() {
 		for _, o := range s.nodes {
 			delete(s.blocked, [2]string{o.name, n.name})
 			delete(s.blocked, [2]string{n.name, o.name})
@@ -414,7 +416,11 @@
 	}
 	n.writing = true
 	epoch := n.epoch
-	n.s.after(n.s.between(0, 6), func() { n.write(epoch) })
+	duration := n.s.between(0, 6)
+	if n.s.random.IntN(100) == 0 {
+		duration = n.s.between(6, 900)
+	}
+	n.s.after(duration, func() { n.write(epoch) })
 }
 
 // write carries out the disk queue.
--- a/internal/control/replicator/election.go
+++ b/internal/control/replicator/election.go
@@ -17,6 +17,9 @@
 		kind = record.Message_KIND_VOTE
 	}
 	r.emit(Changed{Role: r.role, Leader: r.leader, Term: r.term})
+	// All requests wait for the disk: a vote because it names a new term, and
+	// the first pre-vote of a new group because it makes the others join a
+	// group that the founder must not forget.
 	for _, m := range r.membership().Members {
 		if !m.Voter || ID(m.Id) == r.id {
 			continue
@@ -24,7 +27,7 @@
 		r.send(m, &record.Message{
 			Kind: kind, Term: term, Index: r.log.last(), Previous: r.log.lastTerm(),
 			Transfer: transfer,
-		}, role == Candidate)
+		}, true)
 	}
 	r.countVotes()
 }
--- a/internal/control/replicator/exchange.go
+++ b/internal/control/replicator/exchange.go
@@ -54,6 +54,8 @@
 		r.receiveAppendReply(m)
 	case record.Message_KIND_SNAPSHOT_REPLY:
 		r.receiveSnapshotReply(m)
+	case record.Message_KIND_HEARD:
+		r.receiveHeard(m)
 	case record.Message_KIND_CAMPAIGN:
 		r.receiveCampaign(m)
 	}
@@ -119,6 +121,25 @@
 		r.commit = max(r.commit, min(m.Commit, answer.Index))
 	}
 	r.reply(m, answer)
+	if len(m.Entries) == 0 {
+		r.confirmHeard(m)
+	}
+}
+
+// confirmHeard answers a heartbeat without waiting for the disk: a follower
+// that writes a large snapshot must not look lost, and a confirmation round
+// asks only whether this replica knows of a newer leader.
+func (r *Replicator) confirmHeard(m *record.Message) {
+	to := &record.Member{Id: m.From, Name: m.Name}
+	r.send(to, &record.Message{Kind: record.Message_KIND_HEARD, Term: r.term, Round: m.Round}, false)
+}
+
+// receiveHeard notes that a member follows this leader.
+func (r *Replicator) receiveHeard(m *record.Message) {
+	if p := r.progress[ID(m.From)]; r.role == Leader && p != nil {
+		p.activeAt = r.now
+		r.acknowledgeRound(p, m.Round)
+	}
 }
 
 // hint returns the last index that can be common with the leader's log.
--- a/internal/control/replicator/membership.go
+++ b/internal/control/replicator/membership.go
@@ -250,6 +250,10 @@
 
 // nextMembership returns the next membership on the way, or nil.
 func (r *Replicator) nextMembership() *record.Membership {
+	o := r.options
+	if m := r.member(r.id); m != nil && (m.Address != o.Address || m.Centre != o.Centre) {
+		return r.admit(&record.Member{Id: m.Id, Name: m.Name, Address: o.Address, Centre: o.Centre})
+	}
 	names := make([]string, 0, len(r.newcomers))
 	for n := range r.newcomers {
 		names = append(names, n)
--- a/internal/control/replicator/replicator.go
+++ b/internal/control/replicator/replicator.go
@@ -32,7 +32,10 @@
 // acknowledged by a quorum, and all of a quorum would have to be blank again)
 // and therefore forms nothing but waits to be added. A group in which every
 // disk is lost forms a new, empty group; a group that lost the disks of a
-// quorum, but not all, stays down and needs an operator.
+// quorum, but not all, stays down and needs an operator. So does a group whose
+// first founder loses its disk before the initial membership has reached
+// another host: the others have joined a group that nobody can lead. Nothing
+// was accepted yet, and clearing the data folders starts it again.
 //
 // # Durability
 //
--- a/internal/control/replicator/replicator_test.go
+++ b/internal/control/replicator/replicator_test.go
@@ -194,6 +194,8 @@
 		caught bool
 		want   []*record.Member
 	}{
+		{"new address", 3, "c", []uint64{2, 3}, false,
+			[]*record.Member{voter(1, "a"), voter(2, "b"), {Id: 3, Name: "c", Address: "new", Voter: true}}},
 		{"removed before", 66, "c", []uint64{2}, false, nil},
 		{"unknown host", 4, "x", []uint64{2}, false, nil},
 		{"host is alive", 4, "c", []uint64{2, 3}, false, nil},
@@ -212,7 +214,7 @@
 				for _, id := range c.alive {
 					h.acknowledge(id, names[id], h.r.log.last())
 				}
-				h.step(Receive{Message: &record.Message{Kind: record.Message_KIND_HELLO, From: c.id, Name: c.host}})
+				h.step(Receive{Message: &record.Message{Kind: record.Message_KIND_HELLO, From: c.id, Name: c.host, Address: "new"}})
 				if c.caught && h.r.member(ID(c.id)) != nil {
 					h.acknowledge(c.id, c.host, h.r.log.last())
 				}
@@ -226,6 +228,7 @@
 			for i, m := range got {
 				assert.Equal(t, m.Id, want[i].Id)
 				assert.Equal(t, m.Voter, want[i].Voter)
+				assert.Equal(t, m.Address == "new", m.Id > 3 || want[i].Address == "new")
 			}
 		})
 	}
