--- a/internal/control/coordinator/service_test.go
+++ b/internal/control/coordinator/service_test.go
@@ -136,7 +136,8 @@
 }
 
 // TestNoQuorum guards against calls that are answered by a leader that lost
-// its followers.
+// its followers, and against a Watch stream that hides from an entry host that
+// its control host was cut off.
 func TestNoQuorum(t *testing.T) {
 	c := newCluster(t, 3)
 	apply(t, c.hosts[0], "c0", 0, "0")
@@ -155,6 +156,11 @@
 	assert.Assert(t, err != nil)
 	_, err = client.Claim(context.Background(), claimRequest("k", "a"))
 	assert.Equal(t, connect.CodeOf(err), connect.CodeUnavailable)
+	s, err := client.Watch(context.Background(), connect.NewRequest(&wire.WatchRequest{Host: "e"}))
+	assert.NilError(t, err)
+	for s.Receive() {
+	}
+	assert.Equal(t, connect.CodeOf(s.Err()), connect.CodeUnavailable)
 }
 
 // TestWatch guards against a stream that misses a revision, sends one twice
--- a/internal/control/replicator/replicator.go
+++ b/internal/control/replicator/replicator.go
@@ -392,6 +392,7 @@
 	if wasLeader {
 		r.failReads()
 		r.resetElection()
+		r.heardAt = r.now
 	}
 	if changed {
 		r.emit(Changed{Role: r.role, Leader: r.leader, Term: r.term})
--- a/internal/control/replicator/replicator_test.go
+++ b/internal/control/replicator/replicator_test.go
@@ -234,6 +234,75 @@
 	}
 }
 
+// TestReplacedReturns guards against the removal of a replica that was only
+// cut off while a second host took its name.
+func TestReplacedReturns(t *testing.T) {
+	h := newHarness(t)
+	h.elect()
+	for i := range 20 {
+		h.pass(ElectionTimeout / 5)
+		h.acknowledge(2, "b", h.r.log.last())
+		h.step(Receive{Message: &record.Message{Kind: record.Message_KIND_HELLO, From: 4, Name: "c"}})
+		if i > 10 {
+			h.acknowledge(3, "c", h.r.log.last())
+			h.acknowledge(4, "c", h.r.log.last())
+		}
+	}
+	assert.Assert(t, h.r.member(4) != nil && !h.r.isVoter(4))
+	assert.Assert(t, h.r.isVoter(3))
+}
+
+// TestMembershipFollowsLog guards against a membership that stays in force
+// after its entry was replaced, and against a snapshot that holds a membership
+// from after its index.
+func TestMembershipFollowsLog(t *testing.T) {
+	h := newHarness(t)
+	two := &record.Membership{Members: []*record.Member{voter(1, "a"), voter(2, "b")}}
+	h.receive(2, "b", &record.Message{
+		Kind: record.Message_KIND_APPEND, Term: 2, Index: 1, Previous: 1, Commit: 2,
+		Entries: []*record.Entry{
+			{Index: 2, Term: 2}, {Index: 3, Term: 2, Kind: record.Entry_KIND_MEMBERSHIP, Data: encode(two)},
+		},
+	})
+	assert.Equal(t, len(h.r.membership().Members), 2)
+	for _, a := range h.step(Compact{Index: 2}) {
+		if s, ok := a.(Save); ok {
+			assert.Equal(t, len(s.Snapshot.Membership.Members), 3)
+		}
+	}
+	assert.Equal(t, h.r.log.snapshot.Index, uint64(2))
+	h.receive(3, "c", &record.Message{
+		Kind: record.Message_KIND_APPEND, Term: 3, Index: 2, Previous: 2,
+		Entries: []*record.Entry{{Index: 3, Term: 3}},
+	})
+	assert.Equal(t, len(h.r.membership().Members), 3)
+}
+
+// TestSavedLate guards against a report about a replaced entry that makes its
+// successor count as durable, and against a group of one whose replica leads
+// before its vote is on disk.
+func TestSavedLate(t *testing.T) {
+	h := newHarness(t, &record.Entry{Index: 2, Term: 1})
+	h.r.Step(h.now, Receive{Message: &record.Message{
+		Kind: record.Message_KIND_APPEND, Group: group, From: 2, To: 1, Name: "b", Term: 2, Index: 1, Previous: 1,
+		Entries: []*record.Entry{{Index: 2, Term: 2}},
+	}})
+	h.step(Saved{Term: 2, Index: 2, IndexTerm: 1})
+	assert.Equal(t, h.r.log.durable, uint64(1))
+	h.step(Saved{Term: 2, Index: 2, IndexTerm: 2})
+	assert.Equal(t, h.r.log.durable, uint64(2))
+
+	one := &record.Membership{Members: []*record.Member{voter(1, "a")}}
+	h = start(t, Stored{
+		Vote:    &record.Vote{Id: 1, Name: "a", Group: group, Term: 1},
+		Entries: []*record.Entry{{Index: 1, Term: 1, Kind: record.Entry_KIND_MEMBERSHIP, Data: encode(one)}},
+	})
+	h.r.Step(h.now, Tick{})
+	assert.Equal(t, h.r.role, Candidate)
+	h.step(Saved{Term: 2})
+	assert.Equal(t, h.r.role, Leader)
+}
+
 // TestOneVoterAtATime guards against a membership whose quorums need not meet
 // those of the one before.
 func TestOneVoterAtATime(t *testing.T) {
--- a/internal/storage/journaler/journal_test.go
+++ b/internal/storage/journaler/journal_test.go
@@ -204,7 +204,7 @@
 		// A second crash while the damage is repaired must not matter.
 		_, _, _ = Open(&fuse{Memory: m, left: r.IntN(6)}, "a", identity)
 		m.Crash(r)
-		_, s, err := Open(m, "a", identity)
+		j, s, err := Open(m, "a", identity)
 		assert.NilError(t, err, "seed %d, %d steps", seed, steps)
 		got := describe(s)
 		before, after := "", ""
@@ -219,6 +219,16 @@
 		parts := map[string]bool{before: true, after: true, "[6.3] 7.3": done == 5}
 		assert.Assert(t, parts[got], "seed %d, %d steps: %q after %d writes", seed, steps, got, done)
 		assert.Assert(t, s.Vote.Term >= term && s.Vote.Id == 7, "seed %d, %d steps", seed, steps)
+		// What is written after the repair must not be mixed with remains.
+		if got == after && done < len(writes) {
+			done++
+		}
+		for _, w := range writes[done:] {
+			assert.NilError(t, j.Write([]Save{w.save}))
+			_, s, err = Open(m, "a", identity)
+			assert.NilError(t, err, "seed %d, %d steps", seed, steps)
+			assert.Equal(t, describe(s), w.want, "seed %d, %d steps", seed, steps)
+		}
 	}
 }
 
