--- a/internal/control/applier/applier.go
+++ b/internal/control/applier/applier.go
@@ -206,12 +206,27 @@
 // Claims returns the number of claims in the table.
 func (s *State) Claims() int { return len(s.claims.records) }
 
+// Frozen is the state at one entry. Records are replaced and never changed, so
+// it shares them with the State, and may be used by another goroutine.
+type Frozen struct{ state *record.State }
+
+// Freeze returns the present state in a time that is short against encoding.
+func (s *State) Freeze() Frozen {
+	return Frozen{&record.State{
+		Time: s.time, Revision: s.revision,
+		Revisions: s.revisions[:len(s.revisions):len(s.revisions)],
+		Audit:     s.audit[:len(s.audit):len(s.audit)],
+		Changes:   s.changes.list(), Claims: s.claims.list(),
+	}}
+}
+
 // Encode serialises the state. Equal states give equal bytes.
-func (s *State) Encode() ([]byte, error) {
-	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(&record.State{
-		Time: s.time, Revision: s.revision, Revisions: s.revisions, Audit: s.audit,
-		Changes: s.changes.list(), Claims: s.claims.list(),
-	})
+func (s *State) Encode() ([]byte, error) { return s.Freeze().Encode() }
+
+// Encode serialises the state.
+func (f Frozen) Encode() ([]byte, error) {
+	sortClaims(f.state.Claims)
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(f.state)
 	if err != nil {
 		return nil, fmt.Errorf("encode state: %w", err)
 	}
--- a/internal/control/applier/claim.go
+++ b/internal/control/applier/claim.go
@@ -166,12 +166,16 @@
 	heap.Push(&t.due, due{at: c.Expires, key: k})
 }
 
-// list returns the records in a fixed order.
+// list returns the records in no order.
 func (t *claimTable) list() []*record.ClaimRecord {
 	l := make([]*record.ClaimRecord, 0, len(t.records))
 	for _, c := range t.records {
 		l = append(l, c)
 	}
+	return l
+}
+
+func sortClaims(l []*record.ClaimRecord) {
 	slices.SortFunc(l, func(a, b *record.ClaimRecord) int {
 		return cmp.Or(
 			cmp.Compare(a.Organisation, b.Organisation),
@@ -179,7 +183,6 @@
 			cmp.Compare(a.Key, b.Key),
 		)
 	})
-	return l
 }
 
 func answerSize(a *wire.Answer) int {
--- a/internal/control/coordinator/coordinator.go
+++ b/internal/control/coordinator/coordinator.go
@@ -366,6 +366,11 @@
 // transmit is called by the core for messages that need no disk.
 func (c *Coordinator) transmit(s replicator.Send) { c.transport.send(s) }
 
+// background is called by the core for work that takes long.
+func (c *Coordinator) background(f func() replicator.Event) {
+	c.group.Go(c.guard(func() { c.queue.events(f()) }))
+}
+
 // note is called by the core for events worth a line in the log.
 func (c *Coordinator) note(text string, fields ...zap.Field) {
 	if c.notes.allow(c.clock.Now(), text) {
--- a/internal/control/coordinator/core.go
+++ b/internal/control/coordinator/core.go
@@ -20,6 +20,8 @@
 	enqueue(work)
 	// transmit sends a message at once.
 	transmit(replicator.Send)
+	// background runs f on another goroutine and feeds its event to the replica.
+	background(f func() replicator.Event)
 	// note logs an event.
 	note(text string, fields ...zap.Field)
 }
@@ -92,6 +94,8 @@
 	since int
 	// snapshot is the size of the last snapshot.
 	snapshot int
+	// encoding is true while a snapshot is being encoded.
+	encoding bool
 	// delay is added to the size at which the next snapshot is taken, so that
 	// the replicas don't all write theirs at the same time.
 	delay  int
@@ -150,10 +154,14 @@
 
 // step feeds an event to the replica and carries out its actions.
 func (c *core) step(now time.Time, e replicator.Event) {
+	if s, ok := e.(replicator.Compact); ok {
+		c.encoding, c.snapshot = false, len(s.Data)
+		c.drawDelay()
+	}
 	for _, a := range c.replica.Step(now, e) {
 		c.perform(a, nil)
 	}
-	c.compact(now)
+	c.compact()
 	c.updateView()
 }
 
@@ -167,7 +175,7 @@
 	for _, a := range actions {
 		c.perform(a, proposals)
 	}
-	c.compact(now)
+	c.compact()
 	c.updateView()
 }
 
@@ -279,20 +287,25 @@
 }
 
 // compact takes a snapshot when the log has grown enough. The bound grows with
-// the snapshot so that writing snapshots stays a fraction of all writing.
-func (c *core) compact(now time.Time) {
+// the snapshot so that writing snapshots stays a fraction of all writing. The
+// state is encoded in the background: a full claim table takes about as long
+// as an election timeout.
+func (c *core) compact() {
 	if c.since < max(c.options.compact, c.snapshot)+c.delay {
 		return
 	}
-	data, err := c.state.Encode()
-	if err != nil {
-		panic(err)
-	}
-	c.since, c.snapshot = 0, len(data)
-	c.drawDelay()
-	for _, a := range c.replica.Step(now, replicator.Compact{Index: c.replica.Status().Applied, Data: data}) {
-		c.perform(a, nil)
+	if c.encoding {
+		return
 	}
+	c.encoding, c.since = true, 0
+	frozen, index := c.state.Freeze(), c.replica.Status().Applied
+	c.port.background(func() replicator.Event {
+		data, err := frozen.Encode()
+		if err != nil {
+			panic(err)
+		}
+		return replicator.Compact{Index: index, Data: data}
+	})
 }
 
 func (c *core) drawDelay() {
--- a/internal/control/coordinator/simulation_test.go
+++ b/internal/control/coordinator/simulation_test.go
@@ -468,6 +468,16 @@
 	}
 }
 
+// background implements port.
+func (n *simulatedNode) background(f func() replicator.Event) {
+	epoch := n.epoch
+	n.s.after(n.s.between(0, 50), func() {
+		if n.epoch == epoch {
+			n.step(f())
+		}
+	})
+}
+
 // note implements port.
 func (n *simulatedNode) note(string, ...zap.Field) {}
 
