--- a/internal/control/coordinator/simulation_test.go
+++ b/internal/control/coordinator/simulation_test.go
@@ -48,10 +48,8 @@
 	loss     float64
 	faults   bool
 	failure  string
-	// wiped is the node that lost its disk last, until it is repaired.
-	wiped  *simulatedNode
-	wipes  int
-	chased int
+	wipes    int
+	chased   int
 
 	leaders    map[uint64]replicator.ID
 	committed  map[uint64][32]byte
@@ -62,22 +60,22 @@
 }
 
 type timer struct {
-	at       time.Time
+	at       int64
 	sequence int64
 	run      func()
 }
 
-type timerHeap []timer
+type timerHeap []*timer
 
 func (h timerHeap) Len() int { return len(h) }
 func (h timerHeap) Less(i, j int) bool {
-	if !h[i].at.Equal(h[j].at) {
-		return h[i].at.Before(h[j].at)
+	if h[i].at != h[j].at {
+		return h[i].at < h[j].at
 	}
 	return h[i].sequence < h[j].sequence
 }
 func (h timerHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *timerHeap) Push(x any)   { *h = append(*h, x.(timer)) }
+func (h *timerHeap) Push(x any)   { *h = append(*h, x.(*timer)) }
 func (h *timerHeap) Pop() any {
 	old := *h
 	x := old[len(old)-1]
@@ -154,9 +152,9 @@
 
 // until runs timers up to a time or until the condition holds.
 func (s *simulation) until(end time.Time, done func() bool) bool {
-	for s.failure == "" && len(s.timers) > 0 && s.timers[0].at.Before(end) {
-		t := heap.Pop(&s.timers).(timer)
-		s.now = t.at
+	for s.failure == "" && len(s.timers) > 0 && s.timers[0].at < end.UnixNano() {
+		t := heap.Pop(&s.timers).(*timer)
+		s.now = time.Unix(0, t.at)
 		t.run()
 		if done() {
 			return true
@@ -167,7 +165,7 @@
 
 func (s *simulation) after(d time.Duration, f func()) {
 	s.sequence++
-	heap.Push(&s.timers, timer{at: s.now.Add(d), sequence: s.sequence, run: f})
+	heap.Push(&s.timers, &timer{at: s.now.Add(d).UnixNano(), sequence: s.sequence, run: f})
 }
 
 // between returns a random duration in milliseconds.
@@ -277,7 +275,11 @@
 			s.blocked[[2]string{n.name, o.name}] = true
 		}
 	}
-	s.after(s.between(200, 1500), func() {
+	length := s.between(200, 1500)
+	if s.random.IntN(5) == 0 {
+		length = faultyTime
+	}
+	s.after(length, func() {
 		for _, o := range s.nodes {
 			delete(s.blocked, [2]string{o.name, n.name})
 			delete(s.blocked, [2]string{n.name, o.name})
@@ -374,7 +376,7 @@
 		return
 	}
 	n.step(replicator.Tick{})
-	n.s.after(n.s.between(5, 15), func() { n.tick(epoch) })
+	n.s.after(n.s.between(10, 30), func() { n.tick(epoch) })
 }
 
 func (n *simulatedNode) step(e replicator.Event) {
@@ -414,7 +416,11 @@
 	}
 	n.writing = true
 	epoch := n.epoch
-	n.s.after(n.s.between(0, 6), func() { n.write(epoch) })
+	duration := n.s.between(0, 6)
+	if n.s.random.IntN(100) == 0 {
+		duration = n.s.between(6, 900)
+	}
+	n.s.after(duration, func() { n.write(epoch) })
 }
 
 // write carries out the disk queue.
@@ -462,6 +468,16 @@
 	}
 }
 
+// background implements port.
+func (n *simulatedNode) background(f func() replicator.Event) {
+	epoch := n.epoch
+	n.s.after(n.s.between(0, 50), func() {
+		if n.epoch == epoch {
+			n.step(f())
+		}
+	})
+}
+
 // note implements port.
 func (n *simulatedNode) note(string, ...zap.Field) {}
 
--- a/internal/control/replicator/replicator.go
+++ b/internal/control/replicator/replicator.go
@@ -32,7 +32,10 @@
 // acknowledged by a quorum, and all of a quorum would have to be blank again)
 // and therefore forms nothing but waits to be added. A group in which every
 // disk is lost forms a new, empty group; a group that lost the disks of a
-// quorum, but not all, stays down and needs an operator.
+// quorum, but not all, stays down and needs an operator. So does a group whose
+// first founder loses its disk before the initial membership has reached
+// another host: the others have joined a group that nobody can lead. Nothing
+// was accepted yet, and clearing the data folders starts it again.
 //
 // # Durability
 //
@@ -275,8 +278,11 @@
 	s := Status{
 		ID: r.id, Group: r.group, Term: r.term, Role: r.role, Leader: r.leader,
 		Commit: r.commit, Applied: r.applied, Last: r.log.last(),
-		Membership: r.membership(), Matched: map[ID]uint64{},
-		Ready: r.ready(), Voter: r.isVoter(r.id), Heard: r.heardAt, Stored: r.log.bytes(),
+		Membership: r.membership(),
+		Ready:      r.ready(), Voter: r.isVoter(r.id), Heard: r.heardAt, Stored: r.log.bytes(),
+	}
+	if r.role == Leader {
+		s.Matched = make(map[ID]uint64, len(r.progress))
 	}
 	for id, p := range r.progress {
 		s.Matched[id] = p.match
@@ -386,6 +392,7 @@
 	if wasLeader {
 		r.failReads()
 		r.resetElection()
+		r.heardAt = r.now
 	}
 	if changed {
 		r.emit(Changed{Role: r.role, Leader: r.leader, Term: r.term})
