--- a/internal/entry/receiver/refusal_test.go
+++ b/internal/entry/receiver/refusal_test.go
@@ -61,13 +61,14 @@
 			h.do(http.MethodPost, chat, story)
 		}, status: 429, code: "limited", retry: "10"},
 		{name: "concurrency", path: chat, body: story, set: func(h *harness) {
-			h.document.Organisations[0].Limit = 1
-			h.dispatcher.mu.Lock() // holds the first request in Acquire
-			background(h.t, func() { h.do(http.MethodPost, chat, story) })
-			eventually(h.t, "the first request is open", func() bool {
-				return h.do(http.MethodGet, "/v1/models", "").status == 429
-			})
-			h.t.Cleanup(h.dispatcher.mu.Unlock)
+			h.responders[0].Set(responder.Behaviour{Hang: 1})
+			ctx, leave := context.WithCancel(context.Background())
+			background(h.t, func() { h.doContext(ctx, http.MethodPost, chat, story) })
+			h.t.Cleanup(leave)
+			eventually(h.t, "the first request is open", func() bool { return h.responders[0].News().Load.Running == 1 })
+			next := testDocument()
+			next.Organisations[0].Limit = 1
+			h.document = next
 		}, status: 429, code: "limited", retry: "1"},
 		{name: "too large", path: sales, body: strings.Repeat("x", 101), options: []harnessOption{withLimits(receiver.Limits{Body: 100})}, status: 413, code: "too_large"},
 		{name: "not JSON", path: chat, body: "{", status: 400, code: "invalid_request"},
--- a/internal/stub/responder/engine.go
+++ b/internal/stub/responder/engine.go
@@ -113,7 +113,7 @@
 		return
 	}
 	if err := json.Unmarshal(body, g); err != nil {
-		writeError(w, http.StatusBadRequest, err.Error())
+		writeError(w, http.StatusBadRequest, "the body is not a request that this engine knows")
 		return
 	}
 	if err := g.render(); err != nil {
