Keep upstream connections after streams and give late hedges back

The transport drops a connection whose answer was not read to its end, and a stream was closed at its end marker: the end of the body is now read as well. Plain calls follow preemption and lease news if they may be repeated.

--- a/internal/entry/forwarder/candidate.go
+++ b/internal/entry/forwarder/candidate.go
@@ -202,6 +202,18 @@
 		c.events = nil
 	}
 	c.slot.Release(o, tokens)
+	returnHedge(c.slot)
+}
+
+// returnHedge gives back a hedge that came too late.
+func returnHedge(s dispatcher.Slot) {
+	select {
+	case h, ok := <-s.Hedged():
+		if ok && h != nil {
+			h.Release(scheduler.Abandoned, 0)
+		}
+	default:
+	}
 }
 
 // outcome classifies the error that ended the attempt.
--- a/internal/entry/forwarder/chunk.go
+++ b/internal/entry/forwarder/chunk.go
@@ -54,20 +54,26 @@
 // every token of every answer passes through here; encoding/json took a third
 // of the host's time.
 func decodeChunk(data []byte) (*chunk, error) {
+	c := &chunk{}
+	return c, c.decode(data)
+}
+
+// decode overwrites the chunk with the one in data.
+func (c *chunk) decode(data []byte) error {
+	*c = chunk{choices: c.choices[:0]}
 	if !gjson.ValidBytes(data) {
-		return nil, errors.New("chunk is not valid JSON")
+		return errors.New("chunk is not valid JSON")
 	}
 	root := gjson.ParseBytes(data)
 	if !root.IsObject() {
-		return nil, errors.New("chunk is not an object")
+		return errors.New("chunk is not an object")
 	}
-	c := &chunk{}
 	var failed error
 	root.ForEach(func(key, value gjson.Result) bool {
 		failed = c.decodeField(key.Str, value)
 		return failed == nil
 	})
-	return c, failed
+	return failed
 }
 
 func (c *chunk) decodeField(name string, value gjson.Result) error {
--- a/internal/entry/forwarder/errors.go
+++ b/internal/entry/forwarder/errors.go
@@ -50,11 +50,19 @@
 	return e.cause
 }
 
+// busyRetry is advised when upstreams refuse work that they were granted.
+const busyRetry = time.Second
+
+func busy(status int) bool {
+	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+}
+
 // Causes that end an attempt.
 var (
 	errSilent    = errors.New("upstream went silent")
 	errPreempted = errors.New("attempt was preempted")
 	errGone      = errors.New("lease of the upstream ended and no data followed")
+	errPanicked  = errors.New("attempt panicked")
 	errLost      = errors.New("another attempt was faster")
 	errNoEnd     = errors.New("stream ended without its end marker")
 	errBadAnswer = errors.New("upstream sent an answer that is not valid")
@@ -115,10 +123,17 @@
 		Run:     run,
 		cause:   cause,
 	}
-	if errors.Is(cause, errSilent) {
+	var status *statusError
+	switch {
+	case errors.Is(cause, errSilent):
 		e.Status = http.StatusGatewayTimeout
 		e.Code = "upstream_silent"
 		e.Message = "the upstream did not answer in time"
+	case errors.As(cause, &status) && busy(status.status):
+		e.Status = http.StatusServiceUnavailable
+		e.Code = "upstream_busy"
+		e.Message = "the upstreams take no more work now"
+		e.RetryAfter = busyRetry
 	}
 	return e
 }
--- a/internal/entry/forwarder/plain.go
+++ b/internal/entry/forwarder/plain.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"github.com/amaranthcart/amaranthcart/internal/config/validator"
 	"github.com/amaranthcart/amaranthcart/internal/entry/dispatcher"
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
@@ -63,7 +65,7 @@
 	p.Header = forwardable(p.Header, p.Request.ID)
 	run := NotRun
 	request := p.Request
-	for attempt := 1; ; attempt++ {
+	for attempt, preemptions := 1, 0; ; attempt++ {
 		slot, err := f.dispatcher.Acquire(ctx, request)
 		if err != nil && ctx.Err() != nil {
 			return nil, &Error{Status: statusClientGone, Code: "caller_gone", Message: "the caller went away", Run: run, cause: err}
@@ -79,10 +81,15 @@
 		if t.sent.Load() {
 			run = MayHaveRun
 		}
-		if !request.Repeatable || attempt >= maxAttempts || ctx.Err() != nil {
+		if !request.Repeatable || attempt >= maxAttempts || preemptions >= maxPreemptions || ctx.Err() != nil {
 			return nil, broken(err, run)
 		}
-		request.Retry = true
+		request.Retry = !errors.Is(err, errPreempted)
+		if !request.Retry {
+			preemptions++
+			attempt--
+			continue
+		}
 		request.Avoid = append(append([]registrar.UpstreamID(nil), request.Avoid...), slot.Upstream().Name)
 	}
 }
@@ -106,6 +113,7 @@
 	var response *http.Response
 	var err error
 	if t.call.Request.Repeatable {
+		t.watch(ctx, cancel, timer)
 		response, err = t.sendPooled(ctx)
 	} else {
 		response, err = t.sendOnce(ctx)
@@ -118,6 +126,7 @@
 			_ = response.Body.Close()
 		}
 		t.slot.Release(o, 0)
+		returnHedge(t.slot)
 	}
 	if err != nil {
 		err = causeOf(ctx, err)
@@ -140,6 +149,31 @@
 	return answer, nil
 }
 
+// watch reacts to news of the slot of a repeatable call. A hedge is given
+// back: plain answers are short, so a second one seldom saves time.
+func (t *plainAttempt) watch(ctx context.Context, cancel context.CancelCauseFunc, timer clockwork.Timer) {
+	t.forwarder.group.Go(func() {
+		hedged, gone := t.slot.Hedged(), t.slot.Gone()
+		for {
+			select {
+			case <-t.slot.Preempted():
+				cancel(errPreempted)
+				return
+			case <-gone:
+				gone = nil
+				timer.Reset(goneGrace)
+			case h, ok := <-hedged:
+				hedged = nil
+				if ok && h != nil {
+					h.Release(scheduler.Abandoned, 0)
+				}
+			case <-ctx.Done():
+				return
+			}
+		}
+	})
+}
+
 func causeOf(ctx context.Context, err error) error {
 	if cause := context.Cause(ctx); cause != nil {
 		return cause
@@ -154,6 +188,8 @@
 		return scheduler.Completed
 	case errors.Is(context.Cause(ctx), errSilent):
 		return scheduler.Silent
+	case errors.Is(context.Cause(ctx), errPreempted):
+		return scheduler.Preempted
 	case ctx.Err() != nil:
 		return scheduler.Abandoned
 	case !t.sent.Load(), errors.Is(err, errBadAnswer), errors.As(err, &status):
--- a/internal/entry/forwarder/session.go
+++ b/internal/entry/forwarder/session.go
@@ -37,6 +37,8 @@
 	run       Run
 	silent    []registrar.UpstreamID
 
+	// chunk is reused for each event.
+	chunk    chunk
 	identity identity
 	system   string
 	// passed counts the chunks that the caller has.
@@ -234,9 +236,10 @@
 func (s *session) start(ctx context.Context, slot dispatcher.Slot, results chan<- *candidate) *candidate {
 	c := s.forwarder.newCandidate(ctx, slot, s.streams())
 	text, emitted := s.text.String(), s.tokens
+	c.err = errPanicked
 	s.forwarder.group.Go(func() {
+		defer func() { results <- c }()
 		c.connect(s.call, text, emitted)
-		results <- c
 	})
 	return c
 }
--- a/internal/entry/forwarder/stream.go
+++ b/internal/entry/forwarder/stream.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/tidwall/gjson"
 
 	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
@@ -15,6 +16,9 @@
 // maxTokens bounds an engine's token counts.
 const maxTokens = 1 << 30
 
+// drainTimeout bounds the wait for the end of a body after its end marker.
+const drainTimeout = 20 * time.Millisecond
+
 // choices keeps which choices of an answer have begun and ended.
 type choices struct {
 	begun [maxChoices / 64]uint64
@@ -64,7 +68,7 @@
 	}
 	if c.done {
 		_, err := s.passDone()
-		return s.endAttempt(c, err)
+		return s.finishStream(c, timer, err)
 	}
 	for {
 		data, err := c.events.Next()
@@ -74,11 +78,23 @@
 		timer.Reset(time.Duration(gap.Load()))
 		end, err := s.pass(c, data, c.events.Ready())
 		if end || err != nil {
-			return s.endAttempt(c, err)
+			return s.finishStream(c, timer, err)
 		}
 	}
 }
 
+// finishStream ends an attempt at the end marker. The caller has the whole
+// answer by then. The end of the body is still read, usually from the buffer:
+// the transport keeps no connection whose answer was not read to its end.
+func (s *session) finishStream(c *candidate, timer clockwork.Timer, err error) error {
+	if err == nil {
+		c.slot.Release(scheduler.Completed, s.tokens-s.base)
+		timer.Reset(drainTimeout)
+		_, _ = c.events.Next()
+	}
+	return s.endAttempt(c, err)
+}
+
 func (s *session) endAttempt(c *candidate, err error) error {
 	tokens := s.tokens - s.base
 	if err == nil {
@@ -97,11 +113,10 @@
 	if bytes.Equal(data, doneMark) {
 		return s.passDone()
 	}
-	k, err := decodeChunk(data)
-	if err != nil {
+	if err := s.chunk.decode(data); err != nil {
 		return false, fmt.Errorf("%w: %w", errBadAnswer, err)
 	}
-	return false, s.passDecoded(c, k, data, more)
+	return false, s.passDecoded(c, &s.chunk, data, more)
 }
 
 func (s *session) passDone() (end bool, err error) {
--- a/internal/entry/receiver/generation.go
+++ b/internal/entry/receiver/generation.go
@@ -92,7 +92,7 @@
 		return nil
 	}
 	s := &eventSink{writer: c.writer, control: http.NewResponseController(c.writer), buffer: buffers.Get().(*[]byte)}
-	defer buffers.Put(s.buffer)
+	defer s.free()
 	err := c.receiver.options.Forwarder.Stream(ctx, g, s)
 	if err == nil || !s.started {
 		return err
@@ -121,6 +121,13 @@
 	started bool
 }
 
+// free keeps the buffer for the next stream, unless a long event made it big.
+func (s *eventSink) free() {
+	if cap(*s.buffer) <= 4*maxUnflushed {
+		buffers.Put(s.buffer)
+	}
+}
+
 // maxUnflushed bounds the events kept for one write.
 const maxUnflushed = 16 << 10
 
