Test crashes beside innocent requests, long answers and the stand-in

The stand-in's crash let answers in progress end cleanly, which no lost process does; it now closes the connections first.

--- /dev/null
+++ b/internal/entry/forwarder/pool_test.go
@@ -0,0 +1,57 @@
+package forwarder
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"golang.org/x/sys/unix"
+	"gotest.tools/v3/assert"
+)
+
+// TestDialOptions guards against connections to upstreams that outlive a peer
+// which vanished without closing them.
+func TestDialOptions(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = l.Close() }()
+	c, err := newPool(clockwork.NewRealClock()).dial(context.Background(), "tcp", l.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = c.Close() }()
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	assert.NilError(t, err)
+	timeout, alive := 0, 0
+	assert.NilError(t, raw.Control(func(fd uintptr) {
+		timeout, _ = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+		alive, _ = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_KEEPALIVE)
+	}))
+	assert.Equal(t, time.Duration(timeout)*time.Millisecond, userTimeout)
+	assert.Equal(t, alive, 1)
+}
+
+// TestPool guards against connections that are used without bound, and against
+// an unbounded number of transports for addresses that have gone.
+func TestPool(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	p := newPool(clock)
+	old := p.transport("a")
+	assert.Equal(t, p.transport("a"), old)
+	clock.Advance(maxConnectionAge)
+	renewed := p.transport("a")
+	assert.Assert(t, renewed != old)
+	p.discard("a", old)
+	assert.Equal(t, p.transport("a"), renewed, "only the discarded transport goes")
+	p.discard("a", renewed)
+	assert.Assert(t, p.transport("a") != renewed)
+	for i := range 1000 {
+		clock.Advance(maxConnectionAge)
+		p.transport(string(rune('b' + i)))
+	}
+	total := 0
+	for i := range p.shards {
+		total += len(p.shards[i].transports)
+	}
+	assert.Assert(t, total < 200, "%d transports", total)
+}
--- /dev/null
+++ b/internal/entry/receiver/crash_test.go
@@ -0,0 +1,69 @@
+package receiver_test
+
+import (
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
+	"github.com/amaranthcart/amaranthcart/internal/stub/responder"
+)
+
+// TestCrash guards against a crashing request that is not reported as such
+// under one fingerprint or goes on to further upstreams, and against a request
+// beside it that is lost with the first upstream.
+func TestCrash(t *testing.T) {
+	h := newHarness(t, withUpstreams(3))
+	s := shapes("an innocent lot [[length=25]]")[0]
+	calm := readGenerated(t, h.do(http.MethodPost, s.path, s.body), true)
+	h.responders[0].Set(responder.Behaviour{Hang: 9, Times: 1})
+	answers := make(chan answer, 1)
+	background(t, func() { answers <- h.do(http.MethodPost, s.path, s.body) })
+	eventually(t, "the innocent request runs", func() bool {
+		slot := h.dispatcher.slot(1)
+		return slot != nil && slot.progress.Load() == 9
+	})
+	h.dispatcher.mu.Lock()
+	print := h.dispatcher.requests[1].Fingerprint
+	h.dispatcher.poisonous = func(r scheduler.Request) bool { return r.Fingerprint != print && len(r.Avoid) == 2 }
+	h.dispatcher.mu.Unlock()
+	a := h.do(http.MethodPost, s.path, chatBody("[[crash=0]]", true, ""))
+	assert.Equal(t, a.status, http.StatusUnprocessableEntity)
+	assert.Equal(t, a.run(), "yes")
+	innocent := <-answers
+	assert.NilError(t, innocent.err)
+	assert.Equal(t, readGenerated(t, innocent, true).text, calm.text)
+	for i, crashed := range []bool{true, true, false} {
+		assert.Equal(t, h.responders[i].Crashed(), crashed)
+	}
+	prints := map[string]int{}
+	for _, r := range h.dispatcher.requests {
+		prints[r.Fingerprint]++
+	}
+	assert.Equal(t, len(prints), 2)
+	crashes := 0
+	for _, o := range h.dispatcher.outcomes() {
+		if o == scheduler.Crashed {
+			crashes++
+		}
+	}
+	assert.Assert(t, crashes >= 3, "%d crashes", crashes)
+}
+
+// TestLongAnswers guards against a long answer that is altered, or that ends
+// cleanly although its upstream broke it off.
+func TestLongAnswers(t *testing.T) {
+	const pad = 3 << 20
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		h := newHarness(t, withUpstreams(1))
+		h.responders[0].Set(responder.Behaviour{Pad: pad})
+		a := h.do(method, "/svc/ledger/lots", "")
+		assert.NilError(t, a.err)
+		assert.Assert(t, len(a.body) > pad)
+		h.responders[0].Set(responder.Behaviour{Pad: pad, Short: true})
+		a = h.do(method, "/svc/ledger/lots", "")
+		assert.Assert(t, a.err != nil, "the answer must not end cleanly")
+		assert.DeepEqual(t, h.dispatcher.outcomes(), []scheduler.Outcome{scheduler.Completed, scheduler.Crashed})
+	}
+}
--- a/internal/entry/receiver/harness_test.go
+++ b/internal/entry/receiver/harness_test.go
@@ -46,6 +46,8 @@
 	slots     []*fakeSlot
 	releases  []release
 	quiet     bool
+	// poisonous tells which requests are refused; nil means none.
+	poisonous func(scheduler.Request) bool
 	// hedge sends a second slot with every so many grants; zero means none.
 	hedge  int
 	grants int
@@ -71,6 +73,9 @@
 	if d.refusal != nil {
 		return nil, d.refusal
 	}
+	if d.poisonous != nil && d.poisonous(r) {
+		return nil, &dispatcher.RefusedError{Reason: scheduler.Poisonous}
+	}
 	if !d.quiet {
 		d.requests = append(d.requests, r)
 	}
--- a/internal/stub/responder/control.go
+++ b/internal/stub/responder/control.go
@@ -28,6 +28,8 @@
 	Short bool `json:"short,omitempty"`
 	// Lose runs plain calls and closes the connection without an answer.
 	Lose bool `json:"lose,omitempty"`
+	// Pad lengthens the answers of plain calls by so many bytes.
+	Pad int `json:"pad,omitempty"`
 	// Status answers with this status and runs nothing.
 	Status int `json:"status,omitempty"`
 	// Times is the number of requests that the behaviour applies to; zero means
--- a/internal/stub/responder/responder.go
+++ b/internal/stub/responder/responder.go
@@ -168,8 +168,9 @@
 		r.options.Crash()
 		return
 	}
-	r.cancel()
+	// The connections go first, so that no answer in progress ends cleanly.
 	_ = r.server.Close()
+	r.cancel()
 }
 
 // Crashed reports whether the responder has crashed.
--- a/internal/stub/responder/service.go
+++ b/internal/stub/responder/service.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -36,6 +37,7 @@
 	}
 	answer := fmt.Sprintf(`{"key":%q,"run":%d,"upstream":%q,"method":%q,"path":%q,"bytes":%d}`,
 		key, n, r.options.Name, q.Method, q.URL.RequestURI(), len(body))
+	answer += strings.Repeat("\n", b.Pad)
 	w.Header().Set("Content-Type", "application/json")
 	if b.Short {
 		w.Header().Set("Content-Length", strconv.Itoa(len(answer)+1))
