--- a/internal/entry/claimer/claimer.go
+++ b/internal/entry/claimer/claimer.go
@@ -54,7 +54,7 @@
 	// waitBound is how long a resend waits for the running call.
 	waitBound = 10 * time.Second
 	// recordTimeout bounds the attempts to record a result.
-	recordTimeout = 10 * time.Second
+	recordTimeout = 5 * time.Second
 	// recordWait is how long the caller's answer waits for its record.
 	recordWait = time.Second
 	// deadlineMargin is added to the deadline of the call, so that a claim
--- a/internal/entry/claimer/claimer_test.go
+++ b/internal/entry/claimer/claimer_test.go
@@ -39,6 +39,8 @@
 	loseClaims    int
 	loseCompletes int
 	reject        int
+	// dropCompletes loses results before they are committed.
+	dropCompletes bool
 }
 
 var errLostAnswer = connect.NewError(connect.CodeUnavailable, errors.New("answer lost"))
@@ -74,6 +76,9 @@
 func (f *fakeControl) Complete(_ context.Context, q *connect.Request[wire.CompleteRequest]) (*connect.Response[wire.CompleteResponse], error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.dropCompletes {
+		return nil, errLostAnswer
+	}
 	m := q.Msg
 	key := m.Organisation + "/" + m.Service + "/" + m.Key
 	r := f.records[key]
