Run the gap deadline only while the upstream is waited for

A caller that read slowly for longer than the deadline made its upstream look silent: the attempt was cancelled and resumed elsewhere. The new test fails with the deadline running during writes. Kept events are flushed before a further attempt, which may wait long for a slot.

--- a/internal/entry/forwarder/encoder.go
+++ b/internal/entry/forwarder/encoder.go
@@ -82,7 +82,8 @@
 	Model   string        `json:"model"`
 	System  string        `json:"system_fingerprint,omitempty"`
 	Choices []wholeChoice `json:"choices"`
-	Usage   *usage        `json:"usage"`
+	// Usage is absent when the engine sent no counts.
+	Usage *usage `json:"usage,omitempty"`
 }
 
 // encode writes the whole answer that was collected from streams.
@@ -95,7 +96,9 @@
 		Created: s.identity.created,
 		Model:   s.identity.model,
 		System:  s.system,
-		Usage:   s.counts(),
+	}
+	if s.counted || s.prompt > 0 {
+		answer.Usage = s.counts()
 	}
 	if s.call.Generation.Kind == Chat {
 		answer.Object = "chat.completion"
--- a/internal/entry/forwarder/session.go
+++ b/internal/entry/forwarder/session.go
@@ -19,6 +19,8 @@
 	// only. more tells that the next event follows at once, so the event need
 	// not be flushed.
 	Event(data []byte, more bool) error
+	// Flush sends the events that were kept because another one followed.
+	Flush() error
 }
 
 // sinkError is a failure to pass an event to the caller.
--- a/internal/entry/forwarder/stream.go
+++ b/internal/entry/forwarder/stream.go
@@ -55,14 +55,16 @@
 	cause := atomic.Pointer[error]{}
 	cause.Store(&errSilent)
 	timer := s.forwarder.clock.AfterFunc(s.deadlines.gap, func() { c.cancel(*cause.Load()) })
+	timer.Stop()
 	defer timer.Stop()
 	c.watch(&s.forwarder.group, func() {
 		cause.Store(&errGone)
 		gap.Store(int64(goneGrace))
 		timer.Reset(goneGrace)
 	})
-	for _, e := range c.head {
-		if err := s.passDecoded(c, e.chunk, e.data, c.done || c.events.Ready()); err != nil {
+	for i, e := range c.head {
+		more := i < len(c.head)-1 || c.done || c.events.Ready()
+		if err := s.passDecoded(c, e.chunk, e.data, more); err != nil {
 			return s.endAttempt(c, err)
 		}
 	}
@@ -71,11 +73,16 @@
 		return s.finishStream(c, timer, err)
 	}
 	for {
+		// The deadline runs only while the upstream is waited for: a caller
+		// that reads slowly says nothing about the upstream.
+		if !c.events.Ready() {
+			timer.Reset(time.Duration(gap.Load()))
+		}
 		data, err := c.events.Next()
+		timer.Stop()
 		if err != nil {
 			return s.endAttempt(c, endError(err))
 		}
-		timer.Reset(time.Duration(gap.Load()))
 		end, err := s.pass(c, data, c.events.Ready())
 		if end || err != nil {
 			return s.finishStream(c, timer, err)
@@ -105,6 +112,13 @@
 		c.close(scheduler.Abandoned, tokens)
 		return sink
 	}
+	if s.sink != nil && s.passed > 0 {
+		// The next attempt may wait long for its slot.
+		if err := s.sink.Flush(); err != nil {
+			c.close(scheduler.Abandoned, tokens)
+			return sinkError{err}
+		}
+	}
 	return s.settle(c, tokens, err)
 }
 
--- a/internal/entry/receiver/generation.go
+++ b/internal/entry/receiver/generation.go
@@ -151,6 +151,15 @@
 	if more && len(b) < maxUnflushed {
 		return nil
 	}
+	return s.Flush()
+}
+
+// Flush writes the events that are kept.
+func (s *eventSink) Flush() error {
+	b := *s.buffer
+	if len(b) == 0 {
+		return nil
+	}
 	_ = s.control.SetWriteDeadline(time.Now().Add(writeTimeout))
 	_, err := s.writer.Write(b)
 	*s.buffer = b[:0]
--- a/internal/entry/receiver/harness_test.go
+++ b/internal/entry/receiver/harness_test.go
@@ -150,6 +150,7 @@
 	fresh      atomic.Bool
 	dispatcher *fakeDispatcher
 	receiver   *receiver.Receiver
+	forwarder  *forwarder.Forwarder
 	responders []*responder.Responder
 	client     *http.Client
 }
@@ -214,6 +215,7 @@
 		h.dispatcher.upstreams = append(h.dispatcher.upstreams, u)
 	}
 	f := forwarder.New(forwarder.Options{Dispatcher: h.dispatcher, Clock: settings.clock})
+	h.forwarder = f
 	h.receiver = receiver.New(receiver.Options{
 		Forwarder: f,
 		Claimer:   settings.claimer,
--- a/internal/entry/receiver/stream_test.go
+++ b/internal/entry/receiver/stream_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/amaranthcart/amaranthcart/internal/entry/dispatcher"
+	"github.com/amaranthcart/amaranthcart/internal/entry/forwarder"
 	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
 	"github.com/amaranthcart/amaranthcart/internal/stub/responder"
 )
@@ -307,3 +308,40 @@
 		}
 	}
 }
+
+// blockingSink is a caller that stops reading at its third event.
+type blockingSink struct {
+	events           int
+	blocked, proceed chan struct{}
+}
+
+func (s *blockingSink) Flush() error { return nil }
+
+func (s *blockingSink) Event([]byte, bool) error {
+	s.events++
+	if s.events == 3 {
+		close(s.blocked)
+		<-s.proceed
+	}
+	return nil
+}
+
+// TestSlowCaller guards against an upstream that is taken for silent while the
+// caller does not read, which would cost its work and its good name.
+func TestSlowCaller(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	h := newHarness(t, withClock(clock))
+	g, err := forwarder.DecodeGeneration(forwarder.Chat, []byte(chatBody("x [[length=2000]]", true, "")))
+	assert.NilError(t, err)
+	s := &blockingSink{blocked: make(chan struct{}), proceed: make(chan struct{})}
+	done := make(chan error, 1)
+	background(t, func() {
+		call := forwarder.GenerationCall{Generation: g, Class: h.document.Classes[0], Request: scheduler.Request{Pool: "story", Repeatable: true}}
+		done <- h.forwarder.Stream(context.Background(), call, s)
+	})
+	<-s.blocked
+	clock.Advance(time.Hour)
+	close(s.proceed)
+	assert.NilError(t, <-done)
+	assert.DeepEqual(t, h.dispatcher.outcomes(), []scheduler.Outcome{scheduler.Completed})
+}
