--- a/internal/entry/forwarder/encoder.go
+++ b/internal/entry/forwarder/encoder.go
@@ -82,7 +82,8 @@
 	Model   string        `json:"model"`
 	System  string        `json:"system_fingerprint,omitempty"`
 	Choices []wholeChoice `json:"choices"`
-	Usage   *usage        `json:"usage"`
+	// Usage is absent when the engine sent no counts.
+	Usage *usage `json:"usage,omitempty"`
 }
 
 // encode writes the whole answer that was collected from streams.
@@ -95,7 +96,9 @@
 		Created: s.identity.created,
 		Model:   s.identity.model,
 		System:  s.system,
-		Usage:   s.counts(),
+	}
+	if s.counted || s.prompt > 0 {
+		answer.Usage = s.counts()
 	}
 	if s.call.Generation.Kind == Chat {
 		answer.Object = "chat.completion"
@@ -113,10 +116,10 @@
 	return encode(answer)
 }
 
-func (e *extras) add(d *delta) {
-	e.reasoningContent += d.ReasoningContent
-	e.reasoning += d.Reasoning
-	e.refusal += d.Refusal
+func (e *extras) add(c *choice) {
+	e.reasoningContent += c.reasoningContent
+	e.reasoning += c.reasoning
+	e.refusal += c.refusal
 }
 
 // noteTokens reads the token counts of an answer that was fetched whole.
--- a/internal/entry/forwarder/session.go
+++ b/internal/entry/forwarder/session.go
@@ -19,6 +19,8 @@
 	// only. more tells that the next event follows at once, so the event need
 	// not be flushed.
 	Event(data []byte, more bool) error
+	// Flush sends the events that were kept because another one followed.
+	Flush() error
 }
 
 // sinkError is a failure to pass an event to the caller.
@@ -37,6 +39,8 @@
 	run       Run
 	silent    []registrar.UpstreamID
 
+	// chunk is reused for each event.
+	chunk    chunk
 	identity identity
 	system   string
 	// passed counts the chunks that the caller has.
@@ -47,9 +51,10 @@
 	base   int
 	tokens int
 	prompt int
-	usage  *usage
-	choice choices
-	reason string
+	// counted is set when the engine sent its final token counts.
+	counted bool
+	choice  choices
+	reason  string
 	// mixed is set when the answer holds more than text.
 	mixed bool
 }
@@ -156,7 +161,7 @@
 // prepare readies the session for a further attempt; false means that the
 // answer cannot go on without repeating or losing a part.
 func (s *session) prepare() bool {
-	s.usage = nil
+	s.counted = false
 	text := s.text.String()
 	if text != "" && !s.mixed && s.call.Generation.canResume(text) {
 		s.base = s.tokens
@@ -233,9 +238,10 @@
 func (s *session) start(ctx context.Context, slot dispatcher.Slot, results chan<- *candidate) *candidate {
 	c := s.forwarder.newCandidate(ctx, slot, s.streams())
 	text, emitted := s.text.String(), s.tokens
+	c.err = errPanicked
 	s.forwarder.group.Go(func() {
+		defer func() { results <- c }()
 		c.connect(s.call, text, emitted)
-		results <- c
 	})
 	return c
 }
--- a/internal/entry/forwarder/stream.go
+++ b/internal/entry/forwarder/stream.go
@@ -2,15 +2,23 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"math/bits"
 	"sync/atomic"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+	"github.com/tidwall/gjson"
+
 	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
 )
 
+// maxTokens bounds an engine's token counts.
+const maxTokens = 1 << 30
+
+// drainTimeout bounds the wait for the end of a body after its end marker.
+const drainTimeout = 20 * time.Millisecond
+
 // choices keeps which choices of an answer have begun and ended.
 type choices struct {
 	begun [maxChoices / 64]uint64
@@ -47,30 +55,53 @@
 	cause := atomic.Pointer[error]{}
 	cause.Store(&errSilent)
 	timer := s.forwarder.clock.AfterFunc(s.deadlines.gap, func() { c.cancel(*cause.Load()) })
+	timer.Stop()
 	defer timer.Stop()
 	c.watch(&s.forwarder.group, func() {
 		cause.Store(&errGone)
 		gap.Store(int64(goneGrace))
 		timer.Reset(goneGrace)
 	})
-	for _, data := range c.head {
-		if end, err := s.pass(c, data, false); end || err != nil {
+	for i, e := range c.head {
+		more := i < len(c.head)-1 || c.done || c.events.Ready()
+		if err := s.passDecoded(c, e.chunk, e.data, more); err != nil {
 			return s.endAttempt(c, err)
 		}
 	}
+	if c.done {
+		_, err := s.passDone()
+		return s.finishStream(c, timer, err)
+	}
 	for {
+		// The deadline runs only while the upstream is waited for: a caller
+		// that reads slowly says nothing about the upstream.
+		if !c.events.Ready() {
+			timer.Reset(time.Duration(gap.Load()))
+		}
 		data, err := c.events.Next()
+		timer.Stop()
 		if err != nil {
 			return s.endAttempt(c, endError(err))
 		}
-		timer.Reset(time.Duration(gap.Load()))
 		end, err := s.pass(c, data, c.events.Ready())
 		if end || err != nil {
-			return s.endAttempt(c, err)
+			return s.finishStream(c, timer, err)
 		}
 	}
 }
 
+// finishStream ends an attempt at the end marker. The caller has the whole
+// answer by then. The end of the body is still read, usually from the buffer:
+// the transport keeps no connection whose answer was not read to its end.
+func (s *session) finishStream(c *candidate, timer clockwork.Timer, err error) error {
+	if err == nil {
+		c.slot.Release(scheduler.Completed, s.tokens-s.base)
+		timer.Reset(drainTimeout)
+		_, _ = c.events.Next()
+	}
+	return s.endAttempt(c, err)
+}
+
 func (s *session) endAttempt(c *candidate, err error) error {
 	tokens := s.tokens - s.base
 	if err == nil {
@@ -81,58 +112,73 @@
 		c.close(scheduler.Abandoned, tokens)
 		return sink
 	}
+	if s.sink != nil && s.passed > 0 {
+		// The next attempt may wait long for its slot.
+		if err := s.sink.Flush(); err != nil {
+			c.close(scheduler.Abandoned, tokens)
+			return sinkError{err}
+		}
+	}
 	return s.settle(c, tokens, err)
 }
 
 // pass takes one event; end reports that it was the last one.
 func (s *session) pass(c *candidate, data []byte, more bool) (end bool, err error) {
 	if bytes.Equal(data, doneMark) {
-		if !s.complete() {
-			return false, errNoEnd
-		}
-		return true, s.emit(doneMark, false)
+		return s.passDone()
 	}
-	k, err := decodeChunk(data)
-	if err != nil {
+	if err := s.chunk.decode(data); err != nil {
 		return false, fmt.Errorf("%w: %w", errBadAnswer, err)
 	}
-	if present(k.Error) {
-		return false, fmt.Errorf("%w: error event", errBadAnswer)
+	return false, s.passDecoded(c, &s.chunk, data, more)
+}
+
+func (s *session) passDone() (end bool, err error) {
+	if !s.complete() {
+		return false, errNoEnd
+	}
+	return true, s.emit(doneMark, false)
+}
+
+func (s *session) passDecoded(c *candidate, k *chunk, data []byte, more bool) error {
+	if k.failed {
+		return fmt.Errorf("%w: error event", errBadAnswer)
 	}
 	if err := s.take(k); err != nil {
-		return false, err
+		return err
 	}
 	c.slot.Progress(s.tokens - s.base)
 	if s.sink == nil {
-		return false, nil
+		return nil
 	}
-	return false, s.passChunk(k, data, more)
+	return s.passChunk(k, data, more)
 }
 
 // take adds the chunk to the answer so far.
 func (s *session) take(k *chunk) error {
 	if s.identity.id == "" {
-		s.identity = identity{k.ID, k.Created, k.Model}
-		s.system = k.SystemFingerprint
+		s.identity = identity{k.id, k.created, k.model}
+		s.system = k.system
 	}
 	grew := false
-	for i := range k.Choices {
-		p := &k.Choices[i]
-		if p.Index < 0 || p.Index >= maxChoices {
+	for i := range k.choices {
+		p := &k.choices[i]
+		if p.index < 0 || p.index >= maxChoices {
 			return fmt.Errorf("%w: choice index", errBadAnswer)
 		}
-		s.choice.begin(p.Index)
-		if p.FinishReason != "" {
-			s.choice.end(p.Index)
-			s.reason = p.FinishReason
+		s.choice.begin(p.index)
+		if p.finish != "" {
+			s.choice.end(p.index)
+			s.reason = p.finish
 		}
-		content := p.Delta.Content + p.Text
-		grew = grew || content != ""
-		s.text.WriteString(content)
-		if p.Delta.beyondText() {
+		grew = grew || p.text != ""
+		if s.call.Generation.resumable {
+			s.text.WriteString(p.text)
+		}
+		if p.beyondText() {
 			s.mixed = true
 			grew = true
-			s.extras.add(&p.Delta)
+			s.extras.add(p)
 		}
 	}
 	return s.count(k, grew)
@@ -141,23 +187,22 @@
 // count follows the token counts: the engine's own where it sends them, else
 // one for each chunk with content.
 func (s *session) count(k *chunk, grew bool) error {
-	if !present(k.Usage) {
+	if k.usage == "" {
 		if grew {
 			s.tokens++
 		}
 		return nil
 	}
-	var u usage
-	if err := json.Unmarshal(k.Usage, &u); err != nil {
-		return fmt.Errorf("%w: usage: %w", errBadAnswer, err)
+	prompt := gjson.Get(k.usage, "prompt_tokens").Int()
+	completion := gjson.Get(k.usage, "completion_tokens").Int()
+	if prompt < 0 || completion < 0 || prompt > maxTokens || completion > maxTokens {
+		return fmt.Errorf("%w: token counts", errBadAnswer)
 	}
-	s.tokens = s.base + u.Completion
+	s.tokens = s.base + int(completion)
 	if s.prompt == 0 {
-		s.prompt = max(u.Prompt-s.base, 0)
-	}
-	if len(k.Choices) == 0 {
-		s.usage = &u
+		s.prompt = max(int(prompt)-s.base, 0)
 	}
+	s.counted = s.counted || len(k.choices) == 0
 	return nil
 }
 
@@ -168,14 +213,14 @@
 
 func (s *session) passChunk(k *chunk, data []byte, more bool) error {
 	g := s.call.Generation
-	last := len(k.Choices) == 0 && present(k.Usage)
+	last := len(k.choices) == 0 && k.usage != ""
 	if last && !g.IncludeUsage {
 		return nil
 	}
 	keep := last || g.IncludeUsage && g.ContinuousUsage
 	var err error
 	switch {
-	case s.base > 0 || s.passed > 0 && k.ID != s.identity.id:
+	case s.base > 0 || s.passed > 0 && k.id != s.identity.id:
 		if !last && !k.hasToken() {
 			return nil
 		}
@@ -213,13 +258,13 @@
 			return err
 		}
 	}
-	if s.usage == nil && (s.prompt == 0 || s.tokens == 0) && s.wantsCounts() {
+	if !s.counted && (s.prompt == 0 || s.tokens == 0) && s.wantsCounts() {
 		return broken(cause, s.run)
 	}
 	if s.sink == nil {
 		return nil
 	}
-	if s.usage == nil && s.wantsCounts() {
+	if !s.counted && s.wantsCounts() {
 		if err := s.emitOwn(chunkEnd{}, s.counts()); err != nil {
 			return err
 		}
