--- a/builder/example_test.go
+++ b/builder/example_test.go
@@ -88,3 +88,15 @@
 	// $.models[0].classes[0]: found "letter"; allowed: the name of a class in $.classes
 	// $.models[0].classes[1]: found ""; allowed: the name of a class in $.classes
 }
+
+// An invalid configuration is not printed, not even in part.
+func ExampleConfiguration_Print() {
+	err := builder.New(
+		builder.Class("chat", builder.Tier(0), builder.Wait(time.Second), builder.Floor(0.7)),
+		builder.Class("story", builder.Tier(0), builder.Wait(time.Second), builder.Floor(0.5)),
+	).Print(os.Stdout)
+	fmt.Println(err)
+	// Output:
+	// configuration has 1 problem:
+	// $.classes: found "floors with the sum 1.2"; allowed: a sum of at most 1
+}
--- a/internal/config/validator/decode_test.go
+++ b/internal/config/validator/decode_test.go
@@ -76,7 +76,8 @@
 }
 
 // TestRule guards against a call that must not be repeated being treated as
-// repeatable because its path only resembles a rule's path.
+// repeatable because its path only resembles a rule's path, and against
+// lookups that find too much.
 func TestRule(t *testing.T) {
 	d, problems := validator.Decode([]byte(valid))
 	assert.Equal(t, len(problems), 0)
@@ -111,6 +112,10 @@
 	assert.Assert(t, !ok)
 	o, ok := x.OrganisationByHash(hashA)
 	assert.Assert(t, ok && o.Name == "goats")
+	_, ok = x.OrganisationByKey(hashA)
+	assert.Assert(t, !ok, "a digest counts as a key")
+	m, ok := x.Model("meta/hay-8B")
+	assert.Assert(t, ok && m.Permits("appraisal") && m.Permits("summary") && !m.Permits("sale"))
 }
 
 // TestDifferences guards against audit lines that miss a change, that show a
@@ -128,6 +133,12 @@
 	reordered := `{"classes": [{"name": "b"}, {"name": "a"}]}`
 	assert.Equal(t, len(validator.Differences([]byte(`{"classes": [{"name": "a"}, {"name": "b"}]}`), []byte(reordered))), 0)
 	assert.Equal(t, len(validator.Differences(nil, []byte(reordered))), 2)
+	many := `{"classes": [` + strings.Repeat(`"a",`, 5000) + `"a"]}`
+	lines := validator.Differences([]byte(many), nil)
+	assert.Equal(t, len(lines), validator.MaxDifferences+1)
+	assert.Equal(t, lines[validator.MaxDifferences], "4801 further differences")
+	_, problems := validator.Decode([]byte(many))
+	assert.Assert(t, len(problems) < 300, "%d problems", len(problems))
 }
 
 // BenchmarkDecode measures a document of the size expected in two years: 430
--- a/internal/ctl/commander/commander_test.go
+++ b/internal/ctl/commander/commander_test.go
@@ -58,6 +58,31 @@
 	golden.Assert(t, s.transcript(), "control.golden")
 }
 
+// TestDeposedLeader guards against showing the group as a leader sees it that
+// was cut off and does not know of the later one.
+func TestDeposedLeader(t *testing.T) {
+	late := newControl()
+	late.term = 4
+	s := newSession(t)
+	a, b := serveControl(t, newControl()), serveControl(t, late)
+	for _, hosts := range []string{a + "," + b, b + "," + a} {
+		s.log.Reset()
+		s.run(t.Context(), "status --control "+hosts)
+		assert.Assert(t, strings.Contains(s.transcript(), "Group as a4 sees it"), s.transcript())
+	}
+}
+
+// TestInterrupted guards against a change whose fate is left open when the
+// operator stops waiting.
+func TestInterrupted(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	s := newSession(t)
+	code := s.run(ctx, "apply small.json --revision 0 --note hay --control "+serveControl(t, newControl()))
+	assert.Equal(t, code, commander.ExitUnreachable)
+	assert.Assert(t, strings.Contains(s.transcript(), `small.json --revision 0 --change change-1 --note "hay"`), s.transcript())
+}
+
 // host is an entry host in memory.
 type host struct{ drained bool }
 
--- a/internal/ctl/commander/fake_test.go
+++ b/internal/ctl/commander/fake_test.go
@@ -46,11 +46,13 @@
 	contents  map[string]string
 	// before runs before an Apply is accepted, after once it is.
 	before, after func(context.Context) error
+	// term is 3 unless a test sets it.
+	term uint64
 }
 
 func newControl() *control {
 	nothing := func(context.Context) error { return nil }
-	return &control{answers: map[string]*wire.ApplyResponse{}, contents: map[string]string{}, before: nothing, after: nothing}
+	return &control{answers: map[string]*wire.ApplyResponse{}, contents: map[string]string{}, term: 3, before: nothing, after: nothing}
 }
 
 func (f *control) Apply(ctx context.Context, r *connect.Request[wire.ApplyRequest]) (*connect.Response[wire.ApplyResponse], error) {
@@ -132,8 +134,8 @@
 
 func (f *control) Status(context.Context, *connect.Request[wire.StatusRequest]) (*connect.Response[wire.StatusResponse], error) {
 	return connect.NewResponse(&wire.StatusResponse{
-		Id: 0xa1, Term: 3, Leader: 0xa1, Role: "leader", Committed: 7, Applied: 7, Revision: 2,
-		Replicas:  []*wire.Replica{{Id: 0xa1, Address: "10.0.0.1:7070", Centre: "lalitpur", Voter: true, Matched: 7}},
+		Id: 0xa0 + f.term, Term: f.term, Leader: 0xa0 + f.term, Role: "leader", Committed: 7, Applied: 7, Revision: 2,
+		Replicas:  []*wire.Replica{{Id: 0xa0 + f.term, Address: "10.0.0.1:7070", Centre: "lalitpur", Voter: true, Matched: 7}},
 		Followers: []*wire.Follower{{Host: "entry-1", Centre: "kavre", Revision: 2, Age: 250}},
 	}), nil
 }
--- a/internal/ops/reporter/reporter_test.go
+++ b/internal/ops/reporter/reporter_test.go
@@ -169,3 +169,16 @@
 	_, err = reporter.NewLogger("loud", zapcore.AddSync(&b))
 	assert.ErrorContains(t, err, "loud")
 }
+
+// BenchmarkReportRequest measures what one request costs when all cores report
+// on the same class.
+func BenchmarkReportRequest(b *testing.B) {
+	r := reporter.New()
+	r.Configure(document)
+	v := reporter.Result{Class: "chat", Arrived: time.Now(), Completed: true, First: time.Second, Gap: time.Second, Tokens: 9}
+	b.RunParallel(func(p *testing.PB) {
+		for p.Next() {
+			r.ReportRequest(v)
+		}
+	})
+}
