--- /dev/null
+++ b/internal/member/gossiper/load_test.go
@@ -0,0 +1,155 @@
+package gossiper_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"gotest.tools/v3/assert"
+
+	"github.com/amaranthcart/amaranthcart/internal/member/gossiper"
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/dialer"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/wire/wireconnect"
+)
+
+// meter counts the bytes of the connections that a listener accepts.
+type meter struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+type meteredConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (m meter) Accept() (net.Conn, error) {
+	c, err := m.Listener.Accept()
+	return meteredConn{c, m.bytes}, err
+}
+
+func (c meteredConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c meteredConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+const (
+	warmUp   = 6 * time.Second
+	measured = 10 * time.Second
+)
+
+// BenchmarkEntryHost measures what the exchange costs each entry host, over
+// loopback, with one announcement a second for each upstream:
+//
+//	go test -run '^$' -bench EntryHost -benchtime 1x ./internal/member/gossiper
+func BenchmarkEntryHost(b *testing.B) {
+	for _, c := range []struct{ upstreams, hosts int }{
+		{9, 9}, {50, 9}, {200, 9}, {1100, 9},
+		{55, 3}, {55, 9}, {55, 20}, {55, 55},
+	} {
+		b.Run(fmt.Sprintf("upstreams=%d/hosts=%d", c.upstreams, c.hosts), func(b *testing.B) {
+			for range b.N {
+				measure(b, c.upstreams, c.hosts)
+			}
+		})
+	}
+}
+
+func measure(b *testing.B, upstreams, hosts int) {
+	heap := heapInUse()
+	var bytes atomic.Int64
+	var group conc.WaitGroup
+	var nodes []*gossiper.Gossiper
+	var servers []*http.Server
+	var seeds []string
+	for i := range hosts {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(b, err)
+		address := l.Addr().String()
+		g := gossiper.New(registrar.Host{Name: registrar.HostName(fmt.Sprintf("entry-%02d", i)), Address: address, Centre: "patan"},
+			gossiper.WithSeeds(seeds...), gossiper.WithSeed(uint64(i)))
+		if len(seeds) < 3 {
+			seeds = append(seeds, address)
+		}
+		mux := http.NewServeMux()
+		mux.Handle(wireconnect.NewPeerHandler(peerService{g}))
+		s := &http.Server{Handler: mux, Protocols: dialer.Protocols()}
+		group.Go(func() { _ = s.Serve(meter{l, &bytes}) })
+		g.Start()
+		nodes, servers = append(nodes, g), append(servers, s)
+	}
+	stop := make(chan struct{})
+	group.Go(func() { announceAll(nodes, upstreams, stop) })
+	time.Sleep(warmUp)
+	bytesBefore, cpuBefore, began := bytes.Load(), processorTime(b), time.Now()
+	time.Sleep(measured)
+	seconds := time.Since(began).Seconds() * float64(hosts)
+	b.ReportMetric(float64(bytes.Load()-bytesBefore)/seconds, "sentB/s/host")
+	b.ReportMetric(100*(processorTime(b)-cpuBefore).Seconds()/seconds, "cpu%/host")
+	b.ReportMetric(float64(heapInUse()-heap)/float64(hosts)/1e6, "heapMB/host")
+	var exchanges uint64
+	seen := upstreams
+	for _, n := range nodes {
+		exchanges += n.Traffic().Exchanges
+		seen = min(seen, len(n.Snapshot().Upstreams(time.Now())))
+	}
+	b.ReportMetric(float64(exchanges)/(seconds/measured.Seconds()*(warmUp+measured).Seconds()), "exchanges/s/host")
+	b.ReportMetric(float64(seen), "upstreams_seen")
+	close(stop)
+	for i := range nodes {
+		group.Go(nodes[i].Close)
+	}
+	time.Sleep(gossiper.Timeout)
+	for _, s := range servers {
+		_ = s.Close()
+	}
+	group.Wait()
+}
+
+// announceAll spreads one announcement for each upstream over each second and
+// over the hosts in turn, as a balancer does.
+func announceAll(nodes []*gossiper.Gossiper, upstreams int, stop <-chan struct{}) {
+	t := time.NewTicker(registrar.RenewalInterval / time.Duration(upstreams))
+	defer t.Stop()
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return
+		case <-t.C:
+		}
+		body := fmt.Sprintf(`{"name":"engine-%04d.patan","address":"10.20.%d.%d:9000","centre":"patan","cell":"patan","models":["appraisal-70b","summary-8b"],`+
+			`"adapters":["goats","hay"],"versions":["2026-11"],"incarnation":1796300000000000000,"sequence":%d,"slots":32,"load":{"running":%d,"waiting":%d,"cache":0.%02d}}`,
+			i%upstreams, i%upstreams/256, i%upstreams%256, i/upstreams+1, i%32, i%7, i%97)
+		r := httptest.NewRequest(http.MethodPost, gossiper.AnnouncePath, strings.NewReader(body))
+		nodes[(i/upstreams+i*7)%len(nodes)].Announcements().ServeHTTP(httptest.NewRecorder(), r)
+	}
+}
+
+func heapInUse() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapInuse + m.StackInuse)
+}
+
+func processorTime(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	assert.NilError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &u))
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
