Leave out keys and versions that the other host knows

The version vectors made up most of an exchange. An answer now gives only the growth over the request's versions, and a request leaves out the keys that the other host has seen before.

--- a/internal/member/gossiper/encode.go
+++ b/internal/member/gossiper/encode.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/amaranthcart/amaranthcart/internal/config/validator"
@@ -13,34 +12,6 @@
 // thousandths is the unit of the cache share in renewals.
 const thousandths = 1000
 
-// encodeVector returns the keys in order, their versions and how far heard runs
-// ahead of them. Hosts that are only heard of have version 0.
-func encodeVector(known, heard registrar.Vector) (keys, versions, ahead []uint64) {
-	keys = make([]uint64, 0, len(heard))
-	for k := range heard {
-		keys = append(keys, uint64(k))
-	}
-	slices.Sort(keys)
-	versions, ahead = make([]uint64, len(keys)), make([]uint64, len(keys))
-	for i, k := range keys {
-		versions[i] = known[registrar.HostKey(k)]
-		ahead[i] = heard[registrar.HostKey(k)] - versions[i]
-	}
-	return keys, versions, ahead
-}
-
-func decodeVector(keys, versions, ahead []uint64) (known, heard registrar.Vector) {
-	known, heard = make(registrar.Vector, len(keys)), make(registrar.Vector, len(keys))
-	for i := range min(len(keys), len(versions)) {
-		k := registrar.HostKey(keys[i])
-		known[k], heard[k] = versions[i], versions[i]
-		if i < len(ahead) {
-			heard[k] += ahead[i]
-		}
-	}
-	return known, heard
-}
-
 func encodeHost(n registrar.HostNews) *wire.EntryHost {
 	return &wire.EntryHost{
 		Name:        string(n.Host.Name),
@@ -79,25 +50,22 @@
 	return time.Duration(min(max(n, 0), time.Hour.Milliseconds())) * time.Millisecond
 }
 
-func encodeUpdate(u registrar.Update, out *wire.GossipResponse) {
-	out.Keys, out.Versions, out.Ahead = encodeVector(u.Vector, u.Heard)
+func encodeUpdate(u registrar.Update, q question, out *wire.GossipResponse) {
+	index := q.answer(u.Vector, u.Heard, out)
 	for _, h := range u.Hosts {
 		out.Hosts = append(out.Hosts, encodeHost(h))
 	}
 	for _, n := range u.News {
 		out.Upstreams = append(out.Upstreams, encodeUpstream(n))
 	}
-	index := make(map[registrar.HostKey]uint32, len(out.Keys))
-	for i, k := range out.Keys {
-		index[registrar.HostKey(k)] = uint32(i)
-	}
 	for _, r := range u.Renewals {
 		i, ok := index[r.Stamp.Origin]
 		if !ok {
-			i = uint32(len(out.Keys))
+			i = uint32(len(index))
 			index[r.Stamp.Origin] = i
 			// Version 0 claims no news of a host that is only referred to.
-			out.Keys, out.Versions = append(out.Keys, uint64(r.Stamp.Origin)), append(out.Versions, 0)
+			out.Keys = append(out.Keys, uint64(r.Stamp.Origin))
+			out.Versions, out.Ahead = append(out.Versions, 0), append(out.Ahead, 0)
 		}
 		out.Renewals = append(out.Renewals, &wire.Renewal{
 			Key:       uint64(r.Key),
@@ -112,16 +80,14 @@
 	}
 }
 
-func decodeUpdate(in *wire.GossipResponse) registrar.Update {
-	var u registrar.Update
-	u.Vector, u.Heard = decodeVector(in.GetKeys(), in.GetVersions(), in.GetAhead())
+func decodeUpdate(in *wire.GossipResponse, q question) registrar.Update {
+	u, keys := q.read(in)
 	for _, h := range in.GetHosts() {
 		u.Hosts = append(u.Hosts, decodeHost(h))
 	}
 	for _, n := range in.GetUpstreams() {
 		u.News = append(u.News, decodeUpstream(n))
 	}
-	keys := in.GetKeys()
 	for _, r := range in.GetRenewals() {
 		if int(r.GetOrigin()) >= len(keys) {
 			continue
--- a/internal/member/gossiper/gossiper.go
+++ b/internal/member/gossiper/gossiper.go
@@ -108,6 +108,7 @@
 	delivery  sync.Mutex
 
 	peers    *peers
+	lists    lists
 	context  context.Context
 	cancel   context.CancelFunc
 	group    conc.WaitGroup
@@ -304,30 +305,42 @@
 
 // Exchange asks the host at the address for news.
 func (g *Gossiper) Exchange(ctx context.Context, address string) {
-	began := g.clock.Now()
-	full := g.dueForRepair(began)
-	q := g.request(address, full)
 	ctx, cancel := context.WithTimeout(ctx, Timeout)
 	defer cancel()
-	a, err := g.exchanger.Exchange(ctx, address, q)
+	full := g.dueForRepair(g.clock.Now())
+	unlisted, err := g.exchange(ctx, address, full)
+	if err == nil && unlisted {
+		_, err = g.exchange(ctx, address, full)
+	}
 	if err != nil {
 		g.log.Debug("The exchange failed.", zap.String("address", address), zap.Error(err))
 		if full {
 			g.repairLater()
 		}
-		return
 	}
-	if g.context.Err() != nil {
-		return
+}
+
+// exchange makes one call and reports whether it has to be made again because
+// the other host doesn't know the keys.
+func (g *Gossiper) exchange(ctx context.Context, address string, full bool) (bool, error) {
+	began := g.clock.Now()
+	q, question := g.request(address, full)
+	a, err := g.exchanger.Exchange(ctx, address, q)
+	if err != nil {
+		return false, err
 	}
 	g.traffic.count(q, a)
+	g.peers.answered(address, q, a)
+	if a.GetUnlisted() {
+		return true, nil
+	}
+	if g.context.Err() != nil {
+		return false, nil
+	}
 	from := decodeHost(a.GetFrom())
-	g.step(registrar.Merge{From: from.Host.Name, Began: began, Update: decodeUpdate(a)})
-	g.mu.Lock()
-	key := g.registrar.Key()
-	g.mu.Unlock()
-	g.peers.answered(address, a, uint64(key))
+	g.step(registrar.Merge{From: from.Host.Name, Began: began, Update: decodeUpdate(a, question)})
 	g.learn(address, began, Confirmation{Revision: a.GetRevision(), Check: a.GetCheck(), Age: age(a.GetConfirmed())}, a.GetFingerprints())
+	return false, nil
 }
 
 func (g *Gossiper) learn(address string, began time.Time, c Confirmation, prints []*wire.Fingerprint) {
@@ -340,17 +353,18 @@
 }
 
 // request builds a request; full asks for everything.
-func (g *Gossiper) request(address string, full bool) *wire.GossipRequest {
+func (g *Gossiper) request(address string, full bool) (*wire.GossipRequest, question) {
 	q := &wire.GossipRequest{Confirmed: -1}
 	g.revise(func(c Confirmation) { q.Revision, q.Check = c.Revision, c.Check })
 	g.mu.Lock()
 	self := g.registrar.Self()
-	q.Keys, q.Versions, q.Ahead = encodeVector(g.registrar.Vector(), g.registrar.Heard())
+	question := newQuestion(g.registrar.Vector(), g.registrar.Heard())
 	q.Fresh, q.Full = g.registrar.Fresh(), full
 	g.mu.Unlock()
-	q.From = g.peers.introduce(address, self)
+	q.Versions, q.Ahead, q.List = question.known, question.ahead, question.list()
+	g.peers.introduce(address, self, question.keys, q)
 	q.Fingerprints = g.printsFor(address)
-	return q
+	return q, question
 }
 
 // revise reads the revision in force and keeps this host's description up to
--- a/internal/member/gossiper/peer.go
+++ b/internal/member/gossiper/peer.go
@@ -44,8 +44,12 @@
 	if from.Host.Name == "" {
 		return nil, fmt.Errorf("the request names no host")
 	}
+	question, ok := g.lists.resolve(q)
+	if !ok {
+		return &wire.GossipResponse{Confirmed: -1, Unlisted: true}, nil
+	}
 	now := g.clock.Now()
-	known, heard := decodeVector(q.GetKeys(), q.GetVersions(), q.GetAhead())
+	known, heard := question.vectors()
 	if q.GetFull() {
 		known = nil
 	}
@@ -61,8 +65,9 @@
 	g.mu.Lock()
 	update := g.registrar.Update(g.clock.Now(), known)
 	self := g.registrar.Self()
+	a.Stranger = !g.registrar.Knows(from)
 	g.mu.Unlock()
-	encodeUpdate(update, a)
+	encodeUpdate(update, question, a)
 	a.From = &wire.EntryHost{Name: string(self.Host.Name), Incarnation: uint64(self.Host.Incarnation)}
 	a.Fingerprints = g.printsFor(string(from.Host.Name))
 	address := from.Host.Address
@@ -130,7 +135,7 @@
 		}
 		calls.Go(func() {
 			q := &wire.GossipRequest{Confirmed: -1, From: encodeHost(self)}
-			q.Keys, q.Versions = []uint64{key}, []uint64{self.Described}
+			q.Keys, q.Versions, q.Ahead = []uint64{key}, []uint64{self.Described}, []uint64{0}
 			if _, err := g.exchanger.Exchange(ctx, h.Address, q); err != nil {
 				g.log.Debug("A host was not told goodbye.")
 			}
@@ -147,20 +152,26 @@
 	// lost are the addresses of hosts that went down.
 	lost   []string
 	busy   map[string]bool
-	known  map[string]uint64
+	known  map[string]acquaintance
 	sent   map[string]sent
 	rounds int
 	// living and absent choose among the live hosts and the others.
 	living, absent registrar.Rotation
 }
 
+// acquaintance is what another host knows of this one.
+type acquaintance struct {
+	described uint64
+	list      uint64
+}
+
 type sent struct {
 	fold uint64
 	at   time.Time
 }
 
 func newPeers(self string, seeds []string) *peers {
-	return &peers{self: self, seeds: seeds, busy: map[string]bool{}, known: map[string]uint64{}, sent: map[string]sent{}}
+	return &peers{self: self, seeds: seeds, busy: map[string]bool{}, known: map[string]acquaintance{}, sent: map[string]sent{}}
 }
 
 // choose picks a live host at random that no exchange is open with, and
@@ -229,26 +240,33 @@
 	}
 }
 
-// introduce describes this host in full only to hosts that don't know the
-// description yet.
-func (p *peers) introduce(address string, self registrar.HostNews) *wire.EntryHost {
+// introduce adds what the other host may not know: the description of this host
+// and the keys of its version vector.
+func (p *peers) introduce(address string, self registrar.HostNews, keys []uint64, q *wire.GossipRequest) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.known[address] >= self.Described {
-		return &wire.EntryHost{Name: string(self.Host.Name), Incarnation: uint64(self.Host.Incarnation)}
+	known := p.known[address]
+	q.From = &wire.EntryHost{Name: string(self.Host.Name), Incarnation: uint64(self.Host.Incarnation), Described: self.Described}
+	if known.described < self.Described {
+		q.From = encodeHost(self)
+	}
+	if known.list != q.GetList() {
+		q.Keys = keys
 	}
-	return encodeHost(self)
 }
 
-// answered notes whether the other host lists this one.
-func (p *peers) answered(address string, a *wire.GossipResponse, self uint64) {
+// answered notes what the other host knows now.
+func (p *peers) answered(address string, q *wire.GossipRequest, a *wire.GossipResponse) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if i := slices.Index(a.GetKeys(), self); i >= 0 && i < len(a.GetVersions()) {
-		p.known[address] = a.GetVersions()[i]
-	} else {
-		delete(p.known, address)
+	known := acquaintance{described: q.GetFrom().GetDescribed(), list: q.GetList()}
+	if a.GetStranger() {
+		known.described = 0
+	}
+	if a.GetUnlisted() {
+		known = acquaintance{}
 	}
+	p.known[address] = known
 }
 
 func (p *peers) lacks(peer string, fold uint64, now time.Time) bool {
--- a/internal/member/registrar/registrar.go
+++ b/internal/member/registrar/registrar.go
@@ -432,6 +432,13 @@
 	return HostNews{Host: r.self, Described: r.described}
 }
 
+// Knows reports whether the description of the host, which may be abbreviated to
+// name, incarnation and version, is known.
+func (r *Registrar) Knows(n HostNews) bool {
+	h := r.hosts[n.Host.Name]
+	return h != nil && h.Incarnation == n.Host.Incarnation && h.described >= n.Described
+}
+
 // Key returns the key of this host in version vectors.
 func (r *Registrar) Key() HostKey { return r.key }
 
