Bound how many hosts ask control, and hand over on close

Delays drawn at random let 55 hosts ask 12.4 times a second in all and 410 hosts 115 times, since an answer needs longer to reach all hosts than the questions were spread over.

A gossiper that closes waits until another host has asked for announcements that only it has. Otherwise a departure announced to a stopping host took effect elsewhere only at the end of the lease.

--- a/internal/config/follower/control.go
+++ b/internal/config/follower/control.go
@@ -21,11 +21,17 @@
 	// is asked as well. A quorum check takes a few round trips; a host that is
 	// silently cut off never answers.
 	Hedge = 250 * time.Millisecond
-	// AskAge is the age of the youngest known confirmation from which on hosts
-	// ask control themselves.
-	AskAge = 2 * time.Second
-	// AskSpread is the time over which the hosts' questions are spread. With
-	// the age, one hedge and one call it stays below the lease.
+	// Askers is how many hosts of a cell ask control as a rule.
+	Askers = 2
+	// AskInterval is the age of the youngest known confirmation from which on
+	// these hosts ask.
+	AskInterval = time.Second
+	// AskAge is the age from which on any host asks. The answers of the askers
+	// reach all hosts of a cell before, so this happens only when they are cut
+	// off.
+	AskAge = 3 * time.Second
+	// AskSpread is the time over which the questions of all hosts are spread.
+	// With the age, one hedge and one call it stays below the lease.
 	AskSpread = 800 * time.Millisecond
 	// RetryInterval is the mean time between questions while none is answered.
 	RetryInterval = 500 * time.Millisecond
@@ -46,37 +52,48 @@
 	tried     time.Time
 }
 
-// askDelay draws how long after AskAge a host asks. The delays are distributed
-// so that about as many hosts ask within the time that the first answer needs
-// to reach the others, whatever the size of the fleet: most draw a long delay
-// and give it up when they hear of the answer.
-func askDelay(u float64, fleet int) time.Duration {
-	n := math.Max(float64(fleet), 2)
+// Rank is the place of this host among the hosts of its cell, from 0. All hosts
+// of the cell agree on the order.
+type Rank struct {
+	Place, Hosts int
+}
+
+// askDelay draws the age at which a host asks. Hosts that are not askers mostly
+// draw a long one: then about as many ask within the time that the first answer
+// needs to reach the others, whatever the size of the cell.
+func askDelay(u float64, r Rank) time.Duration {
+	if r.Place < Askers {
+		return AskInterval
+	}
+	n := math.Max(float64(r.Hosts), 2)
 	share := 1 + math.Log(math.Max(u, 1/n))/math.Log(n)
-	return time.Duration(share * float64(AskSpread))
+	return AskAge + time.Duration(share*float64(AskSpread))
 }
 
-// askNow reports whether this host has to ask control.
-func (f *Follower) askNow() bool {
-	fleet := f.fleet()
-	u := f.float()
-	now := f.clock.Now()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	at := f.core.Confirmed()
-	if !at.Equal(f.asks.confirmed) {
-		f.asks = askPlan{confirmed: at, delay: askDelay(u, fleet)}
+// due reports whether a host has to ask control when its youngest confirmation
+// is of the given time, and notes that it does. u is a random number from 0 to 1.
+func (p *askPlan) due(now, confirmed time.Time, u float64, r Rank) bool {
+	if !confirmed.Equal(p.confirmed) {
+		*p = askPlan{confirmed: confirmed, delay: askDelay(u, r)}
 	}
-	if !at.IsZero() && now.Sub(at) < AskAge+f.asks.delay {
+	if !confirmed.IsZero() && now.Sub(confirmed) < p.delay {
 		return false
 	}
-	if !f.asks.tried.IsZero() && now.Sub(f.asks.tried) < time.Duration((0.5+u)*float64(RetryInterval)) {
+	if !p.tried.IsZero() && now.Sub(p.tried) < time.Duration((0.5+u)*float64(RetryInterval)) {
 		return false
 	}
-	f.asks.tried = now
+	p.tried = now
 	return true
 }
 
+// askNow reports whether this host has to ask control.
+func (f *Follower) askNow() bool {
+	rank, u, now := f.rank(), f.float(), f.clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.asks.due(now, f.core.Confirmed(), u, rank)
+}
+
 func (f *Follower) confirmOften() {
 	turn := int(f.float() * float64(len(f.controls)))
 	failed := make(map[string]time.Time, len(f.controls))
--- a/internal/config/follower/follower.go
+++ b/internal/config/follower/follower.go
@@ -60,7 +60,7 @@
 	clock     clockwork.Clock
 	log       *zap.Logger
 	network   Network
-	fleet     func() int
+	rank      func() Rank
 	onEnforce func(Snapshot)
 	faults    Faults
 
@@ -121,9 +121,19 @@
 // WithNetwork replaces the network.
 func WithNetwork(n Network) Option { return func(f *Follower) { f.network = n } }
 
-// WithFleet tells the number of entry hosts that exchange confirmations, which
+// WithFleet tells the number of entry hosts when their order is not known. No
+// host is an asker then, unless it is the only one, so confirmations get older
+// than with WithRank before hosts ask.
+func WithFleet(size func() int) Option {
+	return WithRank(func() Rank {
+		n := size()
+		return Rank{Place: min(max(n-1, 0), Askers), Hosts: n}
+	})
+}
+
+// WithRank tells the place of this host among the hosts of its cell, which
 // bounds how many of them ask control.
-func WithFleet(size func() int) Option { return func(f *Follower) { f.fleet = size } }
+func WithRank(rank func() Rank) Option { return func(f *Follower) { f.rank = rank } }
 
 // WithSeed sets the seed of the random choices.
 func WithSeed(seed uint64) Option {
@@ -143,7 +153,7 @@
 		stale:    Refuse,
 		clock:    clockwork.NewRealClock(),
 		log:      zap.NewNop(),
-		fleet:    func() int { return 1 },
+		rank:     func() Rank { return Rank{Hosts: 1} },
 		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		reported: map[uint64]time.Time{},
 	}
--- a/internal/member/gossiper/announce_test.go
+++ b/internal/member/gossiper/announce_test.go
@@ -88,3 +88,10 @@
 		assert.Equal(t, live, !u.Leaving)
 	})
 }
+
+func announceDirectly(t *testing.T, g *gossiper.Gossiper, body string) {
+	t.Helper()
+	w := httptest.NewRecorder()
+	g.Announcements().ServeHTTP(w, httptest.NewRequest("POST", gossiper.AnnouncePath, strings.NewReader(body)))
+	assert.Equal(t, w.Code, http.StatusOK, w.Body.String())
+}
--- a/internal/member/gossiper/gossiper.go
+++ b/internal/member/gossiper/gossiper.go
@@ -194,7 +194,9 @@
 	g.group.Go(g.exchangeOften)
 }
 
-// Close says goodbye to the other hosts and waits until nothing runs.
+// Close says goodbye to the other hosts and waits until nothing runs. The server
+// of the Peer service has to run until then, so that the other hosts can ask for
+// what only this host has.
 func (g *Gossiper) Close() {
 	g.closing.Do(func() {
 		g.mu.Lock()
--- /dev/null
+++ b/internal/member/gossiper/network_test.go
@@ -0,0 +1,242 @@
+package gossiper_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sourcegraph/conc"
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/amaranthcart/amaranthcart/internal/member/gossiper"
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/wire"
+)
+
+// relay forwards connections and can make those that are open silent for good.
+type relay struct {
+	net.Listener
+	target string
+	group  conc.WaitGroup
+	mu     sync.Mutex
+	muted  chan struct{}
+	open   []net.Conn
+	count  int
+}
+
+func newRelay(t *testing.T, target string) *relay {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	r := &relay{Listener: l, target: target, muted: make(chan struct{})}
+	r.group.Go(r.serve)
+	t.Cleanup(func() {
+		_ = l.Close()
+		r.mu.Lock()
+		for _, c := range r.open {
+			_ = c.Close()
+		}
+		r.mu.Unlock()
+		r.group.Wait()
+	})
+	return r
+}
+
+func (r *relay) serve() {
+	for {
+		in, err := r.Accept()
+		if err != nil {
+			return
+		}
+		out, err := net.Dial("tcp", r.target)
+		if err != nil {
+			_ = in.Close()
+			continue
+		}
+		r.mu.Lock()
+		muted := r.muted
+		r.count++
+		r.open = append(r.open, in, out)
+		r.mu.Unlock()
+		r.group.Go(func() { forward(out, in, muted) })
+		r.group.Go(func() { forward(in, out, muted) })
+	}
+}
+
+// forward copies until it is muted, and then only reads.
+func forward(to, from net.Conn, muted chan struct{}) {
+	b := make([]byte, 4096)
+	for {
+		n, err := from.Read(b)
+		if err != nil {
+			return
+		}
+		select {
+		case <-muted:
+			continue
+		default:
+		}
+		if _, err := to.Write(b[:n]); err != nil && !errors.Is(err, io.EOF) {
+			return
+		}
+	}
+}
+
+func (r *relay) mute() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	close(r.muted)
+	r.muted = make(chan struct{})
+}
+
+func (r *relay) connections() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.count
+}
+
+// Guards against waiting on a connection that is silent for good while new
+// ones work.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	a := startNode(t, 1)
+	defer a.stop()
+	r := newRelay(t, a.address)
+	b := gossiper.New(registrar.Host{Name: "entry-2", Address: "127.0.0.1:1"})
+	defer b.Close()
+	hears := func(sequence uint64) poll.Check {
+		return func(poll.LogT) poll.Result {
+			announceTo(t, a, fmt.Sprintf(`{"name":"hay","address":"127.0.0.1:9","models":["hay"],"incarnation":1,"sequence":%d}`, sequence))
+			b.Exchange(context.Background(), r.Addr().String())
+			if u, _ := b.Snapshot().Upstream(time.Now(), "hay"); u.Sequence == sequence {
+				return poll.Success()
+			}
+			return poll.Continue("sequence %d not heard", sequence)
+		}
+	}
+	poll.WaitOn(t, hears(1), poll.WithTimeout(30*time.Second))
+	before := r.connections()
+	r.mute()
+	poll.WaitOn(t, hears(2), poll.WithTimeout(30*time.Second))
+	assert.Assert(t, r.connections() > before)
+}
+
+// memory makes exchanges without a network. Each message is encoded and decoded.
+type memory struct {
+	mu    sync.Mutex
+	nodes map[string]*gossiper.Gossiper
+	full  int
+}
+
+func (m *memory) Exchange(_ context.Context, address string, q *wire.GossipRequest) (*wire.GossipResponse, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(q.GetKeys()) > 0 {
+		m.full++
+	}
+	a, err := m.nodes[address].Answer(throughWire(q, &wire.GossipRequest{}))
+	if err != nil {
+		return nil, err
+	}
+	return throughWire(a, &wire.GossipResponse{}), nil
+}
+
+func (m *memory) Close() {}
+
+func throughWire[T proto.Message](from, to T) T {
+	b, err := proto.Marshal(from)
+	if err == nil {
+		err = proto.Unmarshal(b, to)
+	}
+	if err != nil {
+		panic(err)
+	}
+	return to
+}
+
+// prints is a set of fingerprints.
+type prints struct{ set map[string]bool }
+
+func (p prints) Fingerprints() (list []*wire.Fingerprint) {
+	for d := range p.set {
+		list = append(list, &wire.Fingerprint{Digest: d, Crashes: 1})
+	}
+	return list
+}
+
+func (p prints) MergeFingerprints(list []*wire.Fingerprint) {
+	for _, f := range list {
+		p.set[f.GetDigest()] = true
+	}
+}
+
+// revisions records what was learned of the configuration.
+type revisions struct {
+	own     gossiper.Confirmation
+	learned []gossiper.Confirmation
+}
+
+func (r *revisions) Confirmation() gossiper.Confirmation { return r.own }
+func (r *revisions) Learn(_ string, _ time.Time, c gossiper.Confirmation) {
+	r.learned = append(r.learned, c)
+}
+func (r *revisions) Document(uint64) *wire.Revision { return nil }
+
+// Guards against messages that lose a field, against keys that are left out for
+// a host that doesn't know them, and against a confirmation that arrives by a
+// request, whose time on the way is unknown.
+func TestExchangeCarriesEverything(t *testing.T) {
+	m := &memory{nodes: map[string]*gossiper.Gossiper{}}
+	clock := clockwork.NewFakeClock()
+	node := func(name string, p prints, r *revisions) *gossiper.Gossiper {
+		g := gossiper.New(registrar.Host{Name: registrar.HostName(name), Address: name, Centre: "patan", Cell: "main", Incarnation: 5},
+			gossiper.WithExchanger(m), gossiper.WithClock(clock), gossiper.WithFingerprints(p), gossiper.WithRevisions(r))
+		m.nodes[name] = g
+		return g
+	}
+	ap, bp := prints{map[string]bool{"x": true}}, prints{map[string]bool{"y": true}}
+	ar := &revisions{own: gossiper.Confirmation{Revision: 4, Check: 44, Age: 1500 * time.Microsecond}}
+	br := &revisions{own: gossiper.Confirmation{Revision: 3, Check: 33, Age: -1}}
+	a, b := node("a", ap, ar), node("b", bp, br)
+	defer a.Close()
+	defer b.Close()
+	body := `{"name":"hay","address":"127.0.0.1:9","centre":"patan","cell":"south","services":["s"],"models":["m"],"adapters":["d"],"versions":["v"],"incarnation":2,"sequence":%d,"slots":4,"load":{"running":1,"waiting":2,"cache":0.125}}`
+	var sent registrar.Upstream
+	for i := range 20 {
+		u, err := gossiper.DecodeAnnouncement(fmt.Appendf(nil, body, i+1))
+		assert.NilError(t, err)
+		sent = u
+		announceDirectly(t, a, fmt.Sprintf(body, i+1))
+		b.Exchange(t.Context(), "a")
+		a.Exchange(t.Context(), "b")
+	}
+	got, live := b.Snapshot().Upstream(clock.Now(), "hay")
+	assert.Assert(t, live)
+	assert.DeepEqual(t, got, sent)
+	for _, g := range []*gossiper.Gossiper{a, b} {
+		assert.Equal(t, len(g.Snapshot().Hosts()), 2)
+	}
+	h, _ := b.Snapshot().Host("a")
+	assert.DeepEqual(t, h, registrar.Host{Name: "a", Address: "a", Centre: "patan", Cell: "main", Incarnation: 5, Revision: 4})
+	assert.Assert(t, ap.set["y"] && bp.set["x"])
+	assert.Assert(t, m.full <= 6, "keys were sent in %d of 40 requests", m.full)
+	for _, c := range br.learned {
+		assert.Assert(t, c == gossiper.Confirmation{Revision: 4, Check: 44, Age: 2 * time.Millisecond} || c == gossiper.Confirmation{Revision: 4, Check: 44, Age: -1})
+	}
+	// A departure that only the stopping host knows of must not wait for the
+	// lease, whose clock stands still here.
+	announceDirectly(t, a, `{"name":"hay","incarnation":2,"sequence":99,"leaving":true}`)
+	a.Close()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if _, live := b.Snapshot().Upstream(clock.Now(), "hay"); live || len(b.Snapshot().Hosts()) > 1 {
+			return poll.Continue("%v", b.Snapshot().Hosts())
+		}
+		return poll.Success()
+	}, poll.WithTimeout(30*time.Second), poll.WithDelay(time.Millisecond))
+}
--- a/internal/member/gossiper/peer.go
+++ b/internal/member/gossiper/peer.go
@@ -13,6 +13,7 @@
 	"connectrpc.com/connect"
 	"github.com/cespare/xxhash/v2"
 	"github.com/sourcegraph/conc/pool"
+	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
@@ -120,28 +121,41 @@
 	return sum
 }
 
+// sayGoodbye tells the live hosts that this one stops, and waits until one of
+// them has asked for the announcements that only this host has.
 func (g *Gossiper) sayGoodbye() {
 	g.describe(func(d *registrar.Describe) { d.Draining, d.Left = true, true })
 	ctx, cancel := context.WithTimeout(context.Background(), Timeout)
 	defer cancel()
 	calls := pool.New().WithMaxGoroutines(Farewells)
 	g.mu.Lock()
-	self := g.registrar.Self()
-	key := uint64(g.registrar.Key())
+	self, key, fresh := g.registrar.Self(), uint64(g.registrar.Key()), g.registrar.Fresh()
 	g.mu.Unlock()
+	var told atomic.Bool
 	for _, h := range g.Snapshot().Hosts() {
 		if h.Address == "" || h.Name == self.Host.Name {
 			continue
 		}
 		calls.Go(func() {
-			q := &wire.GossipRequest{Confirmed: -1, From: encodeHost(self)}
+			q := &wire.GossipRequest{Confirmed: -1, From: encodeHost(self), Fresh: fresh}
 			q.Keys, q.Versions, q.Ahead = []uint64{key}, []uint64{self.Described}, []uint64{0}
 			if _, err := g.exchanger.Exchange(ctx, h.Address, q); err != nil {
-				g.log.Debug("A host was not told goodbye.")
+				g.log.Debug("A host was not told goodbye.", zap.Error(err))
+				return
 			}
+			told.Store(true)
 		})
 	}
 	calls.Wait()
+	for fresh && told.Load() && ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-g.clock.After(Beat / 5):
+		}
+		g.mu.Lock()
+		fresh = g.registrar.Fresh()
+		g.mu.Unlock()
+	}
 }
 
 // peers chooses hosts to ask and remembers what was sent to them.
--- a/internal/member/registrar/view.go
+++ b/internal/member/registrar/view.go
@@ -125,6 +125,23 @@
 	return best
 }
 
+// Rank returns the place of this host in an order of the live hosts of its cell
+// on which they all agree, and their number.
+func (v *View) Rank() (place, hosts int) {
+	self, _ := v.Host(v.self)
+	own := xxhash.Sum64String(string(v.self))
+	for _, h := range v.hosts {
+		if h.Cell != self.Cell {
+			continue
+		}
+		hosts++
+		if xxhash.Sum64String(string(h.Name)) < own {
+			place++
+		}
+	}
+	return place, hosts
+}
+
 // Digest folds the live upstreams and hosts into one number: hosts with equal
 // digests see the same fleet.
 func (v *View) Digest(now time.Time) uint64 {
