Keep cells apart and report a name used twice

A scoped registrar keeps only its own cell, so that cells may share seeds. A host whose name another process uses says so in an error instead of outbidding it silently. Requests found after a stall no longer prove their sender alive.

--- a/internal/member/gossiper/announce.go
+++ b/internal/member/gossiper/announce.go
@@ -152,6 +152,8 @@
 		case registrar.Repeated:
 		case registrar.Stalled, registrar.Overfull:
 			return http.StatusServiceUnavailable, Reply{Reason: "this host can't take announcements now: " + string(i.Reason)}
+		case registrar.Foreign:
+			return http.StatusMisdirectedRequest, Reply{Reason: "this host serves another cell than " + string(u.Cell)}
 		default:
 			return http.StatusConflict, Reply{Reason: "newer news is known: " + string(i.Reason), Known: i.Known}
 		}
--- a/internal/member/gossiper/gossiper.go
+++ b/internal/member/gossiper/gossiper.go
@@ -149,8 +149,9 @@
 // WithRevisions carries the configuration revision in force.
 func WithRevisions(r Revisions) Option { return func(g *Gossiper) { g.revisions = r } }
 
-// WithOnAction calls f with each action in order. f must not call methods of
-// the gossiper other than Snapshot.
+// WithOnAction calls f with each action in order. f has to be quick, since
+// exchanges wait for it, and must not call methods of the gossiper other than
+// Snapshot.
 func WithOnAction(f func(registrar.Action)) Option { return func(g *Gossiper) { g.onAction = f } }
 
 // WithRegistrarOptions passes options on to the registrar.
@@ -249,6 +250,9 @@
 	g.queue = nil
 	g.mu.Unlock()
 	for _, a := range queue {
+		if o, ok := a.(registrar.Outbid); ok {
+			g.log.Error("Another process uses the name of this host.", zap.Uint64("incarnation", uint64(o.Incarnation)))
+		}
 		g.peers.observe(a)
 		if g.onAction != nil {
 			g.onAction(a)
--- a/internal/member/gossiper/network_test.go
+++ b/internal/member/gossiper/network_test.go
@@ -240,3 +240,30 @@
 		return poll.Success()
 	}, poll.WithTimeout(30*time.Second), poll.WithDelay(time.Millisecond))
 }
+
+// Guards against cells that share a seed and grow into one.
+func TestScopedCellsStayApart(t *testing.T) {
+	m := &memory{nodes: map[string]*gossiper.Gossiper{}}
+	clock := clockwork.NewFakeClock()
+	var all []*gossiper.Gossiper
+	for i, cell := range []string{"east", "east", "west", "west"} {
+		name := fmt.Sprint("entry-", i)
+		g := gossiper.New(registrar.Host{Name: registrar.HostName(name), Address: name, Cell: registrar.CellName(cell), Incarnation: 1},
+			gossiper.WithExchanger(m), gossiper.WithClock(clock), gossiper.WithRegistrarOptions(registrar.WithScope()))
+		m.nodes[name] = g
+		all = append(all, g)
+		defer g.Close()
+		announceDirectly(t, g, fmt.Sprintf(`{"name":"hay-%d","address":"127.0.0.1:9","models":["m"],"incarnation":1,"sequence":1}`, i))
+	}
+	for range 5 {
+		for _, g := range all {
+			for i := range all {
+				g.Exchange(t.Context(), fmt.Sprint("entry-", i))
+			}
+		}
+	}
+	for _, g := range all {
+		assert.Equal(t, len(g.Snapshot().Hosts()), 2)
+		assert.Equal(t, len(g.Snapshot().Upstreams(clock.Now())), 2)
+	}
+}
--- a/internal/member/gossiper/peer.go
+++ b/internal/member/gossiper/peer.go
@@ -64,7 +64,10 @@
 		a.Revision, a.Check, a.Confirmed = c.Revision, c.Check, encodeAge(c.Age)
 	})
 	g.mu.Lock()
-	update := g.registrar.Update(g.clock.Now(), known)
+	var update registrar.Update
+	if !g.registrar.Excludes(from.Host) {
+		update = g.registrar.Update(g.clock.Now(), known)
+	}
 	self := g.registrar.Self()
 	a.Stranger = !g.registrar.Knows(from)
 	g.mu.Unlock()
--- a/internal/member/registrar/event.go
+++ b/internal/member/registrar/event.go
@@ -80,6 +80,11 @@
 // HostChanged tells that a live entry host has another description.
 type HostChanged struct{ Host Host }
 
+// Outbid tells that another process uses the name of this host with a higher
+// incarnation, and that this host now uses one above it.
+type Outbid struct{ Incarnation Incarnation }
+
+func (Outbid) action()      {}
 func (Changed) action()     {}
 func (Removed) action()     {}
 func (Ignored) action()     {}
@@ -98,6 +103,7 @@
 	Stalled   Reason = "stalled"
 	Overfull  Reason = "full"
 	Malformed Reason = "malformed"
+	Foreign   Reason = "other cell"
 )
 
 // Host is an entry host.
--- a/internal/member/registrar/host.go
+++ b/internal/member/registrar/host.go
@@ -24,6 +24,9 @@
 			r.refute(n.Host)
 			continue
 		}
+		if r.foreign(n.Host.Cell) {
+			continue
+		}
 		r.mergeHost(now, began.Add(-max(n.Age, 0)), n)
 	}
 }
@@ -39,6 +42,7 @@
 	r.version++
 	r.described = r.version
 	r.dirty = true
+	r.act(Outbid{Incarnation: r.self.Incarnation})
 }
 
 func (r *Registrar) mergeHost(now, at time.Time, n HostNews) {
--- a/internal/member/registrar/registrar.go
+++ b/internal/member/registrar/registrar.go
@@ -48,8 +48,6 @@
 const (
 	// MaxUpstreams bounds the memory that announcements can take.
 	MaxUpstreams = 20_000
-	// MaxUpdate bounds the upstreams in one update.
-	MaxUpdate = 5_000
 )
 
 // Registrar merges announcements and news from other entry hosts. Step and
@@ -65,6 +63,7 @@
 	settled    time.Time
 	incomplete bool
 	fresh      bool
+	scoped     bool
 
 	hosts     map[HostName]*host
 	keys      map[HostKey]*host
@@ -88,6 +87,13 @@
 // Option changes a new registrar.
 type Option func(*Registrar)
 
+// WithScope keeps only the hosts and upstreams of this host's own cell, and those
+// without a cell. What a host sends and holds then grows with the cell and not
+// with the fleet.
+func WithScope() Option {
+	return func(r *Registrar) { r.scoped = true }
+}
+
 // WithFaults is for tests that show that the checks can fail.
 func WithFaults(f Faults) Option {
 	return func(r *Registrar) { r.faults = f }
@@ -156,6 +162,10 @@
 	case Merge:
 		r.merge(now, e)
 	case Hear:
+		if now.Before(r.settled) {
+			// The request may be as old as the stall.
+			break
+		}
 		r.mergeHosts(now, now, e.Hosts)
 		r.hear(now, e.Heard)
 	case Describe:
@@ -238,6 +248,10 @@
 		ignore(Stalled)
 		return
 	}
+	if r.foreign(u.Cell) {
+		ignore(Foreign)
+		return
+	}
 	r.version++
 	stamp := Stamp{Origin: r.key, Version: r.version}
 	described := stamp
@@ -259,8 +273,20 @@
 	return k == r.key || h != nil && h.up
 }
 
+// Excludes reports whether a scoped registrar has nothing to share with the host.
+func (r *Registrar) Excludes(h Host) bool {
+	return r.foreign(h.Cell)
+}
+
+func (r *Registrar) foreign(c CellName) bool {
+	return r.scoped && c != "" && c != r.self.Cell
+}
+
 // apply merges news of an upstream and returns why it was ignored.
 func (r *Registrar) apply(now time.Time, n News, until time.Time) Reason {
+	if r.foreign(n.Upstream.Cell) {
+		return Foreign
+	}
 	u := r.upstreams[n.Upstream.Name]
 	if u == nil {
 		if !n.Upstream.Leaving && !now.Before(until) {
@@ -401,12 +427,6 @@
 		}
 	}
 	for _, c := range r.upstreams {
-		if len(u.News)+len(u.Renewals) >= MaxUpdate {
-			// The rest follows: without the vector the receiver does not
-			// count this update as complete.
-			u.Vector = Vector{}
-			break
-		}
 		e := c.slot.load()
 		remaining := e.Until.Sub(now)
 		switch {
--- a/internal/rpc/dialer/dialer.go
+++ b/internal/rpc/dialer/dialer.go
@@ -20,7 +20,7 @@
 	"connectrpc.com/connect"
 )
 
-// Times of a connection.
+// Times and limits of a connection.
 const (
 	// Dial bounds the set-up of a connection. Data centres are a few
 	// milliseconds apart; a lost SYN is sent again after a second, which a
@@ -30,6 +30,9 @@
 	Idle = time.Second
 	// Ping is how long the answer to a probe may take.
 	Ping = 700 * time.Millisecond
+	// MaxMessage bounds a message in bytes. A whole view of the largest fleet
+	// that a registrar keeps takes a few megabytes.
+	MaxMessage = 16 << 20
 	// Unused is when a connection without calls is closed.
 	Unused = 30 * time.Second
 )
@@ -82,7 +85,7 @@
 // Options are the connect options of calls between hosts: the messages are
 // small, so that compressing them costs more processor time than it saves.
 func Options() []connect.ClientOption {
-	return []connect.ClientOption{connect.WithAcceptCompression("gzip", nil, nil)}
+	return []connect.ClientOption{connect.WithAcceptCompression("gzip", nil, nil), connect.WithReadMaxBytes(MaxMessage)}
 }
 
 // Protocols returns what a server for these clients accepts.
