--- a/internal/member/gossiper/load_test.go
+++ b/internal/member/gossiper/load_test.go
@@ -145,7 +145,7 @@
 	runtime.GC()
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
-	return int64(m.HeapInuse + m.StackInuse)
+	return int64(m.HeapAlloc + m.StackInuse)
 }
 
 func processorTime(b *testing.B) time.Duration {
--- a/internal/member/registrar/fleet_test.go
+++ b/internal/member/registrar/fleet_test.go
@@ -297,3 +297,14 @@
 	}
 	return ""
 }
+
+// shown counts the hosts that show the upstream.
+func (f *fleet) shown(s *source) int {
+	n := 0
+	for _, m := range f.hosts {
+		if _, ok := m.Snapshot().Upstream(f.now, s.news.Name); ok {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/member/registrar/registrar_test.go
+++ b/internal/member/registrar/registrar_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -263,3 +264,26 @@
 		assert.Assert(t, r.Key() != key && r.Self().Described > 1)
 	}
 }
+
+// Guards against news that takes longer than the two seconds after which every
+// host has to know it.
+func TestNewsSpreadsWithinTwoSeconds(t *testing.T) {
+	for _, hosts := range []int{3, 9, 20, 55} {
+		var times []time.Duration
+		for seed := range uint64(3) {
+			f := newFleet(seed, hosts, 8)
+			f.advance(4 * time.Second)
+			for _, s := range f.sources {
+				f.leave(s, f.hosts[f.random.IntN(hosts)])
+				began := f.now
+				for f.shown(s) > 0 {
+					f.advance(10 * time.Millisecond)
+				}
+				times = append(times, f.now.Sub(began))
+			}
+		}
+		slices.Sort(times)
+		t.Logf("%d hosts: a departure is known everywhere after %v in the median and %v at most", hosts, times[len(times)/2], times[len(times)-1])
+		assert.Assert(t, times[len(times)-1] <= 2*time.Second, "%d hosts: %v", hosts, times)
+	}
+}
