--- a/internal/config/follower/file.go
+++ b/internal/config/follower/file.go
@@ -26,6 +26,16 @@
 // load reads the revision kept in the folder. A file that is there but can't be
 // read is an error: starting without it could revert the configuration.
 func load(folder string) (Revision, error) {
+	// Left behind by a crash between the write and the rename.
+	unfinished, err := filepath.Glob(filepath.Join(folder, FileName+".*.tmp"))
+	if err != nil {
+		return Revision{}, fmt.Errorf("look for unfinished files: %w", err)
+	}
+	for _, f := range unfinished {
+		if err := os.Remove(f); err != nil {
+			return Revision{}, fmt.Errorf("remove an unfinished file: %w", err)
+		}
+	}
 	data, err := os.ReadFile(filepath.Join(folder, FileName))
 	if errors.Is(err, fs.ErrNotExist) {
 		return Revision{}, nil
