--- a/internal/member/registrar/registrar_test.go
+++ b/internal/member/registrar/registrar_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -171,7 +172,14 @@
 	f.hosts[3].dead = true
 	f.hosts[4].Step(f.now, registrar.Describe{Draining: true})
 	f.advance(3 * time.Second)
-	assert.Equal(t, len(f.hosts[0].Snapshot().Hosts()), 8)
+	places := map[int]bool{}
+	for _, m := range f.hosts {
+		if place, hosts := m.Snapshot().Rank(); !m.dead {
+			places[place] = true
+			assert.Equal(t, hosts, 8)
+		}
+	}
+	assert.Equal(t, len(places), 8)
 	moved := 0
 	for c, old := range before {
 		owner := f.hosts[0].Snapshot().Owner(c)
@@ -232,3 +240,36 @@
 	}
 	assert.Equal(t, len(r.Update(now, nil).News), 0)
 }
+
+// Guards against a process whose name is taken that goes unheard.
+func TestTakenNameIsOutbid(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := registrar.New(now, registrar.Host{Name: "a", Incarnation: 1})
+	key := r.Key()
+	actions := r.Step(now, registrar.Hear{Hosts: []registrar.HostNews{{Host: registrar.Host{Name: "a", Incarnation: 9}, Described: 1}}})
+	assert.DeepEqual(t, actions, []registrar.Action{registrar.Outbid{Incarnation: 10}})
+	assert.Assert(t, r.Key() != key && r.Self().Described > 1)
+}
+
+// Guards against news that takes longer than the two seconds after which every
+// host has to know it.
+func TestNewsSpreadsWithinTwoSeconds(t *testing.T) {
+	for _, hosts := range []int{3, 9, 20, 55} {
+		var times []time.Duration
+		for seed := range uint64(3) {
+			f := newFleet(seed, hosts, 8)
+			f.advance(4 * time.Second)
+			for _, s := range f.sources {
+				f.leave(s, f.hosts[f.random.IntN(hosts)])
+				began := f.now
+				for f.shown(s) > 0 {
+					f.advance(10 * time.Millisecond)
+				}
+				times = append(times, f.now.Sub(began))
+			}
+		}
+		slices.Sort(times)
+		t.Logf("%d hosts: a departure is known everywhere after %v in the median and %v at most", hosts, times[len(times)/2], times[len(times)-1])
+		assert.Assert(t, times[len(times)-1] <= 2*time.Second, "%d hosts: %v", hosts, times)
+	}
+}
