scheduler: refuse early what cannot meet its target

Requests are now refused on arrival when the queue of their tier predicts it, when their latest start has passed, and at the wait of their class; the time to the first token and the lengths are learned by the estimator.

Ruled out: the rate of past grants as the drain rate. It is low before a burst, so that a burst after a quiet time was refused.

--- /dev/null
+++ b/internal/policy/scheduler/admission.go
@@ -0,0 +1,168 @@
+package scheduler
+
+import (
+	"math"
+	"time"
+
+	"github.com/amaranthcart/amaranthcart/internal/config/validator"
+)
+
+const (
+	// startQuantile is the quantile of the time from a grant to the first
+	// token that is set aside before the target.
+	startQuantile = 0.9
+	// assumedGap is the time between tokens that is set aside where only the
+	// whole answer has a target.
+	assumedGap = 40 * time.Millisecond
+	// overduePart is the part of a class's wait after which a request takes
+	// slots out of order; the rest is left for one to become free.
+	overduePart = 0.8
+	// meterTime is the time constant of rate measurements.
+	meterTime = 3 * time.Second
+	// crowdFactor is how far the predicted wait must exceed what the target
+	// allows before a request is refused on arrival. The prediction assumes
+	// constant drain and is often too high at the beginning of a burst.
+	crowdFactor = 1.5
+	// crowdMinimum is the queue length below which no prediction is made.
+	crowdMinimum = 8
+	// holdWeight is the weight of a new observation in the mean hold time.
+	holdWeight = 0.02
+	// minRate keeps predictions finite, in grants a second.
+	minRate = 0.1
+)
+
+// meter measures events a second with exponential decay.
+type meter struct {
+	value float64
+	last  time.Time
+}
+
+func (m *meter) add(now time.Time) {
+	m.value = m.decayed(now) + 1/meterTime.Seconds()
+	m.last = now
+}
+
+func (m *meter) decayed(now time.Time) float64 {
+	return m.value * math.Exp(-now.Sub(m.last).Seconds()/meterTime.Seconds())
+}
+
+// overdue is the age at which a request of the class takes slots out of order.
+func (c *class) overdue() time.Duration { return time.Duration(overduePart * float64(c.wait)) }
+
+// due is the latest grant that can still meet the target of the request. A
+// request that already has tokens has met its first target.
+func (s *Scheduler) due(r *request) time.Time {
+	c := r.class
+	switch {
+	case c.first > 0:
+		return r.Arrived.Add(c.first - min(s.estimator.Start(c.name, startQuantile), c.first/2))
+	case c.total > 0:
+		left := s.estimator.Remaining(c.name, r.Request.Organisation, r.Emitted)
+		return r.Arrived.Add(c.total - min(time.Duration(left)*assumedGap, c.total/2))
+	default:
+		return r.Arrived.Add(c.wait)
+	}
+}
+
+// ahead counts the waiting requests of a tier.
+func (p *pool) ahead(level validator.Tier) int {
+	n := 0
+	for _, l := range p.tiers[level].lanes {
+		n += len(l.requests)
+	}
+	return n
+}
+
+// held records how long a request held its slot.
+func (p *pool) held(d time.Duration) {
+	if p.hold == 0 {
+		p.hold = d.Seconds()
+	}
+	p.hold += (d.Seconds() - p.hold) * holdWeight
+}
+
+// rate predicts the grants a second to a tier: what it receives at present, or
+// what the slots allow once the tiers above it have theirs.
+func (p *pool) rate(now time.Time, level validator.Tier) float64 {
+	slots := 0
+	for _, u := range p.upstreams {
+		if !u.Leaving && !u.down {
+			slots += u.Slots
+		}
+	}
+	left := float64(slots) / max(p.hold, 0.001)
+	for i := range level {
+		left -= p.rates[i].decayed(now)
+	}
+	return max(p.rates[level].decayed(now), left, minRate)
+}
+
+// drainTime is how long the queue of a tier takes at its present rate.
+func (p *pool) drainTime(now time.Time, level validator.Tier) time.Duration {
+	if p.hold == 0 {
+		return leaseTime
+	}
+	seconds := float64(p.ahead(level)+1) / p.rate(now, level)
+	return min(time.Duration(seconds*float64(time.Second)), time.Minute)
+}
+
+// crowded predicts that the request cannot be granted in time because of the
+// queue of its tier.
+func (s *Scheduler) crowded(now time.Time, r *request) bool {
+	p, level := r.pool, r.class.tier
+	n := p.ahead(level)
+	if n < crowdMinimum || p.hold == 0 {
+		return false
+	}
+	allowed := min(r.due.Sub(now), r.class.wait)
+	predicted := time.Duration(float64(n) / p.rate(now, level) * float64(time.Second))
+	return predicted > time.Duration(crowdFactor*float64(allowed))
+}
+
+// expire refuses the waiting requests that can no longer meet their target or
+// have reached the wait of their class.
+func (s *Scheduler) expire(now time.Time) {
+	for _, p := range s.pools {
+		for level := len(p.tiers) - 1; level >= 0; level-- {
+			s.expireTier(now, p, validator.Tier(level))
+		}
+		s.expireAges(now, p)
+	}
+}
+
+func (s *Scheduler) expireTier(now time.Time, p *pool, level validator.Tier) {
+	for i := len(p.tiers[level].lanes) - 1; i >= 0; i-- {
+		l := p.tiers[level].lanes[i]
+		for len(l.requests) > 0 && s.hopeless(now, l.requests[0]) {
+			s.giveUp(now, l.requests[0])
+		}
+	}
+}
+
+// hopeless reports whether a request cannot meet its target any more. One that
+// has tokens already is worth continuing.
+func (s *Scheduler) hopeless(now time.Time, r *request) bool {
+	return r.Emitted == 0 && now.After(r.due)
+}
+
+// expireAges refuses what has reached the wait of its class, so that the bound
+// holds for every arrival pattern.
+func (s *Scheduler) expireAges(now time.Time, p *pool) {
+	for c := range p.ages {
+		for {
+			p.trimAges(c)
+			list := p.ages[c]
+			if len(list) == 0 || now.Sub(list[0].queued) < c.wait {
+				break
+			}
+			s.giveUp(now, list[0].request)
+		}
+	}
+}
+
+// giveUp refuses a waiting request.
+func (s *Scheduler) giveUp(now time.Time, r *request) {
+	s.dequeue(r)
+	s.refuse(r.ID, Overloaded, r.pool.drainTime(now, r.class.tier))
+	s.settle(r)
+}
--- a/internal/policy/scheduler/queue.go
+++ b/internal/policy/scheduler/queue.go
@@ -30,6 +30,10 @@
 	// sinceOverdue counts the grants since the last one that was made out of
 	// order to overdue work.
 	sinceOverdue int
+	// rates are the grants a second to each tier.
+	rates [validator.LowestTier + 1]meter
+	// hold is the mean time in seconds for which a request holds its slot.
+	hold float64
 }
 
 // age is the start of a wait; it is void once the request waits no more.
@@ -229,12 +233,12 @@
 	p.ages[c] = list[i:]
 }
 
-// overdue returns the oldest waiting request that is past the wait of its
-// class, whatever its tier.
+// overdue returns the oldest waiting request that nears the wait of its class,
+// whatever its tier.
 func (p *pool) overdue(now time.Time) *request {
 	var oldest *request
 	for c, list := range p.ages {
-		if len(list) == 0 || list[0].request.parked || now.Sub(list[0].queued) < c.wait {
+		if len(list) == 0 || list[0].request.parked || now.Sub(list[0].queued) < c.overdue() {
 			continue
 		}
 		if r := list[0].request; oldest == nil || r.queued.Before(oldest.queued) {
@@ -244,36 +248,39 @@
 	return oldest
 }
 
-// next returns the request that takes the next slot.
-func (p *pool) next(now time.Time) *request {
+// next returns the request that takes the next slot, and whether it is overdue.
+func (p *pool) next(now time.Time) (*request, bool) {
 	if p.sinceOverdue >= overdueSpacing {
 		if r := p.overdue(now); r != nil {
-			p.sinceOverdue = 0
-			return r
+			return r, true
 		}
 	}
 	for level := range p.tiers {
 		if r := p.tiers[level].next(validator.Tier(level)); r != nil {
-			return r
+			return r, false
 		}
 	}
-	return nil
+	return nil, false
 }
 
 // dispatch grants free slots to waiting requests in order.
 func (s *Scheduler) dispatch(now time.Time, p *pool) {
 	s.unpark(p)
 	for p.waiting > len(p.parked) && p.free() {
-		r := p.next(now)
+		r, overdue := p.next(now)
 		u := s.choose(now, r)
 		if u == nil {
 			p.park(r)
 			continue
 		}
 		p.sinceOverdue++
+		if overdue {
+			p.sinceOverdue = 0
+		}
 		s.virtual[r.class.tier] = max(s.virtual[r.class.tier], r.organisation.debt[r.class.tier])
 		s.dequeue(r)
 		s.start(now, r, u)
+		p.rates[r.class.tier].add(now)
 		s.actions = append(s.actions, Grant{ID: r.ID, Upstream: u.Name, Priority: int(r.class.tier)})
 	}
 }
--- a/internal/policy/scheduler/request.go
+++ b/internal/policy/scheduler/request.go
@@ -47,7 +47,6 @@
 	sent.Arrived = r.Arrived
 	r.Request = sent
 	r.queued = now
-	r.due = r.Arrived.Add(r.class.target())
 }
 
 // cost is the number of tokens charged for an answer of the given length.
@@ -104,18 +103,6 @@
 	return k
 }
 
-// target is the time within which a request of the class should start.
-func (c *class) target() time.Duration {
-	switch {
-	case c.first > 0:
-		return c.first
-	case c.total > 0:
-		return c.total
-	default:
-		return c.wait
-	}
-}
-
 // organisation holds the limits and debts of a customer.
 type organisation struct {
 	name    validator.OrganisationName
@@ -193,7 +180,7 @@
 			s.dequeue(r)
 		}
 		r.class = s.class(r.Class)
-		r.due = r.Arrived.Add(r.class.target())
+		r.due = s.due(r)
 	}
 	for _, p := range s.pools {
 		clear(p.ages)
--- a/internal/policy/scheduler/scheduler.go
+++ b/internal/policy/scheduler/scheduler.go
@@ -7,6 +7,7 @@
 	"github.com/amaranthcart/amaranthcart/internal/config/validator"
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
 	"github.com/amaranthcart/amaranthcart/internal/policy/detector"
+	"github.com/amaranthcart/amaranthcart/internal/policy/estimator"
 )
 
 // Scheduler orders the requests of one cell and assigns them to upstreams. It
@@ -20,6 +21,7 @@
 	upstreams     map[registrar.UpstreamID]*upstream
 	requests      map[RequestID]*request
 	detector      *detector.Detector
+	estimator     *estimator.Estimator
 	virtual       [validator.LowestTier + 1]float64
 	actions       []Action
 }
@@ -43,6 +45,7 @@
 		upstreams:     make(map[registrar.UpstreamID]*upstream),
 		requests:      make(map[RequestID]*request),
 		detector:      detector.New(),
+		estimator:     estimator.New(),
 	}
 	for _, o := range options {
 		o(s)
@@ -77,6 +80,7 @@
 		s.learn(now, e.Records)
 	case Tick:
 		s.detector.Expire(now)
+		s.expire(now)
 		for _, p := range s.pools {
 			s.dispatch(now, p)
 		}
@@ -112,6 +116,12 @@
 	}
 	r.pool = p
 	r.resubmit(now, sent)
+	r.due = s.due(r)
+	if !resumed && s.crowded(now, r) {
+		s.refuse(r.ID, Overloaded, p.drainTime(now, r.class.tier))
+		s.settle(r)
+		return
+	}
 	s.enqueue(r)
 	s.dispatch(now, p)
 }
@@ -171,6 +181,7 @@
 func (s *Scheduler) firstToken(now time.Time, e FirstToken) {
 	if a := s.attempt(e.ID, e.Upstream); a != nil && a.first.IsZero() {
 		a.first = now
+		s.estimator.Started(a.request.Class, now.Sub(a.granted))
 	}
 }
 
@@ -192,6 +203,10 @@
 	}
 	r, u := a.request, a.upstream
 	a.tokens = max(a.tokens, e.Tokens)
+	if e.Outcome == Completed {
+		s.estimator.Answered(r.Class, r.Request.Organisation, r.Emitted+a.tokens)
+		r.pool.held(now.Sub(a.granted))
+	}
 	s.release(now, a, e.Outcome)
 	s.settle(r)
 	if e.Outcome == Crashed {
