--- a/internal/entry/dispatcher/cell_test.go
+++ b/internal/entry/dispatcher/cell_test.go
@@ -92,6 +92,11 @@
 }
 
 func newMembers(t *testing.T, names ...registrar.HostName) (*fakeMembership, map[registrar.HostName]*member) {
+	t.Helper()
+	return startMembers(t, slots, func(l net.Listener) net.Listener { return l }, names...)
+}
+
+func startMembers(t testing.TB, slots int, wrap func(net.Listener) net.Listener, names ...registrar.HostName) (*fakeMembership, map[registrar.HostName]*member) {
 	t.Helper()
 	view := &fakeMembership{
 		owner:     names[0],
@@ -109,12 +114,12 @@
 	}
 	all := map[registrar.HostName]*member{}
 	for _, n := range names {
-		all[n] = newMember(t, n, view, listeners[n], u)
+		all[n] = newMember(t, n, view, wrap(listeners[n]), u)
 	}
 	return view, all
 }
 
-func newMember(t *testing.T, n registrar.HostName, view *fakeMembership, l net.Listener, u registrar.Upstream) *member {
+func newMember(t testing.TB, n registrar.HostName, view *fakeMembership, l net.Listener, u registrar.Upstream) *member {
 	t.Helper()
 	clock := clockwork.NewRealClock()
 	m := &member{local: NewLocal(scheduler.New(), clock)}
@@ -147,7 +152,7 @@
 	return ok
 }
 
-func waitFor(t *testing.T, what string, ok func() bool) {
+func waitFor(t testing.TB, what string, ok func() bool) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if ok() {
