--- a/cmd/amaranthd/fault_test.go
+++ b/cmd/amaranthd/fault_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -463,3 +464,45 @@
 	assert.Equal(t, last.header.Get("Amaranth-Run"), "no")
 	assert.Equal(t, len(failures), 0, "%v", errors.New(strings.Join(failures, "\n")))
 }
+
+// TestControlLost guards against an entry host that goes on under a
+// configuration that it cannot confirm, against a refusal that is not true,
+// and against two operators who both win with the same revision number.
+func TestControlLost(t *testing.T) {
+	d := deploy(t, 3, 2)
+	d.apply(document(t, "a"), 0)
+	d.startStub("shop-1", "--service", "shop")
+	for _, e := range d.entries {
+		d.waitUpstreams(e, 1)
+	}
+	codes := make([]int, 2)
+	var group conc.WaitGroup
+	for i := range codes {
+		file := document(t, fmt.Sprint("operator-", i))
+		group.Go(func() { codes[i], _ = d.ctl("apply", file, "--revision", "1", "--change", fmt.Sprint("race-", i)) })
+	}
+	group.Wait()
+	slices.Sort(codes)
+	assert.DeepEqual(t, codes, []int{0, 4})
+
+	for _, c := range d.control {
+		d.signal(c, syscall.SIGSTOP)
+	}
+	for _, e := range d.entries {
+		d.waitFor(e+" to become unready", func() bool { return !d.ready(e) })
+	}
+	before := d.runs("shop-1")
+	for i, method := range []string{"GET", "POST"} {
+		a := d.send(t.Context(), d.entries[i], method, []string{"/svc/shop/check", "/svc/shop/renew"}[i], "")
+		assert.NilError(t, a.err)
+		assert.Equal(t, a.status, http.StatusServiceUnavailable, a.body)
+		assert.Equal(t, a.header.Get("Amaranth-Run"), "no")
+	}
+	assert.DeepEqual(t, d.runs("shop-1"), before)
+	for _, c := range d.control {
+		d.signal(c, syscall.SIGCONT)
+	}
+	for _, e := range d.entries {
+		d.waitFor(e+" to become ready", func() bool { return d.ready(e) })
+	}
+}
