--- a/cmd/amaranthd/process_test.go
+++ b/cmd/amaranthd/process_test.go
@@ -64,7 +64,7 @@
 
 // deployment is a set of processes on loopback.
 type deployment struct {
-	t         *testing.T
+	t         testing.TB
 	folder    string
 	group     conc.WaitGroup
 	processes map[string]*process
@@ -74,7 +74,7 @@
 	stubs     map[string]string
 }
 
-func freePort(t *testing.T) string {
+func freePort(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -82,7 +82,7 @@
 	return l.Addr().String()
 }
 
-func deploy(t *testing.T, controls, entries int) *deployment {
+func deploy(t testing.TB, controls, entries int) *deployment {
 	t.Helper()
 	d := &deployment{
 		t: t, folder: t.TempDir(),
@@ -228,7 +228,7 @@
 }
 
 // document is a configuration of the test's own with a known key.
-func document(t *testing.T, note string) string {
+func document(t testing.TB, note string) string {
 	t.Helper()
 	var b bytes.Buffer
 	chat := builder.Class("chat", builder.Tier(0), builder.First(2*time.Second), builder.Gap(time.Second), builder.Wait(10*time.Second))
