Cut token counts off by their position only

Fuzzing found that a chunk whose nested object ends in counts of a certain length was cut in the wrong place, because the position was computed from the end. The position that the decoder saw is used instead; the input stays in the seed corpus.

--- a/internal/entry/forwarder/chunk.go
+++ b/internal/entry/forwarder/chunk.go
@@ -39,6 +39,8 @@
 	choices []choice
 	// usage is the JSON of the token counts, or empty.
 	usage string
+	// usageAt is where usage starts in the event.
+	usageAt int
 	// failed is set when the event reports an error.
 	failed bool
 }
@@ -89,7 +91,7 @@
 		c.system, err = text(name, value)
 	case "usage":
 		if value.Type != gjson.Null {
-			c.usage = value.Raw
+			c.usage, c.usageAt = value.Raw, value.Index
 		}
 	case "error":
 		c.failed = value.Type != gjson.Null
@@ -178,10 +180,12 @@
 		return data, nil
 	}
 	// Engines write the counts last, which spares encoding the chunk again.
-	tail := len(data) - len(c.usage) - len(`,"usage":}`)
-	if tail > 0 && bytes.Equal(data[tail:tail+len(`,"usage":`)], []byte(`,"usage":`)) {
-		data[tail] = '}'
-		return data[:tail+1], nil
+	const name = `,"usage":`
+	start := c.usageAt - len(name)
+	last := c.usageAt+len(c.usage)+1 == len(data)
+	if start > 0 && last && bytes.HasPrefix(data[start:], []byte(name+c.usage)) {
+		data[start] = '}'
+		return data[:start+1], nil
 	}
 	fields, err := decodeFields(data)
 	if err != nil {
--- a/internal/entry/forwarder/decode_test.go
+++ b/internal/entry/forwarder/decode_test.go
@@ -150,3 +150,36 @@
 		assert.DeepEqual(t, a, b)
 	}
 }
+
+// FuzzChunk guards against crashes on engines' events, and against events that
+// lose or gain a field when the token counts are removed.
+func FuzzChunk(f *testing.F) {
+	for _, s := range []string{
+		`{"id":"a","choices":[{"index":0,"delta":{"content":" b"},"finish_reason":null}],"usage":{"prompt_tokens":1}}`,
+		`{"usage":{"x":1},"a":{"b":1,"usage":{"x":1}}}`, `{"usage":[],"choices":null}`, `{"choices":[{"text":1}]}`, `[]`,
+	} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		k, err := decodeChunk(data)
+		if err != nil {
+			return
+		}
+		fields, err := decodeFields(data)
+		if err != nil {
+			return
+		}
+		shorter, err := withoutUsage(bytes.Clone(data), k)
+		assert.NilError(t, err)
+		rest, err := decodeFields(shorter)
+		assert.NilError(t, err)
+		if k.usage != "" {
+			delete(fields, "usage")
+			delete(rest, "usage") // JSON permits a name to occur twice
+		}
+		assert.Equal(t, len(rest), len(fields))
+		for name := range fields {
+			assert.Assert(t, rest[name] != nil)
+		}
+	})
+}
--- a/internal/entry/receiver/client_test.go
+++ b/internal/entry/receiver/client_test.go
@@ -2,11 +2,17 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
+	"time"
 
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
 	"gotest.tools/v3/assert"
+
+	"github.com/amaranthcart/amaranthcart/internal/entry/dispatcher"
+	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
+	"github.com/amaranthcart/amaranthcart/internal/stub/responder"
 )
 
 // TestOfficialClient guards against answers that the published client library
@@ -52,3 +58,29 @@
 	assert.NilError(t, err)
 	assert.Equal(t, models.Data[0].ID, "story")
 }
+
+// TestOfficialClientErrors guards against errors that the published client
+// library does not show its user: refusals, and streams that break off.
+func TestOfficialClientErrors(t *testing.T) {
+	h := newHarness(t, withUpstreams(1))
+	client := openai.NewClient(option.WithBaseURL(h.url+"/v1"), option.WithAPIKey(testKey), option.WithMaxRetries(0))
+	chat := openai.ChatCompletionNewParams{
+		Model:    "story",
+		Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage("the fox [[length=20]]")},
+	}
+	h.responders[0].Set(responder.Behaviour{Break: 5})
+	stream := client.Chat.Completions.NewStreaming(context.Background(), chat)
+	chunks := 0
+	for stream.Next() {
+		chunks++
+	}
+	assert.ErrorContains(t, stream.Err(), "no live upstream")
+	assert.Equal(t, chunks, 6) // the role and five tokens
+	h.dispatcher.refusal = &dispatcher.RefusedError{Reason: scheduler.Overloaded, RetryAfter: 2 * time.Second}
+	_, err := client.Chat.Completions.New(context.Background(), chat)
+	var failure *openai.Error
+	assert.Assert(t, errors.As(err, &failure))
+	assert.Equal(t, failure.StatusCode, 503)
+	assert.Equal(t, failure.Code, "overloaded")
+	assert.Equal(t, failure.Response.Header.Get("Retry-After"), "2")
+}
--- a/internal/entry/receiver/receiver.go
+++ b/internal/entry/receiver/receiver.go
@@ -248,6 +248,7 @@
 // Close closes all connections of the receiver's servers.
 func (r *Receiver) Close() error {
 	r.draining.Store(true)
+	r.latency.Stop()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var failed error
