receiver: report the end of each request to the measures

The six measures by class stayed empty: nothing called the reporter. The forwarder now fills a trace (first slot, first token, tokens, thrown-away tokens), and the receiver reports completed, refused, broken and abandoned requests. A claimed call has no trace, because it may outlive its caller.

--- a/internal/daemon/runner/entry.go
+++ b/internal/daemon/runner/entry.go
@@ -222,6 +222,7 @@
 		Configuration: e.configuration,
 		Clock:         e.clock,
 		Logger:        logger,
+		Report:        e.reporter.ReportRequest,
 		Limits:        receiver.Limits{Connections: l.Connections, Body: l.Body, Header: l.Header},
 	})
 }
--- a/internal/entry/forwarder/forwarder.go
+++ b/internal/entry/forwarder/forwarder.go
@@ -98,6 +98,44 @@
 	Generation *Generation
 	Request    scheduler.Request
 	Class      validator.Class
+	// Trace is filled in when it is set.
+	Trace *Trace
+}
+
+// Trace tells how a call ran, for the measures.
+type Trace struct {
+	// Granted is when the first slot was obtained, and First when the first
+	// token arrived; zero if that did not happen.
+	Granted time.Time
+	First   time.Time
+	// Tokens counts the tokens of the answer so far.
+	Tokens int
+	// Wasted counts tokens of attempts whose text was thrown away.
+	Wasted int
+}
+
+func (t *Trace) grant(now time.Time) {
+	if t != nil && t.Granted.IsZero() {
+		t.Granted = now
+	}
+}
+
+func (t *Trace) first(now time.Time) {
+	if t != nil && t.First.IsZero() {
+		t.First = now
+	}
+}
+
+func (t *Trace) restart(tokens int) {
+	if t != nil {
+		t.Wasted += tokens
+	}
+}
+
+func (t *Trace) end(tokens int) {
+	if t != nil {
+		t.Tokens = tokens
+	}
 }
 
 // deadlines bound the silence of an upstream.
--- a/internal/entry/forwarder/plain.go
+++ b/internal/entry/forwarder/plain.go
@@ -38,6 +38,8 @@
 	// Whole asks for the whole answer in Body, up to the bound of a whole
 	// answer.
 	Whole bool
+	// Trace is filled in when it is set.
+	Trace *Trace
 }
 
 // Answer is an upstream's answer to a plain call.
@@ -73,6 +75,7 @@
 		if err != nil {
 			return nil, refusal(err, run)
 		}
+		p.Trace.grant(f.clock.Now())
 		t := &plainAttempt{forwarder: f, call: &p, slot: slot}
 		answer, err := t.run(ctx)
 		if err == nil {
--- a/internal/entry/forwarder/session.go
+++ b/internal/entry/forwarder/session.go
@@ -114,6 +114,7 @@
 // drive runs attempts until the answer is complete or given up.
 func (s *session) drive(ctx context.Context, read func(*candidate) error) error {
 	attempts, preemptions := 1, 0
+	defer func() { s.call.Trace.end(s.tokens) }()
 	for {
 		slot, err := s.forwarder.dispatcher.Acquire(ctx, s.request)
 		if err != nil && ctx.Err() != nil {
@@ -122,6 +123,7 @@
 		if err != nil {
 			return refusal(err, s.run)
 		}
+		s.call.Trace.grant(s.forwarder.clock.Now())
 		err = s.attempt(ctx, slot, read)
 		if err == nil {
 			return nil
@@ -175,6 +177,7 @@
 	s.extras = extras{}
 	s.choice = choices{}
 	s.mixed = false
+	s.call.Trace.restart(s.tokens)
 	s.tokens, s.base = 0, 0
 	s.request.Emitted = 0
 	return true
@@ -187,6 +190,7 @@
 		return err
 	}
 	c.slot.FirstToken()
+	s.call.Trace.first(s.forwarder.clock.Now())
 	return read(c)
 }
 
--- a/internal/entry/receiver/generation.go
+++ b/internal/entry/receiver/generation.go
@@ -61,7 +61,9 @@
 		if !ok {
 			return invalid("class_not_permitted", "the model does not permit the class")
 		}
+		c.class = class.Name
 		return c.generate(forwarder.GenerationCall{
+			Trace:      &c.trace,
 			Generation: g,
 			Class:      class,
 			Request: scheduler.Request{
--- a/internal/entry/receiver/harness_test.go
+++ b/internal/entry/receiver/harness_test.go
@@ -24,6 +24,7 @@
 	"github.com/amaranthcart/amaranthcart/internal/entry/forwarder"
 	"github.com/amaranthcart/amaranthcart/internal/entry/receiver"
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"github.com/amaranthcart/amaranthcart/internal/ops/reporter"
 	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
 	"github.com/amaranthcart/amaranthcart/internal/stub/responder"
 )
@@ -153,6 +154,31 @@
 	forwarder  *forwarder.Forwarder
 	responders []*responder.Responder
 	client     *http.Client
+
+	reportsMu sync.Mutex
+	reports   []reporter.Result
+}
+
+func (h *harness) report(v reporter.Result) {
+	h.reportsMu.Lock()
+	defer h.reportsMu.Unlock()
+	h.reports = append(h.reports, v)
+}
+
+// reported waits for the next report and removes it.
+func (h *harness) reported() reporter.Result {
+	h.t.Helper()
+	var v reporter.Result
+	eventually(h.t, "a report", func() bool {
+		h.reportsMu.Lock()
+		defer h.reportsMu.Unlock()
+		if len(h.reports) == 0 {
+			return false
+		}
+		v, h.reports = h.reports[0], h.reports[1:]
+		return true
+	})
+	return v
 }
 
 type harnessOption func(*harnessSettings)
@@ -223,6 +249,7 @@
 			return receiver.Snapshot{Revision: 1, Document: h.document}, h.fresh.Load()
 		},
 		Clock:  settings.clock,
+		Report: h.report,
 		Limits: settings.limits,
 		NewID:  settings.newID,
 	})
--- a/internal/entry/receiver/receiver.go
+++ b/internal/entry/receiver/receiver.go
@@ -37,6 +37,7 @@
 	"github.com/amaranthcart/amaranthcart/internal/config/validator"
 	"github.com/amaranthcart/amaranthcart/internal/entry/claimer"
 	"github.com/amaranthcart/amaranthcart/internal/entry/forwarder"
+	"github.com/amaranthcart/amaranthcart/internal/ops/reporter"
 	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
 )
 
@@ -97,7 +98,9 @@
 	Clock         clockwork.Clock
 	Logger        *zap.Logger
 	Metrics       metrics.Registry
-	Limits        Limits
+	// Report takes the end of each request of a class; it may be nil.
+	Report func(reporter.Result)
+	Limits Limits
 	// NewID returns a unique request id; nil means random UUIDs.
 	NewID func() string
 }
@@ -295,6 +298,12 @@
 	writer       http.ResponseWriter
 	request      *http.Request
 	params       httprouter.Params
+
+	// class is empty until it is known; then the end is reported.
+	class     validator.ClassName
+	trace     forwarder.Trace
+	completed bool
+	refused   scheduler.Reason
 }
 
 // admit wraps a handler with the checks that come before any work.
@@ -312,8 +321,12 @@
 		r.requests.Inc(1)
 		open := r.open.Add(1)
 		defer r.leave()
+		defer c.report()
 		if err := c.serve(open, handle); err != nil {
+			c.noteRefusal(err)
 			r.finish(c, err)
+		} else {
+			c.completed = true
 		}
 		r.latency.Update(r.clock.Since(c.arrived))
 	}
@@ -345,6 +358,41 @@
 	return handle(c)
 }
 
+func (c *call) noteRefusal(err error) {
+	var e *forwarder.Error
+	if errors.As(err, &e) && e.Run == forwarder.NotRun {
+		c.refused = scheduler.Reason(e.Code)
+	}
+}
+
+// report tells the measures how the request ended, also when its answer is
+// broken off.
+func (c *call) report() {
+	r := c.receiver
+	if r.options.Report == nil || c.class == "" {
+		return
+	}
+	now := r.clock.Now()
+	v := reporter.Result{
+		Class:     c.class,
+		Arrived:   c.arrived,
+		Refused:   c.refused,
+		Completed: c.completed,
+		Abandoned: !c.completed && c.request.Context().Err() != nil,
+		Total:     now.Sub(c.arrived),
+		Tokens:    c.trace.Tokens,
+		Wasted:    c.trace.Wasted,
+	}
+	if !c.trace.Granted.IsZero() {
+		v.Queue = c.trace.Granted.Sub(c.arrived)
+	}
+	if !c.trace.First.IsZero() {
+		v.First = c.trace.First.Sub(c.arrived)
+		v.Gap = now.Sub(c.trace.First) / time.Duration(max(c.trace.Tokens-1, 1))
+	}
+	r.options.Report(v)
+}
+
 func (r *Receiver) leave() {
 	if r.open.Add(-1) == 0 && r.draining.Load() {
 		select {
--- a/internal/entry/receiver/service.go
+++ b/internal/entry/receiver/service.go
@@ -45,7 +45,9 @@
 	if c.request.URL.RawQuery != "" {
 		target += "?" + c.request.URL.RawQuery
 	}
+	c.class = class.Name
 	p := forwarder.PlainCall{
+		Trace:  &c.trace,
 		Class:  class,
 		Method: c.request.Method,
 		Target: target,
@@ -150,6 +152,8 @@
 	}
 	digest := sha256.Sum256([]byte(p.Method + "\x00" + p.Target + "\x00" + string(p.Body)))
 	p.Whole = true
+	// A claimed call may outlive its caller, so it must not touch the trace.
+	p.Trace = nil
 	k := claimer.Call{
 		Organisation: string(c.organisation.Name),
 		Service:      string(p.Request.Pool),
