--- a/internal/control/applier/applier.go
+++ b/internal/control/applier/applier.go
@@ -11,7 +11,8 @@
 // # Retention
 //
 //   - Documents: the last keptRevisions revisions.
-//   - Audit entries: the last keptAudit.
+//   - Audit entries: the last keptAudit, or fewer when they exceed
+//     keptAuditSize.
 //   - Change IDs: the last keptChanges that reached the log, accepted or in
 //     conflict. Invalid changes aren't remembered.
 //   - Claims: done and unknown ones for claimRetention after they ended,
@@ -19,7 +20,8 @@
 //     deadline, when it becomes unknown.
 //   - Answers: up to maximumAnswer bytes each and maximumAnswers bytes in all;
 //     a larger one is left out, and the claim is done without an answer.
-//   - At most maximumClaims claims; a claim beyond that isn't granted.
+//   - At most maximumClaims claims of maximumClaimsSize bytes in all; a claim
+//     beyond that isn't granted.
 //
 // # Usage
 //
@@ -44,6 +46,8 @@
 	keptRevisions = 64
 	// keptAudit is two months at 1,600 changes a day.
 	keptAudit = 100_000
+	// keptAuditSize is about 650 bytes for each of them.
+	keptAuditSize = 64 << 20
 	// keptChanges is six days at 1,600 changes a day.
 	keptChanges = 10_000
 
@@ -60,6 +64,8 @@
 	maximumAnswer  = 64 << 10
 	maximumAnswers = 64 << 20
 	maximumClaims  = 200_000
+	// maximumClaimsSize includes the answers.
+	maximumClaimsSize = 128 << 20
 )
 
 // Result is the outcome of one entry for the caller who proposed it. One field
@@ -78,6 +84,7 @@
 	revision  uint64
 	revisions []*wire.Revision
 	audit     []*wire.AuditEntry
+	auditSize int
 	changes   changeTable
 	claims    claimTable
 }
@@ -139,12 +146,20 @@
 	if over := len(s.revisions) - keptRevisions; over > 0 {
 		s.revisions = append([]*wire.Revision(nil), s.revisions[over:]...)
 	}
-	s.audit = append(s.audit, &wire.AuditEntry{
+	s.record(&wire.AuditEntry{
 		Revision: s.revision, Base: q.Base, Change: q.Change, Operator: q.Operator,
 		Note: q.Note, Accepted: s.time, Digest: c.Digest, Differences: c.Differences,
 	})
-	if over := len(s.audit) - keptAudit; over > keptAudit/10 {
-		s.audit = append([]*wire.AuditEntry(nil), s.audit[over:]...)
+}
+
+// record adds an entry to the audit trail and drops the oldest beyond the
+// bounds.
+func (s *State) record(e *wire.AuditEntry) {
+	s.audit = append(s.audit, e)
+	s.auditSize += proto.Size(e)
+	for len(s.audit) > keptAudit || s.auditSize > keptAuditSize {
+		s.auditSize -= proto.Size(s.audit[0])
+		s.audit = s.audit[1:]
 	}
 }
 
@@ -240,7 +255,10 @@
 		return nil, fmt.Errorf("decode state: %w", err)
 	}
 	s := New()
-	s.time, s.revision, s.revisions, s.audit = p.Time, p.Revision, p.Revisions, p.Audit
+	s.time, s.revision, s.revisions = p.Time, p.Revision, p.Revisions
+	for _, e := range p.Audit {
+		s.record(e)
+	}
 	for _, c := range p.Changes {
 		s.changes.add(c)
 	}
--- a/internal/control/applier/applier_test.go
+++ b/internal/control/applier/applier_test.go
@@ -170,11 +170,14 @@
 func TestFullTable(t *testing.T) {
 	s := New()
 	s.Apply(command(t, 1, 0, claim("a", "d", time.Minute)))
+	other := claim("b", "d", time.Minute)
+	other.GetClaim().Key = "another"
+	s.claims.size += maximumClaimsSize
+	assert.Assert(t, s.Apply(command(t, 2, 0, other)).Full)
+	s.claims.size -= maximumClaimsSize
 	for i := range maximumClaims - 1 {
 		s.claims.records[claimKey{key: fmt.Sprint(i)}] = &record.ClaimRecord{}
 	}
-	other := claim("b", "d", time.Minute)
-	other.GetClaim().Key = "another"
 	assert.Assert(t, s.Apply(command(t, 2, 0, other)).Full)
 	assert.Equal(t, s.Apply(command(t, 3, 0, claim("b", "d", time.Minute))).Claim.State, wire.ClaimResponse_STATE_RUNNING)
 }
@@ -187,12 +190,18 @@
 	for i := range uint64(n) {
 		s.Apply(command(t, i+1, time.Second, change(fmt.Sprint("c", i), i, "{}")))
 	}
+	size := s.auditSize
 	s = reload(t, s)
+	assert.Equal(t, s.auditSize, size)
 	assert.Equal(t, len(s.changes.records), keptChanges)
 	assert.Equal(t, len(s.revisions), keptRevisions)
 	assert.Assert(t, s.Revision(1) == nil)
 	assert.Equal(t, s.History(0, 1)[0].Change, "c0")
 	assert.Equal(t, len(s.After(n-3)), 3)
+	s.auditSize += keptAuditSize - size
+	s.Apply(command(t, n+1, time.Second, change("last", n, "{}")))
+	assert.Assert(t, s.audit[0].Revision > 1)
+	assert.Equal(t, s.History(0, 1)[0].Revision, s.audit[0].Revision)
 }
 
 // TestSnapshotEqualsReplay guards against state that a snapshot leaves out:
@@ -223,6 +232,8 @@
 			restored = reload(t, restored)
 		}
 	}
+	assert.Equal(t, whole.claims.size, restored.claims.size)
+	assert.Equal(t, whole.claims.answers, restored.claims.answers)
 	a, err := whole.Encode()
 	assert.NilError(t, err)
 	b, err := restored.Encode()
--- a/internal/control/applier/claim.go
+++ b/internal/control/applier/claim.go
@@ -28,8 +28,9 @@
 type claimTable struct {
 	records map[claimKey]*record.ClaimRecord
 	due     dueHeap
-	// answers is the size of all stored answers.
+	// answers is the size of all stored answers, size that of all records.
 	answers int
+	size    int
 }
 
 func newClaimTable() claimTable {
@@ -43,7 +44,7 @@
 	if c != nil && (c.State != record.ClaimRecord_STATE_RELEASED || slices.Contains(c.Released, q.Token)) {
 		return Result{Claim: answerClaim(c, q)}
 	}
-	if c == nil && len(t.records) >= maximumClaims {
+	if c == nil && (len(t.records) >= maximumClaims || t.size >= maximumClaimsSize) {
 		return Result{Full: true}
 	}
 	deadline := time.Duration(q.Deadline) * time.Millisecond
@@ -144,8 +145,7 @@
 			continue
 		}
 		if c.State != record.ClaimRecord_STATE_RUNNING {
-			t.answers -= answerSize(c.Answer)
-			delete(t.records, d.key)
+			t.forget(d.key)
 			continue
 		}
 		n := proto.CloneOf(c)
@@ -158,14 +158,21 @@
 // put stores a record and plans its expiry.
 func (t *claimTable) put(c *record.ClaimRecord) {
 	k := claimKey{c.Organisation, c.Service, c.Key}
-	if old := t.records[k]; old != nil {
-		t.answers -= answerSize(old.Answer)
-	}
+	t.forget(k)
 	t.answers += answerSize(c.Answer)
+	t.size += proto.Size(c)
 	t.records[k] = c
 	heap.Push(&t.due, due{at: c.Expires, key: k})
 }
 
+func (t *claimTable) forget(k claimKey) {
+	if c := t.records[k]; c != nil {
+		t.answers -= answerSize(c.Answer)
+		t.size -= proto.Size(c)
+		delete(t.records, k)
+	}
+}
+
 // list returns the records in no order.
 func (t *claimTable) list() []*record.ClaimRecord {
 	l := make([]*record.ClaimRecord, 0, len(t.records))
--- a/internal/control/coordinator/coordinator.go
+++ b/internal/control/coordinator/coordinator.go
@@ -390,7 +390,10 @@
 	last map[string]time.Time
 }
 
-const noteInterval = 10 * time.Second
+const (
+	noteInterval = 10 * time.Second
+	keptNotes    = 256
+)
 
 func (l *noteLimiter) allow(now time.Time, text string) bool {
 	l.mu.Lock()
@@ -398,7 +401,7 @@
 	if at, found := l.last[text]; found && now.Sub(at) < noteInterval {
 		return false
 	}
-	if l.last == nil {
+	if l.last == nil || len(l.last) >= keptNotes {
 		l.last = map[string]time.Time{}
 	}
 	l.last[text] = now
--- a/internal/control/coordinator/service_test.go
+++ b/internal/control/coordinator/service_test.go
@@ -13,6 +13,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/sourcegraph/conc"
+	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 
 	"github.com/amaranthcart/amaranthcart/internal/control/replicator"
@@ -192,6 +193,21 @@
 	}
 }
 
+// TestCloseEndsGoroutines guards against work that goes on after Close.
+func TestCloseEndsGoroutines(t *testing.T) {
+	before := goleak.IgnoreCurrent()
+	peers := []Peer{{"a", "127.0.0.1:1"}, {"b", "127.0.0.1:1"}, {"c", "127.0.0.1:1"}}
+	c, err := Open(Settings{Name: "a", Address: "127.0.0.1:1", Folder: t.TempDir(), Peers: peers})
+	assert.NilError(t, err)
+	await(t, "the first messages", func() bool {
+		c.transport.mu.Lock()
+		defer c.transport.mu.Unlock()
+		return len(c.transport.lanes) == 2
+	})
+	assert.NilError(t, c.Close(context.Background()))
+	goleak.VerifyNone(t, before)
+}
+
 // TestRefusals guards against requests that would fill the log with nonsense.
 func TestRefusals(t *testing.T) {
 	c := newCluster(t, 1)
--- a/internal/control/replicator/election.go
+++ b/internal/control/replicator/election.go
@@ -118,6 +118,10 @@
 	r.quorumAt = r.now.Add(ElectionTimeout)
 	r.round, r.reads = 0, nil
 	r.transferee = 0
+	r.uncommitted = 0
+	for _, e := range r.log.slice(r.commit+1, r.log.last()+1) {
+		r.uncommitted += entrySize(e)
+	}
 	r.emit(Changed{Role: r.role, Leader: r.leader, Term: r.term})
 	r.appendEntries([]*record.Entry{{Kind: record.Entry_KIND_NOTHING, Time: r.now.UnixNano()}})
 	r.heartbeatAt = r.now.Add(HeartbeatInterval)
--- a/internal/control/replicator/progress.go
+++ b/internal/control/replicator/progress.go
@@ -89,6 +89,7 @@
 	for _, e := range entries {
 		index++
 		e.Index, e.Term = index, r.term
+		r.uncommitted += entrySize(e)
 	}
 	r.log.append(entries)
 	r.addMemberships(entries)
@@ -250,7 +251,7 @@
 
 // propose appends commands on the leader.
 func (r *Replicator) propose(e Propose) {
-	if !r.ready() || r.transferee != 0 {
+	if !r.ready() || r.transferee != 0 || r.uncommitted > maximumUncommitted {
 		r.emit(Refused{})
 		return
 	}
--- a/internal/control/replicator/replicator.go
+++ b/internal/control/replicator/replicator.go
@@ -19,6 +19,8 @@
 // takes a step only while the old identity is silent and a quorum of the other
 // voters answers. Removed identities stay in the membership as retired and are
 // never accepted again: an old copy of a data folder may have forgotten votes.
+// For the same reason a copy must never be put in the place of the folder of a
+// replica that is still a member; clear the folder instead.
 //
 // # Formation
 //
@@ -113,6 +115,9 @@
 	defaultKeep     = 512
 	// keptBytes bounds the size of the entries kept behind a snapshot.
 	keptBytes = 4 << 20
+	// maximumUncommitted bounds the size of entries that wait for a quorum.
+	// More proposals are refused.
+	maximumUncommitted = 64 << 20
 	// keptRetired bounds the identities that are remembered as removed.
 	keptRetired = 1024
 	// catchUpLag is how far behind a learner may be when it is promoted.
@@ -172,6 +177,7 @@
 
 	// State of a leader.
 	progress      map[ID]*progress
+	uncommitted   int
 	newcomers     map[string]newcomer
 	heartbeatAt   time.Time
 	quorumAt      time.Time
@@ -316,6 +322,9 @@
 	}
 	entries := r.log.slice(r.applied+1, r.commit+1)
 	r.applied = r.commit
+	for _, e := range entries {
+		r.uncommitted -= entrySize(e)
+	}
 	r.emit(Apply{Entries: entries})
 	r.finishReads()
 	if r.role == Leader && !r.isVoter(r.id) && r.committedMembership() {
--- a/internal/control/replicator/replicator_test.go
+++ b/internal/control/replicator/replicator_test.go
@@ -113,6 +113,24 @@
 	assert.Equal(t, h.r.commit, uint64(3))
 }
 
+// TestUncommittedBound guards against a leader whose followers are slow and
+// whose log grows until the memory is full.
+func TestUncommittedBound(t *testing.T) {
+	h := newHarness(t)
+	h.elect()
+	h.acknowledge(2, "b", 2)
+	large := make([]byte, maximumUncommitted/2)
+	for range 2 {
+		h.step(Propose{Commands: [][]byte{large}})
+	}
+	assert.DeepEqual(t, h.step(Propose{Commands: [][]byte{large}}), []Action{Refused{}})
+	assert.Equal(t, h.r.log.last(), uint64(4))
+	h.acknowledge(2, "b", 4)
+	assert.Equal(t, h.r.uncommitted, 0)
+	h.step(Propose{Commands: [][]byte{large}})
+	assert.Equal(t, h.r.log.last(), uint64(5))
+}
+
 // TestLeaderWithoutQuorum guards against a leader that is cut off and goes on
 // answering reads or taking proposals.
 func TestLeaderWithoutQuorum(t *testing.T) {
