--- a/internal/control/coordinator/call.go
+++ b/internal/control/coordinator/call.go
@@ -79,7 +79,7 @@
 	p.Header().Set(forwardedHeader, c.settings.Name)
 	r, err := remote(client.control, ctx, p)
 	if err != nil && retriable(err) && ctx.Err() != nil {
-		c.transport.renew(address, client)
+		c.transport.renew(address)
 	}
 	if err != nil {
 		return nil, err
--- a/internal/control/coordinator/coordinator.go
+++ b/internal/control/coordinator/coordinator.go
@@ -77,7 +77,8 @@
 	Peers []Peer
 	// Check returns the problems of a configuration document.
 	Check func([]byte) []string
-	// Fatal is called once when the coordinator can't go on.
+	// Fatal is called once when the coordinator can't go on. It must return
+	// without waiting for Close, which waits for the caller of Fatal.
 	Fatal  func(error)
 	Clock  clockwork.Clock
 	Logger *zap.Logger
--- a/internal/control/coordinator/transport.go
+++ b/internal/control/coordinator/transport.go
@@ -212,6 +212,7 @@
 				// The connection may be silent for good; a new one may work.
 				client.CloseIdleConnections()
 				client = newHTTPClient()
+				t.renew(t.address(name, ""))
 				l.drop()
 			}
 		}
@@ -240,13 +241,14 @@
 	return c
 }
 
-// renew replaces a client whose connection failed.
-func (t *transport) renew(address string, old *caller) {
+// renew makes later calls to an address use a new connection. Calls on the old
+// one run on.
+func (t *transport) renew(address string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.clients[address] == old {
+	if c := t.clients[address]; c != nil {
 		delete(t.clients, address)
-		old.http.CloseIdleConnections()
+		c.http.CloseIdleConnections()
 	}
 }
 
