--- a/internal/control/coordinator/coordinator.go
+++ b/internal/control/coordinator/coordinator.go
@@ -77,7 +77,8 @@
 	Peers []Peer
 	// Check returns the problems of a configuration document.
 	Check func([]byte) []string
-	// Fatal is called once when the coordinator can't go on.
+	// Fatal is called once when the coordinator can't go on. It must return
+	// without waiting for Close, which waits for the caller of Fatal.
 	Fatal  func(error)
 	Clock  clockwork.Clock
 	Logger *zap.Logger
@@ -390,7 +391,10 @@
 	last map[string]time.Time
 }
 
-const noteInterval = 10 * time.Second
+const (
+	noteInterval = 10 * time.Second
+	keptNotes    = 256
+)
 
 func (l *noteLimiter) allow(now time.Time, text string) bool {
 	l.mu.Lock()
@@ -398,7 +402,7 @@
 	if at, found := l.last[text]; found && now.Sub(at) < noteInterval {
 		return false
 	}
-	if l.last == nil {
+	if l.last == nil || len(l.last) >= keptNotes {
 		l.last = map[string]time.Time{}
 	}
 	l.last[text] = now
