scheduler: avoid upstreams that callers see as slow

The time between tokens that callers report now weighs the load of an upstream, and classes with a target for it avoid upstreams that miss it while others meet it.

--- a/internal/policy/bencher/engine.go
+++ b/internal/policy/bencher/engine.go
@@ -35,6 +35,8 @@
 	want     int
 	tokens   int
 	ended    bool
+	// reported is the time of the last report of progress.
+	reported time.Duration
 	// onToken is called with the number of tokens so far.
 	onToken func(tokens int)
 	onEnd   func(o scheduler.Outcome)
--- a/internal/policy/scheduler/admission.go
+++ b/internal/policy/scheduler/admission.go
@@ -65,13 +65,7 @@
 }
 
 // ahead counts the waiting requests of a tier.
-func (p *pool) ahead(level validator.Tier) int {
-	n := 0
-	for _, l := range p.tiers[level].lanes {
-		n += len(l.requests)
-	}
-	return n
-}
+func (p *pool) ahead(level validator.Tier) int { return p.queued[level] }
 
 // held records how long a request held its slot.
 func (p *pool) held(d time.Duration) {
@@ -123,6 +117,7 @@
 // have reached the wait of their class.
 func (s *Scheduler) expire(now time.Time) {
 	for _, p := range s.pools {
+		s.unpark(p)
 		for level := len(p.tiers) - 1; level >= 0; level-- {
 			s.expireTier(now, p, validator.Tier(level))
 		}
--- a/internal/policy/scheduler/queue.go
+++ b/internal/policy/scheduler/queue.go
@@ -27,6 +27,8 @@
 	ages    map[*class][]age
 	parked  []*request
 	waiting int
+	// queued counts the waiting requests of each tier.
+	queued [validator.LowestTier + 1]int
 	// sinceOverdue counts the grants since the last one that was made out of
 	// order to overdue work.
 	sinceOverdue int
@@ -34,6 +36,9 @@
 	rates [validator.LowestTier + 1]meter
 	// hold is the mean time in seconds for which a request holds its slot.
 	hold float64
+	// typical is the median time between tokens of the upstreams.
+	typical  time.Duration
+	compared time.Time
 }
 
 // age is the start of a wait; it is void once the request waits no more.
@@ -155,6 +160,7 @@
 	heap.Push(l, r)
 	p.ages[r.class] = append(p.ages[r.class], age{request: r, queued: r.queued})
 	p.waiting++
+	p.queued[level]++
 	r.waiting = true
 }
 
@@ -172,6 +178,7 @@
 		p.leaveLane(r)
 	}
 	p.waiting--
+	p.queued[r.class.tier]--
 	r.waiting = false
 	p.trimAges(r.class)
 }
--- a/internal/policy/scheduler/request.go
+++ b/internal/policy/scheduler/request.go
@@ -74,6 +74,8 @@
 	upstream *upstream
 	granted  time.Time
 	first    time.Time
+	// reported is the time of the last news of progress.
+	reported time.Time
 	tokens   int
 	charge   float64
 	process  detector.Process
--- a/internal/policy/scheduler/scheduler.go
+++ b/internal/policy/scheduler/scheduler.go
@@ -81,6 +81,7 @@
 	case Tick:
 		s.detector.Expire(now)
 		s.expire(now)
+		s.compare(now)
 		for _, p := range s.pools {
 			s.dispatch(now, p)
 		}
@@ -181,6 +182,7 @@
 func (s *Scheduler) firstToken(now time.Time, e FirstToken) {
 	if a := s.attempt(e.ID, e.Upstream); a != nil && a.first.IsZero() {
 		a.first = now
+		a.reported, a.tokens = now, max(a.tokens, 1)
 		s.estimator.Started(a.request.Class, now.Sub(a.granted))
 	}
 }
@@ -191,7 +193,11 @@
 		return
 	}
 	if a.first.IsZero() && e.Tokens > 0 {
-		a.first = now
+		a.first, a.reported = now, now
+	}
+	if n := e.Tokens - a.tokens; n > 0 && now.After(a.reported) {
+		a.upstream.pace.observe(now, now.Sub(a.reported)/time.Duration(n), n)
+		a.reported = now
 	}
 	a.tokens = max(a.tokens, e.Tokens)
 }
--- a/internal/policy/scheduler/upstream.go
+++ b/internal/policy/scheduler/upstream.go
@@ -17,6 +17,7 @@
 	gone bool
 	// down is set from a crash to the next announcement.
 	down bool
+	pace pace
 }
 
 func newUpstream(u registrar.Upstream) *upstream { return &upstream{Upstream: u} }
@@ -26,9 +27,10 @@
 	return !u.gone && !u.down && !u.Leaving && len(u.attempts) < u.Slots
 }
 
-// load is the share of the slots in use.
-func (u *upstream) load() float64 {
-	return float64(len(u.attempts)) / float64(max(u.Slots, 1))
+// load is the share of the slots in use with one more request, weighted with
+// how slow the upstream is against the others.
+func (u *upstream) load(now time.Time, typical time.Duration) float64 {
+	return float64(len(u.attempts)+1) / float64(max(u.Slots, 1)) * u.pace.ratio(now, typical)
 }
 
 // replace takes over a newer announcement; leaving is final for an
@@ -177,15 +179,18 @@
 }
 
 // choose returns the least loaded upstream that may run the request, or nil.
-// Upstreams that failed the request are used only when there is no other.
+// Upstreams that failed the request are used only when there is no other, and
+// so are those that are too slow for the class.
 func (s *Scheduler) choose(now time.Time, r *request) *upstream {
 	p := r.pool
 	open := s.detector.Unrestricted(now, r.Fingerprint)
-	avoidable := false
+	avoidable, fast := false, false
 	for _, u := range p.upstreams {
 		avoidable = avoidable || !u.Leaving && !r.avoids(u.Name)
+		fast = fast || !u.Leaving && !u.down && u.suits(now, r.class, p.typical)
 	}
 	var best *upstream
+	least := 0.0
 	for _, u := range p.upstreams {
 		if !u.free() || avoidable && r.avoids(u.Name) || r.attempt(u.Name) != nil {
 			continue
@@ -193,8 +198,11 @@
 		if !open && !s.detector.Permits(now, r.Fingerprint, u.process(), false) {
 			continue
 		}
-		if best == nil || u.load() < best.load() {
-			best = u
+		if fast && !u.suits(now, r.class, p.typical) {
+			continue
+		}
+		if load := u.load(now, p.typical); best == nil || load < least {
+			best, least = u, load
 		}
 	}
 	return best
