status: show the revision in force on every entry host

Most entry hosts confirm through peers and never ask control, so the status showed the revision that they had when their stream opened (0 in the demo). A host that asks control now passes on what the gossip says of the others. The process test waits for both hosts to be shown at revision 1.

--- a/cmd/amaranthd/process_test.go
+++ b/cmd/amaranthd/process_test.go
@@ -400,4 +400,17 @@
 	assert.Equal(t, len(renewals), 1, "the resend through another entry host got another answer")
 	code, out := d.ctl("history")
 	assert.Equal(t, code, 0, out)
+	// Most entry hosts never ask control themselves; the status still shows
+	// the revision in force on each.
+	d.waitFor("the status to show both entry hosts at revision 1", func() bool {
+		_, out := d.ctl("status")
+		shown := 0
+		for line := range strings.SplitSeq(out, "\n") {
+			f := strings.Fields(line)
+			if len(f) == 4 && strings.HasPrefix(f[0], "entry-") && f[2] == "1" {
+				shown++
+			}
+		}
+		return shown == len(d.entries)
+	})
 }
--- a/internal/config/follower/control.go
+++ b/internal/config/follower/control.go
@@ -173,7 +173,8 @@
 	f.mu.Lock()
 	number := f.core.Current().Number
 	f.mu.Unlock()
-	a, err := f.network.Confirm(ctx, address, &wire.ConfirmRequest{Host: f.host, Centre: f.centre, Revision: number})
+	q := &wire.ConfirmRequest{Host: f.host, Centre: f.centre, Revision: number, Others: f.others()}
+	a, err := f.network.Confirm(ctx, address, q)
 	if err != nil {
 		f.log.Debug("A control host did not confirm.", zap.Error(err))
 		return err
--- a/internal/config/follower/follower.go
+++ b/internal/config/follower/follower.go
@@ -61,6 +61,7 @@
 	log       *zap.Logger
 	network   Network
 	rank      func() Rank
+	others    func() []*wire.Follower
 	onEnforce func(Snapshot)
 	faults    Faults
 
@@ -135,6 +136,12 @@
 // bounds how many of them ask control.
 func WithRank(rank func() Rank) Option { return func(f *Follower) { f.rank = rank } }
 
+// WithOthers tells the revisions in force on the other entry hosts, which is
+// passed on to control for operators.
+func WithOthers(list func() []*wire.Follower) Option {
+	return func(f *Follower) { f.others = list }
+}
+
 // WithSeed sets the seed of the random choices.
 func WithSeed(seed uint64) Option {
 	return func(f *Follower) { f.random = rand.New(rand.NewPCG(seed, 0)) }
@@ -154,6 +161,7 @@
 		clock:    clockwork.NewRealClock(),
 		log:      zap.NewNop(),
 		rank:     func() Rank { return Rank{Hosts: 1} },
+		others:   func() []*wire.Follower { return nil },
 		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		reported: map[uint64]time.Time{},
 	}
--- a/internal/control/coordinator/service.go
+++ b/internal/control/coordinator/service.go
@@ -175,7 +175,14 @@
 	if err := bounded(q.Msg.Host, q.Msg.Centre); err != nil {
 		return nil, err
 	}
-	s.c.followers.report(s.c.clock.Now(), q.Msg.Host, q.Msg.Centre, q.Msg.Revision)
+	now := s.c.clock.Now()
+	s.c.followers.report(now, q.Msg.Host, q.Msg.Centre, q.Msg.Revision)
+	for _, o := range q.Msg.Others {
+		if err := bounded(o.Host, o.Centre); err != nil {
+			return nil, err
+		}
+		s.c.followers.report(now, o.Host, o.Centre, o.Revision)
+	}
 	return answerAtLeader(ctx, s.c, q, func(ctx context.Context) (*wire.ConfirmResponse, error) {
 		if err := s.c.confirm(ctx); err != nil {
 			return nil, err
--- a/internal/daemon/runner/entry.go
+++ b/internal/daemon/runner/entry.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -98,7 +99,8 @@
 		follower.WithStale(follower.Stale(s.Stale)),
 		follower.WithClock(e.clock),
 		follower.WithLogger(e.logger),
-		follower.WithFleet(func() int { return len(e.gossiper.Snapshot().Hosts()) }),
+		follower.WithRank(e.rank),
+		follower.WithOthers(e.others),
 		follower.WithOnEnforce(e.enforce),
 	}
 	if s.Data != "" {
@@ -121,6 +123,24 @@
 	e.reporter.Configure(c.Document)
 }
 
+// rank is the place of this host among the live ones of its cell by name.
+func (e *entry) rank() follower.Rank {
+	hosts := e.gossiper.Snapshot().Hosts()
+	place := slices.IndexFunc(hosts, func(h registrar.Host) bool { return h.Name == e.settings.Name })
+	return follower.Rank{Place: max(place, 0), Hosts: len(hosts)}
+}
+
+// others lists the revisions in force on the other entry hosts, for operators.
+func (e *entry) others() []*wire.Follower {
+	var all []*wire.Follower
+	for _, h := range e.gossiper.Snapshot().Hosts() {
+		if h.Name != e.settings.Name {
+			all = append(all, &wire.Follower{Host: string(h.Name), Centre: string(h.Centre), Revision: h.Revision})
+		}
+	}
+	return all
+}
+
 func (e *entry) controls() []string {
 	var all []string
 	for _, m := range e.settings.Control {
