scheduler: preempt lower tiers for work that would miss its target

Waiting requests that the slots which free by themselves come too late for now take one back from the lowest tier, from the attempt that is cheapest to continue.

--- a/internal/policy/scheduler/admission.go
+++ b/internal/policy/scheduler/admission.go
@@ -110,7 +110,7 @@
 	}
 	allowed := min(r.due.Sub(now), r.class.wait)
 	predicted := time.Duration(float64(n) / p.rate(now, level) * float64(time.Second))
-	return predicted > time.Duration(crowdFactor*float64(allowed))
+	return predicted > time.Duration(crowdFactor*float64(allowed)) && p.yielding(now, level) <= n
 }
 
 // expire refuses the waiting requests that can no longer meet their target or
@@ -126,9 +126,16 @@
 }
 
 func (s *Scheduler) expireTier(now time.Time, p *pool, level validator.Tier) {
+	yielding := -1
 	for i := len(p.tiers[level].lanes) - 1; i >= 0; i-- {
 		l := p.tiers[level].lanes[i]
 		for len(l.requests) > 0 && s.hopeless(now, l.requests[0]) {
+			if yielding < 0 {
+				yielding = p.yielding(now, level)
+			}
+			if yielding+p.preempting >= p.queued[level] {
+				return
+			}
 			s.giveUp(now, l.requests[0])
 		}
 	}
--- a/internal/policy/scheduler/pace.go
+++ b/internal/policy/scheduler/pace.go
@@ -19,6 +19,9 @@
 	// restarted upstreams and those that did not run anything yet count as
 	// typical.
 	typicalRatio = 1.0
+	// slowRatio is the ratio to the typical time between tokens from which an
+	// upstream counts as slow.
+	slowRatio = 2.0
 )
 
 // pace is the observed time between tokens of an upstream. What callers see is
--- a/internal/policy/scheduler/queue.go
+++ b/internal/policy/scheduler/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 
 	"github.com/amaranthcart/amaranthcart/internal/config/validator"
@@ -36,6 +37,9 @@
 	rates [validator.LowestTier + 1]meter
 	// hold is the mean time in seconds for which a request holds its slot.
 	hold float64
+	// preempting counts the attempts that were asked to give way and still
+	// hold their slot; protected counts those that are never asked.
+	preempting, protected int
 	// typical is the median time between tokens of the upstreams.
 	typical  time.Duration
 	compared time.Time
@@ -158,7 +162,7 @@
 		r.organisation.debt[level] = max(r.organisation.debt[level], s.virtual[level])
 	}
 	heap.Push(l, r)
-	p.ages[r.class] = append(p.ages[r.class], age{request: r, queued: r.queued})
+	p.addAge(r)
 	p.waiting++
 	p.queued[level]++
 	r.waiting = true
@@ -225,6 +229,17 @@
 	p.parked = p.parked[:0]
 }
 
+// addAge keeps the list of the class in order; only a request that was preempted
+// before its first token is not the youngest.
+func (p *pool) addAge(r *request) {
+	list := p.ages[r.class]
+	i := len(list)
+	for i > 0 && list[i-1].queued.After(r.queued) {
+		i--
+	}
+	p.ages[r.class] = slices.Insert(list, i, age{request: r, queued: r.queued})
+}
+
 // trimAges drops the requests at the front that no longer wait.
 func (p *pool) trimAges(c *class) {
 	list := p.ages[c]
@@ -280,13 +295,14 @@
 			p.park(r)
 			continue
 		}
+		s.virtual[r.class.tier] = max(s.virtual[r.class.tier], r.organisation.debt[r.class.tier])
+		s.dequeue(r)
+		a := s.start(now, r, u)
 		p.sinceOverdue++
 		if overdue {
 			p.sinceOverdue = 0
+			p.protect(a)
 		}
-		s.virtual[r.class.tier] = max(s.virtual[r.class.tier], r.organisation.debt[r.class.tier])
-		s.dequeue(r)
-		s.start(now, r, u)
 		p.rates[r.class.tier].add(now)
 		s.actions = append(s.actions, Grant{ID: r.ID, Upstream: u.Name, Priority: int(r.class.tier)})
 	}
--- a/internal/policy/scheduler/request.go
+++ b/internal/policy/scheduler/request.go
@@ -78,7 +78,11 @@
 	reported time.Time
 	tokens   int
 	charge   float64
-	process  detector.Process
+	// preempted is set when the attempt was asked to give way.
+	preempted bool
+	// protected attempts were overdue and are not preempted.
+	protected bool
+	process   detector.Process
 }
 
 // class is a request class with its targets as durations.
--- a/internal/policy/scheduler/scheduler.go
+++ b/internal/policy/scheduler/scheduler.go
@@ -20,6 +20,7 @@
 	pools         map[validator.PoolName]*pool
 	upstreams     map[registrar.UpstreamID]*upstream
 	requests      map[RequestID]*request
+	interrupted   map[RequestID]interruption
 	detector      *detector.Detector
 	estimator     *estimator.Estimator
 	virtual       [validator.LowestTier + 1]float64
@@ -44,6 +45,7 @@
 		pools:         make(map[validator.PoolName]*pool),
 		upstreams:     make(map[registrar.UpstreamID]*upstream),
 		requests:      make(map[RequestID]*request),
+		interrupted:   make(map[RequestID]interruption),
 		detector:      detector.New(),
 		estimator:     estimator.New(),
 	}
@@ -81,9 +83,11 @@
 	case Tick:
 		s.detector.Expire(now)
 		s.expire(now)
+		s.expireInterruptions(now)
 		s.compare(now)
 		for _, p := range s.pools {
 			s.dispatch(now, p)
+			s.preempt(now, p)
 		}
 	}
 	return s.actions
@@ -117,6 +121,10 @@
 	}
 	r.pool = p
 	r.resubmit(now, sent)
+	if i, ok := s.interrupted[r.ID]; ok {
+		r.queued = i.queued
+		delete(s.interrupted, r.ID)
+	}
 	r.due = s.due(r)
 	if !resumed && s.crowded(now, r) {
 		s.refuse(r.ID, Overloaded, p.drainTime(now, r.class.tier))
@@ -213,6 +221,9 @@
 		s.estimator.Answered(r.Class, r.Request.Organisation, r.Emitted+a.tokens)
 		r.pool.held(now.Sub(a.granted))
 	}
+	if e.Outcome == Preempted {
+		s.interrupt(now, r, a.tokens)
+	}
 	s.release(now, a, e.Outcome)
 	s.settle(r)
 	if e.Outcome == Crashed {
@@ -249,6 +260,12 @@
 	}
 	r.attempts = remove(r.attempts, a)
 	a.upstream.attempts = remove(a.upstream.attempts, a)
+	if a.preempted {
+		r.pool.preempting--
+	}
+	if a.protected {
+		r.pool.protected--
+	}
 	s.charge(r, r.cost(a.tokens)-a.charge)
 	if u := a.upstream; u.gone && len(u.attempts) == 0 && s.upstreams[u.Name] == u {
 		delete(s.upstreams, u.Name)
