--- a/internal/policy/scheduler/scheduler.go
+++ b/internal/policy/scheduler/scheduler.go
@@ -245,6 +245,7 @@
 func (s *Scheduler) start(now time.Time, r *request, u *upstream) *attempt {
 	a := &attempt{request: r, upstream: u, granted: now, process: u.process()}
 	s.detector.Started(r.Fingerprint, a.process)
+	u.prefixes.add(r.Prefix)
 	r.attempts = append(r.attempts, a)
 	u.attempts = append(u.attempts, a)
 	a.charge = r.cost(expectedTokens)
--- a/internal/policy/scheduler/upstream.go
+++ b/internal/policy/scheduler/upstream.go
@@ -16,8 +16,9 @@
 	// gone is set while no announcement is in force.
 	gone bool
 	// down is set from a crash to the next announcement.
-	down bool
-	pace pace
+	down     bool
+	pace     pace
+	prefixes prefixes
 }
 
 func newUpstream(u registrar.Upstream) *upstream { return &upstream{Upstream: u} }
@@ -36,6 +37,9 @@
 // replace takes over a newer announcement; leaving is final for an
 // incarnation.
 func (u *upstream) replace(news registrar.Upstream) {
+	if news.Incarnation != u.Incarnation {
+		u.prefixes, u.pace = prefixes{}, pace{}
+	}
 	if news.Incarnation == u.Incarnation && !u.gone {
 		news.Leaving = news.Leaving || u.Leaving
 	}
@@ -178,7 +182,8 @@
 	return false
 }
 
-// choose returns the least loaded upstream that may run the request, or nil.
+// choose returns the least loaded upstream that may run the request, or nil. One
+// that holds the request's prefix may have a little more load.
 // Upstreams that failed the request are used only when there is no other, and
 // so are those that are too slow for the class.
 func (s *Scheduler) choose(now time.Time, r *request) *upstream {
@@ -201,7 +206,7 @@
 		if fast && !u.suits(now, r.class, p.typical) {
 			continue
 		}
-		if load := u.load(now, p.typical); best == nil || load < least {
+		if load := u.load(now, p.typical) - affinityWeight*u.prefixes.held(r.Prefix); best == nil || load < least {
 			best, least = u, load
 		}
 	}
