Try another upstream when a call could not be sent at all

A sale whose upstream refused the connection failed with 'no' until the lease ended. Nothing was sent, so trying elsewhere cannot run it twice; with no other upstream the caller now gets the dispatcher's refusal, still with 'no'.

--- a/internal/entry/forwarder/plain.go
+++ b/internal/entry/forwarder/plain.go
@@ -59,8 +59,8 @@
 	}
 }
 
-// Call runs a plain call: once if the request is not repeatable, and up to the
-// bound of attempts otherwise.
+// Call runs a plain call. One that is not repeatable is sent once: a further
+// upstream is tried only while no connection could be made.
 func (f *Forwarder) Call(ctx context.Context, p PlainCall) (*Answer, error) {
 	p.Header = forwardable(p.Header, p.Request.ID)
 	run := NotRun
@@ -81,7 +81,10 @@
 		if t.sent.Load() {
 			run = MayHaveRun
 		}
-		if !request.Repeatable || attempt >= maxAttempts || preemptions >= maxPreemptions || ctx.Err() != nil {
+		// Another upstream may be tried if the call may be repeated, and also
+		// if nothing of it was sent.
+		again := request.Repeatable || run == NotRun
+		if !again || attempt >= maxAttempts || preemptions >= maxPreemptions || ctx.Err() != nil {
 			return nil, broken(err, run)
 		}
 		request.Retry = !errors.Is(err, errPreempted)
--- a/internal/entry/receiver/once_test.go
+++ b/internal/entry/receiver/once_test.go
@@ -18,6 +18,7 @@
 	"github.com/sourcegraph/conc/pool"
 	"gotest.tools/v3/assert"
 
+	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
 	"github.com/amaranthcart/amaranthcart/internal/stub/responder"
 )
 
@@ -117,6 +118,21 @@
 	}
 }
 
+// TestDialElsewhere guards against a sale that fails although nothing of it was
+// sent and another ledger is up, and against a second run on the way there.
+func TestDialElsewhere(t *testing.T) {
+	for _, header := range [][]string{nil, {"Idempotency-Key", "POST /sales"}} {
+		h := newHarness(t, withUpstreams(3), withClaimer(&fakeClaimer{}))
+		assert.NilError(t, h.responders[0].Close())
+		h.dispatcher.upstreams[1].Address = "" // not yet known to this host
+		a := h.do(http.MethodPost, "/svc/ledger/sales", "bale", header...)
+		assert.Equal(t, a.status, http.StatusOK, a.body)
+		assert.Equal(t, a.run(), "yes")
+		assert.Equal(t, h.responders[2].Runs()["POST /sales"], 1)
+		assert.DeepEqual(t, h.dispatcher.outcomes(), []scheduler.Outcome{scheduler.Failed, scheduler.Failed, scheduler.Completed})
+	}
+}
+
 // TestSilentSale guards against a silent upstream that holds a sale for good,
 // or against a "no" for a sale that it may have run.
 func TestSilentSale(t *testing.T) {
