Arm and shorten the gap deadline under one lock

A lease that ended just as the reader armed its deadline was overwritten by the long one, so an attempt on a lost upstream waited for the full gap deadline. Seen as one run of the receiver tests that took 200 s, the gap deadline of the test class, in place of 5 s. Ruled out: a slow machine, as the load was the same.

--- a/internal/entry/forwarder/pool_test.go
+++ b/internal/entry/forwarder/pool_test.go
@@ -55,3 +55,38 @@
 	}
 	assert.Assert(t, total < 200, "%d transports", total)
 }
+
+// TestGapTimer guards against an attempt on a lost upstream that waits for the
+// long deadline, because the news came just before the wait began, and against
+// a deadline that passes while the caller is slow.
+func TestGapTimer(t *testing.T) {
+	const long = time.Hour
+	for _, c := range []struct {
+		name  string
+		steps func(*gapTimer)
+		after time.Duration
+		cause error
+	}{
+		{"silence", func(g *gapTimer) { g.arm() }, long, errSilent},
+		{"news during the wait", func(g *gapTimer) { g.arm(); g.shorten(goneGrace, errGone) }, goneGrace, errGone},
+		{"news before the wait", func(g *gapTimer) { g.shorten(goneGrace, errGone); g.arm() }, goneGrace, errGone},
+		{"news while the caller is slow", func(g *gapTimer) { g.arm(); g.disarm(); g.shorten(goneGrace, errGone) }, long, nil},
+		{"slow caller", func(g *gapTimer) { g.arm(); g.disarm() }, long, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			fired := make(chan error, 1)
+			g := newGapTimer(clock, long, func(err error) { fired <- err })
+			c.steps(g)
+			if c.cause == nil {
+				clock.Advance(c.after)
+				assert.Equal(t, len(fired), 0)
+				return
+			}
+			clock.Advance(c.after - 1)
+			assert.Equal(t, len(fired), 0)
+			clock.Advance(1)
+			assert.ErrorIs(t, <-fired, c.cause)
+		})
+	}
+}
--- a/internal/entry/forwarder/stream.go
+++ b/internal/entry/forwarder/stream.go
@@ -4,10 +4,8 @@
 	"bytes"
 	"fmt"
 	"math/bits"
-	"sync/atomic"
 	"time"
 
-	"github.com/jonboulle/clockwork"
 	"github.com/tidwall/gjson"
 
 	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
@@ -50,18 +48,9 @@
 
 // readStream reads the rest of a streamed answer.
 func (s *session) readStream(c *candidate) error {
-	var gap atomic.Int64
-	gap.Store(int64(s.deadlines.gap))
-	cause := atomic.Pointer[error]{}
-	cause.Store(&errSilent)
-	timer := s.forwarder.clock.AfterFunc(s.deadlines.gap, func() { c.cancel(*cause.Load()) })
-	timer.Stop()
-	defer timer.Stop()
-	c.watch(&s.forwarder.group, func() {
-		cause.Store(&errGone)
-		gap.Store(int64(goneGrace))
-		timer.Reset(goneGrace)
-	})
+	timer := newGapTimer(s.forwarder.clock, s.deadlines.gap, c.cancel)
+	defer timer.disarm()
+	c.watch(&s.forwarder.group, func() { timer.shorten(goneGrace, errGone) })
 	for i, e := range c.head {
 		more := i < len(c.head)-1 || c.done || c.events.Ready()
 		if err := s.passDecoded(c, e.chunk, e.data, more); err != nil {
@@ -73,13 +62,11 @@
 		return s.finishStream(c, timer, err)
 	}
 	for {
-		// The deadline runs only while the upstream is waited for: a caller
-		// that reads slowly says nothing about the upstream.
 		if !c.events.Ready() {
-			timer.Reset(time.Duration(gap.Load()))
+			timer.arm()
 		}
 		data, err := c.events.Next()
-		timer.Stop()
+		timer.disarm()
 		if err != nil {
 			return s.endAttempt(c, endError(err))
 		}
@@ -93,10 +80,11 @@
 // finishStream ends an attempt at the end marker. The caller has the whole
 // answer by then. The end of the body is still read, usually from the buffer:
 // the transport keeps no connection whose answer was not read to its end.
-func (s *session) finishStream(c *candidate, timer clockwork.Timer, err error) error {
+func (s *session) finishStream(c *candidate, timer *gapTimer, err error) error {
 	if err == nil {
 		c.slot.Release(scheduler.Completed, s.tokens-s.base)
-		timer.Reset(drainTimeout)
+		timer.shorten(drainTimeout, errLost)
+		timer.arm()
 		_, _ = c.events.Next()
 	}
 	return s.endAttempt(c, err)
