dispatcher: tell a host whose link was replaced to open a new one

The hello of an earlier link can reach the owner after that of the link in use, because the two may travel on different connections. The owner then ends the session in use but goes on sending beats on it: the host's submissions are dropped and its requests wait until their context ends. A lost hello and a silent link were ruled out: the session of the test exists and beats.

The writer of an ended session now answers "moved", upon which the host opens a new link. Links of a host also begin one at a time, since of three that begin at once the slots kept from the first could end up in the second after it had ended (found by reading, not reproduced).

Before: TestLateHello ends with its context's deadline after 10 s. After: the request is granted.

--- a/internal/entry/dispatcher/server.go
+++ b/internal/entry/dispatcher/server.go
@@ -20,6 +20,10 @@
 type Server struct {
 	settings Settings
 
+	// beginning is held while a new link of a host takes over from the last
+	// one, so that the slots of the last one always reach a link in use.
+	beginning sync.Mutex
+
 	mu sync.Mutex
 	// orphans are the requests whose link broke while they held slots. They
 	// keep their slots until their host reports again or is gone.
@@ -86,6 +90,8 @@
 // begin replaces the host's earlier link, which may not have noticed yet that
 // it is broken.
 func (s *Server) begin(h registrar.HostName) *session {
+	s.beginning.Lock()
+	defer s.beginning.Unlock()
 	n := newSession(s, h)
 	s.mu.Lock()
 	earlier := s.sessions[h]
@@ -120,6 +126,10 @@
 	taking  sync.Mutex
 	orphans map[scheduler.RequestID]bool
 	ended   bool
+	// replaced is closed at the end of the session. The host is told to open
+	// a new link then: hellos can arrive out of order, so that the link that
+	// the host uses may be the one that was replaced.
+	replaced chan struct{}
 
 	mu      sync.Mutex
 	open    map[scheduler.RequestID]bool
@@ -129,11 +139,12 @@
 
 func newSession(s *Server, h registrar.HostName) *session {
 	return &session{
-		server:  s,
-		host:    h,
-		open:    map[scheduler.RequestID]bool{},
-		pending: &wire.DispatchResponse{},
-		wake:    make(chan struct{}, 1),
+		server:   s,
+		host:     h,
+		replaced: make(chan struct{}),
+		open:     map[scheduler.RequestID]bool{},
+		pending:  &wire.DispatchResponse{},
+		wake:     make(chan struct{}, 1),
 	}
 }
 
@@ -162,6 +173,7 @@
 	defer beat.Stop()
 	for {
 		if !n.server.owns() {
+			n.end()
 			return stream.Send(&wire.DispatchResponse{Moved: true})
 		}
 		if err := stream.Send(n.batch()); err != nil {
@@ -170,6 +182,8 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-n.replaced:
+			return stream.Send(&wire.DispatchResponse{Moved: true})
 		case <-n.wake:
 		case <-beat.Chan():
 		}
@@ -270,6 +284,7 @@
 		return
 	}
 	n.ended = true
+	close(n.replaced)
 	n.mu.Lock()
 	ids := n.open
 	n.open = map[scheduler.RequestID]bool{}
