dispatcher: keep a request whose grant was lost with its link

A grant can be on its way when a link breaks. The owner then keeps the slot for the host, which does not know of it and submits the request again on the next link. The owner queued the new submission, and at the end of the host's report withdrew the whole request, because the old slot had not been confirmed: the caller waited for ever. When the host had granted a slot itself meanwhile, the owner kept the lost slot besides the reported one until the request ended. Both were shown at the session's interface, so that the transport is ruled out.

The owner now remembers the slots of each detached request: a submission frees the lost slot first, and the end of the report frees exactly the slots that were not confirmed.

Before: TestLostGrant sees no grant for "still waits" and two slots for "granted elsewhere". After: one of each.

--- a/internal/entry/dispatcher/local.go
+++ b/internal/entry/dispatcher/local.go
@@ -1,6 +1,8 @@
 package dispatcher
 
 import (
+	"maps"
+	"slices"
 	"sync"
 
 	"github.com/jonboulle/clockwork"
@@ -164,21 +166,21 @@
 }
 
 // detach ends the notification of a request whose host is out of reach. It
-// reports whether the request holds slots; one that only waits is withdrawn.
-func (l *Local) detach(id scheduler.RequestID) bool {
+// returns the slots that the request holds; one that only waits is withdrawn.
+func (l *Local) detach(id scheduler.RequestID) []registrar.UpstreamID {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	o, ok := l.requests[id]
 	if !ok {
-		return false
+		return nil
 	}
 	if len(o.held) > 0 {
 		o.notify = func(scheduler.Action) {}
-		return true
+		return slices.Collect(maps.Keys(o.held))
 	}
 	delete(l.requests, id)
 	l.step(scheduler.Cancel{ID: id})
-	return false
+	return nil
 }
 
 // step feeds the scheduler and hands its actions to the requests' sinks.
--- a/internal/entry/dispatcher/server.go
+++ b/internal/entry/dispatcher/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,16 +28,20 @@
 	mu sync.Mutex
 	// orphans are the requests whose link broke while they held slots. They
 	// keep their slots until their host reports again or is gone.
-	orphans map[registrar.HostName]map[scheduler.RequestID]bool
+	orphans map[registrar.HostName]orphans
 	// sessions are the latest links of each host.
 	sessions map[registrar.HostName]*session
 }
 
+// orphans lists the slots of requests whose link broke. The host may not have
+// received all of the grants.
+type orphans map[scheduler.RequestID][]registrar.UpstreamID
+
 // NewServer returns the serving side of a cell.
 func NewServer(s Settings) *Server {
 	return &Server{
 		settings: s,
-		orphans:  map[registrar.HostName]map[scheduler.RequestID]bool{},
+		orphans:  map[registrar.HostName]orphans{},
 		sessions: map[registrar.HostName]*session{},
 	}
 }
@@ -48,7 +53,7 @@
 	}
 }
 
-func (s *Server) takeOrphans(h registrar.HostName) map[scheduler.RequestID]bool {
+func (s *Server) takeOrphans(h registrar.HostName) orphans {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	ids := s.orphans[h]
@@ -56,13 +61,13 @@
 	return ids
 }
 
-func (s *Server) orphan(h registrar.HostName, id scheduler.RequestID) {
+func (s *Server) orphan(h registrar.HostName, id scheduler.RequestID, held []registrar.UpstreamID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.orphans[h] == nil {
-		s.orphans[h] = map[scheduler.RequestID]bool{}
+		s.orphans[h] = orphans{}
 	}
-	s.orphans[h][id] = true
+	s.orphans[h][id] = held
 }
 
 func (s *Server) owns() bool {
@@ -124,7 +129,7 @@
 
 	// taking orders the host's messages against the end of the session.
 	taking  sync.Mutex
-	orphans map[scheduler.RequestID]bool
+	orphans orphans
 	ended   bool
 	// replaced is closed at the end of the session. The host is told to open
 	// a new link then: hellos can arrive out of order, so that the link that
@@ -223,18 +228,43 @@
 	n.track(r.ID)
 	l := n.server.settings.Local
 	if m.Held == "" {
+		n.forgo(r.ID)
 		l.submit(r, n.notify)
 		return
 	}
-	delete(n.orphans, r.ID)
+	n.confirm(r.ID, registrar.UpstreamID(m.Held))
 	l.adopt(r, registrar.UpstreamID(m.Held), n.notify)
 }
 
-// settle frees the slots that the host released while its link was broken.
-func (n *session) settle() {
-	for id := range n.orphans {
+// forgo frees the slots of a request that waits at its host: their grants were
+// lost with the last link.
+func (n *session) forgo(id scheduler.RequestID) {
+	if _, ok := n.orphans[id]; ok {
+		delete(n.orphans, id)
 		n.server.settings.Local.report(scheduler.Cancel{ID: id})
 	}
+}
+
+// confirm keeps a slot that the host reports as held.
+func (n *session) confirm(id scheduler.RequestID, u registrar.UpstreamID) {
+	held, ok := n.orphans[id]
+	if !ok {
+		return
+	}
+	held = slices.DeleteFunc(held, func(h registrar.UpstreamID) bool { return h == u })
+	if n.orphans[id] = held; len(held) == 0 {
+		delete(n.orphans, id)
+	}
+}
+
+// settle frees the slots that the host released while its link was broken and
+// those whose grants it never received.
+func (n *session) settle() {
+	for id, held := range n.orphans {
+		for _, u := range held {
+			n.server.settings.Local.report(scheduler.Finished{ID: id, Upstream: u, Outcome: scheduler.Abandoned})
+		}
+	}
 	n.orphans = nil
 }
 
@@ -289,12 +319,12 @@
 	ids := n.open
 	n.open = map[scheduler.RequestID]bool{}
 	n.mu.Unlock()
-	for id := range n.orphans {
-		n.server.orphan(n.host, id)
+	for id, held := range n.orphans {
+		n.server.orphan(n.host, id, held)
 	}
 	for id := range ids {
-		if n.server.settings.Local.detach(id) {
-			n.server.orphan(n.host, id)
+		if held := n.server.settings.Local.detach(id); len(held) > 0 {
+			n.server.orphan(n.host, id, held)
 		}
 	}
 }
