Use one JSON comparison and one HTTP/2 client between processes

The applier had its own comparison beside validator.Differences, and its lines showed whole key hashes; the coordinator, the claimer and the forwarder each had a copy of the client or of the TCP user timeout. The copies are gone; the cases of the removed TestDifferences that the other test lacked (exact large numbers, null, unchanged) moved there, and TestRestart expects the same change in the remaining notation.

--- a/internal/config/validator/decode_test.go
+++ b/internal/config/validator/decode_test.go
@@ -133,6 +133,17 @@
 	reordered := `{"classes": [{"name": "b"}, {"name": "a"}]}`
 	assert.Equal(t, len(validator.Differences([]byte(`{"classes": [{"name": "a"}, {"name": "b"}]}`), []byte(reordered))), 0)
 	assert.Equal(t, len(validator.Differences(nil, []byte(reordered))), 2)
+	for _, c := range []struct {
+		before, after string
+		want          []string
+	}{
+		{`{"a":1}`, `{"a":1}`, nil},
+		{`{"a":1,"b":[1,2]}`, `{"a":2,"b":[1,3]}`, []string{`$.a: changed 1 to 2`, `$.b[1]: changed 2 to 3`}},
+		{`{"a":1}`, `{"a":1,"b":null}`, []string{`$.b: added null`}},
+		{`{"a":10000000000000000001}`, `{"a":10000000000000000002}`, []string{`$.a: changed 10000000000000000001 to 10000000000000000002`}},
+	} {
+		assert.DeepEqual(t, validator.Differences([]byte(c.before), []byte(c.after)), c.want)
+	}
 	many := `{"classes": [` + strings.Repeat(`"a",`, 5000) + `"a"]}`
 	lines := validator.Differences([]byte(many), nil)
 	assert.Equal(t, len(lines), validator.MaxDifferences+1)
--- a/internal/control/applier/applier_test.go
+++ b/internal/control/applier/applier_test.go
@@ -240,20 +240,3 @@
 	assert.NilError(t, err)
 	assert.Assert(t, bytes.Equal(a, b), "seed %d", seed)
 }
-
-// TestDifferences guards against an audit entry that hides what changed.
-func TestDifferences(t *testing.T) {
-	for _, c := range []struct {
-		before, after string
-		want          []string
-	}{
-		{`{"a":1}`, `{"a":1}`, nil},
-		{`{"a":1,"b":[1,2]}`, `{"a":2,"b":[1,3,4]}`, []string{`$.a: 1 -> 2`, `$.b[1]: 2 -> 3`, `$.b[2]: absent -> 4`}},
-		{`{"c":[{"name":"x","w":"1s"},{"name":"y"}]}`, `{"c":[{"name":"y"},{"name":"z"},{"name":"x","w":"2s"}]}`,
-			[]string{`$.c["x"].w: "1s" -> "2s"`, `$.c["z"]: absent -> {"name":"z"}`}},
-		{``, `{"a":null}`, []string{`$: absent -> {"a":null}`}},
-		{`{"a":10000000000000000001}`, `{"a":10000000000000000002}`, []string{`$.a: 10000000000000000001 -> 10000000000000000002`}},
-	} {
-		assert.DeepEqual(t, Differences([]byte(c.before), []byte(c.after)), c.want)
-	}
-}
--- a/internal/control/coordinator/coordinator_test.go
+++ b/internal/control/coordinator/coordinator_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap/zaptest"
 	"gotest.tools/v3/assert"
 
+	"github.com/amaranthcart/amaranthcart/internal/rpc/dialer"
 	"github.com/amaranthcart/amaranthcart/internal/rpc/wire"
 	"github.com/amaranthcart/amaranthcart/internal/rpc/wire/wireconnect"
 )
@@ -89,7 +90,7 @@
 		defer close(h.served)
 		_ = h.server.Serve(l)
 	})
-	h.client = wireconnect.NewControlClient(newHTTPClient(), "http://"+h.settings.Address)
+	h.client = wireconnect.NewControlClient(dialer.New(), "http://"+h.settings.Address)
 }
 
 // stop closes a host that runs.
--- a/internal/control/coordinator/load_test.go
+++ b/internal/control/coordinator/load_test.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/conc"
 	"gotest.tools/v3/assert"
 
+	"github.com/amaranthcart/amaranthcart/internal/rpc/dialer"
 	"github.com/amaranthcart/amaranthcart/internal/rpc/wire"
 	"github.com/amaranthcart/amaranthcart/internal/rpc/wire/wireconnect"
 )
@@ -77,8 +78,8 @@
 // submitAnywhere sends the same change to one host after the other until one
 // answers.
 func submitAnywhere(t *testing.T, addresses []string, q *wire.ApplyRequest) *wire.ApplyResponse {
-	client := newHTTPClient()
-	defer client.CloseIdleConnections()
+	client := dialer.New()
+	defer client.Close()
 	for i := range 1000 {
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 		r, err := wireconnect.NewControlClient(client, "http://"+addresses[i%len(addresses)]).Apply(ctx, connect.NewRequest(q))
--- a/internal/control/coordinator/service.go
+++ b/internal/control/coordinator/service.go
@@ -11,6 +11,7 @@
 	"connectrpc.com/connect"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/amaranthcart/amaranthcart/internal/config/validator"
 	"github.com/amaranthcart/amaranthcart/internal/control/applier"
 	"github.com/amaranthcart/amaranthcart/internal/control/replicator"
 	"github.com/amaranthcart/amaranthcart/internal/rpc/record"
@@ -79,7 +80,7 @@
 	sum := sha256.Sum256(q.Document)
 	a := &record.ApplyCommand{Request: q, Digest: hex.EncodeToString(sum[:])}
 	if current {
-		a.Differences = applier.Differences(before, q.Document)
+		a.Differences = validator.Differences(before, q.Document)
 	}
 	r, err := c.submit(ctx, &record.Command{Change: &record.Command_Apply{Apply: a}})
 	if err != nil {
--- a/internal/control/coordinator/service_test.go
+++ b/internal/control/coordinator/service_test.go
@@ -17,6 +17,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/amaranthcart/amaranthcart/internal/control/replicator"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/dialer"
 	"github.com/amaranthcart/amaranthcart/internal/rpc/wire"
 	"github.com/amaranthcart/amaranthcart/internal/rpc/wire/wireconnect"
 	"github.com/amaranthcart/amaranthcart/internal/storage/journaler"
@@ -81,7 +82,7 @@
 			assert.Equal(t, l.Answer.Status, uint32(201))
 			h := call(t, c.hosts[2].client.History, &wire.HistoryRequest{After: 1, Limit: 2})
 			assert.Equal(t, len(h.Entries), 2)
-			assert.DeepEqual(t, h.Entries[0].Differences, []string{"$.n: 0 -> 1"})
+			assert.DeepEqual(t, h.Entries[0].Differences, []string{"$.n: changed 0 to 1"})
 		})
 	}
 }
@@ -353,7 +354,7 @@
 			Name: peers[i].Name, Address: peers[i].Address, Folder: t.TempDir(), Peers: peers, Seed: uint64(i + 1),
 		}}
 		h.start(t, l)
-		h.client = wireconnect.NewControlClient(newHTTPClient(), "http://"+l.Addr().String())
+		h.client = wireconnect.NewControlClient(dialer.New(), "http://"+l.Addr().String())
 		hosts = append(hosts, h)
 	}
 	for i := range uint64(3) {
--- a/internal/control/coordinator/transport.go
+++ b/internal/control/coordinator/transport.go
@@ -2,19 +2,16 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
 	"sync"
-	"syscall"
 	"time"
 
 	"connectrpc.com/connect"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
-	"golang.org/x/sys/unix"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/amaranthcart/amaranthcart/internal/control/replicator"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/dialer"
 	"github.com/amaranthcart/amaranthcart/internal/rpc/record"
 	"github.com/amaranthcart/amaranthcart/internal/rpc/wire"
 	"github.com/amaranthcart/amaranthcart/internal/rpc/wire/wireconnect"
@@ -24,12 +21,6 @@
 	// exchangeTimeout is below the election timeout: a connection that went
 	// silent is replaced before the followers miss the leader.
 	exchangeTimeout = 400 * time.Millisecond
-	connectTimeout  = 300 * time.Millisecond
-	// pingInterval and pingTimeout find silent connections of other calls.
-	pingInterval = time.Second
-	pingTimeout  = time.Second
-	// userTimeout bounds unacknowledged data of a TCP connection.
-	userTimeout = 3 * time.Second
 	// maximumQueued bounds the messages to a host that isn't reachable.
 	maximumQueued = 4096
 	// maximumExchange bounds the messages of one request in bytes.
@@ -39,35 +30,6 @@
 	maximumRequest = 8 << 20
 )
 
-// newHTTPClient returns a client for HTTP/2 without TLS.
-func newHTTPClient() *http.Client {
-	p := &http.Protocols{}
-	p.SetUnencryptedHTTP2(true)
-	d := &net.Dialer{Timeout: connectTimeout, Control: setUserTimeout}
-	return &http.Client{Transport: &http.Transport{
-		Protocols:   p,
-		DialContext: d.DialContext,
-		HTTP2: &http.HTTP2Config{
-			SendPingTimeout:  pingInterval,
-			PingTimeout:      pingTimeout,
-			WriteByteTimeout: userTimeout,
-		},
-	}}
-}
-
-// setUserTimeout makes the kernel close connections whose data stays
-// unacknowledged.
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
-	var failure error
-	err := c.Control(func(fd uintptr) {
-		failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return failure
-}
-
 // transport sends messages to the other control hosts.
 type transport struct {
 	logger *zap.Logger
@@ -92,7 +54,7 @@
 
 // caller is a client for forwarded calls.
 type caller struct {
-	http    *http.Client
+	http    *dialer.Client
 	control wireconnect.ControlClient
 }
 
@@ -192,12 +154,12 @@
 
 // run sends the messages of a lane, one request at a time and in order.
 func (t *transport) run(name string, l *lane) {
-	client := newHTTPClient()
+	client := dialer.New()
+	defer client.Close()
 	reachable := true
 	for {
 		select {
 		case <-t.ctx.Done():
-			client.CloseIdleConnections()
 			return
 		case <-l.wake:
 		}
@@ -210,8 +172,7 @@
 			}
 			if err != nil {
 				// The connection may be silent for good; a new one may work.
-				client.CloseIdleConnections()
-				client = newHTTPClient()
+				client.Renew()
 				t.renew(t.address(name, ""))
 				l.drop()
 			}
@@ -220,10 +181,10 @@
 }
 
 // exchange sends one request.
-func (t *transport) exchange(client *http.Client, name string, messages [][]byte) error {
+func (t *transport) exchange(client *dialer.Client, name string, messages [][]byte) error {
 	ctx, cancel := context.WithTimeout(t.ctx, exchangeTimeout)
 	defer cancel()
-	c := wireconnect.NewControlClient(client, "http://"+t.address(name, ""))
+	c := wireconnect.NewControlClient(client, dialer.URL(t.address(name, "")))
 	_, err := c.Exchange(ctx, connect.NewRequest(&wire.ExchangeRequest{Messages: messages}))
 	return err
 }
@@ -234,8 +195,8 @@
 	defer t.mu.Unlock()
 	c := t.clients[address]
 	if c == nil {
-		h := newHTTPClient()
-		c = &caller{http: h, control: wireconnect.NewControlClient(h, "http://"+address, connect.WithReadMaxBytes(maximumRequest))}
+		h := dialer.New()
+		c = &caller{http: h, control: wireconnect.NewControlClient(h, dialer.URL(address), connect.WithReadMaxBytes(maximumRequest))}
 		t.clients[address] = c
 	}
 	return c
@@ -247,8 +208,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if c := t.clients[address]; c != nil {
-		delete(t.clients, address)
-		c.http.CloseIdleConnections()
+		c.http.Renew()
 	}
 }
 
@@ -261,6 +221,6 @@
 	t.mu.Unlock()
 	t.cancel()
 	for _, c := range clients {
-		c.http.CloseIdleConnections()
+		c.http.Close()
 	}
 }
--- a/internal/entry/claimer/claimer.go
+++ b/internal/entry/claimer/claimer.go
@@ -22,7 +22,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -33,6 +32,7 @@
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"github.com/amaranthcart/amaranthcart/internal/rpc/dialer"
 	"github.com/amaranthcart/amaranthcart/internal/rpc/wire"
 	"github.com/amaranthcart/amaranthcart/internal/rpc/wire/wireconnect"
 )
@@ -60,8 +60,6 @@
 	// deadlineMargin is added to the deadline of the call, so that a claim
 	// does not become unknown while its result is being recorded.
 	deadlineMargin = recordTimeout
-	// pingTimeout bounds the silence of a control connection.
-	pingTimeout = time.Second
 )
 
 // Errors that end a call.
@@ -152,30 +150,15 @@
 		o.NewToken = uuid.NewString
 	}
 	if o.Client == nil {
-		o.Client = &http.Client{Transport: newTransport()}
+		o.Client = dialer.New()
 	}
 	c := &Claimer{options: o, clock: o.Clock, logger: o.Logger.Named("claimer")}
 	for _, a := range o.Addresses {
-		c.clients = append(c.clients, wireconnect.NewControlClient(o.Client, "http://"+a))
+		c.clients = append(c.clients, wireconnect.NewControlClient(o.Client, dialer.URL(a)))
 	}
 	return c
 }
 
-// newTransport speaks HTTP/2 and notices dead connections by pings.
-func newTransport() *http.Transport {
-	protocols := new(http.Protocols)
-	protocols.SetUnencryptedHTTP2(true)
-	dialer := &net.Dialer{Timeout: attemptTimeout}
-	return &http.Transport{
-		DialContext: dialer.DialContext,
-		Protocols:   protocols,
-		HTTP2: &http.HTTP2Config{
-			SendPingTimeout: pingTimeout,
-			PingTimeout:     pingTimeout,
-		},
-	}
-}
-
 // Close waits for results that are being recorded.
 func (c *Claimer) Close() error {
 	c.group.Wait()
--- a/internal/entry/forwarder/pool.go
+++ b/internal/entry/forwarder/pool.go
@@ -5,21 +5,18 @@
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
-	"golang.org/x/sys/unix"
+
+	"github.com/amaranthcart/amaranthcart/internal/rpc/dialer"
 )
 
 const (
 	// dialTimeout bounds the start of a connection; hosts are a few
 	// milliseconds apart.
 	dialTimeout = time.Second
-	// userTimeout is how long sent bytes may stay unacknowledged before the
-	// kernel closes the connection.
-	userTimeout = 3 * time.Second
 	// idleTimeout is under the 5 s after which common engine servers close
 	// an idle connection, so a request rarely meets a closing one.
 	idleTimeout = 4 * time.Second
@@ -44,19 +41,8 @@
 			Interval: keepAliveInterval,
 			Count:    keepAliveCount,
 		},
-		Control: setUserTimeout,
-	}
-}
-
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
-	var failed error
-	err := c.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout/time.Millisecond))
-	})
-	if err != nil {
-		return err
+		Control: dialer.SetUserTimeout,
 	}
-	return failed
 }
 
 // pool keeps a transport for each upstream address. A transport is replaced
--- a/internal/entry/forwarder/pool_test.go
+++ b/internal/entry/forwarder/pool_test.go
@@ -9,6 +9,8 @@
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
+
+	"github.com/amaranthcart/amaranthcart/internal/rpc/dialer"
 )
 
 // TestDialOptions guards against connections to upstreams that outlive a peer
@@ -27,7 +29,7 @@
 		timeout, _ = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
 		alive, _ = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_KEEPALIVE)
 	}))
-	assert.Equal(t, time.Duration(timeout)*time.Millisecond, userTimeout)
+	assert.Equal(t, time.Duration(timeout)*time.Millisecond, dialer.Unacknowledged)
 	assert.Equal(t, alive, 1)
 }
 
--- a/internal/rpc/dialer/dialer.go
+++ b/internal/rpc/dialer/dialer.go
@@ -64,7 +64,7 @@
 func fresh() *http.Client {
 	p := new(http.Protocols)
 	p.SetUnencryptedHTTP2(true)
-	d := net.Dialer{Timeout: Dial, KeepAlive: 5 * time.Second, Control: setUserTimeout}
+	d := net.Dialer{Timeout: Dial, KeepAlive: 5 * time.Second, Control: SetUserTimeout}
 	return &http.Client{Transport: &http.Transport{
 		DialContext:     d.DialContext,
 		Protocols:       p,
@@ -124,11 +124,13 @@
 // Listen opens a listener whose connections end when the other side no longer
 // acknowledges data.
 func Listen(ctx context.Context, address string) (net.Listener, error) {
-	c := net.ListenConfig{Control: setUserTimeout}
+	c := net.ListenConfig{Control: SetUserTimeout}
 	return c.Listen(ctx, "tcp", address)
 }
 
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
+// SetUserTimeout is a net.Dialer.Control that makes the kernel close connections
+// whose data stays unacknowledged.
+func SetUserTimeout(_, _ string, c syscall.RawConn) error {
 	var failure error
 	set := func(fd uintptr) {
 		failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(Unacknowledged.Milliseconds()))
