Run the deadline of long plain answers only while reading

A caller that read a long answer slowly had its upstream cancelled; the new test fails with the deadline running. A keyed call that waits for a slot until its deadline is now refused with 503 in place of a status meant for logs.

--- a/internal/entry/forwarder/plain.go
+++ b/internal/entry/forwarder/plain.go
@@ -68,7 +68,7 @@
 	for attempt, preemptions := 1, 0; ; attempt++ {
 		slot, err := f.dispatcher.Acquire(ctx, request)
 		if err != nil && ctx.Err() != nil {
-			return nil, &Error{Status: statusClientGone, Code: "caller_gone", Message: "the caller went away", Run: run, cause: err}
+			return nil, gaveUp(ctx, run)
 		}
 		if err != nil {
 			return nil, refusal(err, run)
@@ -100,6 +100,19 @@
 // statusClientGone is for logs only; nobody reads the answer.
 const statusClientGone = 499
 
+// gaveUp is the end of a call whose wait for a slot was ended by its caller or
+// by its own deadline.
+func gaveUp(ctx context.Context, run Run) *Error {
+	e := &Error{Status: statusClientGone, Code: "caller_gone", Message: "the caller went away", Run: run, cause: context.Cause(ctx)}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		e.Status = http.StatusServiceUnavailable
+		e.Type = "server_error"
+		e.Code = "deadline_exceeded"
+		e.Message = "no upstream was free before the deadline of the call"
+	}
+	return e
+}
+
 // plainAttempt is one attempt of a plain call.
 type plainAttempt struct {
 	forwarder *Forwarder
@@ -147,6 +160,7 @@
 		end(nil)
 		return answer, nil
 	}
+	timer.Stop()
 	answer.close = end
 	answer.Tail = &tail{reader: answer.Tail, timer: timer, limit: limit}
 	return answer, nil
@@ -248,16 +262,19 @@
 	return false
 }
 
-// tail moves the deadline with each part of a long answer.
+// tail is the rest of a long answer. The deadline runs only while the upstream
+// is waited for, not while the caller reads.
 type tail struct {
 	reader io.Reader
-	timer  interface{ Reset(time.Duration) bool }
+	timer  clockwork.Timer
 	limit  time.Duration
 }
 
+// Read reads from the upstream.
 func (t *tail) Read(b []byte) (int, error) {
-	n, err := t.reader.Read(b)
 	t.timer.Reset(t.limit)
+	n, err := t.reader.Read(b)
+	t.timer.Stop()
 	return n, err
 }
 
--- a/internal/entry/receiver/crash_test.go
+++ b/internal/entry/receiver/crash_test.go
@@ -1,11 +1,16 @@
 package receiver_test
 
 import (
+	"context"
+	"io"
 	"net/http"
 	"testing"
+	"time"
 
+	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
+	"github.com/amaranthcart/amaranthcart/internal/entry/forwarder"
 	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
 	"github.com/amaranthcart/amaranthcart/internal/stub/responder"
 )
@@ -67,3 +72,24 @@
 		assert.DeepEqual(t, h.dispatcher.outcomes(), []scheduler.Outcome{scheduler.Completed, scheduler.Crashed})
 	}
 }
+
+// TestSlowReader guards against a long plain answer that is broken off because
+// its caller reads slowly.
+func TestSlowReader(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	h := newHarness(t, withClock(clock), withUpstreams(1))
+	h.responders[0].Set(responder.Behaviour{Pad: 3 << 20})
+	a, err := h.forwarder.Call(context.Background(), forwarder.PlainCall{
+		Request: scheduler.Request{Pool: "ledger"},
+		Class:   h.document.Load().Classes[0],
+		Method:  http.MethodPost,
+		Target:  "/sales",
+	})
+	assert.NilError(t, err)
+	clock.Advance(time.Hour)
+	n, err := io.Copy(io.Discard, a.Tail)
+	assert.NilError(t, err)
+	assert.Equal(t, a.Size, int64(len(a.Body))+n)
+	a.Close(nil)
+	assert.DeepEqual(t, h.dispatcher.outcomes(), []scheduler.Outcome{scheduler.Completed})
+}
