Wait for cancelled requests when the receiver closes

Close returned while handlers still used the forwarder, whose Close then raced with them; the race detector saw it once in 25 runs of the receiver tests.

--- a/internal/entry/receiver/harness_test.go
+++ b/internal/entry/receiver/harness_test.go
@@ -234,7 +234,7 @@
 	group.Go(func() { _ = server.Serve(h.receiver.Limit(l)) })
 	t.Cleanup(func() {
 		h.client.CloseIdleConnections()
-		_ = h.receiver.Close()
+		assert.Check(t, h.receiver.Close())
 		for _, r := range h.responders {
 			_ = r.Close()
 		}
--- a/internal/entry/receiver/receiver.go
+++ b/internal/entry/receiver/receiver.go
@@ -54,6 +54,8 @@
 	idleTimeout   = 2 * time.Minute
 	// writeTimeout bounds how long a caller may leave its answer unread.
 	writeTimeout = 30 * time.Second
+	// closeTimeout bounds the wait for requests whose connections are closed.
+	closeTimeout = 5 * time.Second
 )
 
 // Snapshot is the configuration in force.
@@ -235,6 +237,11 @@
 func (r *Receiver) Drain(ctx context.Context) error {
 	r.draining.Store(true)
 	r.logger.Info("draining", zap.Int64("open", r.open.Load()))
+	return r.wait(ctx)
+}
+
+// wait waits until no request is open.
+func (r *Receiver) wait(ctx context.Context) error {
 	for r.open.Load() > 0 {
 		select {
 		case <-r.idle:
@@ -242,13 +249,30 @@
 			return context.Cause(ctx)
 		}
 	}
+	r.signal() // another waiter may have missed it
 	return nil
 }
 
-// Close closes all connections of the receiver's servers.
+func (r *Receiver) signal() {
+	select {
+	case r.idle <- struct{}{}:
+	default:
+	}
+}
+
+// Close closes all connections of the receiver's servers, which cancels their
+// requests, and waits until these have ended. Calls with an idempotency key go
+// on for their result; Close waits for them up to closeTimeout.
 func (r *Receiver) Close() error {
 	r.draining.Store(true)
 	r.latency.Stop()
+	failed := r.closeServers()
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	return errors.Join(failed, r.wait(ctx))
+}
+
+func (r *Receiver) closeServers() error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var failed error
@@ -336,10 +360,7 @@
 
 func (r *Receiver) leave() {
 	if r.open.Add(-1) == 0 && r.draining.Load() {
-		select {
-		case r.idle <- struct{}{}:
-		default:
-		}
+		r.signal()
 	}
 }
 
