--- a/internal/config/follower/follower.go
+++ b/internal/config/follower/follower.go
@@ -121,16 +121,6 @@
 // WithNetwork replaces the network.
 func WithNetwork(n Network) Option { return func(f *Follower) { f.network = n } }
 
-// WithFleet tells the number of entry hosts when their order is not known. No
-// host is an asker then, unless it is the only one, so confirmations get older
-// than with WithRank before hosts ask.
-func WithFleet(size func() int) Option {
-	return WithRank(func() Rank {
-		n := size()
-		return Rank{Place: min(max(n-1, 0), Askers), Hosts: n}
-	})
-}
-
 // WithRank tells the place of this host among the hosts of its cell, which
 // bounds how many of them ask control.
 func WithRank(rank func() Rank) Option { return func(f *Follower) { f.rank = rank } }
