dispatcher: free the slots kept for other hosts when the cell has a new owner

An owner keeps the slots of a host whose link ended until the host reports again or is down. After a change of owner the hosts report to the next owner only, so the former one kept these slots, and their requests in memory, for as long as the hosts lived: its own scheduler had that much less to grant when it fell back on it. A late end of the session was ruled out: the sessions had ended within a beat.

A host that does not own the cell now frees what it keeps for others, at every look at the owner.

Before: TestFormerOwner finds the slot in use 20 s after its release. After: freed.

--- a/internal/entry/dispatcher/cell.go
+++ b/internal/entry/dispatcher/cell.go
@@ -200,6 +200,9 @@
 		s.Logger.Info("cell owner changed", zap.String("cell", string(s.Cell)), zap.String("owner", string(owner)), zap.Bool("self", owning))
 	}
 	f.divide()
+	if !owning {
+		s.Local.disowned()
+	}
 	if owning || !ok {
 		f.drop()
 		f.cell.reroute(s.Local)
--- a/internal/entry/dispatcher/fault_test.go
+++ b/internal/entry/dispatcher/fault_test.go
@@ -76,3 +76,17 @@
 		})
 	}
 }
+
+// TestFormerOwner guards against slots that stay occupied at a host that owned
+// the cell once: the other hosts report their ends to the next owner only.
+func TestFormerOwner(t *testing.T) {
+	view, all := newMembers(t, "a", "b", "c")
+	waitFor(t, "links", func() bool { return all["b"].linked() && all["c"].linked() && all["a"].full() })
+	s := acquire(t, all["c"].cell, "r")
+	view.setOwner("b")
+	waitFor(t, "adopted by the new owner", func() bool { return all["c"].linked() && all["b"].occupied() == 1 })
+	s.Release(scheduler.Completed, 1)
+	for _, m := range all {
+		waitFor(t, "slots freed", func() bool { return m.occupied() == 0 && m.local.Used("engine") == 0 })
+	}
+}
--- a/internal/entry/dispatcher/local.go
+++ b/internal/entry/dispatcher/local.go
@@ -34,6 +34,7 @@
 	upstreams map[registrar.UpstreamID]registrar.Upstream
 	requests  map[scheduler.RequestID]*open
 	hosts     int
+	disown    func()
 
 	stop  chan struct{}
 	group conc.WaitGroup
@@ -47,6 +48,7 @@
 		upstreams: map[registrar.UpstreamID]registrar.Upstream{},
 		requests:  map[scheduler.RequestID]*open{},
 		hosts:     1,
+		disown:    func() {},
 		stop:      make(chan struct{}),
 	}
 	l.group.Go(l.tick)
@@ -116,6 +118,21 @@
 	return u
 }
 
+// onDisowned sets what is called, again and again, while this host does not own
+// the cell.
+func (l *Local) onDisowned(f func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.disown = f
+}
+
+func (l *Local) disowned() {
+	l.mu.Lock()
+	f := l.disown
+	l.mu.Unlock()
+	f()
+}
+
 // submit queues a request.
 func (l *Local) submit(r scheduler.Request, n sink) {
 	l.mu.Lock()
--- a/internal/entry/dispatcher/server.go
+++ b/internal/entry/dispatcher/server.go
@@ -39,20 +39,40 @@
 
 // NewServer returns the serving side of a cell.
 func NewServer(s Settings) *Server {
-	return &Server{
+	n := &Server{
 		settings: s,
 		orphans:  map[registrar.HostName]orphans{},
 		sessions: map[registrar.HostName]*session{},
 	}
+	s.Local.onDisowned(n.disowned)
+	return n
 }
 
-// HostDown frees the slots of a host whose lease has ended.
-func (s *Server) HostDown(h registrar.HostName) {
-	for id := range s.takeOrphans(h) {
+// disowned frees the slots kept for hosts that are out of reach once this host
+// owns the cell no more: their hosts report to the next owner.
+func (s *Server) disowned() {
+	s.mu.Lock()
+	all := s.orphans
+	if len(all) > 0 {
+		s.orphans = map[registrar.HostName]orphans{}
+	}
+	s.mu.Unlock()
+	for _, kept := range all {
+		s.free(kept)
+	}
+}
+
+func (s *Server) free(kept orphans) {
+	for id := range kept {
 		s.settings.Local.report(scheduler.Cancel{ID: id})
 	}
 }
 
+// HostDown frees the slots of a host whose lease has ended.
+func (s *Server) HostDown(h registrar.HostName) {
+	s.free(s.takeOrphans(h))
+}
+
 func (s *Server) takeOrphans(h registrar.HostName) orphans {
 	s.mu.Lock()
 	defer s.mu.Unlock()
