dispatcher: take the kept slots out of the map before freeing them

The host that lost the cell went through an empty map without its lock while a session that ended put slots into it; the race detector reported it in TestHandOver. The map is now replaced under the lock in every case.

--- a/internal/entry/dispatcher/server.go
+++ b/internal/entry/dispatcher/server.go
@@ -53,9 +53,7 @@
 func (s *Server) disowned() {
 	s.mu.Lock()
 	all := s.orphans
-	if len(all) > 0 {
-		s.orphans = map[registrar.HostName]orphans{}
-	}
+	s.orphans = map[registrar.HostName]orphans{}
 	s.mu.Unlock()
 	for _, kept := range all {
 		s.free(kept)
