dispatcher: order the news of a request after its hand-over

A slot released while its request was handed over reported its end to the new owner before the owner knew of the slot. The owner dropped the report; the slot was withdrawn afterwards, but a crash of the upstream was lost, so that a request that crashes upstreams went unsuspected. A hedge that arrived between the release's look for one and the end of the slot was never released: its request stayed open at the owner for ever.

Hand-overs and news of one request now exclude each other, which also makes the second withdrawal after each release needless, and the release looks for a hedge after the slot has ended. Sinks do not take the new lock, so that the lock order stays ticket order, route, ticket.

Before: TestCrashDuringHandOver sees one report for an unknown request and TestHedgeDuringRelease one slot left.

--- a/internal/entry/dispatcher/fault_test.go
+++ b/internal/entry/dispatcher/fault_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+	"github.com/sourcegraph/conc"
 	"gotest.tools/v3/assert"
 
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
@@ -90,3 +93,112 @@
 		waitFor(t, "slots freed", func() bool { return m.occupied() == 0 && m.local.Used("engine") == 0 })
 	}
 }
+
+// recorder is a route that stands for an owner: it records the reports and
+// those that concern a request which it does not know.
+type recorder struct {
+	mu     sync.Mutex
+	enter  func()
+	known  map[scheduler.RequestID]bool
+	events []scheduler.Event
+	lost   []scheduler.Event
+	notify sink
+}
+
+func newRecorder(enter func()) *recorder {
+	return &recorder{enter: enter, known: map[scheduler.RequestID]bool{}}
+}
+
+func (r *recorder) submit(q scheduler.Request, n sink) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.known[q.ID], r.notify = true, n
+}
+
+func (r *recorder) adopt(q scheduler.Request, _ registrar.UpstreamID, n sink) {
+	r.enter()
+	r.submit(q, n)
+}
+
+func (r *recorder) report(e scheduler.Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.events = append(r.events, e)
+	switch e := e.(type) {
+	case scheduler.Finished:
+		if !r.known[e.ID] {
+			r.lost = append(r.lost, e)
+		}
+	case scheduler.Cancel:
+		delete(r.known, e.ID)
+	}
+}
+
+func (r *recorder) finish(f scheduler.Finished, last bool) {
+	r.report(f)
+	if last {
+		r.report(scheduler.Cancel{ID: f.ID})
+	}
+}
+
+func testTicket() *ticket {
+	find := func(id registrar.UpstreamID) (registrar.Upstream, bool) { return registrar.Upstream{Name: id}, true }
+	return newTicket(request("r"), clockwork.NewRealClock(), find, func() {})
+}
+
+// TestCrashDuringHandOver guards against a crash report that reaches the new
+// owner before the slot that it concerns: the owner would ignore it and go on
+// granting a request that crashes upstreams.
+func TestCrashDuringHandOver(t *testing.T) {
+	k := testTicket()
+	first := newRecorder(func() {})
+	k.move(first)
+	first.notify(scheduler.Grant{ID: "r", Upstream: "engine"})
+	s := (<-k.result).slot
+	var group conc.WaitGroup
+	released := make(chan struct{})
+	second := newRecorder(func() {
+		group.Go(func() {
+			defer close(released)
+			s.Release(scheduler.Crashed, 3)
+		})
+		// Gives a release that does not wait for the hand-over time to pass it.
+		select {
+		case <-released:
+		case <-time.After(100 * time.Millisecond):
+		}
+	})
+	k.move(second)
+	group.Wait()
+	assert.Equal(t, len(second.lost), 0, "the crash was reported for a request that the owner does not know")
+	assert.Equal(t, len(second.known), 0)
+}
+
+// TestHedgeDuringRelease guards against a hedge that arrives while the first
+// slot is being released and is then held for ever.
+func TestHedgeDuringRelease(t *testing.T) {
+	k := testTicket()
+	owner := newRecorder(func() {})
+	k.move(owner)
+	owner.notify(scheduler.Grant{ID: "r", Upstream: "engine"})
+	s := (<-k.result).slot
+	arriving, released := make(chan struct{}), make(chan struct{})
+	find := k.find
+	k.find = func(id registrar.UpstreamID) (registrar.Upstream, bool) {
+		close(arriving)
+		// Lets the release go as far as it can before the hedge is open.
+		time.Sleep(50 * time.Millisecond)
+		return find(id)
+	}
+	var group conc.WaitGroup
+	group.Go(func() { owner.notify(scheduler.Hedge{ID: "r", Upstream: "other"}) })
+	<-arriving
+	group.Go(func() {
+		defer close(released)
+		s.Release(scheduler.Completed, 3)
+	})
+	<-released
+	group.Wait()
+	assert.Equal(t, len(k.slots), 0)
+	assert.Equal(t, len(owner.known), 0)
+}
--- a/internal/entry/dispatcher/link.go
+++ b/internal/entry/dispatcher/link.go
@@ -195,9 +195,22 @@
 }
 
 func (l *link) report(e scheduler.Event) {
-	m := encodeProgress(e)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.post(e)
+}
+
+func (l *link) finish(f scheduler.Finished, last bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.post(f)
+	if last {
+		l.post(scheduler.Cancel{ID: f.ID})
+	}
+}
+
+func (l *link) post(e scheduler.Event) {
+	m := encodeProgress(e)
 	if _, ok := l.sinks[scheduler.RequestID(m.Id)]; !ok {
 		return
 	}
--- a/internal/entry/dispatcher/local.go
+++ b/internal/entry/dispatcher/local.go
@@ -164,16 +164,27 @@
 	defer l.mu.Unlock()
 	switch e := e.(type) {
 	case scheduler.Finished:
-		l.finish(e)
+		l.free(e)
 	case scheduler.Cancel:
 		delete(l.requests, e.ID)
 	}
 	l.step(e)
 }
 
-func (l *Local) finish(e scheduler.Finished) {
+func (l *Local) finish(f scheduler.Finished, last bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.free(f)
+	l.step(f)
+	if _, open := l.requests[f.ID]; last && open {
+		delete(l.requests, f.ID)
+		l.step(scheduler.Cancel{ID: f.ID})
+	}
+}
+
+func (l *Local) free(e scheduler.Finished) {
 	o, ok := l.requests[e.ID]
-	if !ok {
+	if !ok || !o.held[e.Upstream] {
 		return
 	}
 	delete(o.held, e.Upstream)
--- a/internal/entry/dispatcher/ticket.go
+++ b/internal/entry/dispatcher/ticket.go
@@ -23,6 +23,8 @@
 	submit(r scheduler.Request, n sink)
 	adopt(r scheduler.Request, id registrar.UpstreamID, n sink)
 	report(e scheduler.Event)
+	// finish reports the end of a slot; with the last one the request ends.
+	finish(f scheduler.Finished, last bool)
 }
 
 // finder looks an upstream up in this host's view.
@@ -34,9 +36,15 @@
 	clock   clockwork.Clock
 	find    finder
 
+	// order is held while the request is handed over and while news of it is
+	// reported, so that a route learns of the request before any news of it.
+	// It is taken before mu and the locks of the routes; sinks do not take it.
+	order sync.Mutex
+
 	mu sync.Mutex
 	// route is where the request is scheduled now; actions from an earlier
-	// route carry a lower epoch and are ignored.
+	// route carry a lower epoch and are ignored. It changes only with order
+	// held.
 	route  route
 	epoch  int
 	slots  map[registrar.UpstreamID]*slot
@@ -66,6 +74,8 @@
 // move hands the request over to another route: held slots are adopted there
 // and a request that still waits is queued again.
 func (t *ticket) move(to route) {
+	t.order.Lock()
+	defer t.order.Unlock()
 	t.mu.Lock()
 	if t.closed {
 		t.mu.Unlock()
@@ -93,17 +103,6 @@
 	for _, id := range held {
 		to.adopt(t.request, id, notify)
 	}
-	t.settle(to)
-}
-
-// settle withdraws what was just handed over when the ticket ended meanwhile.
-func (t *ticket) settle(to route) {
-	t.mu.Lock()
-	ended := t.closed
-	t.mu.Unlock()
-	if ended {
-		to.report(scheduler.Cancel{ID: t.request.ID})
-	}
 }
 
 func (t *ticket) sink(epoch int) sink {
@@ -177,6 +176,8 @@
 // withdraw ends a request whose caller no longer waits. It returns the slot
 // that was granted meanwhile, if any.
 func (t *ticket) withdraw() *slot {
+	t.order.Lock()
+	defer t.order.Unlock()
 	t.mu.Lock()
 	select {
 	case g := <-t.result:
@@ -185,29 +186,30 @@
 	default:
 	}
 	t.closed = true
-	r := t.route
 	t.mu.Unlock()
-	if r != nil {
-		r.report(scheduler.Cancel{ID: t.request.ID})
+	if t.route != nil {
+		t.route.report(scheduler.Cancel{ID: t.request.ID})
 	}
 	return nil
 }
 
-// finish removes a slot and reports whether it was the last one.
-func (t *ticket) finish(s *slot) (route, bool) {
+// finish ends a slot and reports whether it was the last one.
+func (t *ticket) finish(s *slot, f scheduler.Finished) bool {
+	t.order.Lock()
+	defer t.order.Unlock()
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	delete(t.slots, s.upstream.Name)
-	if len(t.slots) == 0 {
-		t.closed = true
-	}
-	return t.route, t.closed
+	last := len(t.slots) == 0
+	t.closed = t.closed || last
+	t.mu.Unlock()
+	t.route.finish(f, last)
+	return last
 }
 
-func (t *ticket) current() route {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.route
+func (t *ticket) report(e scheduler.Event) {
+	t.order.Lock()
+	defer t.order.Unlock()
+	t.route.report(e)
 }
 
 // slot implements Slot.
@@ -236,7 +238,6 @@
 func (s *slot) Hedged() <-chan Slot            { return s.hedged }
 func (s *slot) identity() scheduler.RequestID  { return s.ticket.request.ID }
 func (s *slot) location() registrar.UpstreamID { return s.upstream.Name }
-func (s *slot) send(e scheduler.Event)         { s.ticket.current().report(e) }
 
 func (s *slot) preempt() {
 	if !s.yielded {
@@ -247,7 +248,7 @@
 
 // FirstToken reports the first token.
 func (s *slot) FirstToken() {
-	s.send(scheduler.FirstToken{ID: s.identity(), Upstream: s.location()})
+	s.ticket.report(scheduler.FirstToken{ID: s.identity(), Upstream: s.location()})
 }
 
 // Progress reports tokens, at most every few tokens or milliseconds.
@@ -261,7 +262,7 @@
 	}
 	s.mu.Unlock()
 	if due {
-		s.send(scheduler.Progress{ID: s.identity(), Upstream: s.location(), Tokens: tokens})
+		s.ticket.report(scheduler.Progress{ID: s.identity(), Upstream: s.location(), Tokens: tokens})
 	}
 }
 
@@ -274,15 +275,12 @@
 	}
 	s.released = true
 	s.mu.Unlock()
-	s.drainHedge()
-	r, last := s.ticket.finish(s)
-	r.report(scheduler.Finished{ID: s.identity(), Upstream: s.location(), Outcome: o, Tokens: tokens})
-	if last {
-		// A hand-over that ran at the same time may have adopted the slot
-		// after the report above.
-		r.report(scheduler.Cancel{ID: s.identity()})
+	if s.ticket.finish(s, scheduler.Finished{ID: s.identity(), Upstream: s.location(), Outcome: o, Tokens: tokens}) {
 		s.ticket.ended()
+		return
 	}
+	// No hedge is handed to a slot that has ended, so that none is missed here.
+	s.drainHedge()
 }
 
 // drainHedge releases a hedge that arrived but was never taken.
