dispatcher: free slots that nobody takes

The owner may hedge a request whose host is out of reach, or one that runs on two upstreams already. Nobody took such a slot and nobody returned it: it stayed in use until the request ended, or until the host was down. A second grant for a ticket blocked the route's lock for good. The scheduler emits no hedges yet, so that this did not occur in service.

A sink now reports whether the slot is taken; a slot that is not is freed at once, by this host's scheduler or by a report over the link.

Before: TestUnwantedHedge finds the slot on "second" in use. After: freed.

--- a/internal/entry/dispatcher/fault_test.go
+++ b/internal/entry/dispatcher/fault_test.go
@@ -202,3 +202,34 @@
 	assert.Equal(t, len(k.slots), 0)
 	assert.Equal(t, len(owner.known), 0)
 }
+
+// TestUnwantedHedge guards against slots that stay in use because nobody can
+// take the hedge: the request's host is out of reach, or the request runs on
+// two upstreams already.
+func TestUnwantedHedge(t *testing.T) {
+	_, all := newMembers(t, "a")
+	m := all["a"]
+	hedge := func(id scheduler.RequestID, u registrar.UpstreamID) {
+		m.local.mu.Lock()
+		defer m.local.mu.Unlock()
+		r := request(string(id))
+		m.local.step(scheduler.Adopt{Request: r, Upstream: u})
+		m.local.deliver(scheduler.Hedge{ID: id, Upstream: u})
+		m.local.step(scheduler.Tick{})
+	}
+	n := m.server.begin("b")
+	n.take(&wire.DispatchRequest{Submits: []*wire.SlotRequest{encodeRequest(request("far"), "", time.Now())}})
+	n.end()
+	hedge("far", "second")
+	assert.Equal(t, m.local.Used("second"), 0)
+	assert.Equal(t, m.occupied(), 1)
+	s := acquire(t, m.cell, "near")
+	id := s.(*slot).identity()
+	hedge(id, "second")
+	assert.Equal(t, m.local.Used("second"), 1)
+	hedge(id, "third")
+	assert.Equal(t, m.local.Used("third"), 0)
+	s.Release(scheduler.Completed, 1)
+	assert.Equal(t, m.local.Used("second"), 0)
+	assert.Equal(t, m.occupied(), 1)
+}
--- a/internal/entry/dispatcher/link.go
+++ b/internal/entry/dispatcher/link.go
@@ -165,7 +165,19 @@
 		if _, refused := a.action.(scheduler.Refuse); refused {
 			delete(l.sinks, a.id)
 		}
-		n(a.action)
+		if !n(a.action) {
+			l.decline(a.action)
+		}
+	}
+}
+
+// decline returns a slot that nobody takes to the owner.
+func (l *link) decline(a scheduler.Action) {
+	switch a := a.(type) {
+	case scheduler.Grant:
+		l.post(scheduler.Finished{ID: a.ID, Upstream: a.Upstream, Outcome: scheduler.Abandoned})
+	case scheduler.Hedge:
+		l.post(scheduler.Finished{ID: a.ID, Upstream: a.Upstream, Outcome: scheduler.Abandoned})
 	}
 }
 
--- a/internal/entry/dispatcher/local.go
+++ b/internal/entry/dispatcher/local.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/sourcegraph/conc"
@@ -14,9 +15,13 @@
 	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
 )
 
-// sink receives the actions for one request. It is called with the lock of
-// Local held, so it must neither block nor call back.
-type sink func(a scheduler.Action)
+// sink receives the actions for one request and reports whether somebody takes
+// the slot of a grant or hedge; otherwise the slot is freed. It is called with
+// the lock of its route held, so it must neither block nor call back.
+type sink func(a scheduler.Action) bool
+
+// unattended is the sink of a request whose host is out of reach.
+func unattended(scheduler.Action) bool { return false }
 
 // open is a request that waits or holds slots.
 type open struct {
@@ -33,8 +38,10 @@
 	scheduler *scheduler.Scheduler
 	upstreams map[registrar.UpstreamID]registrar.Upstream
 	requests  map[scheduler.RequestID]*open
-	hosts     int
-	disown    func()
+	// declined lists the slots that nobody took in the current step.
+	declined []scheduler.Finished
+	hosts    int
+	disown   func()
 
 	stop  chan struct{}
 	group conc.WaitGroup
@@ -203,7 +210,7 @@
 		return nil
 	}
 	if len(o.held) > 0 {
-		o.notify = func(scheduler.Action) {}
+		o.notify = unattended
 		return slices.Collect(maps.Keys(o.held))
 	}
 	delete(l.requests, id)
@@ -213,7 +220,19 @@
 
 // step feeds the scheduler and hands its actions to the requests' sinks.
 func (l *Local) step(e scheduler.Event) {
-	for _, a := range l.scheduler.Step(l.clock.Now(), e) {
+	now := l.clock.Now()
+	l.apply(now, e)
+	for len(l.declined) > 0 {
+		last := len(l.declined) - 1
+		f := l.declined[last]
+		l.declined = l.declined[:last]
+		l.free(f)
+		l.apply(now, f)
+	}
+}
+
+func (l *Local) apply(now time.Time, e scheduler.Event) {
+	for _, a := range l.scheduler.Step(now, e) {
 		l.deliver(a)
 	}
 }
@@ -238,11 +257,12 @@
 
 func (l *Local) granted(id scheduler.RequestID, u registrar.UpstreamID, a scheduler.Action) {
 	o, ok := l.requests[id]
-	if !ok {
-		return
+	if ok {
+		o.held[u] = true
+	}
+	if !ok || !o.notify(a) {
+		l.declined = append(l.declined, scheduler.Finished{ID: id, Upstream: u, Outcome: scheduler.Abandoned})
 	}
-	o.held[u] = true
-	o.notify(a)
 }
 
 // Crashes returns what the scheduler knows about requests that crash upstreams.
--- a/internal/entry/dispatcher/server.go
+++ b/internal/entry/dispatcher/server.go
@@ -310,7 +310,7 @@
 }
 
 // notify is the sink of the host's requests.
-func (n *session) notify(a scheduler.Action) {
+func (n *session) notify(a scheduler.Action) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if r, ok := a.(scheduler.Refuse); ok {
@@ -321,6 +321,7 @@
 	case n.wake <- struct{}{}:
 	default:
 	}
+	return true
 }
 
 // end withdraws the host's waiting requests and keeps its slots for the time
--- a/internal/entry/dispatcher/ticket.go
+++ b/internal/entry/dispatcher/ticket.go
@@ -106,20 +106,20 @@
 }
 
 func (t *ticket) sink(epoch int) sink {
-	return func(a scheduler.Action) {
+	return func(a scheduler.Action) bool {
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		if t.closed || epoch != t.epoch {
-			return
+			return false
 		}
-		t.take(a)
+		return t.take(a)
 	}
 }
 
-func (t *ticket) take(a scheduler.Action) {
+func (t *ticket) take(a scheduler.Action) bool {
 	switch a := a.(type) {
 	case scheduler.Grant:
-		t.result <- grant{slot: t.open(a.Upstream, a.Priority)}
+		return t.grant(a)
 	case scheduler.Refuse:
 		t.closed = true
 		t.result <- grant{refusal: &RefusedError{Reason: a.Reason, RetryAfter: a.RetryAfter}}
@@ -128,19 +128,30 @@
 			s.preempt()
 		}
 	case scheduler.Hedge:
-		t.hedge(a)
+		return t.hedge(a)
 	}
+	return true
 }
 
-func (t *ticket) hedge(a scheduler.Hedge) {
+// grant answers Acquire. A second grant finds nobody who waits for it.
+func (t *ticket) grant(g scheduler.Grant) bool {
+	if len(t.slots) > 0 {
+		return t.slots[g.Upstream] != nil
+	}
+	t.result <- grant{slot: t.open(g.Upstream, g.Priority)}
+	return true
+}
+
+func (t *ticket) hedge(h scheduler.Hedge) bool {
 	if len(t.slots) != 1 {
-		return
+		return t.slots[h.Upstream] != nil
 	}
-	var first *slot
 	for _, s := range t.slots {
-		first = s
+		if s.upstream.Name != h.Upstream {
+			s.hedged <- t.open(h.Upstream, h.Priority)
+		}
 	}
-	first.hedged <- t.open(a.Upstream, a.Priority)
+	return true
 }
 
 func (t *ticket) open(id registrar.UpstreamID, priority int) *slot {
