dispatcher: bound what waits to be sent on a link

An owner that sends beats but reads slowly let the host's submissions and reports pile up without bound, one entry for every progress report; a host that reads slowly did the same to the owner's answers.

--- a/internal/entry/dispatcher/link.go
+++ b/internal/entry/dispatcher/link.go
@@ -37,7 +37,7 @@
 	up      bool
 	failed  bool
 	heard   time.Time
-	pending *wire.DispatchRequest
+	pending outbox
 	wake    chan struct{}
 	sinks   map[scheduler.RequestID]sink
 }
@@ -50,7 +50,6 @@
 		broken:   make(chan struct{}),
 		cancel:   cancel,
 		heard:    s.Clock.Now(),
-		pending:  &wire.DispatchRequest{},
 		wake:     make(chan struct{}, 1),
 		sinks:    map[scheduler.RequestID]sink{},
 	}
@@ -78,10 +77,15 @@
 func (l *link) fail(cause string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.abandon(cause)
+}
+
+func (l *link) abandon(cause string) {
 	if l.failed {
 		return
 	}
 	l.failed = true
+	l.pending = outbox{}
 	close(l.broken)
 	l.settings.Logger.Info("link to cell owner ended", zap.String("owner", string(l.owner)), zap.String("cause", cause))
 }
@@ -132,8 +136,10 @@
 func (l *link) batch() *wire.DispatchRequest {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	m := &wire.DispatchRequest{Submits: l.pending.Submits, Progress: l.pending.Progress, Complete: l.pending.Complete}
-	l.pending = &wire.DispatchRequest{}
+	m := l.pending.batch()
+	if !l.pending.empty() {
+		l.signal()
+	}
 	return m
 }
 
@@ -185,7 +191,7 @@
 func (l *link) complete() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.pending.Complete = true
+	l.pending.finish()
 	l.signal()
 }
 
@@ -202,8 +208,20 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.sinks[r.ID] = n
-	l.pending.Submits = append(l.pending.Submits, m)
-	l.signal()
+	if l.admits() {
+		l.pending.submit(m)
+		l.signal()
+	}
+}
+
+// admits reports whether anything more may wait for the owner. A link whose
+// owner reads too slowly is given up; its requests then move to this host's
+// scheduler, as they do from any link that failed.
+func (l *link) admits() bool {
+	if !l.failed && l.pending.full() {
+		l.abandon("owner reads too slowly")
+	}
+	return !l.failed
 }
 
 func (l *link) report(e scheduler.Event) {
@@ -229,8 +247,10 @@
 	if m.Kind == wire.SlotProgress_KIND_CANCELLED {
 		delete(l.sinks, scheduler.RequestID(m.Id))
 	}
-	l.pending.Progress = append(l.pending.Progress, m)
-	l.signal()
+	if l.admits() {
+		l.pending.report(m)
+		l.signal()
+	}
 }
 
 func (l *link) signal() {
--- a/internal/entry/dispatcher/server.go
+++ b/internal/entry/dispatcher/server.go
@@ -157,7 +157,11 @@
 	mu      sync.Mutex
 	open    map[scheduler.RequestID]bool
 	pending *wire.DispatchResponse
-	wake    chan struct{}
+	// queued counts the answers in pending; overflowed is set once one was
+	// dropped because there were too many.
+	queued     int
+	overflowed bool
+	wake       chan struct{}
 }
 
 func newSession(s *Server, h registrar.HostName) *session {
@@ -195,7 +199,7 @@
 	beat := n.clock().NewTicker(beatInterval)
 	defer beat.Stop()
 	for {
-		if !n.server.owns() {
+		if !n.server.owns() || n.full() {
 			n.end()
 			return stream.Send(&wire.DispatchResponse{Moved: true})
 		}
@@ -220,13 +224,14 @@
 	defer n.mu.Unlock()
 	m := n.pending
 	n.pending = &wire.DispatchResponse{}
+	n.queued = 0
 	return m
 }
 
 func (n *session) take(m *wire.DispatchRequest) {
 	n.taking.Lock()
 	defer n.taking.Unlock()
-	if n.ended {
+	if n.ended || n.full() {
 		return
 	}
 	now := n.clock().Now()
@@ -309,6 +314,14 @@
 	delete(n.open, id)
 }
 
+// full reports whether the host reads its answers too slowly. The session ends
+// then, and the host submits again what was not answered.
+func (n *session) full() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.overflowed
+}
+
 // notify is the sink of the host's requests.
 func (n *session) notify(a scheduler.Action) bool {
 	n.mu.Lock()
@@ -316,6 +329,11 @@
 	if r, ok := a.(scheduler.Refuse); ok {
 		delete(n.open, r.ID)
 	}
+	if n.queued >= maxQueued {
+		n.overflowed = true
+		return false
+	}
+	n.queued++
 	appendAction(n.pending, a)
 	select {
 	case n.wake <- struct{}{}:
