--- a/internal/entry/dispatcher/fault_test.go
+++ b/internal/entry/dispatcher/fault_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+	"github.com/sourcegraph/conc"
 	"gotest.tools/v3/assert"
 
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
@@ -76,3 +79,157 @@
 		})
 	}
 }
+
+// TestFormerOwner guards against slots that stay occupied at a host that owned
+// the cell once: the other hosts report their ends to the next owner only.
+func TestFormerOwner(t *testing.T) {
+	view, all := newMembers(t, "a", "b", "c")
+	waitFor(t, "links", func() bool { return all["b"].linked() && all["c"].linked() && all["a"].full() })
+	s := acquire(t, all["c"].cell, "r")
+	view.setOwner("b")
+	waitFor(t, "adopted by the new owner", func() bool { return all["c"].linked() && all["b"].occupied() == 1 })
+	s.Release(scheduler.Completed, 1)
+	for _, m := range all {
+		waitFor(t, "slots freed", func() bool { return m.occupied() == 0 && m.local.Used("engine") == 0 })
+	}
+}
+
+// recorder is a route that stands for an owner: it records the reports and
+// those that concern a request which it does not know.
+type recorder struct {
+	mu     sync.Mutex
+	enter  func()
+	known  map[scheduler.RequestID]bool
+	events []scheduler.Event
+	lost   []scheduler.Event
+	notify sink
+}
+
+func newRecorder(enter func()) *recorder {
+	return &recorder{enter: enter, known: map[scheduler.RequestID]bool{}}
+}
+
+func (r *recorder) submit(q scheduler.Request, n sink) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.known[q.ID], r.notify = true, n
+}
+
+func (r *recorder) adopt(q scheduler.Request, _ registrar.UpstreamID, n sink) {
+	r.enter()
+	r.submit(q, n)
+}
+
+func (r *recorder) report(e scheduler.Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.events = append(r.events, e)
+	switch e := e.(type) {
+	case scheduler.Finished:
+		if !r.known[e.ID] {
+			r.lost = append(r.lost, e)
+		}
+	case scheduler.Cancel:
+		delete(r.known, e.ID)
+	}
+}
+
+func (r *recorder) finish(f scheduler.Finished, last bool) {
+	r.report(f)
+	if last {
+		r.report(scheduler.Cancel{ID: f.ID})
+	}
+}
+
+func testTicket() *ticket {
+	find := func(id registrar.UpstreamID) (registrar.Upstream, bool) { return registrar.Upstream{Name: id}, true }
+	return newTicket(request("r"), clockwork.NewRealClock(), find, func() {})
+}
+
+// TestCrashDuringHandOver guards against a crash report that reaches the new
+// owner before the slot that it concerns: the owner would ignore it and go on
+// granting a request that crashes upstreams.
+func TestCrashDuringHandOver(t *testing.T) {
+	k := testTicket()
+	first := newRecorder(func() {})
+	k.move(first)
+	first.notify(scheduler.Grant{ID: "r", Upstream: "engine"})
+	s := (<-k.result).slot
+	var group conc.WaitGroup
+	released := make(chan struct{})
+	second := newRecorder(func() {
+		group.Go(func() {
+			defer close(released)
+			s.Release(scheduler.Crashed, 3)
+		})
+		// Gives a release that does not wait for the hand-over time to pass it.
+		select {
+		case <-released:
+		case <-time.After(100 * time.Millisecond):
+		}
+	})
+	k.move(second)
+	group.Wait()
+	assert.Equal(t, len(second.lost), 0, "the crash was reported for a request that the owner does not know")
+	assert.Equal(t, len(second.known), 0)
+}
+
+// TestHedgeDuringRelease guards against a hedge that arrives while the first
+// slot is being released and is then held for ever.
+func TestHedgeDuringRelease(t *testing.T) {
+	k := testTicket()
+	owner := newRecorder(func() {})
+	k.move(owner)
+	owner.notify(scheduler.Grant{ID: "r", Upstream: "engine"})
+	s := (<-k.result).slot
+	arriving, released := make(chan struct{}), make(chan struct{})
+	find := k.find
+	k.find = func(id registrar.UpstreamID) (registrar.Upstream, bool) {
+		close(arriving)
+		// Lets the release go as far as it can before the hedge is open.
+		time.Sleep(50 * time.Millisecond)
+		return find(id)
+	}
+	var group conc.WaitGroup
+	group.Go(func() { owner.notify(scheduler.Hedge{ID: "r", Upstream: "other"}) })
+	<-arriving
+	group.Go(func() {
+		defer close(released)
+		s.Release(scheduler.Completed, 3)
+	})
+	<-released
+	group.Wait()
+	assert.Equal(t, len(k.slots), 0)
+	assert.Equal(t, len(owner.known), 0)
+}
+
+// TestUnwantedHedge guards against slots that stay in use because nobody can
+// take the hedge: the request's host is out of reach, or the request runs on
+// two upstreams already.
+func TestUnwantedHedge(t *testing.T) {
+	_, all := newMembers(t, "a")
+	m := all["a"]
+	hedge := func(id scheduler.RequestID, u registrar.UpstreamID) {
+		m.local.mu.Lock()
+		defer m.local.mu.Unlock()
+		r := request(string(id))
+		m.local.step(scheduler.Adopt{Request: r, Upstream: u})
+		m.local.deliver(scheduler.Hedge{ID: id, Upstream: u})
+		m.local.step(scheduler.Tick{})
+	}
+	n := m.server.begin("b")
+	n.take(&wire.DispatchRequest{Submits: []*wire.SlotRequest{encodeRequest(request("far"), "", time.Now())}})
+	n.end()
+	hedge("far", "second")
+	assert.Equal(t, m.local.Used("second"), 0)
+	assert.Equal(t, m.occupied(), 1)
+	s := acquire(t, m.cell, "near")
+	id := s.(*slot).identity()
+	hedge(id, "second")
+	assert.Equal(t, m.local.Used("second"), 1)
+	hedge(id, "third")
+	assert.Equal(t, m.local.Used("third"), 0)
+	s.Release(scheduler.Completed, 1)
+	assert.Equal(t, m.local.Used("second"), 0)
+	assert.Equal(t, m.occupied(), 1)
+}
--- a/internal/entry/dispatcher/server.go
+++ b/internal/entry/dispatcher/server.go
@@ -39,20 +39,38 @@
 
 // NewServer returns the serving side of a cell.
 func NewServer(s Settings) *Server {
-	return &Server{
+	n := &Server{
 		settings: s,
 		orphans:  map[registrar.HostName]orphans{},
 		sessions: map[registrar.HostName]*session{},
 	}
+	s.Local.onDisowned(n.disowned)
+	return n
 }
 
-// HostDown frees the slots of a host whose lease has ended.
-func (s *Server) HostDown(h registrar.HostName) {
-	for id := range s.takeOrphans(h) {
+// disowned frees the slots kept for hosts that are out of reach once this host
+// owns the cell no more: their hosts report to the next owner.
+func (s *Server) disowned() {
+	s.mu.Lock()
+	all := s.orphans
+	s.orphans = map[registrar.HostName]orphans{}
+	s.mu.Unlock()
+	for _, kept := range all {
+		s.free(kept)
+	}
+}
+
+func (s *Server) free(kept orphans) {
+	for id := range kept {
 		s.settings.Local.report(scheduler.Cancel{ID: id})
 	}
 }
 
+// HostDown frees the slots of a host whose lease has ended.
+func (s *Server) HostDown(h registrar.HostName) {
+	s.free(s.takeOrphans(h))
+}
+
 func (s *Server) takeOrphans(h registrar.HostName) orphans {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -139,7 +157,11 @@
 	mu      sync.Mutex
 	open    map[scheduler.RequestID]bool
 	pending *wire.DispatchResponse
-	wake    chan struct{}
+	// queued counts the answers in pending; overflowed is set once one was
+	// dropped because there were too many.
+	queued     int
+	overflowed bool
+	wake       chan struct{}
 }
 
 func newSession(s *Server, h registrar.HostName) *session {
@@ -177,7 +199,7 @@
 	beat := n.clock().NewTicker(beatInterval)
 	defer beat.Stop()
 	for {
-		if !n.server.owns() {
+		if !n.server.owns() || n.full() {
 			n.end()
 			return stream.Send(&wire.DispatchResponse{Moved: true})
 		}
@@ -202,13 +224,14 @@
 	defer n.mu.Unlock()
 	m := n.pending
 	n.pending = &wire.DispatchResponse{}
+	n.queued = 0
 	return m
 }
 
 func (n *session) take(m *wire.DispatchRequest) {
 	n.taking.Lock()
 	defer n.taking.Unlock()
-	if n.ended {
+	if n.ended || n.full() {
 		return
 	}
 	now := n.clock().Now()
@@ -291,18 +314,32 @@
 	delete(n.open, id)
 }
 
+// full reports whether the host reads its answers too slowly. The session ends
+// then, and the host submits again what was not answered.
+func (n *session) full() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.overflowed
+}
+
 // notify is the sink of the host's requests.
-func (n *session) notify(a scheduler.Action) {
+func (n *session) notify(a scheduler.Action) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if r, ok := a.(scheduler.Refuse); ok {
 		delete(n.open, r.ID)
 	}
+	if n.queued >= maxQueued {
+		n.overflowed = true
+		return false
+	}
+	n.queued++
 	appendAction(n.pending, a)
 	select {
 	case n.wake <- struct{}{}:
 	default:
 	}
+	return true
 }
 
 // end withdraws the host's waiting requests and keeps its slots for the time
