--- a/cmd/amaranthd/fault_test.go
+++ b/cmd/amaranthd/fault_test.go
@@ -506,3 +506,43 @@
 		d.waitFor(e+" to become ready", func() bool { return d.ready(e) })
 	}
 }
+
+// TestPreempted guards against urgent work that waits behind long work of the
+// lowest tier, and against long answers that are cut or mixed up by giving way.
+func TestPreempted(t *testing.T) {
+	d := deploy(t, 1, 2)
+	d.apply(document(t, "a"), 0)
+	d.stubs["reference"] = freePort(t)
+	d.start("reference", "amaranthstub", "--name", "reference", "--listen", d.stubs["reference"], "--model", "lucka")
+	d.startStub("engine-1", "--model", "lucka", "--slots", "4")
+	for _, e := range d.entries {
+		d.waitUpstreams(e, 1)
+	}
+	d.order("engine-1", `{"behaviour": {"gap": "20ms"}}`)
+	const letters = 4
+	texts := make([]answer, letters)
+	prompt := func(i int) string { return fmt.Sprintf("Letter %d. [[length=600]]", i) }
+	var group conc.WaitGroup
+	for i := range letters {
+		group.Go(func() {
+			texts[i] = d.send(t.Context(), d.entries[i%2], "POST", "/v1/chat/completions", chat(prompt(i), i%2 == 0), "Amaranth-Class", "extra-a")
+		})
+	}
+	d.waitFor("the letters to fill the engine", func() bool { return d.runs("engine-1")["generations"] == letters })
+	time.Sleep(time.Second)
+	for i := range 4 {
+		began := time.Now()
+		_, ok := whole(d.send(t.Context(), d.entries[i%2], "POST", "/v1/chat/completions", chat(fmt.Sprintf("Chat %d. [[length=5]]", i), false)))
+		assert.Assert(t, ok)
+		t.Logf("chat %d took %v", i, time.Since(began))
+		// The letters hold their slots for 12 s; the target of chat is 2 s.
+		assert.Assert(t, time.Since(began) < 8*time.Second, "chat %d waited behind letters: %v", i, time.Since(began))
+	}
+	group.Wait()
+	for i, a := range texts {
+		text, ok := whole(a)
+		assert.Assert(t, ok, "letter %d: %d %v %.300s", i, a.status, a.err, a.body)
+		assert.Equal(t, text, d.text(prompt(i)))
+	}
+	assert.Assert(t, d.runs("engine-1")["generations"] > letters+4, "no letter gave way")
+}
--- a/cmd/amaranthd/process_test.go
+++ b/cmd/amaranthd/process_test.go
@@ -237,7 +237,7 @@
 	assert.NilError(t, builder.New(
 		chat, plain, extra,
 		builder.Organisation("home", builder.Share(1), builder.Key(key)),
-		builder.Model("lucka", chat),
+		builder.Model("lucka", chat, builder.Also(extra)),
 		builder.Service("shop", plain, builder.Once("POST", "/renew"), builder.Repeatable("GET", "/check")),
 	).Print(&b))
 	file := filepath.Join(t.TempDir(), "document.json")
