--- a/internal/entry/receiver/receiver.go
+++ b/internal/entry/receiver/receiver.go
@@ -112,7 +112,7 @@
 	options Options
 	clock   clockwork.Clock
 	logger  *zap.Logger
-	tenants tenants
+	quotas  quotas
 	index   atomic.Pointer[index]
 
 	requests metrics.Counter
@@ -373,7 +373,7 @@
 	if c.organisation = c.index.organisation(c.request); c.organisation == nil {
 		return refuse(http.StatusUnauthorized, "invalid_request_error", "invalid_api_key", "the API key is missing or unknown", 0)
 	}
-	t := r.tenants.get(c.organisation.Name)
+	t := r.quotas.get(c.organisation.Name)
 	retry, ok := t.enter(c.arrived, c.organisation)
 	if !ok {
 		return refuse(http.StatusTooManyRequests, "rate_limit_error", string(scheduler.OverLimit), "the organisation's limit is reached", retry)
