scheduler: preempt only where the slot is of use

TestBounds draws arrival patterns and checks the longest wait and that overdue work is not passed without limit; disabling the expiry or the overdue rule fails it. Disabling preemption, or the rule that keeps top-tier work while others can give way, passes it but fails TestStep.

Ruled out: a crowd factor of 1.0.

--- a/internal/policy/scheduler/admission.go
+++ b/internal/policy/scheduler/admission.go
@@ -110,7 +110,7 @@
 	}
 	allowed := min(r.due.Sub(now), r.class.wait)
 	predicted := time.Duration(float64(n) / p.rate(now, level) * float64(time.Second))
-	return predicted > time.Duration(crowdFactor*float64(allowed)) && p.yielding(now, level) <= n
+	return predicted > time.Duration(crowdFactor*float64(allowed)) && p.yielding(now, r.class) <= n
 }
 
 // expire refuses the waiting requests that can no longer meet their target or
@@ -131,7 +131,7 @@
 		l := p.tiers[level].lanes[i]
 		for len(l.requests) > 0 && s.hopeless(now, l.requests[0]) {
 			if yielding < 0 {
-				yielding = p.yielding(now, level)
+				yielding = p.yielding(now, l.requests[0].class)
 			}
 			if yielding+p.preempting >= p.queued[level] {
 				return
--- a/internal/policy/scheduler/preemption.go
+++ b/internal/policy/scheduler/preemption.go
@@ -26,11 +26,11 @@
 		if p.queued[level] == 0 {
 			continue
 		}
-		urgent := p.urgent(now, level) - p.preempting
-		for ; urgent > 0; urgent-- {
-			a := s.victim(now, p, level)
+		urgent := p.urgent(now, level)
+		for _, r := range urgent[min(p.preempting, len(urgent)):] {
+			a := s.victim(now, r)
 			if a == nil {
-				break
+				continue
 			}
 			a.preempted = true
 			p.preempting++
@@ -70,9 +70,9 @@
 	}
 }
 
-// urgent counts the waiting requests of a tier that the slots which free by
+// urgent returns the waiting requests of a tier that the slots which free by
 // themselves come too late for.
-func (p *pool) urgent(now time.Time, level validator.Tier) int {
+func (p *pool) urgent(now time.Time, level validator.Tier) []*request {
 	waiting := make([]*request, 0, p.queued[level])
 	for _, l := range p.tiers[level].lanes {
 		waiting = append(waiting, l.requests...)
@@ -84,15 +84,16 @@
 	}
 	slices.SortFunc(waiting, func(a, b *request) int { return a.due.Compare(b.due) })
 	each := time.Duration(float64(time.Second) / p.rate(now, level))
-	start, n := now.Add(preemptMargin), 0
+	start := now.Add(preemptMargin)
+	var urgent []*request
 	for _, r := range waiting {
 		if start.Add(each).After(r.due) {
-			n++
+			urgent = append(urgent, r)
 			continue
 		}
 		start = start.Add(each)
 	}
-	return n
+	return urgent
 }
 
 // yields reports whether the attempt may be preempted for a request of a tier.
@@ -101,14 +102,14 @@
 }
 
 // yielding counts the attempts that may be preempted for a tier.
-func (p *pool) yielding(now time.Time, level validator.Tier) int {
+func (p *pool) yielding(now time.Time, c *class) int {
 	n := 0
 	for _, u := range p.upstreams {
-		if !u.replaceable(now, p) {
+		if !u.replaceable(now, p, c) {
 			continue
 		}
 		for _, a := range u.attempts {
-			if a.yields(level) {
+			if a.yields(c.tier) {
 				n++
 			}
 		}
@@ -117,22 +118,23 @@
 }
 
 // replaceable reports whether a slot that is taken back on the upstream is of
-// use to a higher tier.
-func (u *upstream) replaceable(now time.Time, p *pool) bool {
-	return !u.Leaving && !u.down && u.pace.ratio(now, p.typical) <= slowRatio
+// use to a class. Otherwise it would go to lower-tier work again at once.
+func (u *upstream) replaceable(now time.Time, p *pool, c *class) bool {
+	return !u.Leaving && !u.down && u.suits(now, c, p.typical) && u.pace.ratio(now, p.typical) <= slowRatio
 }
 
 // victim returns the attempt to preempt: of the lowest tier, and there the one
 // that is cheapest to continue elsewhere.
-func (s *Scheduler) victim(now time.Time, p *pool, level validator.Tier) *attempt {
+func (s *Scheduler) victim(now time.Time, urgent *request) *attempt {
+	p, c := urgent.pool, urgent.class
 	var best *attempt
 	least := 0
 	for _, u := range p.upstreams {
-		if !u.replaceable(now, p) {
+		if !u.replaceable(now, p, c) || !s.detector.Permits(now, urgent.Fingerprint, u.process(), false) {
 			continue
 		}
 		for _, a := range u.attempts {
-			if !a.yields(level) {
+			if !a.yields(c.tier) {
 				continue
 			}
 			r := a.request
--- a/internal/policy/scheduler/scheduler_test.go
+++ b/internal/policy/scheduler/scheduler_test.go
@@ -18,7 +18,7 @@
 		Classes: []validator.Class{
 			{Name: "top", Tier: 0, First: validator.Duration(time.Second), Wait: validator.Duration(10 * time.Second)},
 			{Name: "slow", Tier: 0, First: validator.Duration(5 * time.Second), Wait: validator.Duration(10 * time.Second)},
-			{Name: "low", Tier: 3, Wait: validator.Duration(20 * time.Second)},
+			{Name: "low", Tier: 3, Total: validator.Duration(60 * time.Second), Wait: validator.Duration(20 * time.Second)},
 		},
 		Organisations: []validator.Organisation{
 			{Name: "large", Share: 1}, {Name: "small", Share: 1},
@@ -116,6 +116,12 @@
 		"parked lets others pass": {one, {0, Observe{engine("b", 1)}, ""}, {0, ask("s", "top", "small"), "s>a"},
 			{0, ask("t", "top", "small"), "t>b"}, {0, avoid, ""}, {0, ask("u", "low", "small"), ""},
 			{0, done("s", "a", Completed), "u>a"}, {0, done("t", "b", Completed), "r>b"}},
+		"lower tier gives way and top tier is not refused meanwhile": {one, {0, ask("l", "low", "small"), "l>a"},
+			{0, ask("t", "top", "small"), ""}, {950 * time.Millisecond, Tick{}, "l<a"},
+			{200 * time.Millisecond, Tick{}, ""}, {0, done("l", "a", Preempted), "t>a"},
+			{0, ask("l", "low", "small"), ""}, {0, ask("u", "top", "large"), ""},
+			{950 * time.Millisecond, Tick{}, ""}, {100 * time.Millisecond, Tick{}, "u!overloaded"},
+			{0, done("t", "a", Completed), "l>a"}},
 		"reconfigured": {one, {0, ask("r", "top", "small"), "r>a"}, {0, ask("s", "slow", "small"), ""},
 			{0, ask("t", "top", "small"), ""}, {0, Configure{&validator.Document{Classes: document().Classes[1:]}}, ""},
 			{0, done("r", "a", Completed), "s>a"}},
