scheduler: bound retries and keep crashed upstreams out

What was preempted or lost in a crash is not counted: the slots bound it, and requests that shared a crashed upstream have to be answered.

A crashed upstream now stays out until it has restarted or announced itself three more times.

--- a/cmd/amaranthbench/main.go
+++ b/cmd/amaranthbench/main.go
@@ -18,6 +18,7 @@
 	seeds := app.Flag("seeds", "Seeds: 1 to 5 serve to choose parameters, 11 to 15 to report.").Default("11", "12", "13", "14", "15").Uint64List()
 	parallel := app.Flag("parallel", "Runs at the same time.").Default("3").Int()
 	row := app.Flag("row", "Write one row of the rounds table with this name, for the measured policy only.").String()
+	plots := app.Flag("plots", "Folder for the plots; none are drawn without it.").String()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 
 	var workloads []bencher.Workload
@@ -43,6 +44,12 @@
 		}
 		return
 	}
+	if *plots != "" {
+		if err := bencher.Draw(*plots, list); err != nil {
+			fmt.Fprintf(os.Stderr, "draw the plots: %v\n", err)
+			os.Exit(1)
+		}
+	}
 	if err := write(list); err != nil {
 		fmt.Fprintf(os.Stderr, "write the tables: %v\n", err)
 		os.Exit(1)
--- a/internal/policy/scheduler/preemption.go
+++ b/internal/policy/scheduler/preemption.go
@@ -51,15 +51,23 @@
 	}
 }
 
-// interruption is what is kept of a preempted request until it is submitted
-// again, so that preemption does not prolong its wait beyond the bound.
+// interruption is what is kept of a request that was preempted or lost in a
+// crash until it is submitted again. It does not count as a retry, because the
+// caller and the request are not the cause and the slots bound the number.
 type interruption struct{ queued, until time.Time }
 
-// interrupt keeps the start of the wait of a request without a token.
-func (s *Scheduler) interrupt(now time.Time, r *request, tokens int) {
-	if tokens+r.Emitted == 0 {
-		s.interrupted[r.ID] = interruption{queued: r.queued, until: now.Add(leaseTime)}
+// interrupt keeps the start of the wait of a request without a token, so that
+// preemption does not prolong its wait beyond the bound.
+func (s *Scheduler) interrupt(now time.Time, a *attempt, o Outcome) {
+	if o != Preempted && o != Crashed && !a.preempted {
+		return
 	}
+	r := a.request
+	i := interruption{until: now.Add(leaseTime)}
+	if o != Crashed && a.tokens+r.Emitted == 0 {
+		i.queued = r.queued
+	}
+	s.interrupted[r.ID] = i
 }
 
 func (s *Scheduler) expireInterruptions(now time.Time) {
--- a/internal/policy/scheduler/queue.go
+++ b/internal/policy/scheduler/queue.go
@@ -28,6 +28,7 @@
 	ages    map[*class][]age
 	parked  []*request
 	waiting int
+	retries retryBudget
 	// queued counts the waiting requests of each tier.
 	queued [validator.LowestTier + 1]int
 	// sinceOverdue counts the grants since the last one that was made out of
--- a/internal/policy/scheduler/scheduler.go
+++ b/internal/policy/scheduler/scheduler.go
@@ -116,14 +116,21 @@
 		s.prune(p)
 		return
 	}
+	i, interrupted := s.interrupted[sent.ID]
+	delete(s.interrupted, sent.ID)
+	if !resumed {
+		p.retries.fresh()
+	} else if !interrupted && !p.retries.take() {
+		s.refuse(sent.ID, OutOfRetries, leaseTime)
+		return
+	}
 	if r == nil {
 		r = s.open(now, sent, p, o)
 	}
 	r.pool = p
 	r.resubmit(now, sent)
-	if i, ok := s.interrupted[r.ID]; ok {
+	if interrupted && !i.queued.IsZero() {
 		r.queued = i.queued
-		delete(s.interrupted, r.ID)
 	}
 	r.due = s.due(r)
 	if !resumed && s.crowded(now, r) {
@@ -221,13 +228,13 @@
 		s.estimator.Answered(r.Class, r.Request.Organisation, r.Emitted+a.tokens)
 		r.pool.held(now.Sub(a.granted))
 	}
-	if e.Outcome == Preempted {
-		s.interrupt(now, r, a.tokens)
-	}
+	s.interrupt(now, a, e.Outcome)
 	s.release(now, a, e.Outcome)
 	s.settle(r)
 	if e.Outcome == Crashed {
-		u.down = u.down || a.process == u.process()
+		if a.process == u.process() && !u.down {
+			u.down, u.lostAt = true, u.Sequence
+		}
 		s.lose(now, a.process)
 	}
 	s.dispatch(now, r.pool)
--- a/internal/policy/scheduler/upstream.go
+++ b/internal/policy/scheduler/upstream.go
@@ -9,14 +9,20 @@
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
 )
 
+// staleAnnouncements is the number of announcements that can still be on their
+// way when an upstream crashes: one a second, known within two seconds.
+const staleAnnouncements = 3
+
 // upstream is the scheduler's record of an upstream.
 type upstream struct {
 	registrar.Upstream
 	attempts []*attempt
 	// gone is set while no announcement is in force.
 	gone bool
-	// down is set from a crash to the next announcement.
+	// down is set from a crash until the upstream has restarted or announced
+	// itself beyond lostAt, the sequence in force at the crash.
 	down     bool
+	lostAt   uint64
 	pace     pace
 	prefixes prefixes
 }
@@ -43,9 +49,10 @@
 	if news.Incarnation == u.Incarnation && !u.gone {
 		news.Leaving = news.Leaving || u.Leaving
 	}
+	restarted := news.Incarnation != u.Incarnation
+	u.down = u.down && !restarted && news.Sequence < u.lostAt+staleAnnouncements
 	u.Upstream = news
 	u.gone = false
-	u.down = false
 }
 
 // older reports whether news came before the announcement in force.
@@ -67,12 +74,6 @@
 		s.upstreams[news.Name] = u
 	case u.older(news):
 		return
-	case !u.gone && news.Incarnation == u.Incarnation && news.Sequence == u.Sequence:
-		// The same announcement again, by another way: it does not show
-		// that an upstream that crashed since is back.
-		down := u.down
-		u.replace(news)
-		u.down = down
 	default:
 		lost := u.process()
 		restarted := !u.gone && !u.Leaving && news.Incarnation != u.Incarnation
