scheduler: never refuse an answer that has begun

A preempted or crashed answer whose caller already had tokens was refused at the wait of its class, which cut it off. It is now kept until it is granted.

--- a/internal/policy/scheduler/admission.go
+++ b/internal/policy/scheduler/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/amaranthcart/amaranthcart/internal/config/validator"
@@ -148,16 +149,18 @@
 }
 
 // expireAges refuses what has reached the wait of its class, so that the bound
-// holds for every arrival pattern.
+// holds for every arrival pattern. A request whose caller already has tokens is
+// kept: its answer would be cut off.
 func (s *Scheduler) expireAges(now time.Time, p *pool) {
 	for c := range p.ages {
-		for {
-			p.trimAges(c)
-			list := p.ages[c]
-			if len(list) == 0 || now.Sub(list[0].queued) < c.wait {
+		p.trimAges(c)
+		for _, a := range slices.Clone(p.ages[c]) {
+			if now.Sub(a.queued) < c.wait {
 				break
 			}
-			s.giveUp(now, list[0].request)
+			if a.valid() && a.request.Emitted == 0 {
+				s.giveUp(now, a.request)
+			}
 		}
 	}
 }
--- a/internal/policy/scheduler/scheduler_test.go
+++ b/internal/policy/scheduler/scheduler_test.go
@@ -75,6 +75,8 @@
 	restarted.Incarnation = 2
 	avoid := ask("r", "top", "small")
 	avoid.Request.Avoid = []registrar.UpstreamID{"a"}
+	begun := ask("l", "low", "small")
+	begun.Request.Emitted = 5
 	one := step{0, Observe{engine("a", 1)}, ""}
 	for name, steps := range map[string][]step{
 		"no upstream": {{0, ask("r", "top", "small"), "r!unavailable"}},
@@ -127,6 +129,9 @@
 			{0, ask("l", "low", "small"), ""}, {0, ask("u", "top", "large"), ""},
 			{950 * time.Millisecond, Tick{}, ""}, {100 * time.Millisecond, Tick{}, "u!overloaded"},
 			{0, done("t", "a", Completed), "l>a"}},
+		"an answer that has begun is not cut off": {one, {0, ask("r", "top", "small"), "r>a"},
+			{0, begun, ""}, {0, ask("m", "low", "small"), ""}, {21 * time.Second, Tick{}, "m!overloaded"},
+			{0, done("r", "a", Completed), "l>a"}},
 		"reconfigured": {one, {0, ask("r", "top", "small"), "r>a"}, {0, ask("s", "slow", "small"), ""},
 			{0, ask("t", "top", "small"), ""}, {0, Configure{&validator.Document{Classes: document().Classes[1:]}}, ""},
 			{0, done("r", "a", Completed), "s>a"}},
