--- a/internal/policy/scheduler/scheduler_test.go
+++ b/internal/policy/scheduler/scheduler_test.go
@@ -18,7 +18,7 @@
 		Classes: []validator.Class{
 			{Name: "top", Tier: 0, First: validator.Duration(time.Second), Wait: validator.Duration(10 * time.Second)},
 			{Name: "slow", Tier: 0, First: validator.Duration(5 * time.Second), Wait: validator.Duration(10 * time.Second)},
-			{Name: "low", Tier: 3, Wait: validator.Duration(20 * time.Second)},
+			{Name: "low", Tier: 3, Total: validator.Duration(60 * time.Second), Wait: validator.Duration(20 * time.Second)},
 		},
 		Organisations: []validator.Organisation{
 			{Name: "large", Share: 1}, {Name: "small", Share: 1},
@@ -69,10 +69,14 @@
 	leaving.Leaving, leaving.Sequence = true, 2
 	back := engine("a", 1)
 	back.Sequence = 3
+	alive := engine("a", 1)
+	alive.Sequence = 1 + staleAnnouncements
 	restarted := engine("a", 1)
 	restarted.Incarnation = 2
 	avoid := ask("r", "top", "small")
 	avoid.Request.Avoid = []registrar.UpstreamID{"a"}
+	begun := ask("l", "low", "small")
+	begun.Request.Emitted = 5
 	one := step{0, Observe{engine("a", 1)}, ""}
 	for name, steps := range map[string][]step{
 		"no upstream": {{0, ask("r", "top", "small"), "r!unavailable"}},
@@ -99,7 +103,10 @@
 			{0, done("r", "a", Completed), "t>a"}},
 		"crashed takes nothing until it announces": {one, {0, ask("r", "top", "small"), "r>a"},
 			{0, done("r", "a", Crashed), ""}, {0, ask("s", "top", "small"), ""},
-			{0, Observe{engine("a", 1)}, ""}, {0, Observe{restarted}, "s>a"}},
+			{0, Observe{engine("a", 1)}, ""}, {0, Observe{back}, ""}, {0, Observe{restarted}, "s>a"}},
+		"connection lost but announces on": {one, {0, ask("r", "top", "small"), "r>a"},
+			{0, done("r", "a", Crashed), ""}, {0, ask("s", "top", "small"), ""},
+			{0, Observe{back}, ""}, {0, Observe{alive}, "s>a"}},
 		"adopted slots count": {{0, Adopt{ask("r", "top", "small").Request, "a"}, ""}, one,
 			{0, ask("s", "top", "small"), ""}, {0, done("r", "a", Completed), "s>a"}},
 		"cancel frees the slot": {one, {0, ask("r", "top", "small"), "r>a"},
@@ -116,6 +123,15 @@
 		"parked lets others pass": {one, {0, Observe{engine("b", 1)}, ""}, {0, ask("s", "top", "small"), "s>a"},
 			{0, ask("t", "top", "small"), "t>b"}, {0, avoid, ""}, {0, ask("u", "low", "small"), ""},
 			{0, done("s", "a", Completed), "u>a"}, {0, done("t", "b", Completed), "r>b"}},
+		"lower tier gives way and top tier is not refused meanwhile": {one, {0, ask("l", "low", "small"), "l>a"},
+			{0, ask("t", "top", "small"), ""}, {950 * time.Millisecond, Tick{}, "l<a"},
+			{200 * time.Millisecond, Tick{}, ""}, {0, done("l", "a", Preempted), "t>a"},
+			{0, ask("l", "low", "small"), ""}, {0, ask("u", "top", "large"), ""},
+			{950 * time.Millisecond, Tick{}, ""}, {100 * time.Millisecond, Tick{}, "u!overloaded"},
+			{0, done("t", "a", Completed), "l>a"}},
+		"an answer that has begun is not cut off": {one, {0, ask("r", "top", "small"), "r>a"},
+			{0, begun, ""}, {0, ask("m", "low", "small"), ""}, {21 * time.Second, Tick{}, "m!overloaded"},
+			{0, done("r", "a", Completed), "l>a"}},
 		"reconfigured": {one, {0, ask("r", "top", "small"), "r>a"}, {0, ask("s", "slow", "small"), ""},
 			{0, ask("t", "top", "small"), ""}, {0, Configure{&validator.Document{Classes: document().Classes[1:]}}, ""},
 			{0, done("r", "a", Completed), "s>a"}},
@@ -175,3 +191,42 @@
 	}
 	assert.Assert(t, low >= 5 && low <= 15, "low-tier work got %d of 200 slots", low)
 }
+
+// TestRetryBudget guards against retries that multiply a failure, and against
+// work lost in a crash or preempted that is refused for lack of a budget.
+func TestRetryBudget(t *testing.T) {
+	for _, c := range []struct {
+		outcome Outcome
+		fresh   int
+		want    int
+	}{{Failed, 0, 10}, {Failed, 50, 15}, {Crashed, 0, 40}, {Preempted, 0, 40}} {
+		s, granted := New(), 0
+		s.Step(start, Configure{Document: document()})
+		s.Step(start, Observe{engine("a", 100)})
+		for i := range 40 {
+			id := fmt.Sprint("r", i)
+			s.Step(start, Adopt{Request: ask(id, "top", "small").Request, Upstream: "a"})
+			s.Step(start, done(id, "a", c.outcome))
+		}
+		back := engine("a", 100)
+		back.Sequence = 1 + staleAnnouncements
+		s.Step(start, Observe{back})
+		retry := func(i int) {
+			again := ask(fmt.Sprint("r", i), "top", "small")
+			again.Request.Retry = true
+			if _, ok := s.Step(start, again)[0].(Grant); ok {
+				granted++
+			}
+		}
+		for i := range 20 {
+			retry(i)
+		}
+		for i := range c.fresh {
+			s.Step(start, ask(fmt.Sprint("f", i), "top", "small"))
+		}
+		for i := 20; i < 40; i++ {
+			retry(i)
+		}
+		assert.Equal(t, granted, c.want, "outcome %d with %d fresh requests", c.outcome, c.fresh)
+	}
+}
