dispatcher: replace a connection on which a link went silent

A link that is given up for silence was opened again on the same connection, which the client keeps until an unanswered probe closes it 1.7 s after the last data: the links opened meanwhile were silent too, and the host stayed on its part of the slots. The client now uses a new connection after a silence.

Before: TestSilentConnection sees no replacement. After: one, and the next link comes up.

--- a/internal/entry/dispatcher/link.go
+++ b/internal/entry/dispatcher/link.go
@@ -102,12 +102,21 @@
 		case <-t.Chan():
 			if l.silent() {
 				l.fail("no message from owner")
+				l.renew()
 				return
 			}
 		}
 	}
 }
 
+// renew lets the next link use a new connection where the client can do that:
+// the old one may stay silent until a probe of it fails, 1.7 s later.
+func (l *link) renew() {
+	if c, ok := l.settings.Client.(interface{ Renew() }); ok {
+		c.Renew()
+	}
+}
+
 func (l *link) silent() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/entry/dispatcher/storm_test.go
+++ b/internal/entry/dispatcher/storm_test.go
@@ -411,3 +411,35 @@
 
 // TestMain guards against goroutines that are left by Close.
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// renewingClient counts the replacements of its connections.
+type renewingClient struct {
+	*dialer.Client
+	renewed atomic.Int64
+}
+
+func (c *renewingClient) Renew() {
+	c.renewed.Add(1)
+	c.Client.Renew()
+}
+
+// TestSilentConnection guards against links that are opened again and again on
+// a connection that has gone silent, while a new connection would work.
+func TestSilentConnection(t *testing.T) {
+	s := newStorm(t, 1, 2, false)
+	defer s.close()
+	client := &renewingClient{Client: dialer.New()}
+	defer client.Close()
+	p := s.peers[0]
+	p.gate.silent.Store(true)
+	settings := s.peers[1].cell.settings
+	settings.Host, settings.Client = "other", client
+	l := openLink(t.Context(), settings, p.name, p.address)
+	<-l.broken
+	l.close()
+	assert.Equal(t, client.renewed.Load(), int64(1))
+	p.gate.silent.Store(false)
+	next := openLink(t.Context(), settings, p.name, p.address)
+	waitFor(t, "a link on a new connection", next.ready)
+	next.close()
+}
