dispatcher: count a request against the limits once

A request that waits moves to the new owner at a hand-over. The new owner applied the rate and the limit of the organisation and the forecast of its queue to it as to a new request, so that a change of owner refused requests that had been admitted already, all at once for organisations near their rate.

A request that moves is now submitted as a further attempt, which passes these checks. One that moves before its first owner has seen it passes them too.

Before: TestAdmittedOnce sees a refusal after the move.

--- a/internal/entry/dispatcher/fault_test.go
+++ b/internal/entry/dispatcher/fault_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/sourcegraph/conc"
 	"gotest.tools/v3/assert"
 
+	"github.com/amaranthcart/amaranthcart/internal/config/validator"
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
 	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
 	"github.com/amaranthcart/amaranthcart/internal/rpc/wire"
@@ -233,3 +235,30 @@
 	assert.Equal(t, m.local.Used("second"), 0)
 	assert.Equal(t, m.occupied(), 1)
 }
+
+// TestAdmittedOnce guards against waiting requests that are refused at a change
+// of owner because the new owner counts them against a rate limit again.
+func TestAdmittedOnce(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	d := document()
+	d.Organisations[0].Rate = 2
+	var locals []*Local
+	var tickets []*ticket
+	for i := range 2 {
+		l := NewLocal(scheduler.New(), clock)
+		defer l.Close()
+		l.Configure(d)
+		l.Observe(registrar.Upstream{Name: "engine", Models: []validator.PoolName{"m"}, Incarnation: 1})
+		locals = append(locals, l)
+		for j := range 2 {
+			r := request(fmt.Sprint(i, j))
+			k := newTicket(r, clock, nil, func(scheduler.RequestID) {})
+			k.move(l)
+			tickets = append(tickets, k)
+		}
+	}
+	for _, k := range tickets {
+		k.move(locals[1])
+		assert.Equal(t, len(k.result), 0, "an admitted request was refused")
+	}
+}
--- a/internal/entry/dispatcher/ticket.go
+++ b/internal/entry/dispatcher/ticket.go
@@ -113,7 +113,10 @@
 		from.report(scheduler.Cancel{ID: t.request.ID})
 	}
 	if len(held) == 0 {
-		to.submit(t.request, notify)
+		r := t.request
+		// The request has passed the limits for new ones at the last route.
+		r.Retry = r.Retry || from != nil
+		to.submit(r, notify)
 	}
 	for _, id := range held {
 		to.adopt(t.request, id, notify)
