dispatcher: repeat a preemption that was lost with a link

A call to give way that was not delivered when the link of a host broke was not repeated: the host reported the slot again and went on. The owner now remembers the slots that have to be given up and tells a host that reports one. A new owner decides for itself. The scheduler emits no preemptions yet, so that this did not occur in service.

Before: TestPreemptedWhileAway sees no call on the second link.

--- a/internal/entry/dispatcher/fault_test.go
+++ b/internal/entry/dispatcher/fault_test.go
@@ -262,3 +262,22 @@
 		assert.Equal(t, len(k.result), 0, "an admitted request was refused")
 	}
 }
+
+// TestPreemptedWhileAway guards against an attempt that goes on in the slot of
+// a higher tier because the call to give way was lost with its host's link.
+func TestPreemptedWhileAway(t *testing.T) {
+	_, all := newMembers(t, "a")
+	m := all["a"]
+	n := m.server.begin("b")
+	sent := encodeRequest(request("r"), "", time.Now())
+	n.take(&wire.DispatchRequest{Submits: []*wire.SlotRequest{sent}})
+	n.end()
+	m.local.mu.Lock()
+	m.local.deliver(scheduler.Preempt{ID: "r", Upstream: "engine"})
+	m.local.mu.Unlock()
+	again := m.server.begin("b")
+	defer m.server.finish(again)
+	sent.Held = "engine"
+	again.take(&wire.DispatchRequest{Submits: []*wire.SlotRequest{sent}, Complete: true})
+	assert.Equal(t, len(again.inbox().Preempted), 1)
+}
--- a/internal/entry/dispatcher/local.go
+++ b/internal/entry/dispatcher/local.go
@@ -28,6 +28,9 @@
 	held   []registrar.UpstreamID
 	// few is the array of held for the usual request: it and its hedge.
 	few [2]registrar.UpstreamID
+	// preempted lists the slots that have to be given up. A host whose link
+	// broke is told again when it reports them.
+	preempted []registrar.UpstreamID
 }
 
 func newOpen(n sink) *open {
@@ -178,6 +181,9 @@
 	}
 	o.notify = n
 	if o.holds(id) {
+		if slices.Contains(o.preempted, id) {
+			n(scheduler.Preempt{ID: r.ID, Upstream: id})
+		}
 		return
 	}
 	o.hold(id)
@@ -269,6 +275,9 @@
 		}
 	case scheduler.Preempt:
 		if o, ok := l.requests[e.ID]; ok {
+			if !slices.Contains(o.preempted, e.Upstream) {
+				o.preempted = append(o.preempted, e.Upstream)
+			}
 			o.notify(a)
 		}
 	}
