control: grant named leases with fencing numbers

Orders to engines need one issuer for each cell and a bound on weight loads across the fleet. Control.Lease keeps named leases in the replicated state, in replicated time. One counter numbers all grants, so that ended leases can be forgotten while the numbers grow. A change of leader extends the leases that run, because the new leader's clock may be ahead; without the extension the case "clock of a new leader ahead" grants to a second holder at once.

A step of the leader's own wall clock within its term still shortens leases.

--- a/internal/control/applier/applier.go
+++ b/internal/control/applier/applier.go
@@ -20,6 +20,9 @@
 //     deadline, when it becomes unknown.
 //   - Answers: up to maximumAnswer bytes each and maximumAnswers bytes in all;
 //     a larger one is left out, and the claim is done without an answer.
+//   - Leases: until they are released, or until room is needed after they have
+//     ended, at most maximumLeases. Fencing numbers come from one counter, so
+//     that they grow although ended leases are forgotten.
 //   - At most maximumClaims claims of maximumClaimsSize bytes in all; a claim
 //     beyond that isn't granted.
 //
@@ -74,7 +77,9 @@
 	Apply    *wire.ApplyResponse
 	Claim    *wire.ClaimResponse
 	Complete *wire.CompleteResponse
-	// Full is true when a claim wasn't granted because the table is full.
+	Lease    *wire.LeaseResponse
+	// Full is true when a claim or a lease wasn't granted because the table is
+	// full.
 	Full bool
 }
 
@@ -87,16 +92,19 @@
 	auditSize int
 	changes   changeTable
 	claims    claimTable
+	leases    leaseTable
 }
 
 // New returns the state of an empty log.
 func New() *State {
-	return &State{changes: newChangeTable(), claims: newClaimTable()}
+	return &State{changes: newChangeTable(), claims: newClaimTable(), leases: newLeaseTable()}
 }
 
 // Apply applies a committed entry.
 func (s *State) Apply(e *record.Entry) Result {
+	before := s.time
 	s.time = max(s.time, e.Time)
+	s.leases.observeTerm(e.Term, before, s.time)
 	s.claims.expire(s.time)
 	if e.Kind != record.Entry_KIND_COMMAND {
 		return Result{}
@@ -114,6 +122,8 @@
 		return s.claims.claim(s.time, c.Claim)
 	case *record.Command_Complete:
 		return Result{Complete: s.claims.complete(s.time, c.Complete)}
+	case *record.Command_Lease:
+		return s.leases.lease(s.time, c.Lease)
 	}
 	return Result{}
 }
@@ -232,6 +242,7 @@
 		Revisions: s.revisions[:len(s.revisions):len(s.revisions)],
 		Audit:     s.audit[:len(s.audit):len(s.audit)],
 		Changes:   s.changes.list(), Claims: s.claims.list(),
+		Leases: s.leases.list(), Fence: s.leases.fence, Term: s.leases.term,
 	}}
 }
 
@@ -241,6 +252,7 @@
 // Encode serialises the state.
 func (f Frozen) Encode() ([]byte, error) {
 	sortClaims(f.state.Claims)
+	sortLeases(f.state.Leases)
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(f.state)
 	if err != nil {
 		return nil, fmt.Errorf("encode state: %w", err)
@@ -265,5 +277,6 @@
 	for _, c := range p.Claims {
 		s.claims.put(c)
 	}
+	s.leases.restore(p)
 	return s, nil
 }
--- a/internal/rpc/wire/wireconnect/wire.connect.go
+++ b/internal/rpc/wire/wireconnect/wire.connect.go
@@ -52,6 +52,8 @@
 	ControlClaimProcedure = "/amaranthcart.wire.Control/Claim"
 	// ControlCompleteProcedure is the fully-qualified name of the Control's Complete RPC.
 	ControlCompleteProcedure = "/amaranthcart.wire.Control/Complete"
+	// ControlLeaseProcedure is the fully-qualified name of the Control's Lease RPC.
+	ControlLeaseProcedure = "/amaranthcart.wire.Control/Lease"
 	// ControlExchangeProcedure is the fully-qualified name of the Control's Exchange RPC.
 	ControlExchangeProcedure = "/amaranthcart.wire.Control/Exchange"
 	// PeerGossipProcedure is the fully-qualified name of the Peer's Gossip RPC.
@@ -80,6 +82,8 @@
 	Claim(context.Context, *connect.Request[wire.ClaimRequest]) (*connect.Response[wire.ClaimResponse], error)
 	// Complete records the result of a claimed call.
 	Complete(context.Context, *connect.Request[wire.CompleteRequest]) (*connect.Response[wire.CompleteResponse], error)
+	// Lease grants, renews or releases a named lease.
+	Lease(context.Context, *connect.Request[wire.LeaseRequest]) (*connect.Response[wire.LeaseResponse], error)
 	// Exchange carries replicated-log messages between control hosts.
 	Exchange(context.Context, *connect.Request[wire.ExchangeRequest]) (*connect.Response[wire.ExchangeResponse], error)
 }
@@ -143,6 +147,12 @@
 			connect.WithSchema(controlMethods.ByName("Complete")),
 			connect.WithClientOptions(opts...),
 		),
+		lease: connect.NewClient[wire.LeaseRequest, wire.LeaseResponse](
+			httpClient,
+			baseURL+ControlLeaseProcedure,
+			connect.WithSchema(controlMethods.ByName("Lease")),
+			connect.WithClientOptions(opts...),
+		),
 		exchange: connect.NewClient[wire.ExchangeRequest, wire.ExchangeResponse](
 			httpClient,
 			baseURL+ControlExchangeProcedure,
@@ -162,6 +172,7 @@
 	confirm  *connect.Client[wire.ConfirmRequest, wire.ConfirmResponse]
 	claim    *connect.Client[wire.ClaimRequest, wire.ClaimResponse]
 	complete *connect.Client[wire.CompleteRequest, wire.CompleteResponse]
+	lease    *connect.Client[wire.LeaseRequest, wire.LeaseResponse]
 	exchange *connect.Client[wire.ExchangeRequest, wire.ExchangeResponse]
 }
 
@@ -205,6 +216,11 @@
 	return c.complete.CallUnary(ctx, req)
 }
 
+// Lease calls amaranthcart.wire.Control.Lease.
+func (c *controlClient) Lease(ctx context.Context, req *connect.Request[wire.LeaseRequest]) (*connect.Response[wire.LeaseResponse], error) {
+	return c.lease.CallUnary(ctx, req)
+}
+
 // Exchange calls amaranthcart.wire.Control.Exchange.
 func (c *controlClient) Exchange(ctx context.Context, req *connect.Request[wire.ExchangeRequest]) (*connect.Response[wire.ExchangeResponse], error) {
 	return c.exchange.CallUnary(ctx, req)
@@ -228,6 +244,8 @@
 	Claim(context.Context, *connect.Request[wire.ClaimRequest]) (*connect.Response[wire.ClaimResponse], error)
 	// Complete records the result of a claimed call.
 	Complete(context.Context, *connect.Request[wire.CompleteRequest]) (*connect.Response[wire.CompleteResponse], error)
+	// Lease grants, renews or releases a named lease.
+	Lease(context.Context, *connect.Request[wire.LeaseRequest]) (*connect.Response[wire.LeaseResponse], error)
 	// Exchange carries replicated-log messages between control hosts.
 	Exchange(context.Context, *connect.Request[wire.ExchangeRequest]) (*connect.Response[wire.ExchangeResponse], error)
 }
@@ -287,6 +305,12 @@
 		connect.WithSchema(controlMethods.ByName("Complete")),
 		connect.WithHandlerOptions(opts...),
 	)
+	controlLeaseHandler := connect.NewUnaryHandler(
+		ControlLeaseProcedure,
+		svc.Lease,
+		connect.WithSchema(controlMethods.ByName("Lease")),
+		connect.WithHandlerOptions(opts...),
+	)
 	controlExchangeHandler := connect.NewUnaryHandler(
 		ControlExchangeProcedure,
 		svc.Exchange,
@@ -311,6 +335,8 @@
 			controlClaimHandler.ServeHTTP(w, r)
 		case ControlCompleteProcedure:
 			controlCompleteHandler.ServeHTTP(w, r)
+		case ControlLeaseProcedure:
+			controlLeaseHandler.ServeHTTP(w, r)
 		case ControlExchangeProcedure:
 			controlExchangeHandler.ServeHTTP(w, r)
 		default:
@@ -354,6 +380,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("amaranthcart.wire.Control.Complete is not implemented"))
 }
 
+func (UnimplementedControlHandler) Lease(context.Context, *connect.Request[wire.LeaseRequest]) (*connect.Response[wire.LeaseResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("amaranthcart.wire.Control.Lease is not implemented"))
+}
+
 func (UnimplementedControlHandler) Exchange(context.Context, *connect.Request[wire.ExchangeRequest]) (*connect.Response[wire.ExchangeResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("amaranthcart.wire.Control.Exchange is not implemented"))
 }
