validator: accept placements and a bound on weight loads

A placement is the wanted state of one engine. Its field fenced is required: an engine that ignores fencing numbers and is taken for one that checks them could be left in an older state. Documents without placements are printed as before.

--- a/builder/builder.go
+++ b/builder/builder.go
@@ -32,7 +32,8 @@
 	"github.com/amaranthcart/amaranthcart/internal/config/validator"
 )
 
-// Part is a class, an organisation, a model or a service.
+// Part is a class, an organisation, a model, a service, a placement or the bound
+// on loads.
 type Part interface {
 	add(c *Configuration)
 }
--- a/internal/config/validator/decode.go
+++ b/internal/config/validator/decode.go
@@ -29,6 +29,13 @@
 	maxPools         = 512
 	maxCalls         = 512
 	maxKeys          = 64
+	// maxPlacements covers the servers expected in two years several times.
+	maxPlacements = 4096
+	// maxPlaced bounds each list of a placement, because an order names all of
+	// them.
+	maxPlaced = 256
+	// maxLoads bounds the number of leases that a load may ask for in turn.
+	maxLoads = 256
 )
 
 // Problem is one fault of a document.
@@ -87,6 +94,7 @@
 	c.checkClasses()
 	c.checkOrganisations()
 	c.checkPools()
+	c.checkPlacements()
 }
 
 func (c *checker) checkClasses() {
--- a/internal/config/validator/differences.go
+++ b/internal/config/validator/differences.go
@@ -99,7 +99,7 @@
 	}
 }
 
-// identify names the items of a list: by name, by method and path, by their
+// identify names the items of a list: by name, by upstream, by method and path, by their
 // text, or else by their index.
 func identify(n *decoder.Node) (map[string]*decoder.Node, []string) {
 	items := make(map[string]*decoder.Node, len(n.Items))
@@ -122,6 +122,9 @@
 	if v := n.Get("name"); v != nil {
 		return v.String()
 	}
+	if v := n.Get("upstream"); v != nil {
+		return v.String()
+	}
 	m, p := n.Get("method"), n.Get("path")
 	if m != nil && p != nil {
 		return fmt.Sprintf("%q", m.Text+" "+p.Text)
--- a/internal/config/validator/document.go
+++ b/internal/config/validator/document.go
@@ -20,6 +20,9 @@
 // OrganisationName identifies an organisation.
 type OrganisationName string
 
+// UpstreamName is the name of an upstream in its announcements.
+type UpstreamName string
+
 // PoolName identifies the upstreams that can run a request: the name of a
 // model or of a plain service.
 type PoolName string
@@ -60,6 +63,11 @@
 	Organisations []Organisation `json:"organisations"`
 	Models        []Model        `json:"models"`
 	Services      []Service      `json:"services"`
+	// Placements lists what engines shall have loaded.
+	Placements []Placement `json:"placements,omitempty"`
+	// Loads bounds the weight loads that run at the same time in the fleet;
+	// zero means no bound.
+	Loads int `json:"loads,omitempty"`
 }
 
 // Class is a kind of request with its latency targets.
@@ -120,3 +128,17 @@
 	// Class overrides the class of the service.
 	Class ClassName `json:"class,omitempty"`
 }
+
+// Placement is the wanted state of one engine.
+type Placement struct {
+	Upstream UpstreamName `json:"upstream"`
+	// Models, Adapters and Versions are the whole lists that the engine shall
+	// announce.
+	Models   []PoolName `json:"models"`
+	Adapters []string   `json:"adapters,omitempty"`
+	Versions []string   `json:"versions,omitempty"`
+	// Role is empty when the engine keeps its role.
+	Role string `json:"role,omitempty"`
+	// Fenced tells whether the engine refuses orders with old fencing numbers.
+	Fenced bool `json:"fenced"`
+}
