control: move the ends of leases by what was left at a change of leader

Extending every lease by its whole duration kept a lease whose holder was gone alive for as long as the leader changed more often than the lease lasts. The fault table of internal/order/issuer showed it: with a change every minute or two, a load lease of ten minutes never ended. What was left at the last entry of the leader before is an upper bound on what is left, so that is granted again.

--- a/internal/control/applier/lease.go
+++ b/internal/control/applier/lease.go
@@ -34,9 +34,10 @@
 	return leaseTable{records: map[string]*record.LeaseRecord{}}
 }
 
-// observeTerm extends the running leases when another leader has taken over.
-// Its clock may be ahead of the clock of the leader that granted them, so that
-// they would end earlier than their holders expect.
+// observeTerm moves the ends of the running leases when another leader has
+// taken over. Its clock may be ahead of the clock of the leader before, so that
+// they would end earlier than their holders expect. What was left at the last
+// entry of that leader is left again; no more can be left in fact.
 func (t *leaseTable) observeTerm(term uint64, before, now int64) {
 	if term == t.term {
 		return
@@ -47,7 +48,7 @@
 			continue
 		}
 		n := proto.CloneOf(l)
-		n.Until = max(l.Until, now+l.Duration)
+		n.Until = now + l.Until - before
 		t.records[name] = n
 	}
 }
@@ -77,7 +78,7 @@
 	}
 	n := &record.LeaseRecord{
 		Name: q.Name, Holder: q.Holder, Token: q.Token,
-		Until: now + duration, Duration: duration,
+		Until: now + duration,
 	}
 	if l != nil {
 		// A request that was delayed in the network must not shorten the lease.
