order: issue orders to the engines of a cell

The issuer compares placements with announcements and orders the whole wanted state under the lease on its cell; the sender posts the orders; the stand-in takes them.

Load leases are taken for the longest load and not renewed: a lease that ended with its issuer would not cover the load that goes on. The price is that the lease of a lost issuer blocks one load for up to ten minutes.

--- /dev/null
+++ b/internal/order/issuer/event.go
@@ -0,0 +1,113 @@
+package issuer
+
+import (
+	"time"
+
+	"github.com/amaranthcart/amaranthcart/internal/config/validator"
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+)
+
+// OrderID identifies an order.
+type OrderID string
+
+// CallID identifies a call to control.
+type CallID uint64
+
+// Fence is a fencing number.
+type Fence uint64
+
+// Order tells one engine its whole wanted state.
+type Order struct {
+	ID       OrderID
+	Upstream registrar.UpstreamID
+	Address  string
+	Fence    Fence
+	State    State
+	// Until is the end of the lease when the order was issued. The sender must
+	// not send the order afterwards.
+	Until time.Time
+}
+
+// Outcome is what became of an order.
+type Outcome int
+
+// Outcomes of orders.
+const (
+	// Failed means that the order may or may not have arrived.
+	Failed Outcome = iota
+	// Accepted means that the engine takes the order.
+	Accepted
+	// Stale means that the engine has seen a higher fencing number.
+	Stale
+)
+
+// Event is an input of the issuer.
+type Event interface{ event() }
+
+// Configure replaces the wanted state.
+type Configure struct {
+	Placements []validator.Placement
+	// Loads bounds the weight loads in the fleet; 0 means no bound.
+	Loads int
+}
+
+// Observe replaces what is known about the cell.
+type Observe struct {
+	// Owner is true while this host owns the cell.
+	Owner bool
+	// Upstreams are the live upstreams of the cell.
+	Upstreams []registrar.Upstream
+}
+
+// Leased is the answer to AskLease.
+type Leased struct {
+	ID        CallID
+	Granted   bool
+	Fence     Fence
+	Remaining time.Duration
+}
+
+// NotLeased tells that a call of AskLease has failed; the lease may or may not
+// have been granted.
+type NotLeased struct{ ID CallID }
+
+// Ordered is the answer to Send.
+type Ordered struct {
+	ID       OrderID
+	Upstream registrar.UpstreamID
+	Outcome  Outcome
+}
+
+// Tick lets time pass.
+type Tick struct{}
+
+func (Configure) event() {}
+func (Observe) event()   {}
+func (Leased) event()    {}
+func (NotLeased) event() {}
+func (Ordered) event()   {}
+func (Tick) event()      {}
+
+// Action is an output of the issuer.
+type Action interface{ action() }
+
+// AskLease asks control for a lease.
+type AskLease struct {
+	ID       CallID
+	Name     string
+	Holder   string
+	Token    string
+	Duration time.Duration
+	// Release ends the lease of the token; it needs no answer.
+	Release bool
+}
+
+// Send sends an order.
+type Send struct{ Order Order }
+
+// Abort gives up all orders that are being sent.
+type Abort struct{}
+
+func (AskLease) action() {}
+func (Send) action()     {}
+func (Abort) action()    {}
--- a/internal/stub/responder/announcer.go
+++ b/internal/stub/responder/announcer.go
@@ -69,6 +69,7 @@
 // News returns the next announcement.
 func (r *Responder) News() registrar.Upstream {
 	running, waiting := r.gate.load()
+	placed, _ := r.placer.State(r.clock.Now())
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.sequence++
@@ -77,7 +78,9 @@
 		Address:     r.address,
 		Centre:      r.options.Centre,
 		Cell:        r.options.Cell,
-		Models:      r.options.Models,
+		Models:      placed.Models,
+		Adapters:    placed.Adapters,
+		Versions:    placed.Versions,
 		Services:    r.options.Services,
 		Incarnation: r.options.Incarnation,
 		Sequence:    r.sequence,
--- a/internal/stub/responder/control.go
+++ b/internal/stub/responder/control.go
@@ -5,6 +5,7 @@
 	"io"
 	"maps"
 	"net/http"
+	"time"
 
 	"github.com/julienschmidt/httprouter"
 
@@ -43,6 +44,15 @@
 	Silence   bool       `json:"silence,omitempty"`
 	Leave     bool       `json:"leave,omitempty"`
 	Crash     bool       `json:"crash,omitempty"`
+	Orders    *placing   `json:"orders,omitempty"`
+}
+
+// placing changes how orders are taken.
+type placing struct {
+	// Fenced makes the responder refuse orders with old fencing numbers.
+	Fenced bool `json:"fenced"`
+	// Load is the time that an order to load weights takes.
+	Load validator.Duration `json:"load"`
 }
 
 // Set replaces the behaviour.
@@ -67,7 +77,8 @@
 }
 
 // Runs returns how often each plain call ran, by its key, and under
-// "generations" how many generations started.
+// "generations" how many generations started, and under "orders" and
+// "rejected" how many orders were accepted and refused.
 func (r *Responder) Runs() map[string]int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -101,6 +112,9 @@
 	if o.Behaviour != nil {
 		r.Set(*o.Behaviour)
 	}
+	if o.Orders != nil {
+		r.placer.Configure(o.Orders.Fenced, time.Duration(o.Orders.Load))
+	}
 	if o.Leave {
 		r.Leave()
 	}
--- a/internal/stub/responder/engine.go
+++ b/internal/stub/responder/engine.go
@@ -97,8 +97,9 @@
 		ID     string `json:"id"`
 		Object string `json:"object"`
 	}
-	list := make([]model, 0, len(r.options.Models))
-	for _, m := range r.options.Models {
+	placed, _ := r.placer.State(r.clock.Now())
+	list := make([]model, 0, len(placed.Models))
+	for _, m := range placed.Models {
 		list = append(list, model{string(m), "model"})
 	}
 	writeJSON(w, http.StatusOK, struct {
--- a/internal/stub/responder/responder.go
+++ b/internal/stub/responder/responder.go
@@ -51,6 +51,14 @@
 	Models      []validator.PoolName
 	Services    []validator.PoolName
 	Incarnation registrar.Incarnation
+	Adapters    []string
+	Versions    []string
+	// Role is changed by orders and shown nowhere.
+	Role string
+	// Fenced makes the responder refuse orders with old fencing numbers.
+	Fenced bool
+	// Load is the time that an order to load weights takes.
+	Load time.Duration
 	// Slots bounds the generations that run at once; zero means 64.
 	Slots int
 	// Entries are the addresses of the entry hosts to announce to.
@@ -69,6 +77,7 @@
 	logger  *zap.Logger
 	server  *http.Server
 	gate    *gate
+	placer  *Placer
 	context context.Context
 	cancel  context.CancelFunc
 	group   conc.WaitGroup
@@ -99,10 +108,12 @@
 		o.Incarnation = registrar.Incarnation(o.Clock.Now().UnixNano())
 	}
 	r := &Responder{
-		options:     o,
-		clock:       o.Clock,
-		logger:      o.Logger.Named("responder"),
-		gate:        newGate(o.Slots),
+		options: o,
+		clock:   o.Clock,
+		logger:  o.Logger.Named("responder"),
+		gate:    newGate(o.Slots),
+		placer: NewPlacer(Order{Models: o.Models, Adapters: o.Adapters, Versions: o.Versions, Role: o.Role},
+			o.Fenced, o.Load),
 		connections: map[*connection]struct{}{},
 		runs:        map[string]int{},
 		address:     o.Address,
@@ -122,6 +133,7 @@
 	router.POST("/v1/chat/completions", r.chat)
 	router.POST("/v1/completions", r.complete)
 	router.GET("/v1/models", r.models)
+	router.POST("/orders", r.postOrder)
 	router.GET("/control", r.getControl)
 	router.POST("/control", r.postControl)
 	router.GET("/control/runs", r.getRuns)
