--- a/internal/daemon/runner/entry.go
+++ b/internal/daemon/runner/entry.go
@@ -55,6 +55,7 @@
 	forwarder *forwarder.Forwarder
 	claimer   *claimer.Claimer
 	receiver  *receiver.Receiver
+	orders    *orders
 }
 
 // peer serves the Peer service from its two halves.
@@ -86,6 +87,7 @@
 	e.startGossiper()
 	e.startDispatcher(d.logger)
 	e.startReceiver(d.logger)
+	e.orders = newOrders(e)
 	mux.Handle(wireconnect.NewPeerHandler(peer{e.gossiper, e.server}))
 	mux.Handle(gossiper.AnnouncePath, e.gossiper.Announcements())
 	return nil
@@ -286,6 +288,9 @@
 
 func (e *entry) close() error {
 	var failed error
+	if e.orders != nil {
+		e.orders.Close()
+	}
 	if e.receiver != nil {
 		failed = errors.Join(failed, e.receiver.Close(), e.claimer.Close(), e.forwarder.Close())
 	}
--- /dev/null
+++ b/internal/daemon/runner/orders.go
@@ -0,0 +1,193 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"github.com/amaranthcart/amaranthcart/internal/order/issuer"
+	"github.com/amaranthcart/amaranthcart/internal/order/sender"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/dialer"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/wire"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/wire/wireconnect"
+	"github.com/amaranthcart/amaranthcart/internal/settings/loader"
+)
+
+const (
+	// orderInterval is how often the issuer looks at the cell. Announcements
+	// change once a second.
+	orderInterval = 500 * time.Millisecond
+	// controlTimeout bounds the call of one control host, so that another one
+	// is tried within issuer.CallTimeout.
+	controlTimeout = time.Second
+)
+
+var errNoControl = errors.New("no control host is known")
+
+// orders runs the issuer of this host's cell. It does nothing while the
+// configuration has no placements.
+type orders struct {
+	entry   *entry
+	logger  *zap.Logger
+	sender  *sender.Sender
+	clients []wireconnect.ControlClient
+	group   conc.WaitGroup
+	stop    chan struct{}
+	once    sync.Once
+
+	mu       sync.Mutex
+	issuer   *issuer.Issuer
+	revision uint64
+	fresh    bool
+	// last is the control host that answered last.
+	last int
+}
+
+func newOrders(e *entry) *orders {
+	o := &orders{
+		entry:  e,
+		logger: e.logger.Named("orders"),
+		stop:   make(chan struct{}),
+		issuer: issuer.New(issuer.Options{Cell: e.settings.Cell, Host: e.settings.Name, NewToken: uuid.NewString}),
+	}
+	o.sender = sender.New(sender.Options{
+		Clock: e.clock, Logger: o.logger, Report: func(r issuer.Ordered) { o.step(r) },
+	})
+	for _, a := range e.controls() {
+		o.clients = append(o.clients, wireconnect.NewControlClient(e.client, dialer.URL(a), dialer.Options()...))
+	}
+	return o
+}
+
+// Start begins to look at the cell.
+func (o *orders) Start() {
+	o.group.Go(func() {
+		ticker := o.entry.clock.NewTicker(orderInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-o.stop:
+				return
+			case <-ticker.Chan():
+				o.look()
+			}
+		}
+	})
+}
+
+// Close gives the lease on the cell back and waits until nothing runs.
+func (o *orders) Close() {
+	o.once.Do(func() {
+		close(o.stop)
+		o.step(issuer.Observe{})
+		o.sender.Close()
+		o.group.Wait()
+	})
+}
+
+// look tells the issuer the configuration in force and the state of the cell.
+func (o *orders) look() {
+	e := o.entry
+	c, fresh := e.follower.Current()
+	fresh = fresh && c.Document != nil
+	if fresh != o.fresh || c.Revision != o.revision {
+		o.fresh, o.revision = fresh, c.Revision
+		var wanted issuer.Configure
+		if fresh {
+			wanted = issuer.Configure{Placements: c.Document.Placements, Loads: c.Document.Loads}
+		}
+		o.step(wanted)
+	}
+	v := e.gossiper.Snapshot()
+	cell := e.settings.Cell
+	seen := issuer.Observe{Owner: v.Owner(cell) == e.settings.Name && e.joined()}
+	for _, u := range v.Upstreams(e.clock.Now()) {
+		if orderingCell(u) == cell {
+			seen.Upstreams = append(seen.Upstreams, u)
+		}
+	}
+	o.step(seen)
+}
+
+// orderingCell is the cell whose issuer sends orders to the upstream. Every
+// cell dispatches to an upstream without a cell, but only one may order it.
+func orderingCell(u registrar.Upstream) registrar.CellName {
+	if u.Cell == "" {
+		return loader.DefaultCell
+	}
+	return u.Cell
+}
+
+// step feeds an event to the issuer and carries out its actions.
+func (o *orders) step(e issuer.Event) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, a := range o.issuer.Step(o.entry.clock.Now(), e) {
+		switch a := a.(type) {
+		case issuer.AskLease:
+			o.group.Go(func() { o.ask(a) })
+		case issuer.Send:
+			o.logger.Info("sending an order", zap.String("order", string(a.Order.ID)),
+				zap.String("upstream", string(a.Order.Upstream)), zap.Strings("models", a.Order.State.Models),
+				zap.Strings("adapters", a.Order.State.Adapters), zap.Strings("versions", a.Order.State.Versions),
+				zap.String("role", a.Order.State.Role))
+			o.sender.Send(a.Order)
+		case issuer.Abort:
+			o.sender.Abort()
+		}
+	}
+}
+
+// ask calls control and tells the issuer the answer.
+func (o *orders) ask(a issuer.AskLease) {
+	r, err := o.call(&wire.LeaseRequest{
+		Name: a.Name, Holder: a.Holder, Token: a.Token, Duration: a.Duration.Milliseconds(), Release: a.Release,
+	})
+	if err != nil {
+		o.logger.Warn("control did not answer a request for a lease", zap.String("lease", a.Name), zap.Error(err))
+	}
+	switch {
+	case a.Release:
+	case err != nil:
+		o.step(issuer.NotLeased{ID: a.ID})
+	default:
+		o.step(issuer.Leased{
+			ID: a.ID, Granted: r.Granted, Fence: issuer.Fence(r.Fence),
+			Remaining: time.Duration(r.Remaining) * time.Millisecond,
+		})
+	}
+}
+
+// call tries the control hosts in turn, the last one that answered first.
+func (o *orders) call(q *wire.LeaseRequest) (*wire.LeaseResponse, error) {
+	ctx, cancel := clockwork.WithTimeout(context.Background(), o.entry.clock, issuer.CallTimeout)
+	defer cancel()
+	o.mu.Lock()
+	first := o.last
+	o.mu.Unlock()
+	err := errNoControl
+	for i := range o.clients {
+		n := (first + i) % len(o.clients)
+		attempt, end := clockwork.WithTimeout(ctx, o.entry.clock, controlTimeout)
+		r, failed := o.clients[n].Lease(attempt, connect.NewRequest(q))
+		end()
+		if failed == nil {
+			o.mu.Lock()
+			o.last = n
+			o.mu.Unlock()
+			return r.Msg, nil
+		}
+		if err = failed; ctx.Err() != nil {
+			break
+		}
+	}
+	return nil, err
+}
--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -121,6 +121,7 @@
 	}
 	d.entry.gossiper.Start()
 	d.entry.follower.Start()
+	d.entry.orders.Start()
 	r := d.entry.receiver
 	d.callers, err = d.serve(r.Server(r.Handler()), d.settings.Callers, r.Limit)
 	return err
