control: number leases from the time, so that a new group stays above

Engines that check fencing numbers remember the highest one. A control group that lost all its disks starts with an empty state, and numbers counted from 1 would be refused by every engine. Numbers are now at least the replicated time in milliseconds.

--- a/internal/control/applier/lease.go
+++ b/internal/control/applier/lease.go
@@ -23,7 +23,9 @@
 //
 // A lease belongs to the token that it was granted to until it is released or
 // has ended in replicated time. Each grant that isn't a renewal gets a fencing
-// number above all earlier ones.
+// number above all earlier ones. The numbers are at least the time in
+// milliseconds, so that they also grow when a group has lost all its disks and
+// starts anew: engines would refuse its lower numbers.
 type leaseTable struct {
 	records map[string]*record.LeaseRecord
 	fence   uint64
@@ -84,7 +86,7 @@
 		// A request that was delayed in the network must not shorten the lease.
 		n.Fence, n.Until = l.Fence, max(l.Until, n.Until)
 	} else {
-		t.fence++
+		t.fence = max(t.fence+1, uint64(max(now, 0)/int64(time.Millisecond)))
 		n.Fence = t.fence
 	}
 	t.records[q.Name] = n
