issuer: keep engines that take no orders from blocking load leases

A load lease was renewed for every retry, so that one engine whose /orders always fails kept the others from loading for good. A refusal, or an order that was never sent, now gives the lease back at once; after two extensions without a result the lease is left to its end, and the engine that has taken the fewest in vain comes next. TestFaults has the case "engines that take no orders"; without either rule it fails.

--- a/internal/order/issuer/event.go
+++ b/internal/order/issuer/event.go
@@ -39,6 +39,9 @@
 	Accepted
 	// Stale means that the engine has seen a higher fencing number.
 	Stale
+	// Refused means that the order was not sent, or that the engine said that
+	// it doesn't take it.
+	Refused
 )
 
 // Event is an input of the issuer.
--- a/internal/order/issuer/issuer.go
+++ b/internal/order/issuer/issuer.go
@@ -69,6 +69,8 @@
 	loadLease = Load + Flight + Margin + 5*time.Second
 	// loadPoll separates rounds over the load leases when all are taken.
 	loadPoll = 5 * time.Second
+	// maxRenewals bounds the orders that one load lease is extended for.
+	maxRenewals = 2
 	// minBackoff and maxBackoff bound the wait after a failed order. One
 	// issuer sends to each engine, so that the wait needs no random part.
 	minBackoff = time.Second
@@ -187,18 +189,32 @@
 	case Accepted:
 		t.accept(now, o)
 	case Stale:
-		t.fail(now)
+		i.refused(now, e.Upstream, t)
 		// The engine has seen a higher number. A lease with a yet higher one is
 		// granted only if no other issuer holds it.
 		i.giveUp(now)
+	case Refused:
+		i.refused(now, e.Upstream, t)
 	case Failed:
 		t.fail(now)
+		t.open()
+	}
+}
+
+// refused gives the load lease back at once, so that an engine that takes no
+// orders doesn't keep others from loading.
+func (i *Issuer) refused(now time.Time, id registrar.UpstreamID, t *target) {
+	t.fail(now)
+	t.clear = now
+	if t.hold != nil && !t.hold.open {
+		i.dropHold(id, t)
 	}
 }
 
 // issue orders the wanted state wherever it differs and nothing stands against
 // an order now.
 func (i *Issuer) issue(now time.Time) {
+	var waiting []registrar.UpstreamID
 	for _, p := range i.placements {
 		id := registrar.UpstreamID(p.Upstream)
 		t := i.targets[id]
@@ -209,7 +225,12 @@
 			continue
 		}
 		w := wanted(p)
-		if t.loads(w) && i.loads > 0 && !i.covered(now, id, t) {
+		if t.loads(w) && i.loads > 0 && !t.covered(now) {
+			if t.hold.granted() {
+				i.renewLoad(now, id, t.hold)
+				continue
+			}
+			waiting = append(waiting, id)
 			continue
 		}
 		i.number++
@@ -223,6 +244,7 @@
 		t.send(now, o)
 		i.act(Send{Order: o})
 	}
+	i.acquireLoad(now, waiting)
 }
 
 // issuing reports whether orders may be sent.
--- a/internal/order/issuer/lease.go
+++ b/internal/order/issuer/lease.go
@@ -38,6 +38,10 @@
 	call  CallID
 	// used is set once an order has been sent under the lease.
 	used bool
+	// open is set once an order under the lease may have started a load.
+	open bool
+	// renewals counts the extensions since the first order.
+	renewals int
 }
 
 // checkLease stops at once when the lease has ended.
@@ -54,6 +58,7 @@
 	for _, t := range i.targets {
 		if t.flight != nil {
 			t.flight = nil
+			t.open()
 			sending = true
 		}
 	}
@@ -155,6 +160,9 @@
 	if e.Granted {
 		h.until = c.asked.Add(min(e.Remaining, loadLease) - Margin)
 		h.tried = 0
+		if h.used {
+			h.renewals++
+		}
 		if i.acquiring == c.upstream {
 			i.acquiring = ""
 		}
@@ -185,33 +193,52 @@
 	}
 }
 
+// granted reports whether the lease was granted; it may have ended.
+func (h *hold) granted() bool { return h != nil && !h.until.IsZero() }
+
 // covered reports whether the target holds a load lease that outlasts a load
-// ordered now, and acquires one otherwise. One target at a time looks for a
-// lease, which bounds the calls while all leases are taken.
-func (i *Issuer) covered(now time.Time, id registrar.UpstreamID, t *target) bool {
-	if t.hold != nil && t.hold.until.Sub(now) >= Load+Flight {
-		return true
+// ordered now.
+func (t *target) covered(now time.Time) bool {
+	return t.hold != nil && t.hold.until.Sub(now) >= Load+Flight
+}
+
+// renewLoad extends a load lease for another order. After a few orders without
+// a result the lease is left to its end, so that other engines get a turn.
+func (i *Issuer) renewLoad(now time.Time, id registrar.UpstreamID, h *hold) {
+	if h.renewals < maxRenewals {
+		i.askLoad(now, id, h)
 	}
-	granted := t.hold != nil && !t.hold.until.IsZero()
-	if !granted {
-		if i.acquiring != "" && i.acquiring != id {
-			return false
-		}
-		i.acquiring = id
+}
+
+// acquireLoad looks for a load lease for one of the targets, the one that has
+// taken the fewest in vain. One target at a time looks, which bounds the calls
+// while all leases are taken.
+func (i *Issuer) acquireLoad(now time.Time, waiting []registrar.UpstreamID) {
+	if len(waiting) == 0 {
+		return
+	}
+	if !slices.Contains(waiting, i.acquiring) {
+		i.acquiring = slices.MinFunc(waiting, func(a, b registrar.UpstreamID) int {
+			return i.targets[a].takes - i.targets[b].takes
+		})
 	}
+	t := i.targets[i.acquiring]
 	if t.hold == nil {
 		i.slot = i.slot%i.loads + 1
 		t.hold = &hold{token: i.options.NewToken(), slot: i.slot}
+		t.takes++
 	}
-	h := t.hold
-	if h.slot > i.loads && !granted {
-		h.slot = 1
+	if t.hold.slot > i.loads {
+		t.hold.slot = 1
 	}
+	i.askLoad(now, i.acquiring, t.hold)
+}
+
+func (i *Issuer) askLoad(now time.Time, id registrar.UpstreamID, h *hold) {
 	if i.asking(now, h) || now.Before(h.next) {
-		return false
+		return
 	}
 	h.call = i.ask(now, loadName(h.slot), h.token, loadLease, id)
-	return false
 }
 
 // asking reports whether a call for the load lease is open.
@@ -239,6 +266,7 @@
 			t.hold = nil
 		case h.used && t.shown(now):
 			i.dropHold(id, t)
+			t.takes = 0
 		case !h.used && !i.asking(now, h) && !i.needsHold(id, t):
 			// The release waits for the answer to the request, lest it arrives
 			// before the request.
--- a/internal/order/issuer/target.go
+++ b/internal/order/issuer/target.go
@@ -83,6 +83,8 @@
 	role        string
 	incarnation registrar.Incarnation
 	hold        *hold
+	// takes counts the load leases taken since a load was last shown done.
+	takes int
 }
 
 // announce takes the latest announcement.
@@ -147,7 +149,15 @@
 	t.settled = now.Add(Flight + registrar.Lease)
 }
 
+// open notes that the engine may be loading under the load lease.
+func (t *target) open() {
+	if t.hold != nil {
+		t.hold.open = true
+	}
+}
+
 func (t *target) accept(now time.Time, o *Order) {
+	t.open()
 	t.accepted = true
 	t.clear = now
 	t.settled = now.Add(registrar.Lease)
