Let an attempt's request keep its identity across attempts and owners

Cause: since each Acquire has an ID of its own, the scheduler no longer knew that a request had given way before, so eleven preemptions spent the retry budget and the request was refused; and requests moved to a new owner counted as retries, so the eleventh waiting request was refused at a change of owner. Ruled out: keeping one ID, which let a late end withdraw the next attempt. Now attempts name their origin, moved requests are marked, and the next attempt of a request waits for the message after the end of its last one. Progress is reported every 500 ms, as the policy was measured, instead of every 8 tokens or 200 ms.

--- a/internal/entry/dispatcher/cell.go
+++ b/internal/entry/dispatcher/cell.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -100,6 +101,7 @@
 func (c *Cell) Acquire(ctx context.Context, r scheduler.Request) (Slot, error) {
 	// Each call has an ID of its own: a late end of the last attempt must not
 	// withdraw the next one of the same request.
+	r.Origin = r.ID
 	r.ID = c.unique(r.ID)
 	t := newTicket(r, c.settings.Clock, c.find, c.ended)
 	c.admit(t)
@@ -115,10 +117,22 @@
 	}
 }
 
+// attemptSeparator stands between the caller's request and the number of the
+// attempt in an ID.
+const attemptSeparator = '/'
+
+// originOf returns the caller's request of an attempt's ID.
+func originOf(id string) scheduler.RequestID {
+	if i := strings.LastIndexByte(id, attemptSeparator); i >= 0 {
+		return scheduler.RequestID(id[:i])
+	}
+	return scheduler.RequestID(id)
+}
+
 func (c *Cell) unique(id scheduler.RequestID) scheduler.RequestID {
 	b := make([]byte, 0, 64)
 	b = append(b, id...)
-	b = append(b, '/')
+	b = append(b, attemptSeparator)
 	b = strconv.AppendUint(b, c.serial.Add(1), 10)
 	return scheduler.RequestID(b)
 }
--- a/internal/entry/dispatcher/cell_test.go
+++ b/internal/entry/dispatcher/cell_test.go
@@ -321,3 +321,20 @@
 	}
 	waitFor(t, "slots freed", func() bool { return all["a"].occupied() == 0 })
 }
+
+// TestPreemptedIsNoRetry guards against a request that loses its place, or is
+// refused for want of a retry budget, because it gave way: the scheduler knew
+// it by the ID of its last attempt.
+func TestPreemptedIsNoRetry(t *testing.T) {
+	_, all := newMembers(t, "a", "b")
+	waitFor(t, "links", func() bool { return all["b"].linked() && all["a"].full() })
+	for _, m := range []*member{all["a"], all["b"]} {
+		r := request("long")
+		for i := range 100 {
+			s, err := m.cell.Acquire(t.Context(), r)
+			assert.NilError(t, err, "attempt %d", i)
+			r.Emitted += 5
+			s.Release(scheduler.Preempted, 5)
+		}
+	}
+}
--- a/internal/entry/dispatcher/fault_test.go
+++ b/internal/entry/dispatcher/fault_test.go
@@ -263,6 +263,26 @@
 	}
 }
 
+// TestMovedIsNoRetry guards against a queue that is refused at a change of owner
+// because the new owner takes it for retries and their budget is small.
+func TestMovedIsNoRetry(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	var locals []*Local
+	for range 2 {
+		l := NewLocal(scheduler.New(), clock)
+		defer l.Close()
+		l.Configure(document())
+		l.Observe(registrar.Upstream{Name: "engine", Models: []validator.PoolName{"m"}, Incarnation: 1})
+		locals = append(locals, l)
+	}
+	for i := range 50 {
+		k := newTicket(request(fmt.Sprint("r", i)), clock, nil, func(scheduler.RequestID) {})
+		k.move(locals[0])
+		k.move(locals[1])
+		assert.Equal(t, len(k.result), 0, "request %d was refused", i)
+	}
+}
+
 // TestPreemptedWhileAway guards against an attempt that goes on in the slot of
 // a higher tier because the call to give way was lost with its host's link.
 func TestPreemptedWhileAway(t *testing.T) {
--- a/internal/entry/dispatcher/message.go
+++ b/internal/entry/dispatcher/message.go
@@ -20,6 +20,7 @@
 		Prefix:       r.Prefix,
 		Repeatable:   r.Repeatable,
 		Retry:        r.Retry,
+		Moved:        r.Moved,
 		Fingerprint:  r.Fingerprint,
 		Emitted:      uint32(max(r.Emitted, 0)),
 		Age:          now.Sub(r.Arrived).Milliseconds(),
@@ -34,6 +35,7 @@
 func decodeRequest(m *wire.SlotRequest, now time.Time) scheduler.Request {
 	r := scheduler.Request{
 		ID:           scheduler.RequestID(m.Id),
+		Origin:       originOf(m.Id),
 		Pool:         validator.PoolName(m.Pool),
 		Class:        validator.ClassName(m.Class),
 		Organisation: validator.OrganisationName(m.Organisation),
@@ -42,6 +44,7 @@
 		Prefix:       m.Prefix,
 		Repeatable:   m.Repeatable,
 		Retry:        m.Retry,
+		Moved:        m.Moved,
 		Fingerprint:  m.Fingerprint,
 		Emitted:      int(m.Emitted),
 		Arrived:      now.Add(-time.Duration(max(m.Age, 0)) * time.Millisecond),
--- a/internal/entry/dispatcher/outbox.go
+++ b/internal/entry/dispatcher/outbox.go
@@ -1,6 +1,8 @@
 package dispatcher
 
 import (
+	"slices"
+
 	"github.com/amaranthcart/amaranthcart/internal/rpc/wire"
 )
 
@@ -74,13 +76,16 @@
 func (o *outbox) finish() { o.complete, o.before = true, len(o.entries) }
 
 // batch removes the next message. The owner takes the submissions of a message
-// before its reports, which keeps the order for each request because none is
-// submitted twice on a link.
+// before its reports. An ID is submitted once on a link, so only the next
+// attempt of a request must wait for the message after the end of its last one.
 func (o *outbox) batch() *wire.DispatchRequest {
 	m := &wire.DispatchRequest{}
 	size, n := 0, 0
 	for n < len(o.entries) && size < maxBatch {
 		e := o.entries[n]
+		if e.submit != nil && continues(e.submit, m.Progress) {
+			break
+		}
 		o.entries[n] = entry{}
 		size += e.bytes()
 		n++
@@ -100,6 +105,16 @@
 	return m
 }
 
+// continues reports whether a submission is the next attempt of a request whose
+// last one ends in the reports.
+func continues(r *wire.SlotRequest, reports []*wire.SlotProgress) bool {
+	if !r.Retry && r.Emitted == 0 {
+		return false
+	}
+	origin := originOf(r.Id)
+	return slices.ContainsFunc(reports, func(p *wire.SlotProgress) bool { return originOf(p.Id) == origin })
+}
+
 func (o *outbox) advance(n int) {
 	o.before = max(o.before-n, 0)
 	if n == len(o.entries) {
--- a/internal/entry/dispatcher/storm_test.go
+++ b/internal/entry/dispatcher/storm_test.go
@@ -353,7 +353,7 @@
 	}
 	slot.FirstToken()
 	for tokens := range r.IntN(5) {
-		slot.Progress(tokens * reportTokens)
+		slot.Progress(tokens * 8)
 		time.Sleep(time.Duration(r.IntN(8)) * time.Millisecond)
 	}
 	outcome := []scheduler.Outcome{scheduler.Completed, scheduler.Failed, scheduler.Abandoned, scheduler.Silent}[r.IntN(4)]
--- a/internal/entry/dispatcher/ticket.go
+++ b/internal/entry/dispatcher/ticket.go
@@ -11,13 +11,10 @@
 	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
 )
 
-const (
-	// reportTokens and reportInterval bound how often the progress of one
-	// attempt is reported, so that the owner's work does not grow with every
-	// token.
-	reportTokens   = 8
-	reportInterval = 200 * time.Millisecond
-)
+// reportInterval bounds how often the progress of one attempt is reported, so
+// that the owner's work does not grow with every token. The scheduler's view of
+// an upstream's speed was measured with this interval.
+const reportInterval = 500 * time.Millisecond
 
 // route is the place where a request is scheduled: this host or the owner.
 type route interface {
@@ -115,7 +112,7 @@
 	if len(held) == 0 {
 		r := t.request
 		// The request has passed the limits for new ones at the last route.
-		r.Retry = r.Retry || from != nil
+		r.Moved = from != nil
 		to.submit(r, notify)
 	}
 	for _, id := range held {
@@ -256,7 +253,6 @@
 
 	mu       sync.Mutex
 	released bool
-	tokens   int
 	reported time.Time
 }
 
@@ -280,13 +276,12 @@
 	s.ticket.report(scheduler.FirstToken{ID: s.identity(), Upstream: s.location()})
 }
 
-// Progress reports tokens, at most every few tokens or milliseconds.
+// Progress reports tokens, at most once in an interval.
 func (s *slot) Progress(tokens int) {
 	now := s.ticket.clock.Now()
 	s.mu.Lock()
-	due := tokens-s.tokens >= reportTokens || now.Sub(s.reported) >= reportInterval
+	due := now.Sub(s.reported) >= reportInterval
 	if due {
-		s.tokens = tokens
 		s.reported = now
 	}
 	s.mu.Unlock()
--- a/internal/policy/scheduler/preemption.go
+++ b/internal/policy/scheduler/preemption.go
@@ -67,7 +67,7 @@
 	if o != Crashed && a.tokens+r.Emitted == 0 {
 		i.queued = r.queued
 	}
-	s.interrupted[r.ID] = i
+	s.interrupted[r.origin()] = i
 }
 
 func (s *Scheduler) expireInterruptions(now time.Time) {
--- a/internal/policy/scheduler/scheduler.go
+++ b/internal/policy/scheduler/scheduler.go
@@ -99,7 +99,7 @@
 		return
 	}
 	o := s.organisation(sent.Organisation)
-	resumed := sent.Retry || sent.Emitted > 0
+	resumed := sent.Retry || sent.Moved || sent.Emitted > 0
 	if !resumed {
 		if wait, ok := o.admit(now); !ok {
 			s.refuse(sent.ID, OverLimit, wait)
@@ -116,11 +116,11 @@
 		s.prune(p)
 		return
 	}
-	i, interrupted := s.interrupted[sent.ID]
-	delete(s.interrupted, sent.ID)
+	i, interrupted := s.interrupted[sent.origin()]
+	delete(s.interrupted, sent.origin())
 	if !resumed {
 		p.retries.fresh()
-	} else if !interrupted && !p.retries.take() {
+	} else if !interrupted && !sent.Moved && !p.retries.take() {
 		s.refuse(sent.ID, OutOfRetries, leaseTime)
 		return
 	}
--- a/internal/policy/scheduler/types.go
+++ b/internal/policy/scheduler/types.go
@@ -32,7 +32,10 @@
 
 // Request describes work that waits for a slot.
 type Request struct {
-	ID           RequestID
+	ID RequestID
+	// Origin identifies the caller's request when further attempts of it have
+	// IDs of their own; empty means that ID does.
+	Origin       RequestID
 	Pool         validator.PoolName
 	Class        validator.ClassName
 	Organisation validator.OrganisationName
@@ -46,6 +49,9 @@
 	Repeatable bool
 	// Retry marks a further attempt of the same caller request.
 	Retry bool
+	// Moved marks a request that another owner of the cell has admitted; it
+	// counts against no limit or budget again.
+	Moved bool
 	// Emitted is the number of tokens already passed to the caller.
 	Emitted int
 	// Avoid lists upstreams that already failed the request.
@@ -56,6 +62,14 @@
 	Arrived time.Time
 }
 
+// origin identifies the caller's request.
+func (r Request) origin() RequestID {
+	if r.Origin == "" {
+		return r.ID
+	}
+	return r.Origin
+}
+
 // Outcome tells how an attempt ended.
 type Outcome int
 
