--- a/internal/policy/bencher/call.go
+++ b/internal/policy/bencher/call.go
@@ -10,16 +10,16 @@
 
 // call is one request of a caller with its true length and its fate.
 type call struct {
-	id       scheduler.RequestID
-	demand   *Demand
-	customer validator.OrganisationName
-	host     int
-	arrived  time.Duration
-	prompt   int
-	output   int
-	limit    int
-	prefix   []uint64
-	crest    bool
+	id           scheduler.RequestID
+	demand       *Demand
+	organisation validator.OrganisationName
+	host         int
+	arrived      time.Duration
+	prompt       int
+	output       int
+	limit        int
+	prefix       []uint64
+	crest        bool
 
 	emitted int
 	runs    []*run
@@ -59,7 +59,7 @@
 		ID:           c.id,
 		Pool:         model,
 		Class:        c.demand.Class.Name,
-		Organisation: c.customer,
+		Organisation: c.organisation,
 		Prompt:       c.prompt,
 		Limit:        c.limit,
 		Prefix:       c.prefix,
--- a/internal/policy/bencher/workload.go
+++ b/internal/policy/bencher/workload.go
@@ -86,8 +86,8 @@
 	}
 }
 
-// customer is an organisation with its part of the calls.
-type customer struct {
+// organisation sends a part of the calls.
+type organisation struct {
 	name   validator.OrganisationName
 	weight float64
 	share  float64
@@ -95,7 +95,7 @@
 	lengths float64
 }
 
-var customers = []customer{
+var organisations = []organisation{
 	{"north", 30, 3, 1.0}, {"dairy", 20, 3, 0.7}, {"valley", 14, 2, 1.4},
 	{"ridge", 8, 1, 0.8}, {"lake", 7, 1, 1.2}, {"mill", 6, 1, 1.0},
 	{"bridge", 5, 1, 0.6}, {"meadow", 4, 1, 1.6}, {"stone", 3, 1, 1.0}, {"pine", 3, 1, 0.9},
@@ -103,12 +103,12 @@
 
 func pick(r *rand.Rand) int {
 	x := r.Float64() * 100
-	for i, c := range customers {
+	for i, c := range organisations {
 		if x -= c.weight; x < 0 {
 			return i
 		}
 	}
-	return len(customers) - 1
+	return len(organisations) - 1
 }
 
 // document is the configuration that fits the workload.
@@ -117,7 +117,7 @@
 	for _, m := range w.Demands {
 		d.Classes = append(d.Classes, m.Class)
 	}
-	for _, c := range customers {
+	for _, c := range organisations {
 		d.Organisations = append(d.Organisations, validator.Organisation{Name: c.name, Share: c.share})
 	}
 	return d
@@ -164,12 +164,12 @@
 
 func (w Workload) call(r *rand.Rand, d *Demand, at time.Duration, by int) *call {
 	c := &call{
-		demand:   d,
-		customer: customers[by].name,
-		arrived:  at,
-		prompt:   d.Shared + d.Prompt.draw(r, 1),
-		output:   d.Output.draw(r, customers[by].lengths),
-		limit:    d.Output.Max,
+		demand:       d,
+		organisation: organisations[by].name,
+		arrived:      at,
+		prompt:       d.Shared + d.Prompt.draw(r, 1),
+		output:       d.Output.draw(r, organisations[by].lengths),
+		limit:        d.Output.Max,
 	}
 	group := uint64(r.IntN(d.Prefixes))
 	base := uint64(len(d.Class.Name))<<40 | uint64(d.Class.Name[0])<<32 | uint64(by)<<24 | group<<12
--- a/internal/policy/scheduler/request.go
+++ b/internal/policy/scheduler/request.go
@@ -109,7 +109,7 @@
 	return k
 }
 
-// organisation holds the limits and debts of a customer.
+// organisation holds its limits and debts.
 type organisation struct {
 	name    validator.OrganisationName
 	share   float64
