--- a/internal/policy/bencher/chart.go
+++ b/internal/policy/bencher/chart.go
@@ -47,6 +47,13 @@
 	return nil
 }
 
+const (
+	// groupPoints is the width of the bars of one workload with its name.
+	groupPoints = 80
+	// legendWidth is the room for the legend in groups of bars.
+	legendWidth = 1.2
+)
+
 func (f figure) draw(path string, list []Summary) error {
 	p := plot.New()
 	p.Title.Text = f.title
@@ -77,5 +84,7 @@
 		names[i] = strings.Replace(names[i], "/", "\n", 1)
 	}
 	p.NominalX(names...)
-	return p.Save(vg.Points(float64(60*len(names)+80)), vg.Points(260), path)
+	// The legend stands to the right of the bars.
+	p.X.Min, p.X.Max = -0.6, float64(len(names))+legendWidth
+	return p.Save(vg.Points(float64(groupPoints*len(names)+80)), vg.Points(260), path)
 }
