Prove that the top tier takes precedence for any arrival pattern

The rule that top-tier work is not refused while lower tiers could give way rested on one table case: TestBounds passes without it. The property test fills all slots with long low-tier work that takes up to 1.5 s to give way, and never opens more top-tier requests than there are slots: none may be refused, give way or wait at the end.

--- /dev/null
+++ b/internal/policy/scheduler/precedence_test.go
@@ -0,0 +1,108 @@
+package scheduler
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+)
+
+// TestTopTierTakesPrecedence guards against top-tier work that is refused, or
+// asked to give way, while lower-tier work holds slots that it could use: never
+// more top-tier requests are open than there are slots, and all slots are full
+// of long low-tier work, which takes up to 1.5 s to give way, when they arrive.
+func TestTopTierTakesPrecedence(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s, now := New(), start
+		s.Step(now, Configure{Document: document()})
+		slots := rapid.IntRange(1, 4).Draw(t, "slots")
+		running := map[RequestID]registrar.UpstreamID{}
+		ends, yields := map[RequestID]time.Time{}, map[RequestID]bool{}
+		open, serial := map[RequestID]Request{}, 0
+		var act func([]Action)
+		step := func(e Event) { act(append([]Action(nil), s.Step(now, e)...)) }
+		submit := func(class string) {
+			r := ask(fmt.Sprint(class, serial), class, "large").Request
+			r.Arrived = now
+			serial++
+			open[r.ID] = r
+			step(Submit{r})
+		}
+		act = func(list []Action) {
+			for _, a := range list {
+				switch a := a.(type) {
+				case Grant:
+					running[a.ID] = a.Upstream
+					length := time.Duration(rapid.IntRange(50, 2000).Draw(t, "length")) * time.Millisecond
+					if open[a.ID].Class == "low" {
+						length = time.Hour
+					}
+					ends[a.ID] = now.Add(length)
+				case Refuse:
+					assert.Assert(t, open[a.ID].Class == "low", "%s was refused: %s", a.ID, a.Reason)
+					delete(open, a.ID)
+				case Preempt:
+					assert.Assert(t, open[a.ID].Class == "low", "%s had to give way", a.ID)
+					delay := time.Duration(rapid.IntRange(0, 1500).Draw(t, "delay")) * time.Millisecond
+					yields[a.ID], ends[a.ID] = true, now.Add(delay)
+				}
+			}
+		}
+		top := func() int {
+			n := 0
+			for _, r := range open {
+				if r.Class != "low" {
+					n++
+				}
+			}
+			return n
+		}
+		for _, id := range []string{"a", "b"} {
+			step(Observe{engine(id, slots)})
+		}
+		for range 2*slots + 2 {
+			submit("low")
+		}
+		end := func(id RequestID) {
+			u, r := running[id], open[id]
+			delete(running, id)
+			if !yields[id] {
+				delete(open, id)
+				step(Finished{ID: id, Upstream: u, Outcome: Completed, Tokens: 20})
+				return
+			}
+			delete(yields, id)
+			step(Finished{ID: id, Upstream: u, Outcome: Preempted, Tokens: 5})
+			r.Emitted += 5
+			open[id] = r
+			step(Submit{r})
+		}
+		tick := func() {
+			now = now.Add(TickInterval)
+			for _, id := range slices.Sorted(maps.Keys(running)) {
+				if !now.Before(ends[id]) {
+					end(id)
+				}
+			}
+			step(Tick{})
+		}
+		for range rapid.IntRange(10, 400).Draw(t, "ticks") {
+			for range rapid.IntRange(0, 2).Draw(t, "arrivals") {
+				if top() < 2*slots {
+					submit("top")
+				}
+			}
+			tick()
+		}
+		for range 15 * time.Second / TickInterval {
+			tick()
+		}
+		assert.Equal(t, top(), 0, "top-tier work is still waiting")
+	})
+}
