--- a/internal/ops/reporter/class.go
+++ b/internal/ops/reporter/class.go
@@ -19,6 +19,10 @@
 	decay     = 0.015
 )
 
+// shortTokens is the longest answer that counts as short for head-of-line
+// blocking, as in the bench.
+const shortTokens = 256
+
 // reasons are the values of the label reason.
 var reasons = []scheduler.Reason{
 	scheduler.Overloaded, scheduler.NoUpstream, scheduler.OverLimit, scheduler.Poisonous, scheduler.OutOfRetries,
@@ -37,6 +41,8 @@
 	goodput, wasted             metrics.Counter
 	refused                     map[scheduler.Reason]metrics.Counter
 	queue, first, gap, total    metrics.Histogram
+	// blocking is the queue time of short answers only.
+	blocking metrics.Histogram
 
 	mutex sync.Mutex
 	crest crest
@@ -55,6 +61,7 @@
 		first:     newHistogram(),
 		gap:       newHistogram(),
 		total:     newHistogram(),
+		blocking:  newHistogram(),
 	}
 	for _, v := range append([]scheduler.Reason{unnamed}, reasons...) {
 		k.refused[v] = metrics.NewCounter()
@@ -84,6 +91,7 @@
 		prefix + "first":     k.first,
 		prefix + "gap":       k.gap,
 		prefix + "total":     k.total,
+		prefix + "blocking":  k.blocking,
 	}
 	for v, c := range k.refused {
 		m[prefix+"refused."+string(v)] = c
@@ -133,6 +141,9 @@
 func (k *class) observe(v Result) {
 	k.queue.Update(int64(v.Queue))
 	k.total.Update(int64(v.Total))
+	if v.Tokens > 0 && v.Tokens <= shortTokens {
+		k.blocking.Update(int64(v.Queue))
+	}
 	if v.First > 0 {
 		k.first.Update(int64(v.First))
 	}
--- a/internal/ops/reporter/handler.go
+++ b/internal/ops/reporter/handler.go
@@ -44,6 +44,7 @@
 	attainmentDesc = describe("attainment_ratio", "Share of requests that attained their target.", classLabels...)
 	crestDesc      = describe("crest_attainment_ratio", "Attainment in the busiest 5 s of the last 10 minutes.", classLabels...)
 	queueDesc      = describe("queue_seconds", "Time until a slot was granted.", classLabels...)
+	blockingDesc   = describe("blocking_seconds", "Time until a slot was granted, of answers of at most 256 tokens.", classLabels...)
 	firstDesc      = describe("first_token_seconds", "Time to the first token.", classLabels...)
 	gapDesc        = describe("token_gap_seconds", "Mean time between tokens.", classLabels...)
 	totalDesc      = describe("total_seconds", "Time to the end of the answer.", classLabels...)
@@ -144,6 +145,7 @@
 		send(out, crestDesc, prometheus.GaugeValue, a, name)
 	}
 	summary(out, queueDesc, k.queue, name)
+	summary(out, blockingDesc, k.blocking, name)
 	summary(out, firstDesc, k.first, name)
 	summary(out, gapDesc, k.gap, name)
 	summary(out, totalDesc, k.total, name)
