reporter: expect the head-of-line blocking lines on the metrics page

The page gains exactly the five lines of the new distribution (four answers with tokens, one of which queued 20 ms).

--- a/internal/ops/reporter/reporter_test.go
+++ b/internal/ops/reporter/reporter_test.go
@@ -66,6 +66,11 @@
 	r.Set(reporter.RevisionInForce, 12)
 	got := page(t, r, reporter.MetricsPath, `class="chat"`, "amaranth_hedges", "amaranth_revision")
 	want := `amaranth_attainment_ratio{class="chat"} 0.16666666666666666
+amaranth_blocking_seconds{class="chat",quantile="0.5"} 0
+amaranth_blocking_seconds{class="chat",quantile="0.9"} 0.02
+amaranth_blocking_seconds{class="chat",quantile="0.99"} 0.02
+amaranth_blocking_seconds_sum{class="chat"} 0.02
+amaranth_blocking_seconds_count{class="chat"} 4
 amaranth_crest_attainment_ratio{class="chat"} 0.16666666666666666
 amaranth_first_token_seconds{class="chat",quantile="0.5"} 0.2
 amaranth_first_token_seconds{class="chat",quantile="0.9"} 0.301
