Process tests: take ports that the kernel gives to nobody else

Cause: freePort let the kernel choose a port and closed it again; the programs are built between that and their start, and meanwhile the kernel gave the port to a listener of another test package. Ruled out: a fault of the entry host, which never started.

Ports now come from a block below the kernel's range, guarded by a listener for as long as the test process runs. A wait also ends at once when a daemon has ended by itself, with its log.

--- a/cmd/amaranthd/process_test.go
+++ b/cmd/amaranthd/process_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -60,6 +59,8 @@
 	command *exec.Cmd
 	log     *os.File
 	done    chan struct{}
+	// ended is set when the test itself ends the process.
+	ended bool
 }
 
 // deployment is a set of processes on loopback.
@@ -74,14 +75,6 @@
 	stubs     map[string]string
 }
 
-func freePort(t testing.TB) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
 func deploy(t testing.TB, controls, entries int) *deployment {
 	t.Helper()
 	d := &deployment{
@@ -172,6 +165,7 @@
 
 func (d *deployment) kill(name string) {
 	d.t.Helper()
+	d.processes[name].ended = true
 	d.signal(name, syscall.SIGKILL)
 	<-d.processes[name].done
 }
@@ -179,6 +173,7 @@
 // stop makes a planned stop and checks that it was clean.
 func (d *deployment) stop(name string) {
 	d.t.Helper()
+	d.processes[name].ended = true
 	d.signal(name, syscall.SIGTERM)
 	select {
 	case <-d.processes[name].done:
@@ -217,12 +212,29 @@
 	return string(data[max(0, len(data)-4000):])
 }
 
+// checkDaemons fails the test when a daemon has ended by itself, which would
+// otherwise show only as a wait that times out.
+func (d *deployment) checkDaemons() {
+	d.t.Helper()
+	for name, p := range d.processes {
+		if p.program != "amaranthd" || p.ended {
+			continue
+		}
+		select {
+		case <-p.done:
+			d.t.Fatalf("%s ended by itself:\n%s", name, d.tail(name))
+		default:
+		}
+	}
+}
+
 func (d *deployment) waitFor(what string, ok func() bool) {
 	d.t.Helper()
 	for end := time.Now().Add(patience); !ok(); {
 		if time.Now().After(end) {
 			d.t.Fatalf("gave up waiting for %s", what)
 		}
+		d.checkDaemons()
 		time.Sleep(20 * time.Millisecond)
 	}
 }
