Keep the cell from a host that has not heard of its upstreams

TestRollingRestart once saw four refusals "no live upstream" right after an entry host had restarted. Cause: the first exchange of news tells the other hosts of the restarted one; by rendezvous hashing it may own the cell again, so that they send their requests to it before it has read the answer of that exchange with the upstreams. Ruled out: upstream leases that ended meanwhile (no upstream was removed).

A starting host now takes no cell over until it has met another host and 1 s more. A scheduler that is not settled lets a request without an upstream wait for up to 1.5 s instead of refusing it, for owners that change for any other reason.

--- a/internal/daemon/runner/entry.go
+++ b/internal/daemon/runner/entry.go
@@ -12,6 +12,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/jonboulle/clockwork"
+	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"github.com/amaranthcart/amaranthcart/internal/config/decoder"
@@ -35,6 +36,14 @@
 // It covers several exchanges with each seed.
 const joinTime = 3 * time.Second
 
+// joinPoll is how often a starting host looks whether it has met another one.
+const joinPoll = 50 * time.Millisecond
+
+// viewTime is how long a starting host leaves the cell to the others after it has
+// met one of them. It covers an exchange of news, so that a host which takes the
+// cell over knows its upstreams.
+const viewTime = time.Second
+
 // folderMode keeps other users out of the data folder.
 const folderMode = 0o700
 
@@ -56,6 +65,11 @@
 	claimer   *claimer.Claimer
 	receiver  *receiver.Receiver
 	orders    *orders
+
+	// standby ends when the host has offered itself as owner of the cell, or
+	// is about to stop.
+	standby context.CancelFunc
+	group   conc.WaitGroup
 }
 
 // peer serves the Peer service from its two halves.
@@ -176,6 +190,7 @@
 func (e *entry) startGossiper() {
 	s := e.settings
 	self := registrar.Host{
+		Draining:    !e.alone(),
 		Name:        s.Name,
 		Address:     s.Advertise,
 		Centre:      s.Centre,
@@ -255,18 +270,59 @@
 	if len(e.gossiper.Snapshot().Hosts()) > 1 || e.clock.Since(e.started) > joinTime {
 		return true
 	}
-	for _, address := range e.settings.Seeds {
-		if address != e.settings.Advertise {
-			return false
+	return e.alone()
+}
+
+// alone reports whether the settings name no other entry host.
+func (e *entry) alone() bool {
+	return !slices.ContainsFunc(e.settings.Seeds, func(address string) bool { return address != e.settings.Advertise })
+}
+
+// start begins to exchange news. The host takes no cell over before it has heard
+// of the upstreams: the other hosts send their requests to a new owner as soon
+// as they know it, and it would refuse them.
+func (e *entry) start() {
+	e.gossiper.Start()
+	e.follower.Start()
+	e.orders.Start()
+	ctx, cancel := context.WithCancel(context.Background())
+	e.standby = cancel
+	if !e.alone() {
+		e.group.Go(func() { e.offer(ctx) })
+	}
+}
+
+// offer offers this host as owner of its cell once it knows the cell.
+func (e *entry) offer(ctx context.Context) {
+	t := e.clock.NewTicker(joinPoll)
+	defer t.Stop()
+	for !e.joined() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.Chan():
 		}
 	}
-	return true
+	select {
+	case <-ctx.Done():
+	case <-e.clock.After(viewTime):
+		e.gossiper.Drain(false)
+	}
+}
+
+// withdraw ends the standby, so that it can't offer a host that is stopping.
+func (e *entry) withdraw() {
+	if e.standby != nil {
+		e.standby()
+	}
+	e.group.Wait()
 }
 
 // drain is the planned stop: unready at once, then no new work, then the open
 // requests run to their end. Another host takes the cell over meanwhile.
 func (e *entry) drain(ctx context.Context) error {
 	e.receiver.Unready()
+	e.withdraw()
 	e.gossiper.Drain(true)
 	select {
 	case <-e.clock.After(e.notice):
@@ -282,6 +338,7 @@
 
 func (e *entry) close() error {
 	var failed error
+	e.withdraw()
 	if e.orders != nil {
 		e.orders.Close()
 	}
--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -119,9 +119,7 @@
 	if d.entry == nil {
 		return nil
 	}
-	d.entry.gossiper.Start()
-	d.entry.follower.Start()
-	d.entry.orders.Start()
+	d.entry.start()
 	r := d.entry.receiver
 	d.callers, err = d.serve(r.Server(r.Handler()), d.settings.Callers, r.Limit)
 	return err
--- a/internal/policy/scheduler/admission.go
+++ b/internal/policy/scheduler/admission.go
@@ -174,6 +174,10 @@
 // giveUp refuses a waiting request.
 func (s *Scheduler) giveUp(now time.Time, r *request) {
 	s.dequeue(r)
-	s.refuse(r.ID, Overloaded, r.pool.drainTime(now, r.class.tier))
+	if r.pool.live() {
+		s.refuse(r.ID, Overloaded, r.pool.drainTime(now, r.class.tier))
+	} else {
+		s.refuse(r.ID, NoUpstream, leaseTime)
+	}
 	s.settle(r)
 }
--- a/internal/policy/scheduler/crash_test.go
+++ b/internal/policy/scheduler/crash_test.go
@@ -149,3 +149,29 @@
 	s.Step(start, Settle{Settled: true})
 	assert.Equal(t, script(s.Step(start.Add(TickInterval), Tick{})), "r>b")
 }
+
+// TestUnsettledWithoutUpstream guards against refusals by a host that has just
+// taken a cell over and hasn't heard of its upstreams yet.
+func TestUnsettledWithoutUpstream(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		class string
+		event Event
+		after time.Duration
+		want  string
+	}{
+		{"an upstream is announced", "slow", Observe{engine("a", 1)}, time.Second, "r>a"},
+		{"the cell is settled without one", "slow", Settle{Settled: true}, time.Second, "r!unavailable"},
+		{"the time is up", "slow", Tick{}, strandTime, "r!unavailable"},
+		{"the time is not up", "slow", Tick{}, strandTime - time.Millisecond, ""},
+		{"the target is missed before", "top", Tick{}, strandTime - time.Millisecond, "r!unavailable"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := New()
+			s.Step(start, Configure{Document: document()})
+			s.Step(start, Settle{})
+			assert.Equal(t, script(s.Step(start, ask("r", c.class, "large"))), "")
+			assert.Equal(t, script(s.Step(start.Add(c.after), c.event)), c.want)
+		})
+	}
+}
--- a/internal/policy/scheduler/scheduler.go
+++ b/internal/policy/scheduler/scheduler.go
@@ -83,10 +83,12 @@
 		s.learn(now, e.Records)
 	case Settle:
 		s.unsettled = !e.Settled
+		s.refuseStranded(now)
 	case Tick:
 		s.detector.Expire(now)
 		s.expire(now)
 		s.expireInterruptions(now)
+		s.refuseStranded(now)
 		s.compare(now)
 		for _, p := range s.pools {
 			s.dispatch(now, p)
@@ -114,7 +116,7 @@
 		return
 	}
 	p := s.pool(sent.Pool)
-	if !p.live() {
+	if !p.live() && !s.unsettled {
 		s.refuse(sent.ID, NoUpstream, leaseTime)
 		s.prune(p)
 		return
@@ -136,7 +138,7 @@
 		r.queued = i.queued
 	}
 	r.due = s.due(r)
-	if !resumed && s.crowded(now, r) {
+	if !resumed && p.live() && s.crowded(now, r) {
 		s.refuse(r.ID, Overloaded, p.drainTime(now, r.class.tier))
 		s.settle(r)
 		return
--- a/internal/policy/scheduler/types.go
+++ b/internal/policy/scheduler/types.go
@@ -158,9 +158,10 @@
 type Learn struct{ Records []detector.Record }
 
 // Settle tells whether this scheduler is known to be the only one of the cell
-// and to have heard of the crashes that the others saw. Until then requests
-// that have met a crash wait: two schedulers that each count their own crashes
-// would lose more upstreams to one request than one does.
+// and to have heard of its upstreams and of the crashes that the others saw.
+// Until then requests that have met a crash wait: two schedulers that each count
+// their own crashes would lose more upstreams to one request than one does. So
+// does a request that no known upstream serves, for a short time.
 type Settle struct{ Settled bool }
 
 // Tick lets time pass.
--- a/internal/policy/scheduler/upstream.go
+++ b/internal/policy/scheduler/upstream.go
@@ -89,7 +89,7 @@
 	for name, p := range s.pools {
 		p.set(u, u.Serves(name))
 	}
-	s.refuseStranded()
+	s.refuseStranded(now)
 	s.dispatchAll(now, u)
 }
 
@@ -105,17 +105,25 @@
 	if len(u.attempts) == 0 {
 		delete(s.upstreams, id)
 	}
-	s.refuseStranded()
+	s.refuseStranded(now)
 	s.dispatchAll(now, u)
 }
 
-// refuseStranded refuses what waits in pools that lost their last upstream.
-func (s *Scheduler) refuseStranded() {
+// strandTime is how long a request without an upstream waits at a scheduler that
+// may not have heard of all upstreams yet. Upstreams announce themselves every
+// second, and the news reaches all hosts of the cell within half a second more.
+const strandTime = 1500 * time.Millisecond
+
+// refuseStranded refuses what waits in pools without an upstream.
+func (s *Scheduler) refuseStranded(now time.Time) {
 	for _, p := range s.pools {
 		if p.live() {
 			continue
 		}
 		for _, r := range s.waitingIn(p) {
+			if s.unsettled && now.Sub(r.queued) < strandTime {
+				continue
+			}
 			s.dequeue(r)
 			s.refuse(r.ID, NoUpstream, leaseTime)
 			s.settle(r)
