--- a/internal/daemon/runner/admin.go
+++ b/internal/daemon/runner/admin.go
@@ -126,7 +126,11 @@
 		x.Reason = string(d.Reason)
 		x.Retry = retryHint
 	}
-	if x.Owner != x.Host {
+	switch x.Owner {
+	case x.Host:
+	case "":
+		x.Reason += "; the cell has no owner at the moment, so each host dispatches on its part of the slots"
+	default:
 		x.Reason += "; this host does not own the cell, so ask " + string(x.Owner) + " for the whole queue"
 	}
 }
--- a/internal/daemon/runner/entry.go
+++ b/internal/daemon/runner/entry.go
@@ -292,21 +292,28 @@
 	}
 }
 
-// offer offers this host as owner of its cell once it knows the cell.
+// offer offers this host as owner of its cell once it knows the cell, or at once
+// if it has met another host and the cell has no owner.
 func (e *entry) offer(ctx context.Context) {
 	t := e.clock.NewTicker(joinPoll)
 	defer t.Stop()
-	for !e.joined() {
+	var met time.Time
+	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.Chan():
 		}
-	}
-	select {
-	case <-ctx.Done():
-	case <-e.clock.After(viewTime):
-		e.gossiper.Drain(false)
+		if !e.joined() {
+			continue
+		}
+		if met.IsZero() {
+			met = e.clock.Now()
+		}
+		if e.clock.Since(met) >= viewTime || e.gossiper.Snapshot().Owner(e.settings.Cell) == "" {
+			e.gossiper.Drain(false)
+			return
+		}
 	}
 }
 
