--- a/internal/rpc/dialer/dialer.go
+++ b/internal/rpc/dialer/dialer.go
@@ -1,8 +1,8 @@
 // Package dialer makes HTTP clients for calls between the system's own hosts.
 //
-// The clients use HTTP/2 without TLS. A connection that goes silent is closed
-// after a ping stays unanswered; a caller whose call timed out replaces it
-// earlier through Renew.
+// The clients use HTTP/2, over TLS when a configuration is given with WithTLS and
+// otherwise without. A connection that goes silent is closed after a ping stays
+// unanswered; a caller whose call timed out replaces it earlier through Renew.
 //
 // # Usage
 //
@@ -13,6 +13,8 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"fmt"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -41,7 +43,11 @@
 	// Unacknowledged closes a connection whose data the other side has not
 	// acknowledged for this time, which a keepalive probe does not notice.
 	Unacknowledged = 3 * time.Second
-	// Headers bounds the reading of a request's headers.
+	// HandshakeTimeout bounds a TLS handshake: a few round trips and the signatures
+	// of a busy host.
+	HandshakeTimeout = time.Second
+	// Headers bounds the reading of a request's headers, and a server's part of
+	// a TLS handshake.
 	Headers = 5 * time.Second
 )
 
@@ -51,22 +57,39 @@
 // Client makes calls over connections that can be replaced. It implements
 // connect.HTTPClient.
 type Client struct {
+	tls   TLS
 	inner atomic.Pointer[http.Client]
 }
 
+// TLS returns the configuration for a connection to the address. A nil TLS
+// means connections without TLS.
+type TLS func(address string) *tls.Config
+
+// Option changes a new Client.
+type Option func(*Client)
+
+// WithTLS makes every call use TLS, also to a URL with the scheme http, so that
+// nothing can be sent in plain text by mistake.
+func WithTLS(t TLS) Option { return func(c *Client) { c.tls = t } }
+
 // New makes a client.
-func New() *Client {
+func New(options ...Option) *Client {
 	c := &Client{}
-	c.inner.Store(fresh())
+	for _, o := range options {
+		o(c)
+	}
+	c.inner.Store(c.fresh())
 	return c
 }
 
-func fresh() *http.Client {
+func (c *Client) fresh() *http.Client {
 	p := new(http.Protocols)
-	p.SetUnencryptedHTTP2(true)
+	p.SetHTTP2(c.tls != nil)
+	p.SetUnencryptedHTTP2(c.tls == nil)
 	d := net.Dialer{Timeout: Dial, KeepAlive: 5 * time.Second, Control: SetUserTimeout}
 	return &http.Client{Transport: &http.Transport{
 		DialContext:     d.DialContext,
+		DialTLSContext:  c.dialTLS(&d),
 		Protocols:       p,
 		IdleConnTimeout: Unused,
 		HTTP2: &http.HTTP2Config{
@@ -77,15 +100,50 @@
 	}}
 }
 
+// dialTLS returns nil without TLS.
+func (c *Client) dialTLS(d *net.Dialer) func(context.Context, string, string) (net.Conn, error) {
+	if c.tls == nil {
+		return nil
+	}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		t := c.tls(address)
+		t.NextProtos = []string{"h2"}
+		return DialTLS(ctx, d, network, address, t)
+	}
+}
+
+// DialTLS opens a connection and makes the handshake. Its errors have the
+// operation dial, because no byte of a request has been sent.
+func DialTLS(ctx context.Context, d *net.Dialer, network, address string, t *tls.Config) (*tls.Conn, error) {
+	raw, err := d.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, HandshakeTimeout)
+	defer cancel()
+	c := tls.Client(raw, t)
+	if err := c.HandshakeContext(ctx); err != nil {
+		_ = raw.Close()
+		return nil, &net.OpError{Op: "dial", Net: network, Addr: raw.RemoteAddr(), Err: fmt.Errorf("tls handshake: %w", err)}
+	}
+	return c, nil
+}
+
 // Do makes a call.
 func (c *Client) Do(r *http.Request) (*http.Response, error) {
+	if c.tls != nil && r.URL.Scheme != "https" {
+		r = r.WithContext(r.Context())
+		u := *r.URL
+		u.Scheme = "https"
+		r.URL = &u
+	}
 	return c.inner.Load().Do(r)
 }
 
 // Renew makes later calls use new connections. Calls that are open stay on the
 // old ones.
 func (c *Client) Renew() {
-	c.inner.Swap(fresh()).CloseIdleConnections()
+	c.inner.Swap(c.fresh()).CloseIdleConnections()
 }
 
 // Close closes connections that are not in use.
@@ -103,11 +161,12 @@
 func Protocols() *http.Protocols {
 	p := new(http.Protocols)
 	p.SetHTTP1(true)
+	p.SetHTTP2(true)
 	p.SetUnencryptedHTTP2(true)
 	return p
 }
 
-// URL returns the base URL of a host's address.
+// URL returns the base URL of a host's address. A client with TLS uses it too.
 func URL(address string) string { return "http://" + address }
 
 // NewServer returns a server for these clients.
