forwarder, sender: upstreams with https addresses

Cause: an announcement can name a plain address only, so prompts and orders leave the entry host in plain text.

An announced address may begin with https://. Calls that may not be repeated dial and finish the handshake before anything is marked as sent, so a failed handshake counts as not run, and the call goes elsewhere or is refused with "no". Their connection is closed below TLS, because the close of a TLS connection first tries to write. Pooled calls stay on HTTP/1.1, one call at a time. Orders look at the lease again after the handshake. A client certificate that the upstream refuses after this side's handshake has ended leaves the outcome "unknown": with TLS 1.3 the request may have been written by then.

The clients of control, follower, gossiper and sender take a TLS configuration; nothing sets one yet. An upstream's certificate binds the name in its announcement.

TestRotation passed without the server's check of clients at first, because its own client refused the server; it now shows the old certificate with a client that checks nothing, and fails then.

--- a/internal/config/follower/follower.go
+++ b/internal/config/follower/follower.go
@@ -32,6 +32,7 @@
 	"go.uber.org/zap"
 
 	"github.com/amaranthcart/amaranthcart/internal/member/gossiper"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/dialer"
 	"github.com/amaranthcart/amaranthcart/internal/rpc/wire"
 )
 
@@ -59,6 +60,7 @@
 	stale     Stale
 	clock     clockwork.Clock
 	log       *zap.Logger
+	tls       dialer.TLS
 	network   Network
 	rank      func() Rank
 	others    func() []*wire.Follower
@@ -119,6 +121,9 @@
 // WithLogger sets the logger.
 func WithLogger(l *zap.Logger) Option { return func(f *Follower) { f.log = l.Named("follower") } }
 
+// WithTLS protects calls to other hosts.
+func WithTLS(t dialer.TLS) Option { return func(f *Follower) { f.tls = t } }
+
 // WithNetwork replaces the network.
 func WithNetwork(n Network) Option { return func(f *Follower) { f.network = n } }
 
@@ -159,7 +164,7 @@
 		o(f)
 	}
 	if f.network == nil {
-		f.network = newNetwork()
+		f.network = newNetwork(f.tls)
 	}
 	f.core = NewCore(decode, f.faults)
 	f.state.Store(&state{})
--- a/internal/config/follower/network.go
+++ b/internal/config/follower/network.go
@@ -26,18 +26,21 @@
 }
 
 type network struct {
+	tls     dialer.TLS
 	mu      sync.Mutex
 	clients map[string]*dialer.Client
 }
 
-func newNetwork() *network { return &network{clients: map[string]*dialer.Client{}} }
+func newNetwork(t dialer.TLS) *network {
+	return &network{tls: t, clients: map[string]*dialer.Client{}}
+}
 
 func (n *network) client(key string) *dialer.Client {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	c := n.clients[key]
 	if c == nil {
-		c = dialer.New()
+		c = dialer.New(dialer.WithTLS(n.tls))
 		n.clients[key] = c
 	}
 	return c
@@ -46,7 +49,7 @@
 // Confirm asks a control host.
 func (n *network) Confirm(ctx context.Context, address string, q *wire.ConfirmRequest) (*wire.ConfirmResponse, error) {
 	c := n.client(address)
-	a, err := wireconnect.NewControlClient(c, "http://"+address, dialer.Options()...).Confirm(ctx, connect.NewRequest(q))
+	a, err := wireconnect.NewControlClient(c, dialer.URL(address), dialer.Options()...).Confirm(ctx, connect.NewRequest(q))
 	if err != nil {
 		c.Renew()
 		return nil, fmt.Errorf("confirm with %s: %w", address, err)
@@ -57,9 +60,9 @@
 // Watch follows a control host over a connection of its own, so that the end of
 // one stream disturbs no other call.
 func (n *network) Watch(ctx context.Context, address string, q *wire.WatchRequest, receive func(*wire.WatchResponse)) (err error) {
-	c := dialer.New()
+	c := dialer.New(dialer.WithTLS(n.tls))
 	defer c.Close()
-	s, err := wireconnect.NewControlClient(c, "http://"+address, dialer.Options()...).Watch(ctx, connect.NewRequest(q))
+	s, err := wireconnect.NewControlClient(c, dialer.URL(address), dialer.Options()...).Watch(ctx, connect.NewRequest(q))
 	if err != nil {
 		return fmt.Errorf("watch %s: %w", address, err)
 	}
@@ -80,13 +83,13 @@
 	var err error
 	if source.Peer {
 		var a *connect.Response[wire.FetchResponse]
-		a, err = wireconnect.NewPeerClient(c, "http://"+source.Address, dialer.Options()...).Fetch(ctx, connect.NewRequest(&wire.FetchRequest{Revision: number}))
+		a, err = wireconnect.NewPeerClient(c, dialer.URL(source.Address), dialer.Options()...).Fetch(ctx, connect.NewRequest(&wire.FetchRequest{Revision: number}))
 		if err == nil {
 			r = a.Msg.GetRevision()
 		}
 	} else {
 		var a *connect.Response[wire.GetResponse]
-		a, err = wireconnect.NewControlClient(c, "http://"+source.Address, dialer.Options()...).Get(ctx, connect.NewRequest(&wire.GetRequest{Revision: number}))
+		a, err = wireconnect.NewControlClient(c, dialer.URL(source.Address), dialer.Options()...).Get(ctx, connect.NewRequest(&wire.GetRequest{Revision: number}))
 		if err == nil {
 			r = a.Msg.GetRevision()
 		}
--- a/internal/control/coordinator/coordinator.go
+++ b/internal/control/coordinator/coordinator.go
@@ -50,6 +50,7 @@
 
 	"github.com/amaranthcart/amaranthcart/internal/control/applier"
 	"github.com/amaranthcart/amaranthcart/internal/control/replicator"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/dialer"
 	"github.com/amaranthcart/amaranthcart/internal/rpc/record"
 	"github.com/amaranthcart/amaranthcart/internal/storage/journaler"
 )
@@ -75,6 +76,8 @@
 	// Peers are the initial voters, including this host. All control hosts
 	// must be given the same names.
 	Peers []Peer
+	// TLS protects calls to other control hosts; nil means without.
+	TLS dialer.TLS
 	// Check returns the problems of a configuration document.
 	Check func([]byte) []string
 	// Fatal is called once when the coordinator can't go on. It must return
@@ -156,7 +159,7 @@
 	}
 	c.queue.init()
 	c.disk.init()
-	c.transport = newTransport(c.logger, s.Name, s.Peers, &c.group)
+	c.transport = newTransport(c.logger, s.Name, s.Peers, s.TLS, &c.group)
 	c.core, err = newCore(s.Clock.Now(), coreOptions{
 		replica: replicator.Options{
 			Name: s.Name, Address: s.Address, Centre: s.Centre,
--- a/internal/control/coordinator/transport.go
+++ b/internal/control/coordinator/transport.go
@@ -34,6 +34,7 @@
 type transport struct {
 	logger *zap.Logger
 	name   string
+	tls    dialer.TLS
 	group  *conc.WaitGroup
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -58,16 +59,16 @@
 	control wireconnect.ControlClient
 }
 
-func newTransport(l *zap.Logger, name string, peers []Peer, g *conc.WaitGroup) *transport {
-	t := &transport{
-		logger: l, name: name, group: g, addresses: map[string]string{},
+func newTransport(l *zap.Logger, name string, peers []Peer, t dialer.TLS, g *conc.WaitGroup) *transport {
+	x := &transport{
+		logger: l, name: name, tls: t, group: g, addresses: map[string]string{},
 		lanes: map[string]*lane{}, clients: map[string]*caller{},
 	}
-	t.ctx, t.cancel = context.WithCancel(context.Background())
+	x.ctx, x.cancel = context.WithCancel(context.Background())
 	for _, p := range peers {
-		t.addresses[p.Name] = p.Address
+		x.addresses[p.Name] = p.Address
 	}
-	return t
+	return x
 }
 
 // learn notes the address that a host gives in its introduction, which is
@@ -154,7 +155,7 @@
 
 // run sends the messages of a lane, one request at a time and in order.
 func (t *transport) run(name string, l *lane) {
-	client := dialer.New()
+	client := dialer.New(dialer.WithTLS(t.tls))
 	defer client.Close()
 	reachable := true
 	for {
@@ -195,7 +196,7 @@
 	defer t.mu.Unlock()
 	c := t.clients[address]
 	if c == nil {
-		h := dialer.New()
+		h := dialer.New(dialer.WithTLS(t.tls))
 		c = &caller{http: h, control: wireconnect.NewControlClient(h, dialer.URL(address), connect.WithReadMaxBytes(maximumRequest))}
 		t.clients[address] = c
 	}
--- a/internal/entry/forwarder/candidate.go
+++ b/internal/entry/forwarder/candidate.go
@@ -91,7 +91,7 @@
 		c.connected.Store(true)
 	}}
 	body := g.body(c.stream, c.slot.Priority(), text, emitted)
-	url := "http://" + c.slot.Upstream().Address + g.Kind.path()
+	url := c.slot.Upstream().URL() + g.Kind.path()
 	ctx := httptrace.WithClientTrace(c.context, trace)
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
--- a/internal/entry/forwarder/forwarder.go
+++ b/internal/entry/forwarder/forwarder.go
@@ -27,6 +27,7 @@
 	"github.com/amaranthcart/amaranthcart/internal/config/validator"
 	"github.com/amaranthcart/amaranthcart/internal/entry/dispatcher"
 	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/dialer"
 )
 
 const (
@@ -58,6 +59,8 @@
 	Dispatcher dispatcher.Dispatcher
 	Clock      clockwork.Clock
 	Logger     *zap.Logger
+	// TLS is for upstreams with https addresses; without it they are not called.
+	TLS dialer.TLS
 }
 
 // Forwarder sends requests to the upstreams that the dispatcher grants.
@@ -81,7 +84,7 @@
 		dispatcher: o.Dispatcher,
 		clock:      o.Clock,
 		logger:     o.Logger.Named("forwarder"),
-		pool:       newPool(o.Clock),
+		pool:       newPool(o.Clock, o.TLS),
 	}
 }
 
--- a/internal/entry/forwarder/once.go
+++ b/internal/entry/forwarder/once.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
@@ -26,17 +27,18 @@
 		return nil, err
 	}
 	request.Close = true
-	connection, err := t.forwarder.pool.dial(ctx, "tcp", t.slot.Upstream().Address)
+	connection, err := t.forwarder.pool.open(ctx, t.slot.Upstream())
 	if err != nil {
 		return nil, fmt.Errorf("dial upstream: %w", err)
 	}
-	stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
+	lower := withoutTLS(connection)
+	stop := context.AfterFunc(ctx, func() { _ = lower.Close() })
 	if ctx.Err() != nil {
-		_ = connection.Close()
+		_ = lower.Close()
 		return nil, context.Cause(ctx)
 	}
 	t.sent.Store(true)
-	x := &exchange{connection: connection, stop: stop}
+	x := &exchange{connection: lower, stop: stop}
 	// The upstream may answer before it has read the whole body.
 	x.group.Go(func() { x.written = request.Write(connection) })
 	head := &io.LimitedReader{R: connection, N: maxAnswerHeader}
@@ -67,6 +69,15 @@
 	return nil, fmt.Errorf("%w: no final status", errBadAnswer)
 }
 
+// withoutTLS returns the TCP connection below. Closing it ends reads and writes
+// at once, while the close of a TLS connection first tries to write.
+func withoutTLS(c net.Conn) net.Conn {
+	if t, ok := c.(*tls.Conn); ok {
+		return t.NetConn()
+	}
+	return c
+}
+
 // exchange is the body of an answer on a connection of its own.
 type exchange struct {
 	connection net.Conn
--- a/internal/entry/forwarder/plain.go
+++ b/internal/entry/forwarder/plain.go
@@ -284,7 +284,7 @@
 }
 
 func (t *plainAttempt) newRequest(ctx context.Context) (*http.Request, error) {
-	url := "http://" + t.slot.Upstream().Address + t.call.Target
+	url := t.slot.Upstream().URL() + t.call.Target
 	var body io.Reader
 	if len(t.call.Body) > 0 {
 		body = bytes.NewReader(t.call.Body)
--- a/internal/entry/forwarder/pool.go
+++ b/internal/entry/forwarder/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -10,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
 	"github.com/amaranthcart/amaranthcart/internal/rpc/dialer"
 )
 
@@ -51,6 +53,8 @@
 type pool struct {
 	clock  clockwork.Clock
 	dialer *net.Dialer
+	// tls is nil when upstreams with https addresses cannot be called.
+	tls    dialer.TLS
 	shards [poolShards]poolShard
 }
 
@@ -64,8 +68,8 @@
 	since time.Time
 }
 
-func newPool(c clockwork.Clock) *pool {
-	p := &pool{clock: c, dialer: newDialer()}
+func newPool(c clockwork.Clock, t dialer.TLS) *pool {
+	p := &pool{clock: c, dialer: newDialer(), tls: t}
 	for i := range p.shards {
 		p.shards[i].transports = map[string]*agedTransport{}
 	}
@@ -125,6 +129,7 @@
 func (p *pool) newTransport() *http.Transport {
 	return &http.Transport{
 		DialContext:            p.dial,
+		DialTLSContext:         p.dialTLS,
 		MaxIdleConnsPerHost:    maxIdleConnections,
 		IdleConnTimeout:        idleTimeout,
 		DisableCompression:     true,
@@ -136,3 +141,28 @@
 func (p *pool) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	return p.dialer.DialContext(ctx, network, address)
 }
+
+// errNoTLS reports an upstream that another host, which has TLS, passed on.
+var errNoTLS = errors.New("this host has no setting tls, so that it can't call an https address")
+
+// dialTLS makes the handshake before any part of a request is sent, so that a
+// failed handshake counts as not run.
+func (p *pool) dialTLS(ctx context.Context, network, address string) (net.Conn, error) {
+	if p.tls == nil {
+		return nil, &net.OpError{Op: "dial", Net: network, Err: errNoTLS}
+	}
+	c, err := dialer.DialTLS(ctx, p.dialer, network, address, p.tls(address))
+	if err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+// open makes a connection to an upstream that no other request uses.
+func (p *pool) open(ctx context.Context, u registrar.Upstream) (net.Conn, error) {
+	address, secure := u.Endpoint()
+	if secure {
+		return p.dialTLS(ctx, "tcp", address)
+	}
+	return p.dial(ctx, "tcp", address)
+}
--- a/internal/entry/forwarder/pool_test.go
+++ b/internal/entry/forwarder/pool_test.go
@@ -19,7 +19,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer func() { _ = l.Close() }()
-	c, err := newPool(clockwork.NewRealClock()).dial(context.Background(), "tcp", l.Addr().String())
+	c, err := newPool(clockwork.NewRealClock(), nil).dial(context.Background(), "tcp", l.Addr().String())
 	assert.NilError(t, err)
 	defer func() { _ = c.Close() }()
 	raw, err := c.(*net.TCPConn).SyscallConn()
@@ -37,7 +37,7 @@
 // an unbounded number of transports for addresses that have gone.
 func TestPool(t *testing.T) {
 	clock := clockwork.NewFakeClock()
-	p := newPool(clock)
+	p := newPool(clock, nil)
 	old := p.transport("a")
 	assert.Equal(t, p.transport("a"), old)
 	clock.Advance(maxConnectionAge)
--- a/internal/entry/receiver/harness_test.go
+++ b/internal/entry/receiver/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"crypto/tls"
 	"encoding/hex"
 	"fmt"
 	"io"
@@ -26,6 +27,7 @@
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
 	"github.com/amaranthcart/amaranthcart/internal/ops/reporter"
 	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/dialer"
 	"github.com/amaranthcart/amaranthcart/internal/stub/responder"
 )
 
@@ -189,6 +191,8 @@
 	limits    receiver.Limits
 	upstreams int
 	newID     func() string
+	tls       dialer.TLS
+	callers   *tls.Config
 }
 
 func withClock(c clockwork.Clock) harnessOption    { return func(s *harnessSettings) { s.clock = c } }
@@ -196,6 +200,8 @@
 func withLimits(l receiver.Limits) harnessOption   { return func(s *harnessSettings) { s.limits = l } }
 func withUpstreams(n int) harnessOption            { return func(s *harnessSettings) { s.upstreams = n } }
 func withNewID(f func() string) harnessOption      { return func(s *harnessSettings) { s.newID = f } }
+func withTLS(t dialer.TLS) harnessOption           { return func(s *harnessSettings) { s.tls = t } }
+func withCallersTLS(c *tls.Config) harnessOption   { return func(s *harnessSettings) { s.callers = c } }
 
 func testDocument() *validator.Document {
 	sum := sha256.Sum256([]byte(testKey))
@@ -241,7 +247,7 @@
 		u.Address = l.Addr().String()
 		h.dispatcher.upstreams = append(h.dispatcher.upstreams, u)
 	}
-	f := forwarder.New(forwarder.Options{Dispatcher: h.dispatcher, Clock: settings.clock})
+	f := forwarder.New(forwarder.Options{Dispatcher: h.dispatcher, Clock: settings.clock, TLS: settings.tls})
 	h.forwarder = f
 	h.receiver = receiver.New(receiver.Options{
 		Forwarder: f,
@@ -257,8 +263,18 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	h.url = "http://" + l.Addr().String()
+	if settings.callers != nil {
+		h.url = "https" + strings.TrimPrefix(h.url, "http")
+	}
 	server := h.receiver.Server(h.receiver.Handler())
-	group.Go(func() { _ = server.Serve(h.receiver.Limit(l)) })
+	group.Go(func() {
+		if settings.callers == nil {
+			_ = server.Serve(h.receiver.Limit(l))
+			return
+		}
+		server.TLSConfig = settings.callers
+		_ = server.ServeTLS(h.receiver.Limit(l), "", "")
+	})
 	t.Cleanup(func() {
 		h.client.CloseIdleConnections()
 		assert.Check(t, h.receiver.Close())
--- /dev/null
+++ b/internal/entry/receiver/tls_test.go
@@ -0,0 +1,261 @@
+package receiver_test
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"gotest.tools/v3/assert"
+
+	"github.com/amaranthcart/amaranthcart/internal/entry/receiver"
+	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
+	"github.com/amaranthcart/amaranthcart/internal/stub/certifier"
+	"github.com/amaranthcart/amaranthcart/internal/stub/responder"
+)
+
+// upstreamAuthority signs the certificates of upstreams in a test.
+type upstreamAuthority struct {
+	*certifier.Authority
+	pool *x509.CertPool
+}
+
+func newUpstreamAuthority(t *testing.T) upstreamAuthority {
+	t.Helper()
+	a, err := certifier.New()
+	assert.NilError(t, err)
+	pool := x509.NewCertPool()
+	assert.Assert(t, pool.AppendCertsFromPEM(a.PEM()))
+	return upstreamAuthority{a, pool}
+}
+
+func (a upstreamAuthority) issue(t *testing.T, r certifier.Request) *tls.Config {
+	t.Helper()
+	p, err := a.Issue(r)
+	assert.NilError(t, err)
+	pair, err := tls.X509KeyPair(p.Certificate, p.Key)
+	assert.NilError(t, err)
+	return &tls.Config{Certificates: []tls.Certificate{pair}}
+}
+
+// client is the forwarder's configuration.
+func (a upstreamAuthority) client(address string) *tls.Config {
+	host, _, _ := net.SplitHostPort(address)
+	return &tls.Config{RootCAs: a.pool, ServerName: host}
+}
+
+// secure puts a TLS listener in front of an upstream's plain one.
+func secure(t *testing.T, c *tls.Config, plain string) string {
+	t.Helper()
+	l, err := tls.Listen("tcp", "127.0.0.1:0", c)
+	assert.NilError(t, err)
+	relay(t, l, plain)
+	return "https://" + l.Addr().String()
+}
+
+// relay copies both ways between the listener's connections and an address.
+func relay(t *testing.T, l net.Listener, address string) {
+	group := &conc.WaitGroup{}
+	ctx, end := context.WithCancel(context.Background())
+	pipe := func(to, from net.Conn) func() {
+		return func() {
+			_, _ = io.Copy(to, from)
+			_ = to.Close()
+			_ = from.Close()
+		}
+	}
+	group.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			group.Go(func() {
+				u, err := net.Dial("tcp", address)
+				if err != nil {
+					_ = c.Close()
+					return
+				}
+				context.AfterFunc(ctx, func() { _ = u.Close() })
+				group.Go(pipe(c, u))
+				pipe(u, c)()
+			})
+		}
+	})
+	t.Cleanup(func() {
+		_ = l.Close()
+		end()
+		group.Wait()
+	})
+}
+
+// mute accepts connections and says nothing.
+func mute(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	return "https://" + l.Addr().String()
+}
+
+// TestSecureUpstreams guards against a call that is sent to an upstream whose
+// certificate is not valid, against a failed handshake that counts as a run or
+// as a crash, and against a call that is not tried elsewhere after one.
+func TestSecureUpstreams(t *testing.T) {
+	authority, foreign := newUpstreamAuthority(t), newUpstreamAuthority(t)
+	local := certifier.Request{Hosts: []string{"127.0.0.1"}}
+	ended := certifier.Request{Hosts: local.Hosts, From: time.Now().Add(-2 * time.Hour), Until: time.Now().Add(-time.Hour)}
+	future := certifier.Request{Hosts: local.Hosts, From: time.Now().Add(time.Hour)}
+	for _, c := range []struct {
+		name    string
+		address func(t *testing.T, plain string) string
+		fails   bool
+	}{
+		{"valid", func(t *testing.T, plain string) string { return secure(t, authority.issue(t, local), plain) }, false},
+		{"wrong authority", func(t *testing.T, plain string) string { return secure(t, foreign.issue(t, local), plain) }, true},
+		{"expired", func(t *testing.T, plain string) string { return secure(t, authority.issue(t, ended), plain) }, true},
+		{"not yet valid", func(t *testing.T, plain string) string { return secure(t, authority.issue(t, future), plain) }, true},
+		{"other host", func(t *testing.T, plain string) string {
+			return secure(t, authority.issue(t, certifier.Request{Hosts: []string{"127.0.0.2", "upstream.example"}}), plain)
+		}, true},
+		{"plain listener", func(_ *testing.T, plain string) string { return "https://" + plain }, true},
+		{"silent handshake", func(t *testing.T, _ string) string { return mute(t) }, true},
+	} {
+		for _, call := range []struct{ path, body, run string }{
+			{"/svc/ledger/sales", "bale", "POST /sales"},
+			{"/svc/ledger/quote", "bale", "POST /quote"},
+			{"/v1/chat/completions", chatBody("x [[length=9]]", true, ""), ""},
+		} {
+			t.Run(c.name+call.path, func(t *testing.T) {
+				h := newHarness(t, withTLS(authority.client))
+				h.dispatcher.upstreams[0].Address = c.address(t, h.dispatcher.upstreams[0].Address)
+				a := h.do(http.MethodPost, call.path, call.body)
+				assert.NilError(t, a.err)
+				assert.Equal(t, a.status, http.StatusOK, a.body)
+				want := []scheduler.Outcome{scheduler.Completed}
+				if c.fails {
+					want = []scheduler.Outcome{scheduler.Failed, scheduler.Completed}
+				}
+				eventually(t, "all slots are released", func() bool { return len(h.dispatcher.outcomes()) == len(want) })
+				assert.DeepEqual(t, h.dispatcher.outcomes(), want)
+				ran := 0
+				for _, r := range h.responders {
+					ran += r.Runs()[call.run]
+				}
+				if call.run != "" {
+					assert.Equal(t, ran, 1)
+				}
+				h.dispatcher.upstreams = h.dispatcher.upstreams[:1]
+				if a = h.do(http.MethodPost, call.path, call.body); c.fails {
+					assert.Equal(t, a.run(), "no", a.body)
+				}
+			})
+		}
+	}
+	t.Run("without TLS in the settings", func(t *testing.T) {
+		h := newHarness(t)
+		h.dispatcher.upstreams[0].Address = secure(t, authority.issue(t, local), h.dispatcher.upstreams[0].Address)
+		assert.Equal(t, h.do(http.MethodPost, "/svc/ledger/sales", "bale").status, http.StatusOK)
+		assert.Equal(t, h.responders[0].Runs()["POST /sales"], 0)
+	})
+}
+
+// TestTransportReplayTLS guards against a sale that is resent over TLS when its
+// connection dies after the request, and against a "no" for it. The first part
+// shows that the server springs the trap with a plain client.
+func TestTransportReplayTLS(t *testing.T) {
+	authority := newUpstreamAuthority(t)
+	local := certifier.Request{Hosts: []string{"127.0.0.1"}}
+	for _, method := range []string{http.MethodPost, http.MethodPut, http.MethodDelete} {
+		t.Run(method, func(t *testing.T) {
+			trap := newHangUp(t)
+			address := secure(t, authority.issue(t, local), trap.listener.Addr().String())
+			plain := &http.Client{Transport: &http.Transport{TLSClientConfig: authority.client("127.0.0.1:0")}}
+			defer plain.CloseIdleConnections()
+			warm, err := plain.Get(address)
+			assert.NilError(t, err)
+			_, _ = io.Copy(io.Discard, warm.Body)
+			_ = warm.Body.Close()
+			q, err := http.NewRequest(http.MethodPost, address, http.NoBody)
+			assert.NilError(t, err)
+			q.Header.Set("Idempotency-Key", "k")
+			_, err = plain.Do(q)
+			assert.Assert(t, err != nil)
+			assert.Equal(t, trap.count(), 2, "net/http no longer resends; the trap needs another form")
+
+			trap = newHangUp(t)
+			h := newHarness(t, withUpstreams(2), withClaimer(&fakeClaimer{}), withTLS(authority.client))
+			h.dispatcher.upstreams[0].Address = secure(t, authority.issue(t, local), trap.listener.Addr().String())
+			assert.Equal(t, h.do(http.MethodGet, "/svc/ledger/warm", "").body, "ok")
+			a := h.do(method, "/svc/ledger/sales", "", "X-Idempotency-Key", "k")
+			assert.Equal(t, a.status, http.StatusBadGateway)
+			assert.Equal(t, a.run(), "unknown")
+			assert.Equal(t, trap.count(), 1)
+			assert.Equal(t, len(h.responders[1].Runs()), 0)
+		})
+	}
+}
+
+// TestRefusedClientCertificate guards against a "no" for a sale that an upstream
+// refused after the handshake had ended on this side, when bytes had left.
+func TestRefusedClientCertificate(t *testing.T) {
+	authority := newUpstreamAuthority(t)
+	server := authority.issue(t, certifier.Request{Hosts: []string{"127.0.0.1"}})
+	server.ClientAuth = tls.RequireAndVerifyClientCert
+	server.ClientCAs = authority.pool
+	h := newHarness(t, withTLS(authority.client))
+	h.dispatcher.upstreams[0].Address = secure(t, server, h.dispatcher.upstreams[0].Address)
+	a := h.do(http.MethodPost, "/svc/ledger/sales", "bale")
+	assert.Equal(t, a.status, http.StatusBadGateway, a.body)
+	assert.Equal(t, a.run(), "unknown")
+	assert.Equal(t, h.responders[0].Runs()["POST /sales"]+h.responders[1].Runs()["POST /sales"], 0)
+}
+
+// TestCallersTLS guards against a callers' listener that speaks one of the two
+// protocols over TLS only in part, and against silent handshakes that keep
+// others out.
+func TestCallersTLS(t *testing.T) {
+	authority := newUpstreamAuthority(t)
+	config := authority.issue(t, certifier.Request{Hosts: []string{"127.0.0.1"}})
+	h := newHarness(t, withCallersTLS(config), withLimits(receiver.Limits{Connections: 64}))
+	for range 32 {
+		c, err := net.Dial("tcp", h.url[len("https://"):])
+		assert.NilError(t, err)
+		defer func() { _ = c.Close() }()
+	}
+	for _, proto := range []string{"HTTP/1.1", "HTTP/2.0"} {
+		transport := &http.Transport{TLSClientConfig: authority.client("127.0.0.1:0"), ForceAttemptHTTP2: proto == "HTTP/2.0"}
+		h.client = &http.Client{Transport: transport}
+		for _, stream := range []bool{true, false} {
+			a := h.do(http.MethodPost, "/v1/chat/completions", chatBody("x [[length=9]]", stream, ""))
+			assert.NilError(t, a.err)
+			assert.Equal(t, len(readGenerated(t, a, stream).text) > 0, true)
+		}
+		a := h.do(http.MethodPost, "/svc/ledger/sales", "bale")
+		assert.Equal(t, fmt.Sprintf("%d %s %v", a.status, a.run(), a.err), "200 yes <nil>")
+		// A broken answer must not look whole.
+		for _, r := range h.responders {
+			r.Set(responder.Behaviour{Break: 3})
+		}
+		a = h.do(http.MethodPost, "/v1/chat/completions", chatBody("x [[length=9]]", true, `,"tools":[{}]`))
+		assert.Assert(t, a.err != nil, "%s", a.body)
+		for _, r := range h.responders {
+			r.Set(responder.Behaviour{})
+		}
+		q, err := h.client.Get(h.url + "/ready")
+		assert.NilError(t, err)
+		assert.Equal(t, q.Proto, proto)
+		assert.NilError(t, q.Body.Close())
+		transport.CloseIdleConnections()
+	}
+	q, err := http.Get("http" + h.url[len("https"):] + "/ready")
+	assert.NilError(t, err)
+	assert.Equal(t, q.StatusCode, http.StatusBadRequest)
+	assert.NilError(t, q.Body.Close())
+}
--- a/internal/member/gossiper/announce.go
+++ b/internal/member/gossiper/announce.go
@@ -1,6 +1,7 @@
 package gossiper
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -8,10 +9,12 @@
 	"math"
 	"net"
 	"net/http"
+	"strconv"
 
 	"go.uber.org/zap"
 
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/authenticator"
 )
 
 // AnnouncePath is where upstreams announce themselves with POST.
@@ -71,8 +74,11 @@
 	fault(u.Load.Waiting < 0, "load.waiting: %d, must not be negative", u.Load.Waiting)
 	fault(math.IsNaN(u.Load.Cache) || u.Load.Cache < 0 || u.Load.Cache > 1, "load.cache: %v, must be between 0 and 1", u.Load.Cache)
 	if !u.Leaving {
-		_, _, err := net.SplitHostPort(u.Address)
-		fault(err != nil, "address: %q must be host:port", u.Address)
+		address, secure := u.Endpoint()
+		host, port, err := net.SplitHostPort(address)
+		_, number := strconv.ParseUint(port, 10, 16)
+		fault(!secure && err != nil, "address: %q must be host:port", u.Address)
+		fault(secure && (err != nil || host == "" || number != nil), "address: %q must be https://host:port", u.Address)
 		fault(len(u.Models)+len(u.Services) == 0, "models, services: at least one is needed")
 	}
 	if len(faults) > 0 {
@@ -110,6 +116,10 @@
 		a.reply(w, http.StatusBadRequest, Reply{Reason: "the announcement is invalid", Problems: problems(err)})
 		return
 	}
+	if reason := a.g.refuse(r.Context(), u); reason != "" {
+		a.reply(w, http.StatusForbidden, Reply{Reason: reason})
+		return
+	}
 	status, reply := a.g.announce(u)
 	a.reply(w, status, reply)
 }
@@ -138,6 +148,17 @@
 	}
 }
 
+// refuse tells why an upstream may not announce itself so, or returns nothing.
+func (g *Gossiper) refuse(ctx context.Context, u registrar.Upstream) string {
+	if name := authenticator.Named(ctx, authenticator.Upstream); name != "" && name != string(u.Name) {
+		return "the certificate is that of the upstream " + name
+	}
+	if _, secure := u.Endpoint(); secure && !g.secure {
+		return "this host has no setting tls, so that it can't call an https address"
+	}
+	return ""
+}
+
 // announce applies the announcement of an upstream that reached this host.
 func (g *Gossiper) announce(u registrar.Upstream) (int, Reply) {
 	if u.Cell == "" {
--- a/internal/member/gossiper/gossiper.go
+++ b/internal/member/gossiper/gossiper.go
@@ -28,6 +28,7 @@
 	"go.uber.org/zap"
 
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/dialer"
 	"github.com/amaranthcart/amaranthcart/internal/rpc/wire"
 )
 
@@ -95,6 +96,8 @@
 	clock     clockwork.Clock
 	log       *zap.Logger
 	random    *rand.Rand
+	tls       dialer.TLS
+	secure    bool
 	exchanger Exchanger
 	prints    Fingerprints
 	revisions Revisions
@@ -140,6 +143,13 @@
 	return func(g *Gossiper) { g.random = rand.New(rand.NewPCG(seed, 0)) }
 }
 
+// WithTLS protects calls to other hosts.
+func WithTLS(t dialer.TLS) Option { return func(g *Gossiper) { g.tls = t } }
+
+// WithSecureUpstreams takes upstreams with https addresses, which this host can
+// call then.
+func WithSecureUpstreams() Option { return func(g *Gossiper) { g.secure = true } }
+
 // WithExchanger replaces the network.
 func WithExchanger(e Exchanger) Option { return func(g *Gossiper) { g.exchanger = e } }
 
@@ -176,7 +186,7 @@
 		o(g)
 	}
 	if g.exchanger == nil {
-		g.exchanger = newCaller()
+		g.exchanger = newCaller(g.tls)
 	}
 	if self.Incarnation == 0 {
 		self.Incarnation = registrar.Incarnation(g.clock.Now().UnixNano())
--- a/internal/member/gossiper/peer.go
+++ b/internal/member/gossiper/peer.go
@@ -298,11 +298,14 @@
 
 // caller makes exchanges over the network.
 type caller struct {
+	tls     dialer.TLS
 	mu      sync.Mutex
 	clients map[string]*dialer.Client
 }
 
-func newCaller() *caller { return &caller{clients: map[string]*dialer.Client{}} }
+func newCaller(t dialer.TLS) *caller {
+	return &caller{tls: t, clients: map[string]*dialer.Client{}}
+}
 
 func (c *caller) client(address string) *dialer.Client {
 	c.mu.Lock()
@@ -315,7 +318,7 @@
 				delete(c.clients, a)
 			}
 		}
-		d = dialer.New()
+		d = dialer.New(dialer.WithTLS(c.tls))
 		c.clients[address] = d
 	}
 	return d
@@ -326,7 +329,7 @@
 // connection; an exchange may be repeated without harm.
 func (c *caller) Exchange(ctx context.Context, address string, q *wire.GossipRequest) (*wire.GossipResponse, error) {
 	d := c.client(address)
-	client := wireconnect.NewPeerClient(d, "http://"+address, dialer.Options()...)
+	client := wireconnect.NewPeerClient(d, dialer.URL(address), dialer.Options()...)
 	first, cancel := context.WithTimeout(ctx, Timeout/2)
 	defer cancel()
 	a, err := client.Gossip(first, connect.NewRequest(q))
--- a/internal/member/registrar/upstream.go
+++ b/internal/member/registrar/upstream.go
@@ -6,7 +6,11 @@
 // entry hosts and ticks through Step, and carry out the returned actions.
 package registrar
 
-import "github.com/amaranthcart/amaranthcart/internal/config/validator"
+import (
+	"strings"
+
+	"github.com/amaranthcart/amaranthcart/internal/config/validator"
+)
 
 // UpstreamID is the name of an upstream, unique in a deployment.
 type UpstreamID string
@@ -32,7 +36,8 @@
 
 // Upstream is the latest news of an upstream.
 type Upstream struct {
-	Name        UpstreamID           `json:"name"`
+	Name UpstreamID `json:"name"`
+	// Address is host:port, or https://host:port when the upstream serves TLS.
 	Address     string               `json:"address"`
 	Centre      DataCentre           `json:"centre"`
 	Cell        CellName             `json:"cell,omitempty"`
@@ -47,6 +52,22 @@
 	Leaving     bool                 `json:"leaving,omitempty"`
 }
 
+// secureScheme begins the address of an upstream that serves TLS.
+const secureScheme = "https://"
+
+// Endpoint returns host and port of the address, and whether it serves TLS.
+func (u Upstream) Endpoint() (address string, secure bool) {
+	return strings.CutPrefix(u.Address, secureScheme)
+}
+
+// URL returns the base URL of the upstream.
+func (u Upstream) URL() string {
+	if _, secure := u.Endpoint(); secure {
+		return u.Address
+	}
+	return "http://" + u.Address
+}
+
 // Serves reports whether the upstream runs requests of the pool.
 func (u Upstream) Serves(p validator.PoolName) bool {
 	for _, m := range u.Models {
--- a/internal/order/sender/sender.go
+++ b/internal/order/sender/sender.go
@@ -29,7 +29,9 @@
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
 	"github.com/amaranthcart/amaranthcart/internal/order/issuer"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/dialer"
 )
 
 // Path is where engines take orders.
@@ -54,6 +56,8 @@
 	Report func(issuer.Ordered)
 	Clock  clockwork.Clock
 	Logger *zap.Logger
+	// TLS is for engines with https addresses; without it they get no orders.
+	TLS dialer.TLS
 }
 
 // Sender sends orders.
@@ -78,7 +82,7 @@
 	}
 	s := &Sender{options: o}
 	s.client = &http.Client{
-		Transport: &http.Transport{DialContext: s.dial, DisableKeepAlives: true},
+		Transport: &http.Transport{DialContext: s.dial, DialTLSContext: s.dialTLS, DisableKeepAlives: true},
 		// A redirected order could reach an engine that it isn't meant for.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
@@ -99,6 +103,26 @@
 	if err != nil {
 		return nil, err
 	}
+	return s.check(ctx, c)
+}
+
+var errNoTLS = errors.New("this host has no setting tls, so that it can't call an https address")
+
+// dialTLS looks at the lease after the handshake.
+func (s *Sender) dialTLS(ctx context.Context, network, address string) (net.Conn, error) {
+	if s.options.TLS == nil {
+		return nil, &net.OpError{Op: "dial", Net: network, Err: errNoTLS}
+	}
+	d := net.Dialer{Timeout: issuer.SendTimeout}
+	c, err := dialer.DialTLS(ctx, &d, network, address, s.options.TLS(address))
+	if err != nil {
+		return nil, err
+	}
+	return s.check(ctx, c)
+}
+
+// check closes a connection for an order whose lease has ended.
+func (s *Sender) check(ctx context.Context, c net.Conn) (net.Conn, error) {
 	if until, ok := ctx.Value(untilKey{}).(time.Time); ok && !s.options.Clock.Now().Before(until) {
 		return nil, errors.Join(errEnded, c.Close())
 	}
@@ -152,7 +176,7 @@
 	ctx = context.WithValue(ctx, untilKey{}, o.Until)
 	// The body can't be read again, so that the transport never sends an order
 	// twice.
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+o.Address+Path, io.NopCloser(bytes.NewReader(data)))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, registrar.Upstream{Address: o.Address}.URL()+Path, io.NopCloser(bytes.NewReader(data)))
 	if err != nil {
 		return issuer.Failed, fmt.Errorf("address of the upstream: %w", err)
 	}
--- a/internal/rpc/authenticator/authenticator_test.go
+++ b/internal/rpc/authenticator/authenticator_test.go
@@ -352,10 +352,14 @@
 	}
 	t.Logf("%d requests, each over a new connection", done.Load())
 	// The authority that was taken out must no longer be accepted.
-	stale, _ := open(t, old, entry1)
-	c := dialer.New(dialer.WithTLS(stale.Client))
+	pair := issue(t, old, certifier.Request{}, entry1)
+	shown, err := tls.X509KeyPair(pair.Certificate, pair.Key)
+	assert.NilError(t, err)
+	c := dialer.New(dialer.WithTLS(func(string) *tls.Config {
+		return &tls.Config{InsecureSkipVerify: true, Certificates: []tls.Certificate{shown}}
+	}))
 	defer c.Close()
-	_, err := get(t.Context(), c, address)
+	_, err = get(t.Context(), c, address)
 	assert.Assert(t, err != nil)
 }
 
