tls: settings, identities of hosts, operators' certificates, callers

Cause: the settings refused the field tls, so all traffic was plain text, the name in the audit trail rested on a key sent in plain text, and any process that could reach a control host could take part in the replicated log.

With the setting tls, the listeners peers and admin speak TLS 1.3 and check client certificates; callers' TLS is set apart, since callers see another authority. Each role has its own procedures, and everything that is not listed is closed. Control hosts are known by the names in the setting control; log introductions, gossip and announcements count only under the name in the certificate. Only operators' certificates change the configuration or drain hosts; keys are refused in the settings with tls, so that nobody takes them for valid. The metric certificate_remaining_seconds tells the time left. Without the setting nothing changes; dev stays plain.

Ruled out: requiring client certificates on admin, because those that read metrics and health have none; names of entry hosts bound to addresses, because no settings list entry hosts.

Before: tls was refused at load. Mutations (trials, each reverted): without the list of control hosts 11 cases of TestAdmit fail; taking the claimed operator from anybody fails 6 cases of TestOperatorCertificates, without the list of operators 1; without the check of names TestExchangeUnderOwnName and TestGossipUnderOwnName fail; without the look at the key file TestCertificates/no_key fails; a wrong expected name of control hosts fails TestTLS.

After: go test -race -count=1 of all packages under internal passes but for one failure of TestRefusals/keyed,_dial_refused, which passed on the next runs (30 of 30 alone): the stand-in upstream was closed before it had begun to serve. TestTLS: 427 requests while four hosts took up new certificates, none failed (one run); it passes with TestWholePath under -race on the test side.

The parts of deploy in the process tests are split, so that settings can be changed before the start; what it does is the same.

--- a/cmd/amaranthd/process_test.go
+++ b/cmd/amaranthd/process_test.go
@@ -89,6 +89,16 @@
 		processes: map[string]*process{}, settings: map[string]*loader.Settings{}, stubs: map[string]string{},
 	}
 	t.Cleanup(d.close)
+	deploySettings(t, d, controls, entries)
+	for _, name := range append(d.control, d.entries...) {
+		d.startDaemon(name)
+	}
+	return d
+}
+
+// deploySettings makes the settings of a deployment that has not been started.
+func deploySettings(t testing.TB, d *deployment, controls, entries int) map[string]*loader.Settings {
+	t.Helper()
 	var members []loader.Member
 	for i := range controls {
 		name := fmt.Sprint("control-", i+1)
@@ -122,10 +132,7 @@
 	for _, name := range d.entries {
 		d.settings[name].Seeds = seeds
 	}
-	for _, name := range append(d.control, d.entries...) {
-		d.startDaemon(name)
-	}
-	return d
+	return d.settings
 }
 
 func (d *deployment) startDaemon(name string) {
--- a/cmd/amaranthstub/main.go
+++ b/cmd/amaranthstub/main.go
@@ -9,6 +9,8 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"net"
 	"os"
 	"os/signal"
@@ -20,6 +22,7 @@
 
 	"github.com/amaranthcart/amaranthcart/internal/config/validator"
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/authenticator"
 	"github.com/amaranthcart/amaranthcart/internal/stub/responder"
 )
 
@@ -37,12 +40,25 @@
 	services := app.Flag("service", "Plain service to serve; repeatable.").Strings()
 	entries := app.Flag("entry", "Entry host to announce to; repeatable.").Strings()
 	slots := app.Flag("slots", "Generations at once.").Default("64").Int()
+	certificate := app.Flag("certificate", "Certificate file; serves TLS and announces an https address.").String()
+	keyFile := app.Flag("key", "Key file of the certificate.").String()
+	authority := app.Flag("authority", "File with the authority of the entry hosts' certificates.").String()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 
 	logger, err := zap.NewProduction()
 	app.FatalIfError(err, "logger")
 	listener, err := net.Listen("tcp", *listen)
 	app.FatalIfError(err, "listen")
+	var client *tls.Config
+	if *certificate != "" {
+		var server *tls.Config
+		server, client, err = readTLS(*certificate, *keyFile, *authority)
+		app.FatalIfError(err, "certificates")
+		if *address == "" {
+			*address = "https://" + listener.Addr().String()
+		}
+		listener = tls.NewListener(listener, server)
+	}
 	r := responder.New(responder.Options{
 		Name:     registrar.UpstreamID(*name),
 		Address:  *address,
@@ -53,6 +69,7 @@
 		Slots:    *slots,
 		Entries:  *entries,
 		Logger:   logger,
+		TLS:      client,
 		Crash:    func() { os.Exit(crashStatus) },
 	})
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
@@ -69,6 +86,30 @@
 	app.FatalIfError(err, "serve")
 }
 
+// readTLS returns configurations for the server and for announcements. Entry
+// hosts are known by their identity instead of their address.
+func readTLS(certificate, key, authority string) (server, client *tls.Config, err error) {
+	pair, err := tls.LoadX509KeyPair(certificate, key)
+	if err != nil {
+		return nil, nil, err
+	}
+	data, err := os.ReadFile(authority)
+	if err != nil {
+		return nil, nil, err
+	}
+	pool := x509.NewCertPool()
+	pool.AppendCertsFromPEM(data)
+	a, err := authenticator.Open(authenticator.Options{
+		Files:  authenticator.Files{Certificate: certificate, Key: key, Authority: authority},
+		Accept: func(string) []authenticator.Identity { return []authenticator.Identity{{Role: authenticator.Entry}} },
+	})
+	if err != nil {
+		return nil, nil, err
+	}
+	server = &tls.Config{Certificates: []tls.Certificate{pair}, ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert}
+	return server, a.Client(""), nil
+}
+
 func pools(names []string) []validator.PoolName {
 	list := make([]validator.PoolName, 0, len(names))
 	for _, n := range names {
--- a/internal/control/coordinator/service.go
+++ b/internal/control/coordinator/service.go
@@ -14,6 +14,7 @@
 	"github.com/amaranthcart/amaranthcart/internal/config/validator"
 	"github.com/amaranthcart/amaranthcart/internal/control/applier"
 	"github.com/amaranthcart/amaranthcart/internal/control/replicator"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/authenticator"
 	"github.com/amaranthcart/amaranthcart/internal/rpc/record"
 	"github.com/amaranthcart/amaranthcart/internal/rpc/wire"
 	"github.com/amaranthcart/amaranthcart/internal/rpc/wire/wireconnect"
@@ -239,12 +240,16 @@
 }
 
 // Exchange takes messages of the replicated log.
-func (s service) Exchange(_ context.Context, q *connect.Request[wire.ExchangeRequest]) (*connect.Response[wire.ExchangeResponse], error) {
+func (s service) Exchange(ctx context.Context, q *connect.Request[wire.ExchangeRequest]) (*connect.Response[wire.ExchangeResponse], error) {
 	for _, data := range q.Msg.Messages {
 		m := &record.Message{}
 		if err := proto.Unmarshal(data, m); err != nil {
 			return nil, connect.NewError(connect.CodeInvalidArgument, err)
 		}
+		// With TLS a host may only introduce itself under its own name.
+		if name := authenticator.Named(ctx, authenticator.Control); name != "" && m.Name != "" && m.Name != name {
+			return nil, connect.NewError(connect.CodePermissionDenied, fmt.Errorf("the certificate is that of control host %s, the message that of %s", name, m.Name))
+		}
 		s.c.receive(m)
 	}
 	return connect.NewResponse(&wire.ExchangeResponse{}), nil
--- a/internal/ctl/commander/commander.go
+++ b/internal/ctl/commander/commander.go
@@ -90,8 +90,11 @@
 	controls []string
 	entry    string
 	key      string
-	output   string
-	timeout  time.Duration
+	// certificate and authority are file names; with them key is one too.
+	certificate string
+	authority   string
+	output      string
+	timeout     time.Duration
 
 	file         string
 	base         uint64
@@ -176,6 +179,10 @@
 		Envar("AMARANTH_CONTROL").PlaceHolder("HOST:PORT,...").SetValue(&addresses{list: &c.controls})
 	app.Flag("entry", "Address of an entry host (its setting admin).").
 		Envar("AMARANTH_ENTRY").PlaceHolder("HOST:PORT").StringVar(&c.entry)
+	app.Flag("authority", "File with the authority of the hosts' certificates; turns TLS on.").
+		Envar("AMARANTH_AUTHORITY").PlaceHolder("FILE").StringVar(&c.authority)
+	app.Flag("certificate", "File with the operator's certificate; with it --key names the file of its private key.").
+		Envar("AMARANTH_CERTIFICATE").PlaceHolder("FILE").StringVar(&c.certificate)
 	app.Flag("key", "Operator key; better set in the environment, because command lines are visible to others.").
 		Envar("AMARANTH_KEY").StringVar(&c.key)
 	app.Flag("output", "Form of the results: text or json.").Default("text").EnumVar(&c.output, "text", "json")
--- a/internal/ctl/commander/entry.go
+++ b/internal/ctl/commander/entry.go
@@ -12,6 +12,7 @@
 	"strings"
 
 	"github.com/amaranthcart/amaranthcart/internal/ops/inspector"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/authenticator"
 )
 
 // upstreams prints the upstreams of an entry host.
@@ -92,12 +93,16 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, nil)
+	secure, err := c.secure(authenticator.Entry, authenticator.Control)
+	if err != nil {
+		return err
+	}
+	r, err := http.NewRequestWithContext(ctx, method, c.scheme()+address+path, nil)
 	if err != nil {
 		return fail(ExitUsage, "address %q: %w", address, err)
 	}
 	c.authorize(r.Header)
-	t := &http.Transport{DisableKeepAlives: true}
+	t := &http.Transport{DisableKeepAlives: true, DialTLSContext: dialTLS(c.timeout, secure, "http/1.1")}
 	status, body, err := send(&http.Client{Transport: t}, r)
 	if err != nil {
 		return fail(ExitUnreachable, "%s did not answer: %s", address, explainHTTP(err))
--- a/internal/ctl/commander/read.go
+++ b/internal/ctl/commander/read.go
@@ -9,6 +9,7 @@
 
 	"github.com/sourcegraph/conc/iter"
 
+	"github.com/amaranthcart/amaranthcart/internal/rpc/authenticator"
 	"github.com/amaranthcart/amaranthcart/internal/rpc/wire"
 	"github.com/amaranthcart/amaranthcart/internal/rpc/wire/wireconnect"
 )
@@ -91,10 +92,14 @@
 	if len(c.controls) == 0 {
 		return fail(ExitUsage, "the addresses of control hosts are required: set --control or AMARANTH_CONTROL")
 	}
+	secure, err := c.secure(authenticator.Control)
+	if err != nil {
+		return err
+	}
 	hosts := iter.Map(c.controls, func(address *string) hostStatus {
-		s, err := callOne(ctx, c, *address, wireconnect.ControlClient.Status, &wire.StatusRequest{})
+		s, err := callOne(ctx, c, secure, *address, wireconnect.ControlClient.Status, &wire.StatusRequest{})
 		if err != nil {
-			return hostStatus{Address: *address, Error: explainError(err)}
+			return hostStatus{Address: *address, Error: explainError(err, secure != nil)}
 		}
 		return hostStatus{Address: *address, Status: s}
 	})
--- a/internal/daemon/runner/control.go
+++ b/internal/daemon/runner/control.go
@@ -24,6 +24,7 @@
 		Folder:  filepath.Join(s.Data, "control"),
 		Centre:  string(s.Centre),
 		Peers:   voters(s),
+		TLS:     d.tls(),
 		Check:   checkDocument,
 		Fatal:   d.fail,
 		Clock:   d.clock,
--- a/internal/daemon/runner/entry.go
+++ b/internal/daemon/runner/entry.go
@@ -46,6 +46,8 @@
 	notice    time.Duration
 	started   time.Time
 	reporter  *reporter.Reporter
+	tls       dialer.TLS
+	upstreams dialer.TLS
 	client    *dialer.Client
 	local     *dispatcher.Local
 	gossiper  *gossiper.Gossiper
@@ -71,14 +73,16 @@
 
 func (d *Daemon) startEntry(mux *http.ServeMux) error {
 	e := &entry{
-		settings: d.settings,
-		clock:    d.clock,
-		logger:   d.logger.Named("entry"),
-		notice:   d.notice,
-		started:  d.clock.Now(),
-		reporter: d.reporter,
-		client:   dialer.New(),
-		local:    dispatcher.NewLocal(scheduler.New(scheduler.WithSeed(uint64(d.clock.Now().UnixNano()))), d.clock),
+		settings:  d.settings,
+		clock:     d.clock,
+		logger:    d.logger.Named("entry"),
+		notice:    d.notice,
+		started:   d.clock.Now(),
+		reporter:  d.reporter,
+		tls:       d.tls(),
+		upstreams: d.upstreamTLS(),
+		client:    dialer.New(dialer.WithTLS(d.tls())),
+		local:     dispatcher.NewLocal(scheduler.New(scheduler.WithSeed(uint64(d.clock.Now().UnixNano()))), d.clock),
 	}
 	d.entry = e
 	if err := e.startFollower(); err != nil {
@@ -104,6 +108,7 @@
 		follower.WithRank(e.rank),
 		follower.WithOthers(e.others),
 		follower.WithOnEnforce(e.enforce),
+		follower.WithTLS(e.tls),
 	}
 	if s.Data != "" {
 		if err := os.MkdirAll(s.Data, folderMode); err != nil {
@@ -182,7 +187,7 @@
 		Cell:        s.Cell,
 		Incarnation: registrar.Incarnation(e.clock.Now().UnixNano()),
 	}
-	e.gossiper = gossiper.New(self,
+	options := []gossiper.Option{
 		gossiper.WithSeeds(s.Seeds...),
 		gossiper.WithClock(e.clock),
 		gossiper.WithLogger(e.logger),
@@ -190,7 +195,12 @@
 		gossiper.WithRevisions(e.follower),
 		gossiper.WithOnAction(e.apply),
 		gossiper.WithRegistrarOptions(registrar.WithScope()),
-	)
+		gossiper.WithTLS(e.tls),
+	}
+	if e.upstreams != nil {
+		options = append(options, gossiper.WithSecureUpstreams())
+	}
+	e.gossiper = gossiper.New(self, options...)
 }
 
 // apply passes membership news on to the scheduler.
@@ -223,7 +233,7 @@
 }
 
 func (e *entry) startReceiver(logger *zap.Logger) {
-	e.forwarder = forwarder.New(forwarder.Options{Dispatcher: e.cell, Clock: e.clock, Logger: logger})
+	e.forwarder = forwarder.New(forwarder.Options{Dispatcher: e.cell, Clock: e.clock, Logger: logger, TLS: e.upstreams})
 	e.claimer = claimer.New(claimer.Options{
 		Addresses: e.controls(),
 		Host:      string(e.settings.Name),
--- a/internal/daemon/runner/orders.go
+++ b/internal/daemon/runner/orders.go
@@ -59,7 +59,7 @@
 		issuer: issuer.New(issuer.Options{Cell: e.settings.Cell, Host: e.settings.Name, NewToken: uuid.NewString}),
 	}
 	o.sender = sender.New(sender.Options{
-		Clock: e.clock, Logger: o.logger, Report: func(r issuer.Ordered) { o.step(r) },
+		Clock: e.clock, Logger: o.logger, TLS: e.upstreams, Report: func(r issuer.Ordered) { o.step(r) },
 	})
 	for _, a := range e.controls() {
 		o.clients = append(o.clients, wireconnect.NewControlClient(e.client, dialer.URL(a), dialer.Options()...))
--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -26,6 +26,7 @@
 
 	"github.com/amaranthcart/amaranthcart/internal/ops/guardian"
 	"github.com/amaranthcart/amaranthcart/internal/ops/reporter"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/authenticator"
 	"github.com/amaranthcart/amaranthcart/internal/rpc/dialer"
 	"github.com/amaranthcart/amaranthcart/internal/settings/loader"
 )
@@ -39,6 +40,7 @@
 	logger   *zap.Logger
 	clock    clockwork.Clock
 	notice   time.Duration
+	security *authenticator.Authenticator
 	guardian *guardian.Guardian
 	reporter *reporter.Reporter
 	entry    *entry
@@ -80,14 +82,16 @@
 		logger:   zap.NewNop(),
 		clock:    clockwork.NewRealClock(),
 		notice:   DefaultNotice,
-		guardian: guardian.New(s.Operators),
 		fatal:    make(chan error, 1),
 		stop:     make(chan struct{}),
 	}
 	for _, o := range options {
 		o(d)
 	}
-	d.reporter = reporter.New(reporter.WithClock(d.clock), reporter.WithReady(d.readiness))
+	if err := d.openSecurity(); err != nil {
+		return nil, fmt.Errorf("open the certificates: %w", err)
+	}
+	d.reporter = reporter.New(reporter.WithClock(d.clock), reporter.WithReady(d.readiness), reporter.WithCertificates(d.certificates))
 	if err := d.start(); err != nil {
 		ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 		defer cancel()
@@ -108,10 +112,10 @@
 			return fmt.Errorf("start entry: %w", err)
 		}
 	}
-	if _, err := d.serve(dialer.NewServer(peers), d.settings.Peers, nil); err != nil {
+	if _, err := d.serve(d.peersServer(peers), d.settings.Peers, nil); err != nil {
 		return err
 	}
-	address, err := d.serve(dialer.NewServer(d.adminHandler()), d.settings.Admin, nil)
+	address, err := d.serve(d.adminServer(), d.settings.Admin, nil)
 	if err != nil {
 		return err
 	}
@@ -123,7 +127,7 @@
 	d.entry.follower.Start()
 	d.entry.orders.Start()
 	r := d.entry.receiver
-	d.callers, err = d.serve(r.Server(r.Handler()), d.settings.Callers, r.Limit)
+	d.callers, err = d.serve(d.callersServer(r), d.settings.Callers, r.Limit)
 	return err
 }
 
@@ -138,7 +142,11 @@
 	}
 	d.servers = append(d.servers, s)
 	d.group.Go(func() {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		serve := s.Serve
+		if s.TLSConfig != nil {
+			serve = func(l net.Listener) error { return s.ServeTLS(l, "", "") }
+		}
+		if err := serve(l); !errors.Is(err, http.ErrServerClosed) {
 			d.fail(fmt.Errorf("serve %s: %w", address, err))
 		}
 	})
@@ -203,6 +211,9 @@
 	for _, s := range d.servers {
 		failed = errors.Join(failed, s.Close())
 	}
+	if d.security != nil {
+		d.security.Close()
+	}
 	d.group.Wait()
 	return failed
 }
--- /dev/null
+++ b/internal/daemon/runner/security.go
@@ -0,0 +1,131 @@
+package runner
+
+import (
+	"net/http"
+
+	"go.uber.org/zap"
+
+	"github.com/amaranthcart/amaranthcart/internal/entry/receiver"
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"github.com/amaranthcart/amaranthcart/internal/ops/guardian"
+	"github.com/amaranthcart/amaranthcart/internal/ops/reporter"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/authenticator"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/dialer"
+	"github.com/amaranthcart/amaranthcart/internal/settings/loader"
+)
+
+// openSecurity reads the certificates, if the settings name any, and makes the
+// guardian.
+func (d *Daemon) openSecurity() error {
+	s := d.settings
+	if s.TLS == nil {
+		d.guardian = guardian.New(s.Operators)
+		return nil
+	}
+	f := authenticator.Files{
+		Certificate: s.TLS.Certificate, Key: s.TLS.Key, Authority: s.TLS.Authority,
+		Upstreams: s.TLS.Upstreams.Authority,
+	}
+	if c := s.TLS.Callers; c != nil {
+		f.CallersCertificate, f.CallersKey = c.Certificate, c.Key
+	}
+	a, err := authenticator.Open(authenticator.Options{
+		Files: f, Identities: identities(s), Accept: accept(s), Clock: d.clock, Logger: d.logger.Named("certificates"),
+	})
+	if err != nil {
+		return err
+	}
+	a.Start()
+	d.security = a
+	var controls []registrar.HostName
+	for _, m := range s.Control {
+		controls = append(controls, m.Name)
+	}
+	d.guardian = guardian.New(s.Operators, guardian.WithCertificates(guardian.Certificates{
+		Controls: controls, Announce: s.TLS.Upstreams.Announce,
+	}))
+	return nil
+}
+
+// identities are those of this host.
+func identities(s *loader.Settings) []authenticator.Identity {
+	var list []authenticator.Identity
+	if s.Plays(loader.Control) {
+		list = append(list, authenticator.Identity{Role: authenticator.Control, Name: string(s.Name)})
+	}
+	if s.Plays(loader.Entry) {
+		list = append(list, authenticator.Identity{Role: authenticator.Entry, Name: string(s.Name)})
+	}
+	return list
+}
+
+// accept tells who may serve at an address: at that of a control host this host
+// only, and an entry host at any other.
+func accept(s *loader.Settings) func(string) []authenticator.Identity {
+	controls := make(map[string]authenticator.Identity)
+	for _, m := range s.Control {
+		controls[m.Address] = authenticator.Identity{Role: authenticator.Control, Name: string(m.Name)}
+	}
+	return func(address string) []authenticator.Identity {
+		if i, ok := controls[address]; ok {
+			return []authenticator.Identity{i}
+		}
+		return []authenticator.Identity{{Role: authenticator.Entry}}
+	}
+}
+
+// tls is nil without TLS.
+func (d *Daemon) tls() dialer.TLS {
+	if d.security == nil {
+		return nil
+	}
+	return d.security.Client
+}
+
+// upstreamTLS is nil without TLS.
+func (d *Daemon) upstreamTLS() dialer.TLS {
+	if d.security == nil {
+		return nil
+	}
+	return d.security.Upstream
+}
+
+func (d *Daemon) peersServer(h http.Handler) *http.Server {
+	s := dialer.NewServer(authenticator.Identify(d.guardian.Admit(h)))
+	if d.security != nil {
+		s.TLSConfig = d.security.Server(d.settings.TLS.Upstreams.Announce == loader.RequireCertificate)
+		s.ErrorLog = zap.NewStdLog(d.logger.Named("peers"))
+	}
+	return s
+}
+
+// adminServer lets clients without a certificate in, because those that read
+// metrics and health have none.
+func (d *Daemon) adminServer() *http.Server {
+	s := dialer.NewServer(authenticator.Identify(d.adminHandler()))
+	if d.security != nil {
+		s.TLSConfig = d.security.Server(false)
+		s.ErrorLog = zap.NewStdLog(d.logger.Named("admin"))
+	}
+	return s
+}
+
+func (d *Daemon) callersServer(r *receiver.Receiver) *http.Server {
+	s := r.Server(r.Handler())
+	if d.security != nil {
+		s.TLSConfig = d.security.Callers()
+	}
+	return s
+}
+
+// certificates tells the time left of each certificate in use.
+func (d *Daemon) certificates() []reporter.Certificate {
+	if d.security == nil {
+		return nil
+	}
+	var list []reporter.Certificate
+	for _, e := range d.security.Expiries() {
+		list = append(list, reporter.Certificate{Use: e.Use, Until: e.Until})
+	}
+	return list
+}
--- a/internal/member/gossiper/peer.go
+++ b/internal/member/gossiper/peer.go
@@ -17,6 +17,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/authenticator"
 	"github.com/amaranthcart/amaranthcart/internal/rpc/dialer"
 	"github.com/amaranthcart/amaranthcart/internal/rpc/wire"
 	"github.com/amaranthcart/amaranthcart/internal/rpc/wire/wireconnect"
@@ -30,8 +31,11 @@
 func (g *Gossiper) Announcements() http.Handler { return announcer{g} }
 
 // Gossip answers another host with what its version vector lacks.
-func (g *Gossiper) Gossip(_ context.Context, r *connect.Request[wire.GossipRequest]) (*connect.Response[wire.GossipResponse], error) {
+func (g *Gossiper) Gossip(ctx context.Context, r *connect.Request[wire.GossipRequest]) (*connect.Response[wire.GossipResponse], error) {
 	q := r.Msg
+	if name := authenticator.Named(ctx, authenticator.Entry); name != "" && name != q.GetFrom().GetName() {
+		return nil, connect.NewError(connect.CodePermissionDenied, fmt.Errorf("the certificate is that of entry host %s, the message that of %s", name, q.GetFrom().GetName()))
+	}
 	a, err := g.Answer(q)
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
--- a/internal/member/gossiper/tls_test.go
+++ b/internal/member/gossiper/tls_test.go
@@ -7,11 +7,13 @@
 	"strings"
 	"testing"
 
+	"connectrpc.com/connect"
 	"gotest.tools/v3/assert"
 
 	"github.com/amaranthcart/amaranthcart/internal/member/gossiper"
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
 	"github.com/amaranthcart/amaranthcart/internal/rpc/authenticator"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/wire"
 )
 
 // TestSecureAnnouncements guards against an upstream that announces itself under
@@ -57,3 +59,21 @@
 		})
 	}
 }
+
+// TestGossipUnderOwnName guards against an entry host that speaks for another
+// one.
+func TestGossipUnderOwnName(t *testing.T) {
+	g := gossiper.New(registrar.Host{Name: "a", Address: "127.0.0.1:1", Cell: "main"})
+	for _, c := range []struct {
+		name string
+		want connect.Code
+	}{{"b", 0}, {"c", connect.CodePermissionDenied}} {
+		ctx := authenticator.NewContext(t.Context(), []authenticator.Identity{{Role: authenticator.Entry, Name: c.name}})
+		_, err := g.Gossip(ctx, connect.NewRequest(&wire.GossipRequest{From: &wire.EntryHost{Name: "b", Incarnation: 1}}))
+		if c.want == 0 {
+			assert.NilError(t, err)
+			continue
+		}
+		assert.Equal(t, connect.CodeOf(err), c.want)
+	}
+}
--- a/internal/ops/guardian/guardian.go
+++ b/internal/ops/guardian/guardian.go
@@ -13,6 +13,11 @@
 //
 // A control host that passes an Apply on to the leader must pass on the header
 // Authorization too, because the leader checks the key itself.
+//
+// With certificates (WithCertificates) keys count for nothing: operators are
+// known by the identity in their certificates, and Admit tells which roles may
+// ask for what. The leader then takes the operator's name from a control host
+// that passes an Apply on, because it has checked the operator's certificate.
 package guardian
 
 import (
@@ -24,10 +29,13 @@
 	"errors"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 
 	"connectrpc.com/connect"
 
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/authenticator"
 	"github.com/amaranthcart/amaranthcart/internal/rpc/wire"
 	"github.com/amaranthcart/amaranthcart/internal/rpc/wire/wireconnect"
 	"github.com/amaranthcart/amaranthcart/internal/settings/loader"
@@ -42,18 +50,58 @@
 	ErrNoKey      = errors.New("an operator key is required: set AMARANTH_KEY or --key")
 	ErrUnknownKey = errors.New("the operator key is not known to this host")
 	ErrRemote     = errors.New("no operators are configured on this host, so that only callers on a loopback address may do this")
+	// ErrNoOperator and ErrUnlisted are for certificates.
+	ErrNoOperator = errors.New("a certificate with an operator's identity is required: set --authority, --certificate and --key")
+	ErrUnlisted   = errors.New("the operator in the certificate is not in the setting operators of this host")
 )
 
 // Guardian knows the operators. It is safe for concurrent use.
 type Guardian struct {
-	operators []loader.Operator
+	operators    []loader.Operator
+	certificates *Certificates
+}
+
+// Certificates tells who is let in with a certificate.
+type Certificates struct {
+	// Controls are the names of the control hosts.
+	Controls []registrar.HostName
+	// Announce tells whether announcements need a certificate.
+	Announce loader.AnnounceRule
+}
+
+// Option changes a new Guardian.
+type Option func(*Guardian)
+
+// WithCertificates checks certificates in place of keys.
+func WithCertificates(c Certificates) Option {
+	return func(g *Guardian) { g.certificates = &c }
 }
 
 var _ connect.Interceptor = (*Guardian)(nil)
 
 // New returns a Guardian of the operators in the settings.
-func New(operators []loader.Operator) *Guardian {
-	return &Guardian{operators: operators}
+func New(operators []loader.Operator, options ...Option) *Guardian {
+	g := &Guardian{operators: operators}
+	for _, o := range options {
+		o(g)
+	}
+	return g
+}
+
+// identify returns the operator's name from the certificate or the key.
+func (g *Guardian) identify(ctx context.Context, h http.Header, remote string) (string, error) {
+	if g.certificates == nil {
+		return g.Identify(h, remote)
+	}
+	name := authenticator.Named(ctx, authenticator.Operator)
+	if name == "" {
+		return "", ErrNoOperator
+	}
+	listed := slices.ContainsFunc(g.operators, func(o loader.Operator) bool { return o.Name == name })
+	if len(g.operators) > 0 && !listed {
+		return "", ErrUnlisted
+	}
+	return name, nil
 }
 
 // Identify returns the name of the operator who sends a request with the
@@ -107,11 +155,15 @@
 		if r.Spec().IsClient || r.Spec().Procedure != wireconnect.ControlApplyProcedure {
 			return next(ctx, r)
 		}
-		name, err := g.Identify(r.Header(), r.Peer().Addr)
+		m, ok := r.Any().(*wire.ApplyRequest)
+		if ok && m.Operator != "" && g.passedOn(ctx) {
+			return next(ctx, r)
+		}
+		name, err := g.identify(ctx, r.Header(), r.Peer().Addr)
 		if err != nil {
 			return nil, connect.NewError(code(err), err)
 		}
-		if m, ok := r.Any().(*wire.ApplyRequest); ok {
+		if ok {
 			m.Operator = name
 		}
 		return next(ctx, r)
@@ -130,12 +182,16 @@
 }
 
 func code(err error) connect.Code {
-	if errors.Is(err, ErrRemote) {
+	if forbidden(err) {
 		return connect.CodePermissionDenied
 	}
 	return connect.CodeUnauthenticated
 }
 
+func forbidden(err error) bool {
+	return errors.Is(err, ErrRemote) || errors.Is(err, ErrNoOperator) || errors.Is(err, ErrUnlisted)
+}
+
 // operator is the context key of the operator's name.
 type operator struct{}
 
@@ -148,7 +204,7 @@
 // Require passes only operators' requests.
 func (g *Guardian) Require(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		name, err := g.Identify(r.Header, r.RemoteAddr)
+		name, err := g.identify(r.Context(), r.Header, r.RemoteAddr)
 		if err != nil {
 			refuse(w, err)
 			return
@@ -159,7 +215,7 @@
 
 func refuse(w http.ResponseWriter, err error) {
 	status := http.StatusUnauthorized
-	if errors.Is(err, ErrRemote) {
+	if forbidden(err) {
 		status = http.StatusForbidden
 	}
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/ops/reporter/handler.go
+++ b/internal/ops/reporter/handler.go
@@ -37,17 +37,18 @@
 }
 
 var (
-	requestsDesc   = describe("requests_total", "Requests by class and result.", "class", "result")
-	refusalsDesc   = describe("refusals_total", "Refused requests by class and reason.", "class", "reason")
-	goodputDesc    = describe("goodput_tokens_total", "Tokens of requests that attained their target.", classLabels...)
-	wastedDesc     = describe("wasted_tokens_total", "Tokens generated and thrown away.", classLabels...)
-	attainmentDesc = describe("attainment_ratio", "Share of requests that attained their target.", classLabels...)
-	crestDesc      = describe("crest_attainment_ratio", "Attainment in the busiest 5 s of the last 10 minutes.", classLabels...)
-	queueDesc      = describe("queue_seconds", "Time until a slot was granted.", classLabels...)
-	blockingDesc   = describe("blocking_seconds", "Time until a slot was granted, of answers of at most 256 tokens.", classLabels...)
-	firstDesc      = describe("first_token_seconds", "Time to the first token.", classLabels...)
-	gapDesc        = describe("token_gap_seconds", "Mean time between tokens.", classLabels...)
-	totalDesc      = describe("total_seconds", "Time to the end of the answer.", classLabels...)
+	requestsDesc    = describe("requests_total", "Requests by class and result.", "class", "result")
+	refusalsDesc    = describe("refusals_total", "Refused requests by class and reason.", "class", "reason")
+	goodputDesc     = describe("goodput_tokens_total", "Tokens of requests that attained their target.", classLabels...)
+	wastedDesc      = describe("wasted_tokens_total", "Tokens generated and thrown away.", classLabels...)
+	attainmentDesc  = describe("attainment_ratio", "Share of requests that attained their target.", classLabels...)
+	crestDesc       = describe("crest_attainment_ratio", "Attainment in the busiest 5 s of the last 10 minutes.", classLabels...)
+	queueDesc       = describe("queue_seconds", "Time until a slot was granted.", classLabels...)
+	blockingDesc    = describe("blocking_seconds", "Time until a slot was granted, of answers of at most 256 tokens.", classLabels...)
+	firstDesc       = describe("first_token_seconds", "Time to the first token.", classLabels...)
+	gapDesc         = describe("token_gap_seconds", "Mean time between tokens.", classLabels...)
+	certificateDesc = describe("certificate_remaining_seconds", "Time until a certificate in use expires; negative once it has.", "use")
+	totalDesc       = describe("total_seconds", "Time to the end of the answer.", classLabels...)
 )
 
 // Handler serves the three pages.
@@ -76,6 +77,9 @@
 		v["class."+string(n)] = ratios
 	}
 	r.mutex.RUnlock()
+	for _, k := range r.certs() {
+		v["certificate."+k.Use] = map[string]any{"remaining": k.Until.Sub(now).Seconds()}
+	}
 	writeJSON(w, http.StatusOK, v)
 }
 
@@ -118,6 +122,9 @@
 		send(out, describe(string(n), "Value of the process."), prometheus.GaugeValue, v.Value())
 	}
 	now := r.clock.Now()
+	for _, k := range r.certs() {
+		send(out, certificateDesc, prometheus.GaugeValue, k.Until.Sub(now).Seconds(), k.Use)
+	}
 	r.mutex.RLock()
 	defer r.mutex.RUnlock()
 	for _, k := range r.classes {
--- a/internal/ops/reporter/reporter.go
+++ b/internal/ops/reporter/reporter.go
@@ -9,9 +9,10 @@
 //	r.Set(reporter.OpenRequests, 17)
 //	mux.Handle("/metrics", r.Handler())
 //
-// The only label is the class, and only classes of the configuration in force
-// are shown, so that the number of series is bounded: results of other classes
-// are counted under Other. Organisations, models and upstreams are no labels.
+// The labels are the class and the use of a certificate. Only classes of the
+// configuration in force are shown, so that the number of series is bounded:
+// results of other classes are counted under Other. Organisations, models and
+// upstreams are no labels.
 //
 // # Measures
 //
@@ -67,6 +68,7 @@
 	clock    clockwork.Clock
 	registry metrics.Registry
 	ready    func() (bool, string)
+	certs    func() []Certificate
 	counts   map[Counter]metrics.Counter
 	gauges   map[Gauge]metrics.GaugeFloat64
 
@@ -84,12 +86,24 @@
 // otherwise why it is not.
 func WithReady(ready func() (bool, string)) Option { return func(r *Reporter) { r.ready = ready } }
 
+// Certificate is a certificate or an authority file that the process uses.
+type Certificate struct {
+	Use   string
+	Until time.Time
+}
+
+// WithCertificates sets what lists the certificates in use.
+func WithCertificates(list func() []Certificate) Option {
+	return func(r *Reporter) { r.certs = list }
+}
+
 // New returns a Reporter without classes.
 func New(options ...Option) *Reporter {
 	r := &Reporter{
 		clock:    clockwork.NewRealClock(),
 		registry: metrics.NewRegistry(),
 		ready:    func() (bool, string) { return true, "" },
+		certs:    func() []Certificate { return nil },
 		counts:   make(map[Counter]metrics.Counter),
 		gauges:   make(map[Gauge]metrics.GaugeFloat64),
 	}
--- a/internal/rpc/authenticator/authenticator.go
+++ b/internal/rpc/authenticator/authenticator.go
@@ -47,8 +47,8 @@
 	warnBefore = 7 * 24 * time.Hour
 )
 
-// ErrNone reports a connection without a client certificate.
-var ErrNone = errors.New("the client presented no certificate")
+// ErrNone reports a process that showed no certificate.
+var ErrNone = errors.New("the other side presented no certificate")
 
 // Options configures an Authenticator.
 type Options struct {
--- a/internal/rpc/authenticator/authenticator_test.go
+++ b/internal/rpc/authenticator/authenticator_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
@@ -442,3 +443,26 @@
 	_, err = get(t.Context(), c, l.Addr().String())
 	assert.Assert(t, err != nil && strings.Contains(err.Error(), "tls handshake: "+context.DeadlineExceeded.Error()), "%v", err)
 }
+
+// TestExpiry guards against a certificate that ends without a word in the log,
+// and against one that fills the log.
+func TestExpiry(t *testing.T) {
+	authority := newAuthority(t)
+	core, logs := observer.New(zap.WarnLevel)
+	f := &files{}
+	clock := clockwork.NewFakeClockAt(time.Now())
+	f.write(issue(t, authority, certifier.Request{}, control1), authority.PEM())
+	a, err := authenticator.Open(authenticator.Options{Files: fileNames, Read: f.read, Clock: clock, Logger: zap.New(core)})
+	assert.NilError(t, err)
+	for range 3 {
+		a.Reload()
+	}
+	assert.Equal(t, logs.FilterMessageSnippet("expires soon").Len(), 2, "one for the certificate and one for the authority")
+	clock.Advance(25 * time.Hour)
+	for range 3 {
+		a.Reload()
+	}
+	assert.Equal(t, logs.FilterMessageSnippet("has expired").Len(), 2)
+	assert.Equal(t, logs.Len(), 4, "%v", logs.All())
+	assert.Assert(t, a.Expiries()[1].Until.Before(clock.Now()))
+}
--- a/internal/rpc/authenticator/material.go
+++ b/internal/rpc/authenticator/material.go
@@ -168,6 +168,9 @@
 // verify checks the chain that a process has shown. An empty host is not
 // checked.
 func verify(roots *x509.CertPool, chain []*x509.Certificate, now time.Time, usage x509.ExtKeyUsage, host string) error {
+	if len(chain) == 0 {
+		return ErrNone
+	}
 	o := x509.VerifyOptions{
 		Roots: roots, Intermediates: x509.NewCertPool(), CurrentTime: now, DNSName: host,
 		KeyUsages: []x509.ExtKeyUsage{usage},
--- a/internal/settings/loader/load.go
+++ b/internal/settings/loader/load.go
@@ -105,7 +105,7 @@
 	p.Check(drain >= MinDrain && drain <= MaxDrain, "$.drain", s.Drain, fmt.Sprintf("a duration from %v to %v", MinDrain, MaxDrain))
 	checkLimits(s.Limits, p)
 	checkOperators(s, p)
-	p.Check(s.TLS == nil, "$.tls", s.TLS, "nothing: TLS is not supported yet, so remove the field and keep the addresses on a trusted network")
+	checkTLS(s, p)
 	p.Check(slices.Contains(Levels, s.Log), "$.log", s.Log, "one of "+strings.Join(Levels, ", "))
 }
 
@@ -216,6 +216,10 @@
 			p.Add(at+".name", decoder.Show(o.Name), "a name that is not used at "+first)
 		}
 		names[o.Name] = at + ".name"
+		if s.TLS != nil {
+			p.Check(len(o.Keys) == 0, at+".keys", len(o.Keys), "no keys, because with tls operators are known by their certificates")
+			continue
+		}
 		p.Check(len(o.Keys) > 0 && len(o.Keys) <= maxKeys, at+".keys", len(o.Keys), fmt.Sprintf("1 to %d keys", maxKeys))
 		for j, k := range o.Keys {
 			path := decoder.Item(at+".keys", j)
@@ -227,3 +231,24 @@
 		}
 	}
 }
+
+func checkTLS(s *Settings, p *decoder.Problems) {
+	t := s.TLS
+	if t == nil {
+		return
+	}
+	file := func(path, v string) { p.Check(filepath.IsAbs(v), path, v, "the absolute path of a file in PEM form") }
+	file("$.tls.certificate", t.Certificate)
+	file("$.tls.key", t.Key)
+	file("$.tls.authority", t.Authority)
+	if t.Callers != nil {
+		p.Check(s.Plays(Entry), "$.tls.callers", t.Callers, "nothing without the role entry")
+		file("$.tls.callers.certificate", t.Callers.Certificate)
+		file("$.tls.callers.key", t.Callers.Key)
+	}
+	if t.Upstreams.Authority != "" {
+		file("$.tls.upstreams.authority", t.Upstreams.Authority)
+	}
+	rules := []AnnounceRule{RequireCertificate, AcceptAny}
+	p.Check(slices.Contains(rules, t.Upstreams.Announce), "$.tls.upstreams.announce", t.Upstreams.Announce, "require or accept")
+}
--- a/internal/settings/loader/settings.go
+++ b/internal/settings/loader/settings.go
@@ -100,17 +100,51 @@
 // Operator is a person or program with operator keys.
 type Operator struct {
 	Name string `json:"name"`
-	// Keys are hex SHA-256 digests.
-	Keys []string `json:"keys"`
+	// Keys are hex SHA-256 digests; there are none with TLS.
+	Keys []string `json:"keys,omitempty"`
 }
 
-// TLS names files in PEM form. It is refused while TLS is not supported.
+// TLS names files in PEM form. Without it nothing is encrypted. The files are
+// read again when they change.
 type TLS struct {
+	// Certificate and Key identify this host to other processes.
 	Certificate string `json:"certificate"`
 	Key         string `json:"key"`
-	Authority   string `json:"authority"`
+	// Authority signs the certificates of all processes and operators.
+	Authority string `json:"authority"`
+	// Callers makes the callers' listener serve TLS.
+	Callers *CallersTLS `json:"callers,omitempty"`
+	// Upstreams concerns upstreams and their announcements.
+	Upstreams UpstreamsTLS `json:"upstreams,omitzero"`
 }
 
+// CallersTLS is the certificate that callers see.
+type CallersTLS struct {
+	Certificate string `json:"certificate"`
+	Key         string `json:"key"`
+}
+
+// UpstreamsTLS tells how upstreams are checked.
+type UpstreamsTLS struct {
+	// Authority signs the certificates of upstreams with https addresses; that
+	// of the hosts when empty.
+	Authority string `json:"authority,omitempty"`
+	// Announce tells whether announcements need a client certificate.
+	Announce AnnounceRule `json:"announce,omitempty"`
+}
+
+// AnnounceRule tells who may announce an upstream.
+type AnnounceRule string
+
+// Rules for announcements over TLS.
+const (
+	// RequireCertificate takes announcements from the upstream's own
+	// certificate only.
+	RequireCertificate AnnounceRule = "require"
+	// AcceptAny also takes announcements without a certificate.
+	AcceptAny AnnounceRule = "accept"
+)
+
 // Defaults of the settings.
 const (
 	DefaultCell = registrar.CellName("main")
@@ -139,6 +173,9 @@
 	setDefault(&s.Limits.Connections, DefaultConnections)
 	setDefault(&s.Log, DefaultLog)
 	setDefault(&s.Advertise, s.Peers)
+	if s.TLS != nil {
+		setDefault(&s.TLS.Upstreams.Announce, RequireCertificate)
+	}
 }
 
 func setDefault[T comparable](v *T, d T) {
--- a/internal/stub/responder/announcer.go
+++ b/internal/stub/responder/announcer.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -21,11 +22,16 @@
 // announce sends the news to every entry host each second.
 func (r *Responder) announce() {
 	client := &http.Client{Timeout: announceTimeout}
+	scheme := "http://"
+	if r.options.TLS != nil {
+		client.Transport = &http.Transport{TLSClientConfig: r.options.TLS}
+		scheme = "https://"
+	}
 	defer client.CloseIdleConnections()
 	ticker := r.clock.NewTicker(AnnounceInterval)
 	defer ticker.Stop()
 	for {
-		r.announceOnce(client)
+		r.announceOnce(client, scheme)
 		select {
 		case <-ticker.Chan():
 		case <-r.context.Done():
@@ -34,7 +40,7 @@
 	}
 }
 
-func (r *Responder) announceOnce(client *http.Client) {
+func (r *Responder) announceOnce(client *http.Client, scheme string) {
 	body, err := json.Marshal(r.News())
 	if err != nil {
 		r.logger.Error("cannot encode announcement", zap.Error(err))
@@ -43,7 +49,7 @@
 	var group conc.WaitGroup
 	for _, host := range r.options.Entries {
 		group.Go(func() {
-			if err := post(r.context, client, host, body); err != nil {
+			if err := post(r.context, client, scheme+host, body); err != nil {
 				r.logger.Warn("announcement failed", zap.String("host", host), zap.Error(err))
 			}
 		})
@@ -51,8 +57,8 @@
 	group.Wait()
 }
 
-func post(ctx context.Context, client *http.Client, host string, body []byte) error {
-	url := "http://" + host + "/upstreams/announce"
+func post(ctx context.Context, client *http.Client, base string, body []byte) error {
+	url := base + "/upstreams/announce"
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
 		return err
@@ -63,7 +69,13 @@
 		return err
 	}
 	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxBody))
-	return response.Body.Close()
+	if err := response.Body.Close(); err != nil {
+		return err
+	}
+	if response.StatusCode >= http.StatusBadRequest {
+		return fmt.Errorf("the entry host answered with status %d", response.StatusCode)
+	}
+	return nil
 }
 
 // News returns the next announcement.
--- a/internal/stub/responder/responder.go
+++ b/internal/stub/responder/responder.go
@@ -18,6 +18,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -63,8 +64,10 @@
 	Slots int
 	// Entries are the addresses of the entry hosts to announce to.
 	Entries []string
-	Clock   clockwork.Clock
-	Logger  *zap.Logger
+	// TLS is for announcements; nil sends them without TLS.
+	TLS    *tls.Config
+	Clock  clockwork.Clock
+	Logger *zap.Logger
 	// Crash replaces the default crash, which closes the listener and all
 	// connections without notice.
 	Crash func()
