receiver: wait in the test harness until stand-in upstreams serve

Cause: TestRefusals/keyed,_dial_refused failed once with 502 in place of 503. A responder that is closed before it has begun to serve leaves its listener open until then, so that the call is accepted and broken off.

Before: with a delay of 20 ms before Serve (a trial, reverted) both "dial refused" cases fail, with and without TLS in the tree. After: with the same delay both pass; go test -race -count=2 ./internal/entry/receiver passes in 47 s. No check was changed.

--- a/internal/entry/receiver/harness_test.go
+++ b/internal/entry/receiver/harness_test.go
@@ -242,6 +242,7 @@
 		assert.NilError(t, err)
 		group.Go(func() { _ = r.Serve(l) })
 		t.Cleanup(func() { _ = r.Close() })
+		awaitServing(t, l.Addr().String())
 		h.responders = append(h.responders, r)
 		u := r.News()
 		u.Address = l.Addr().String()
@@ -287,6 +288,18 @@
 	return h
 }
 
+// awaitServing waits until a responder answers. One that is closed before it
+// has begun to serve leaves its listener open until then, and a test that
+// expects a refused connection finds one that is accepted and broken off.
+func awaitServing(t testing.TB, address string) {
+	t.Helper()
+	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	eventually(t, "the responder serves", func() bool {
+		r, err := c.Get("http://" + address + "/control")
+		return err == nil && r.Body.Close() == nil
+	})
+}
+
 // answer is a caller's view of an answer.
 type answer struct {
 	status int
