tls: two entry hosts in the process test, silent connections, costs

Cause: TestTLS had one entry host, so that gossip and dispatch between entry hosts over TLS were not shown, and nothing showed that silent connections are replaced over TLS.

TestTLS has two entry hosts and a resend through the other one. The test of the metric shows an expired certificate.

--- a/cmd/amaranthd/tls_test.go
+++ b/cmd/amaranthd/tls_test.go
@@ -80,21 +80,23 @@
 }
 
 // TestTLS guards against a part of the path that is left without TLS or breaks
-// with it: three control hosts, an entry host, an engine and a service, an
-// operator, and certificates that are replaced under load.
+// with it: three control hosts, two entry hosts, an engine and a service,
+// an operator, and certificates that are replaced under load.
 func TestTLS(t *testing.T) {
 	d := &deployment{t: t, folder: t.TempDir(), processes: map[string]*process{}, settings: map[string]*loader.Settings{}, stubs: map[string]string{}}
 	t.Cleanup(d.close)
-	plain := deploySettings(t, d, 3, 1)
+	plain := deploySettings(t, d, 3, 2)
 	c := newCertificates(t)
 	for _, name := range d.control {
 		c.issue(name, authenticator.Control)
 		plain[name].TLS = c.settings(name)
 	}
-	entry := d.entries[0]
-	c.issue(entry, authenticator.Entry)
-	plain[entry].TLS = c.settings(entry)
-	plain[entry].TLS.Callers = &loader.CallersTLS{Certificate: c.path(entry + ".pem"), Key: c.path(entry + ".key")}
+	for _, entry := range d.entries {
+		c.issue(entry, authenticator.Entry)
+		plain[entry].TLS = c.settings(entry)
+		plain[entry].TLS.Callers = &loader.CallersTLS{Certificate: c.path(entry + ".pem"), Key: c.path(entry + ".key")}
+	}
+	hosts := append(append([]string{}, d.control...), d.entries...)
 	for _, name := range []string{"asha", "engine-1", "shop-1"} {
 		role := authenticator.Upstream
 		if name == "asha" {
@@ -102,7 +104,7 @@
 		}
 		c.issue(name, role)
 	}
-	for _, name := range append(append([]string{}, d.control...), entry) {
+	for _, name := range hosts {
 		d.startDaemon(name)
 	}
 
@@ -114,7 +116,7 @@
 	})
 	_, out := d.ctl(append(c.flags("asha"), "history")...)
 	assert.Assert(t, strings.Contains(out, "asha"), out)
-	for _, name := range []string{entry, "engine-1", d.control[0]} {
+	for _, name := range []string{d.entries[0], "engine-1", d.control[0]} {
 		code, out := d.ctl(append(c.flags(name), "apply", file, "--revision", "1", "--change", "stolen-"+name)...)
 		assert.Equal(t, code, 1, out)
 	}
@@ -123,16 +125,21 @@
 
 	d.startStub("engine-1", append(c.flags("engine-1"), "--model", "lucka")...)
 	d.startStub("shop-1", append(c.flags("shop-1"), "--service", "shop")...)
-	callers := d.settings[entry].Callers
-	d.waitFor("the entry host to know its upstreams", func() bool {
-		status, _, err := c.get(callers + "/ready")
-		_, body, _ := c.get(d.settings[entry].Admin + "/admin/upstreams")
-		return err == nil && status == http.StatusOK && strings.Count(body, "https://127.0.0.1:") == 2
+	for _, entry := range d.entries {
+		d.waitFor(entry+" to know its upstreams", func() bool {
+			status, _, err := c.get(d.settings[entry].Callers + "/ready")
+			_, body, _ := c.get(d.settings[entry].Admin + "/admin/upstreams")
+			return err == nil && status == http.StatusOK && strings.Count(body, "https://127.0.0.1:") == 2
+		})
+	}
+	d.waitFor("the status to show both entry hosts, which know each other by gossip", func() bool {
+		_, out := d.ctl(append(c.flags("asha"), "status")...)
+		return strings.Contains(out, d.entries[0]) && strings.Contains(out, d.entries[1])
 	})
-	send := func(path, body string, header ...string) answer {
+	send := func(entry, path, body string, header ...string) answer {
 		ctx, cancel := context.WithTimeout(context.Background(), patience)
 		defer cancel()
-		q, err := http.NewRequestWithContext(ctx, http.MethodPost, "https://"+callers+path, strings.NewReader(body))
+		q, err := http.NewRequestWithContext(ctx, http.MethodPost, "https://"+d.settings[entry].Callers+path, strings.NewReader(body))
 		assert.NilError(t, err)
 		q.Header.Set("Authorization", "Bearer "+key)
 		for i := 0; i+1 < len(header); i += 2 {
@@ -146,11 +153,16 @@
 		data, err := io.ReadAll(r.Body)
 		return answer{status: r.StatusCode, header: r.Header, body: string(data), err: err}
 	}
-	text, ok := whole(send("/v1/chat/completions", chat("Tell me of the night. [[length=30]]", true)))
-	assert.Assert(t, ok && text != "")
-	first := send("/svc/shop/renew", "{}", "Idempotency-Key", "renewal-1")
-	assert.Equal(t, first.status, http.StatusOK, first.body)
-	assert.Equal(t, send("/svc/shop/renew", "{}", "Idempotency-Key", "renewal-1").body, first.body)
+	renewals := map[string]bool{}
+	for _, entry := range d.entries {
+		// One of the two asks the other one, which owns the cell, for slots.
+		text, ok := whole(send(entry, "/v1/chat/completions", chat("Tell me of the night. [[length=30]]", true)))
+		assert.Assert(t, ok && text != "")
+		a := send(entry, "/svc/shop/renew", "{}", "Idempotency-Key", "renewal-1")
+		assert.Equal(t, a.status, http.StatusOK, a.body)
+		renewals[a.body] = true
+	}
+	assert.Equal(t, len(renewals), 1, "the resend through another entry host got another answer")
 
 	// New pairs for all hosts, taken up under load without a restart.
 	remaining := func(name string) string {
@@ -163,7 +175,7 @@
 		}
 		return ""
 	}
-	assert.Assert(t, remaining(entry) != "", "the metric is missing")
+	assert.Assert(t, remaining(d.entries[0]) != "", "the metric is missing")
 	stop := make(chan struct{})
 	var sent int
 	var failed []string
@@ -175,7 +187,7 @@
 				return
 			default:
 			}
-			a := send("/svc/shop/renew", "{}", "Idempotency-Key", fmt.Sprint("load-", sent))
+			a := send(d.entries[sent%2], "/svc/shop/renew", "{}", "Idempotency-Key", fmt.Sprint("load-", sent))
 			if a.err != nil || a.status != http.StatusOK {
 				failed = append(failed, fmt.Sprint(a.status, a.body, a.err))
 			}
@@ -185,8 +197,10 @@
 	for _, name := range d.control {
 		c.issue(name, authenticator.Control)
 	}
-	c.issue(entry, authenticator.Entry)
-	for _, name := range append(append([]string{}, d.control...), entry) {
+	for _, name := range d.entries {
+		c.issue(name, authenticator.Entry)
+	}
+	for _, name := range hosts {
 		d.waitFor(name+" to take up its new certificate", func() bool {
 			data, err := os.ReadFile(filepath.Join(d.folder, name+".log"))
 			return err == nil && strings.Contains(string(data), "new certificates are in use")
@@ -198,6 +212,7 @@
 	t.Logf("%d requests during the rotation", sent)
 	assert.Equal(t, len(failed), 0, "%v", failed)
 
+	entry := d.entries[0]
 	code, out = d.ctl(append(c.flags("asha"), "drain", d.settings[entry].Admin)...)
 	assert.Equal(t, code, 0, out)
 	<-d.processes[entry].done
--- a/internal/entry/receiver/tls_test.go
+++ b/internal/entry/receiver/tls_test.go
@@ -16,6 +16,7 @@
 	"github.com/sourcegraph/conc"
 	"gotest.tools/v3/assert"
 
+	"github.com/amaranthcart/amaranthcart/internal/config/validator"
 	"github.com/amaranthcart/amaranthcart/internal/entry/receiver"
 	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
 	"github.com/amaranthcart/amaranthcart/internal/stub/certifier"
@@ -28,7 +29,7 @@
 	pool *x509.CertPool
 }
 
-func newUpstreamAuthority(t *testing.T) upstreamAuthority {
+func newUpstreamAuthority(t testing.TB) upstreamAuthority {
 	t.Helper()
 	a, err := certifier.New()
 	assert.NilError(t, err)
@@ -37,7 +38,7 @@
 	return upstreamAuthority{a, pool}
 }
 
-func (a upstreamAuthority) issue(t *testing.T, r certifier.Request) *tls.Config {
+func (a upstreamAuthority) issue(t testing.TB, r certifier.Request) *tls.Config {
 	t.Helper()
 	p, err := a.Issue(r)
 	assert.NilError(t, err)
@@ -269,3 +270,50 @@
 		assert.Assert(t, !errors.Is(<-ends, os.ErrDeadlineExceeded), "a silent handshake was not ended")
 	}
 }
+
+// BenchmarkTLS measures what TLS costs on one side at a time. A sale makes a
+// connection of its own, a quote uses a pooled one; caller, entry host and
+// responder share the process.
+func BenchmarkTLS(b *testing.B) {
+	authority := newUpstreamAuthority(b)
+	config := authority.issue(b, certifier.Request{Hosts: []string{"127.0.0.1"}})
+	for _, c := range []struct {
+		name              string
+		callers, upstream bool
+	}{{"plain", false, false}, {"callers", true, false}, {"upstream", false, true}} {
+		for _, path := range []string{"/svc/ledger/quote", "/svc/ledger/sales"} {
+			b.Run(c.name+path, func(b *testing.B) {
+				options := []harnessOption{withUpstreams(1), withTLS(authority.client)}
+				if c.callers {
+					options = append(options, withCallersTLS(config))
+				}
+				h := newHarness(b, options...)
+				h.dispatcher.quiet = true
+				if c.callers {
+					h.client = &http.Client{Transport: &http.Transport{TLSClientConfig: authority.client("127.0.0.1:0"), MaxIdleConnsPerHost: 256}}
+				}
+				if c.upstream {
+					l, err := tls.Listen("tcp", "127.0.0.1:0", config)
+					assert.NilError(b, err)
+					r := responder.New(responder.Options{Name: "secure", Services: []validator.PoolName{"ledger"}, Slots: 512})
+					background(b, func() { _ = r.Serve(l) })
+					b.Cleanup(func() { _ = r.Close() })
+					h.dispatcher.upstreams[0].Address = "https://" + l.Addr().String()
+				}
+				b.SetParallelism(8)
+				b.ResetTimer()
+				before := processorTime()
+				b.RunParallel(func(p *testing.PB) {
+					for p.Next() {
+						if _, err := benchCall(h.client, http.MethodPost, h.url+path, "bale"); err != nil {
+							b.Error(err)
+							return
+						}
+					}
+				})
+				b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "req/s")
+				b.ReportMetric(float64((processorTime()-before).Microseconds())/float64(b.N), "cpu-µs/op")
+			})
+		}
+	}
+}
--- a/internal/ops/reporter/reporter_test.go
+++ b/internal/ops/reporter/reporter_test.go
@@ -187,3 +187,16 @@
 		}
 	})
 }
+
+// TestCertificates guards against a metric that hides an expired certificate.
+func TestCertificates(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	r := reporter.New(reporter.WithClock(clock), reporter.WithCertificates(func() []reporter.Certificate {
+		return []reporter.Certificate{{Use: "hosts", Until: clock.Now().Add(-time.Minute)}, {Use: "callers", Until: clock.Now().Add(time.Hour)}}
+	}))
+	w := httptest.NewRecorder()
+	r.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, reporter.MetricsPath, nil))
+	for _, line := range []string{`remaining_seconds{use="hosts"} -60`, `remaining_seconds{use="callers"} 3600`} {
+		assert.Assert(t, strings.Contains(w.Body.String(), line), "%s", w.Body.String())
+	}
+}
--- a/internal/rpc/authenticator/authenticator_test.go
+++ b/internal/rpc/authenticator/authenticator_test.go
@@ -466,3 +466,64 @@
 	assert.Equal(t, logs.Len(), 4, "%v", logs.All())
 	assert.Assert(t, a.Expiries()[1].Until.Before(clock.Now()))
 }
+
+// TestSilentConnection guards against a connection with TLS that went silent
+// and is used for later calls.
+func TestSilentConnection(t *testing.T) {
+	own, _ := open(t, newAuthority(t), control1)
+	target := serve(t, own.Server(true))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	var group conc.WaitGroup
+	var silent atomic.Int32
+	accepted := int32(0)
+	ctx, cancel := context.WithCancel(context.Background())
+	pipe := func(number int32, to, from net.Conn) {
+		defer func() {
+			// The end of a silent connection is not passed on either.
+			if number > silent.Load() {
+				_, _ = to.Close(), from.Close()
+			}
+		}()
+		buffer := make([]byte, 1<<10)
+		for {
+			n, err := from.Read(buffer)
+			if err != nil {
+				return
+			}
+			if number > silent.Load() {
+				_, _ = to.Write(buffer[:n])
+			}
+		}
+	}
+	group.Go(func() {
+		for {
+			a, err := l.Accept()
+			if err != nil {
+				return
+			}
+			b, err := net.Dial("tcp", target)
+			if err != nil {
+				_ = a.Close()
+				return
+			}
+			context.AfterFunc(ctx, func() { _, _ = a.Close(), b.Close() })
+			accepted++
+			number := accepted
+			group.Go(func() { pipe(number, a, b) })
+			group.Go(func() { pipe(number, b, a) })
+		}
+	})
+	defer group.Wait()
+	defer cancel()
+	defer func() { _ = l.Close() }()
+	c := dialer.New(dialer.WithTLS(own.Client))
+	defer c.Close()
+	_, err = get(t.Context(), c, l.Addr().String())
+	assert.NilError(t, err)
+	silent.Store(1)
+	_, err = get(t.Context(), c, l.Addr().String())
+	assert.Assert(t, err != nil, "the silent connection gave an answer")
+	_, err = get(t.Context(), c, l.Addr().String())
+	assert.NilError(t, err)
+}
