--- a/internal/member/gossiper/peer.go
+++ b/internal/member/gossiper/peer.go
@@ -17,6 +17,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/authenticator"
 	"github.com/amaranthcart/amaranthcart/internal/rpc/dialer"
 	"github.com/amaranthcart/amaranthcart/internal/rpc/wire"
 	"github.com/amaranthcart/amaranthcart/internal/rpc/wire/wireconnect"
@@ -30,8 +31,11 @@
 func (g *Gossiper) Announcements() http.Handler { return announcer{g} }
 
 // Gossip answers another host with what its version vector lacks.
-func (g *Gossiper) Gossip(_ context.Context, r *connect.Request[wire.GossipRequest]) (*connect.Response[wire.GossipResponse], error) {
+func (g *Gossiper) Gossip(ctx context.Context, r *connect.Request[wire.GossipRequest]) (*connect.Response[wire.GossipResponse], error) {
 	q := r.Msg
+	if name := authenticator.Named(ctx, authenticator.Entry); name != "" && name != q.GetFrom().GetName() {
+		return nil, connect.NewError(connect.CodePermissionDenied, fmt.Errorf("the certificate is that of entry host %s, the message that of %s", name, q.GetFrom().GetName()))
+	}
 	a, err := g.Answer(q)
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
@@ -298,11 +302,14 @@
 
 // caller makes exchanges over the network.
 type caller struct {
+	tls     dialer.TLS
 	mu      sync.Mutex
 	clients map[string]*dialer.Client
 }
 
-func newCaller() *caller { return &caller{clients: map[string]*dialer.Client{}} }
+func newCaller(t dialer.TLS) *caller {
+	return &caller{tls: t, clients: map[string]*dialer.Client{}}
+}
 
 func (c *caller) client(address string) *dialer.Client {
 	c.mu.Lock()
@@ -315,7 +322,7 @@
 				delete(c.clients, a)
 			}
 		}
-		d = dialer.New()
+		d = dialer.New(dialer.WithTLS(c.tls))
 		c.clients[address] = d
 	}
 	return d
@@ -326,7 +333,7 @@
 // connection; an exchange may be repeated without harm.
 func (c *caller) Exchange(ctx context.Context, address string, q *wire.GossipRequest) (*wire.GossipResponse, error) {
 	d := c.client(address)
-	client := wireconnect.NewPeerClient(d, "http://"+address, dialer.Options()...)
+	client := wireconnect.NewPeerClient(d, dialer.URL(address), dialer.Options()...)
 	first, cancel := context.WithTimeout(ctx, Timeout/2)
 	defer cancel()
 	a, err := client.Gossip(first, connect.NewRequest(q))
