forwarder: give each attempt that waits for its first token its own deadline

Cause: an attempt and its hedge shared one timer. When the lease of the first upstream ended, both were cancelled as lost after a second, so that the healthy upstream of the hedge was reported as crashed, the request became a suspect and the caller got 503. The deadline for the first token had the same effect.

Ruled out: cancelling only the attempt whose upstream is gone while the deadline stays common, because a hedge that starts late would then be reported as silent too early.

Before: TestHedgeOutlivesFirst failed with status 503 instead of 200. After: it passes, and so do the tests of forwarder, receiver and dispatcher with -race.

--- a/internal/entry/forwarder/session.go
+++ b/internal/entry/forwarder/session.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"strings"
+	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
@@ -194,18 +196,49 @@
 	return read(c)
 }
 
-// open starts the attempt and returns the candidate that had the first token.
-func (s *session) open(ctx context.Context, slot dispatcher.Slot) (*candidate, error) {
-	results := make(chan *candidate, 2)
-	running := []*candidate{s.start(ctx, slot, results)}
+// opening is an attempt that waits for its first token.
+type opening struct {
+	candidate *candidate
+	timer     clockwork.Timer
+	expired   <-chan time.Time
+	gone      <-chan struct{}
+	// late is why the attempt ends when the timer expires.
+	late error
+}
+
+// begin starts an attempt with a deadline of its own, so that the end of one
+// says nothing about its hedge.
+func (s *session) begin(ctx context.Context, slot dispatcher.Slot, results chan<- *candidate) opening {
 	deadline := s.deadlines.first
 	if !s.streams() {
 		deadline = s.deadlines.total
 	}
 	timer := s.forwarder.clock.NewTimer(deadline)
-	defer timer.Stop()
-	late := errSilent
-	hedged, preempted, gone := slot.Hedged(), slot.Preempted(), slot.Gone()
+	return opening{s.start(ctx, slot, results), timer, timer.Chan(), slot.Gone(), errSilent}
+}
+
+// leave gives an attempt whose upstream's lease has ended a short time.
+func (o *opening) leave() {
+	o.gone, o.late = nil, errGone
+	o.timer.Reset(goneGrace)
+}
+
+func (o *opening) stop() {
+	if o.timer != nil {
+		o.timer.Stop()
+	}
+}
+
+// open starts the attempt and returns the candidate that had the first token.
+func (s *session) open(ctx context.Context, slot dispatcher.Slot) (*candidate, error) {
+	results := make(chan *candidate, 2)
+	first, second := s.begin(ctx, slot, results), opening{}
+	defer func() {
+		first.stop()
+		second.stop()
+	}()
+	running := []*candidate{first.candidate}
+	hedged, preempted := slot.Hedged(), slot.Preempted()
 	for {
 		select {
 		case c := <-results:
@@ -224,17 +257,20 @@
 		case h, ok := <-hedged:
 			hedged = nil
 			if ok && h != nil {
-				running = append(running, s.start(ctx, h, results))
+				second = s.begin(ctx, h, results)
+				running = append(running, second.candidate)
 			}
 		case <-preempted:
 			preempted = nil
 			cancelAll(running, errPreempted)
-		case <-gone:
-			gone = nil
-			late = errGone
-			timer.Reset(goneGrace)
-		case <-timer.Chan():
-			cancelAll(running, late)
+		case <-first.gone:
+			first.leave()
+		case <-second.gone:
+			second.leave()
+		case <-first.expired:
+			first.candidate.cancel(first.late)
+		case <-second.expired:
+			second.candidate.cancel(second.late)
 		}
 	}
 }
