scheduler: hedge top-tier requests whose first token is late

Cause: a request on an upstream that stalls waited for its first token although another upstream was free. The entry hosts took hedges, the scheduler issued none. Requests now say whether their answer comes in one piece (SlotRequest field whole): their first token is their end, so it is neither hedged nor learned as a time to the first token.

--- a/internal/entry/forwarder/session.go
+++ b/internal/entry/forwarder/session.go
@@ -69,7 +69,7 @@
 }
 
 func (f *Forwarder) newSession(c *GenerationCall, sink Sink) *session {
-	return &session{
+	s := &session{
 		forwarder: f,
 		call:      c,
 		deadlines: newDeadlines(c.Class),
@@ -77,6 +77,8 @@
 		request:   c.Request,
 		run:       NotRun,
 	}
+	s.request.Whole = !s.streams()
+	return s
 }
 
 // Stream passes a streamed answer to the sink. When it returns an error after
--- a/internal/entry/receiver/harness_test.go
+++ b/internal/entry/receiver/harness_test.go
@@ -189,6 +189,8 @@
 	limits    receiver.Limits
 	upstreams int
 	newID     func() string
+	// dispatcher makes the one in use; nil means the fake one.
+	dispatcher func(h *harness) dispatcher.Dispatcher
 }
 
 func withClock(c clockwork.Clock) harnessOption    { return func(s *harnessSettings) { s.clock = c } }
@@ -241,7 +243,11 @@
 		u.Address = l.Addr().String()
 		h.dispatcher.upstreams = append(h.dispatcher.upstreams, u)
 	}
-	f := forwarder.New(forwarder.Options{Dispatcher: h.dispatcher, Clock: settings.clock})
+	var d dispatcher.Dispatcher = h.dispatcher
+	if settings.dispatcher != nil {
+		d = settings.dispatcher(h)
+	}
+	f := forwarder.New(forwarder.Options{Dispatcher: d, Clock: settings.clock})
 	h.forwarder = f
 	h.receiver = receiver.New(receiver.Options{
 		Forwarder: f,
--- a/internal/policy/bencher/cell.go
+++ b/internal/policy/bencher/cell.go
@@ -60,8 +60,7 @@
 		p.counts.Grants++
 		p.begin(p.call(a.ID), a.Upstream, a.Priority)
 	case scheduler.Hedge:
-		p.counts.Hedges++
-		p.begin(p.call(a.ID), a.Upstream, a.Priority)
+		p.hedge(p.call(a.ID), a)
 	case scheduler.Refuse:
 		p.counts.Refusals++
 		p.call(a.ID).refuse(p.now)
@@ -119,7 +118,19 @@
 	p.running[attemptKey{c.id, id}] = r
 }
 
+// hedge starts a second attempt while the first one has no token. As on an entry
+// host, a hedge that comes later is given back.
+func (p *cell) hedge(c *call, a scheduler.Hedge) {
+	if len(c.runs) != 1 || c.runs[0].heard || c.runs[0].engine.id == a.Upstream {
+		p.send(scheduler.Finished{ID: c.id, Upstream: a.Upstream, Outcome: scheduler.Abandoned})
+		return
+	}
+	p.counts.Hedges++
+	p.begin(c, a.Upstream, a.Priority)
+}
+
 func (p *cell) token(r *run, n int) {
+	r.heard = true
 	if n > 1 {
 		p.send(scheduler.Progress{ID: r.call.id, Upstream: r.engine.id, Tokens: n})
 		return
--- a/internal/policy/bencher/engine.go
+++ b/internal/policy/bencher/engine.go
@@ -35,6 +35,8 @@
 	want     int
 	tokens   int
 	ended    bool
+	// heard is set when the entry host has had a token.
+	heard bool
 	// reported is the time of the last report of progress.
 	reported time.Duration
 	// onToken is called with the number of tokens so far.
--- /dev/null
+++ b/internal/policy/scheduler/hedge.go
@@ -0,0 +1,149 @@
+package scheduler
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/amaranthcart/amaranthcart/internal/config/validator"
+	"github.com/amaranthcart/amaranthcart/internal/policy/detector"
+)
+
+const (
+	// hedgeQuantile is the quantile of the time from a grant to the first
+	// token after which a top-tier request counts as late.
+	hedgeQuantile = 0.95
+	// hedgeCost is the number of fresh requests that allow one hedge.
+	hedgeCost = 50
+	// hedgeBurst is the largest number of hedges that a pool saves up, so that
+	// a quiet hour does not allow a wave of them.
+	hedgeBurst = 8
+	// hedgeReserve is the part of a pool's slots that stays free beside a
+	// hedge. A hedge in a crest delays what arrives next.
+	hedgeReserve = 0.1
+	// hedgeCrowd is the number of prompts in process for each upstream, not
+	// counting upstreams with late ones, from which a delay counts as general.
+	// Hedges in a crest delay the answers that run beside them by their prefill.
+	hedgeCrowd = 0.5
+)
+
+// hedgeBudget bounds hedges to a fiftieth of the fresh requests. It counts in
+// fresh requests.
+type hedgeBudget struct{ saved int }
+
+func (b *hedgeBudget) fresh() { b.saved = min(b.saved+1, hedgeBurst*hedgeCost) }
+
+func (b *hedgeBudget) left() bool { return b.saved >= hedgeCost }
+
+func (b *hedgeBudget) take() { b.saved -= hedgeCost }
+
+// hedge starts second attempts of the top-tier requests whose first token is
+// later than usual, the longest granted first.
+func (s *Scheduler) hedge(now time.Time, p *pool) {
+	if s.unsettled || p.queued[0] > 0 || !p.hedges.left() {
+		return
+	}
+	late := s.late(now, p)
+	if len(late) == 0 || p.crowded(late) {
+		return
+	}
+	for _, a := range late {
+		if !p.hedges.left() {
+			return
+		}
+		u := s.second(now, a.request)
+		if u == nil {
+			continue
+		}
+		p.hedges.take()
+		s.start(now, a.request, u)
+		s.actions = append(s.actions, Hedge{ID: a.request.ID, Upstream: u.Name, Priority: int(a.request.class.tier)})
+	}
+}
+
+// late returns the attempts in the pool that may be hedged and have no token
+// after the usual time.
+func (s *Scheduler) late(now time.Time, p *pool) []*attempt {
+	var list []*attempt
+	for _, u := range p.upstreams {
+		if !slices.Contains(u.Models, p.name) {
+			continue
+		}
+		for _, a := range u.attempts {
+			if a.request.pool == p && s.hedgeable(now, a) {
+				list = append(list, a)
+			}
+		}
+	}
+	slices.SortFunc(list, func(a, b *attempt) int {
+		if d := a.granted.Compare(b.granted); d != 0 {
+			return d
+		}
+		return strings.Compare(string(a.request.ID), string(b.request.ID))
+	})
+	return list
+}
+
+// crowded reports whether the upstreams without a late attempt have many
+// prompts in process, so that the delay is general.
+func (p *pool) crowded(late []*attempt) bool {
+	n := 0
+	for _, u := range p.upstreams {
+		if !slices.ContainsFunc(late, func(a *attempt) bool { return a.upstream == u }) {
+			n += u.starting()
+		}
+	}
+	return n > max(1, int(hedgeCrowd*float64(len(p.upstreams))))
+}
+
+// starting counts the attempts that have no token yet.
+func (u *upstream) starting() int {
+	n := 0
+	for _, a := range u.attempts {
+		if a.first.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *Scheduler) hedgeable(now time.Time, a *attempt) bool {
+	r := a.request
+	if !a.first.IsZero() || a.preempted || !r.Repeatable || r.Whole || r.class.tier > 0 || len(r.attempts) > 1 || r.waiting {
+		return false
+	}
+	usual := s.estimator.Start(r.class.name, hedgeQuantile)
+	return usual > 0 && now.Sub(a.granted) > usual && s.detector.Verdict(now, r.Fingerprint) == detector.Clean
+}
+
+// second returns the least loaded upstream for a hedge, or nil. Slots that
+// another top-tier request waits for are not used.
+func (s *Scheduler) second(now time.Time, r *request) *upstream {
+	p := r.pool
+	var best *upstream
+	least, free, slots := 0.0, 0, 0
+	for _, u := range p.upstreams {
+		slots += u.Slots
+		if !u.free() || !u.replaceable(now, p, r.class) {
+			continue
+		}
+		free += u.Slots - len(u.attempts)
+		if r.attempt(u.Name) != nil || r.avoids(u.Name) || u.starting() > 0 || s.topWaits(u) ||
+			!s.detector.Permits(now, r.Fingerprint, u.process(), true) {
+			continue
+		}
+		if load := u.load(now, p.typical); best == nil || load < least {
+			best, least = u, load
+		}
+	}
+	if float64(free-1) < hedgeReserve*float64(slots) {
+		return nil
+	}
+	return best
+}
+
+// topWaits reports whether a top-tier request waits in a pool of the upstream.
+func (s *Scheduler) topWaits(u *upstream) bool {
+	waits := func(n validator.PoolName) bool { return s.pools[n] != nil && s.pools[n].queued[0] > 0 }
+	return slices.ContainsFunc(u.Models, waits) || slices.ContainsFunc(u.Services, waits)
+}
--- a/internal/policy/scheduler/queue.go
+++ b/internal/policy/scheduler/queue.go
@@ -29,6 +29,7 @@
 	parked  []*request
 	waiting int
 	retries retryBudget
+	hedges  hedgeBudget
 	// queued counts the waiting requests of each tier.
 	queued [validator.LowestTier + 1]int
 	// sinceOverdue counts the grants since the last one that was made out of
--- a/internal/policy/scheduler/scheduler.go
+++ b/internal/policy/scheduler/scheduler.go
@@ -91,6 +91,7 @@
 		for _, p := range s.pools {
 			s.dispatch(now, p)
 			s.preempt(now, p)
+			s.hedge(now, p)
 		}
 	}
 	return s.actions
@@ -123,6 +124,7 @@
 	delete(s.interrupted, sent.origin())
 	if !resumed {
 		p.retries.fresh()
+		p.hedges.fresh()
 	} else if !interrupted && !sent.Moved && !p.retries.take() {
 		s.refuse(sent.ID, OutOfRetries, leaseTime)
 		return
@@ -201,7 +203,9 @@
 	if a := s.attempt(e.ID, e.Upstream); a != nil && a.first.IsZero() {
 		a.first = now
 		a.reported, a.tokens = now, max(a.tokens, 1)
-		s.estimator.Started(a.request.Class, now.Sub(a.granted))
+		if !a.request.Whole {
+			s.estimator.Started(a.request.Class, now.Sub(a.granted))
+		}
 	}
 }
 
--- a/internal/policy/scheduler/types.go
+++ b/internal/policy/scheduler/types.go
@@ -47,6 +47,9 @@
 	Prefix []uint64
 	// Repeatable requests may be retried, hedged, preempted and resumed.
 	Repeatable bool
+	// Whole marks an answer that comes in one piece: its first token is its
+	// end, so that a late one tells nothing and a hedge would double its work.
+	Whole bool
 	// Retry marks a further attempt of the same caller request.
 	Retry bool
 	// Moved marks a request that another owner of the cell has admitted; it
