--- a/internal/entry/receiver/harness_test.go
+++ b/internal/entry/receiver/harness_test.go
@@ -193,6 +193,8 @@
 	newID     func() string
 	tls       dialer.TLS
 	callers   *tls.Config
+	// dispatcher makes the one in use; nil means the fake one.
+	dispatcher func(h *harness) dispatcher.Dispatcher
 }
 
 func withClock(c clockwork.Clock) harnessOption    { return func(s *harnessSettings) { s.clock = c } }
@@ -248,7 +250,11 @@
 		u.Address = l.Addr().String()
 		h.dispatcher.upstreams = append(h.dispatcher.upstreams, u)
 	}
-	f := forwarder.New(forwarder.Options{Dispatcher: h.dispatcher, Clock: settings.clock, TLS: settings.tls})
+	var d dispatcher.Dispatcher = h.dispatcher
+	if settings.dispatcher != nil {
+		d = settings.dispatcher(h)
+	}
+	f := forwarder.New(forwarder.Options{Dispatcher: d, Clock: settings.clock, TLS: settings.tls})
 	h.forwarder = f
 	h.receiver = receiver.New(receiver.Options{
 		Forwarder: f,
