scheduler: refuse hopeless requests that wait behind resumed ones

Cause: the refusal of hopeless requests looked at the head of each lane only. A request that has tokens is kept, and its latest start is long past, so it stays at the head and hides those behind it. After a crash the suspects of an organisation do this for up to 20 s. The requests behind them were granted after their latest start and held slots without meeting their target.

--- a/internal/policy/scheduler/admission.go
+++ b/internal/policy/scheduler/admission.go
@@ -131,23 +131,41 @@
 func (s *Scheduler) expireTier(now time.Time, p *pool, level validator.Tier) {
 	yielding := -1
 	for i := len(p.tiers[level].lanes) - 1; i >= 0; i-- {
-		l := p.tiers[level].lanes[i]
-		for len(l.requests) > 0 && s.hopeless(now, l.requests[0]) {
+		for _, r := range p.tiers[level].lanes[i].hopeless(now) {
 			if yielding < 0 {
-				yielding = p.yielding(now, l.requests[0].class)
+				yielding = p.yielding(now, r.class)
 			}
 			if yielding+p.preempting >= p.queued[level] {
 				return
 			}
-			s.giveUp(now, l.requests[0])
+			s.giveUp(now, r)
 		}
 	}
 }
 
-// hopeless reports whether a request cannot meet its target any more. One that
-// has tokens already is worth continuing.
-func (s *Scheduler) hopeless(now time.Time, r *request) bool {
-	return r.Emitted == 0 && now.After(r.due)
+// hopeless lists the requests that cannot meet their target any more, least
+// slack first. One that has tokens already is worth continuing; it stays at the
+// head of its lane and must not hide those behind it, which would be granted
+// too late to be of use.
+func (l *lane) hopeless(now time.Time) []*request {
+	var list []*request
+	for heads := []int{0}; len(heads) > 0; heads = heads[1:] {
+		i := heads[0]
+		if i >= len(l.requests) || !now.After(l.requests[i].due) {
+			continue
+		}
+		if l.requests[i].Emitted == 0 {
+			list = append(list, l.requests[i])
+		}
+		heads = append(heads, 2*i+1, 2*i+2)
+	}
+	slices.SortFunc(list, func(a, b *request) int {
+		if earlier(a, b) {
+			return -1
+		}
+		return 1
+	})
+	return list
 }
 
 // expireAges refuses what has reached the wait of its class, so that the bound
