scheduler: do not count suspects as ahead of new requests

Cause: after a crash about 25 suspects wait for upstreams without another, for up to 20 s. The prediction on arrival counted them as ahead, although the slots that free go to the requests behind them: with 32 grants a second they alone exceed what a target of one second allows. The count of suspects is also left out where the refusal of hopeless requests is weighed against work that could give way.

--- a/internal/policy/scheduler/admission.go
+++ b/internal/policy/scheduler/admission.go
@@ -67,8 +67,10 @@
 	}
 }
 
-// ahead counts the waiting requests of a tier.
-func (p *pool) ahead(level validator.Tier) int { return p.queued[level] }
+// ahead counts the waiting requests of a tier that take the next slots.
+// Suspects do not: each waits for an upstream without another, while the slots
+// that free go to the requests behind it.
+func (p *pool) ahead(level validator.Tier) int { return p.queued[level] - p.suspects[level] }
 
 // held records how long a request held its slot.
 func (p *pool) held(d time.Duration) {
@@ -135,7 +137,7 @@
 			if yielding < 0 {
 				yielding = p.yielding(now, r.class)
 			}
-			if yielding+p.preempting >= p.queued[level] {
+			if yielding+p.preempting >= p.ahead(level) {
 				return
 			}
 			s.giveUp(now, r)
--- a/internal/policy/scheduler/overload_test.go
+++ b/internal/policy/scheduler/overload_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -23,3 +24,36 @@
 	assert.Equal(t, script(s.Step(now, Tick{})), "fresh!overloaded")
 	assert.Equal(t, script(s.Step(now, done("running", "a", Completed))), "begun>a")
 }
+
+// TestSuspectsAhead guards against requests that are refused on arrival because
+// suspects wait, each for an upstream without another, although the next slot
+// goes to the new request.
+func TestSuspectsAhead(t *testing.T) {
+	s, now := New(), start
+	s.Step(now, Configure{Document: document()})
+	s.Step(now, Observe{engine("b", 2)})
+	s.Step(now, ask("first", "top", "small"))
+	now = now.Add(10 * time.Second)
+	s.Step(now, done("first", "b", Completed))
+	assert.Equal(t, script(s.Step(now, ask("one", "top", "small"))), "one>b")
+	assert.Equal(t, script(s.Step(now, ask("two", "top", "small"))), "two>b")
+	s.Step(now, Observe{engine("a", crowdMinimum+2)})
+	var lost []Submit
+	for i := range crowdMinimum + 2 {
+		r := ask(fmt.Sprint("lost", i), "top", "small")
+		r.Request.Fingerprint = string(r.Request.ID)
+		assert.Equal(t, script(s.Step(now, r)), string(r.Request.ID)+">a")
+		r.Request.Retry = true
+		lost = append(lost, r)
+	}
+	for _, r := range lost {
+		s.Step(now, done(string(r.Request.ID), "a", Crashed))
+	}
+	for _, r := range lost {
+		s.Step(now, r)
+	}
+	now = now.Add(time.Millisecond)
+	assert.Equal(t, script(s.Step(now, ask("fresh", "top", "small"))), "")
+	assert.Equal(t, script(s.Step(now, done("one", "b", Completed))), "lost0>b")
+	assert.Equal(t, script(s.Step(now, done("two", "b", Completed))), "fresh>b")
+}
--- a/internal/policy/scheduler/queue.go
+++ b/internal/policy/scheduler/queue.go
@@ -31,6 +31,8 @@
 	retries retryBudget
 	// queued counts the waiting requests of each tier.
 	queued [validator.LowestTier + 1]int
+	// suspects counts those of them that run alone after a crash.
+	suspects [validator.LowestTier + 1]int
 	// sinceOverdue counts the grants since the last one that was made out of
 	// order to overdue work.
 	sinceOverdue int
@@ -168,6 +170,9 @@
 	p.addAge(r)
 	p.waiting++
 	p.queued[level]++
+	if r.suspect {
+		p.suspects[level]++
+	}
 	r.waiting = true
 }
 
@@ -186,6 +191,9 @@
 	}
 	p.waiting--
 	p.queued[r.class.tier]--
+	if r.suspect {
+		p.suspects[r.class.tier]--
+	}
 	r.waiting = false
 	p.trimAges(r.class)
 }
--- a/internal/policy/scheduler/request.go
+++ b/internal/policy/scheduler/request.go
@@ -39,6 +39,8 @@
 	due     time.Time
 	waiting bool
 	parked  bool
+	// suspect is set when the request had met a crash at its submission.
+	suspect bool
 	index   int
 }
 
--- a/internal/policy/scheduler/scheduler.go
+++ b/internal/policy/scheduler/scheduler.go
@@ -109,7 +109,8 @@
 			return
 		}
 	}
-	if s.detector.Verdict(now, sent.Fingerprint) == detector.Poisonous {
+	verdict := s.detector.Verdict(now, sent.Fingerprint)
+	if verdict == detector.Poisonous {
 		s.refuse(sent.ID, Poisonous, s.poisonTime())
 		return
 	}
@@ -132,6 +133,7 @@
 	}
 	r.pool = p
 	r.resubmit(now, sent)
+	r.suspect = verdict == detector.Suspect
 	if interrupted && !i.queued.IsZero() {
 		r.queued = i.queued
 	}
