amaranthd: test the guarantees under network cuts between processes

The process tests had kills, freezes, lost disks and closed listeners only. A relay in the test stands in front of every process. Processes announce the relay's address through the existing setting advertise, and the relay finds out from the kernel's tables which process opened a connection, so that a fault can hit one direction of one pair: hold the bytes, refuse connections, silence the open connections only, or delay.

Five tests: a control leader cut off for longer than every lease, entry hosts cut off from control alone and from control and peers, two dispatchers while entry hosts are parted, connections to upstreams that go silent for good, and operators racing while the leader is cut off.

One look now serves all connections that were accepted before it. Ports from freePort collided with the relays' listeners, so these tests take ports below the ephemeral range.

--- /dev/null
+++ b/cmd/amaranthd/cut_test.go
@@ -0,0 +1,396 @@
+package main_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"gotest.tools/v3/assert"
+
+	"github.com/amaranthcart/amaranthcart/builder"
+	"github.com/amaranthcart/amaranthcart/internal/config/follower"
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"github.com/amaranthcart/amaranthcart/internal/ops/inspector"
+	"github.com/amaranthcart/amaranthcart/internal/order/issuer"
+	"github.com/amaranthcart/amaranthcart/internal/settings/loader"
+)
+
+// running bounds the deployments that tests run at the same time.
+var running = make(chan struct{}, 3)
+
+// lowPort returns an address below the ports that the kernel gives to
+// connections and to listeners without a port, so that none of these takes it
+// before the process under test listens.
+func lowPort(t testing.TB) string {
+	t.Helper()
+	for range 1000 {
+		address := fmt.Sprint("127.0.0.1:", 11000+rand.IntN(20000))
+		if _, used := lowPorts.LoadOrStore(address, true); used {
+			continue
+		}
+		if l, err := net.Listen("tcp", address); err == nil {
+			assert.NilError(t, l.Close())
+			return address
+		}
+	}
+	t.Fatal("no port is free")
+	return ""
+}
+
+var lowPorts sync.Map
+
+// deployRelayed starts a deployment whose processes reach each other only
+// through relays. The test itself and its operators reach them directly.
+func deployRelayed(t *testing.T, controls, entries int) (*deployment, *network) {
+	t.Helper()
+	t.Parallel()
+	running <- struct{}{}
+	t.Cleanup(func() { <-running })
+	n := newNetwork(t)
+	d := &deployment{
+		t: t, folder: t.TempDir(),
+		processes: map[string]*process{}, settings: map[string]*loader.Settings{}, stubs: map[string]string{},
+	}
+	t.Cleanup(d.close)
+	for i := range controls {
+		d.control = append(d.control, fmt.Sprint("control-", i+1))
+	}
+	for i := range entries {
+		d.entries = append(d.entries, fmt.Sprint("entry-", i+1))
+	}
+	var members []loader.Member
+	var voters []registrar.HostName
+	var seeds []string
+	for i, name := range append(d.control, d.entries...) {
+		s := loader.Default()
+		s.Name, s.Centre = registrar.HostName(name), "centre-1"
+		s.Data = filepath.Join(d.folder, name)
+		s.Admin, s.Peers = lowPort(t), lowPort(t)
+		s.Advertise = n.relay(name, s.Peers)
+		if i < controls {
+			s.Roles = []loader.Role{loader.Control}
+			members = append(members, loader.Member{Name: s.Name, Address: s.Advertise})
+			voters = append(voters, s.Name)
+		} else {
+			s.Roles = []loader.Role{loader.Entry}
+			s.Callers = lowPort(t)
+			seeds = append(seeds, s.Advertise)
+		}
+		d.settings[name] = s
+	}
+	for name, s := range d.settings {
+		s.Control = members
+		if strings.HasPrefix(name, "control") {
+			s.Bootstrap = voters
+		} else {
+			s.Seeds = seeds
+		}
+		d.startDaemon(name)
+	}
+	return d, n
+}
+
+// startBehind starts a stand-in upstream behind a relay.
+func (d *deployment) startBehind(n *network, name string, args ...string) {
+	d.stubs[name] = lowPort(d.t)
+	base := []string{"--name", name, "--listen", d.stubs[name], "--address", n.relay(name, d.stubs[name])}
+	for _, e := range d.entries {
+		base = append(base, "--entry", d.settings[e].Advertise)
+	}
+	d.start(name, "amaranthstub", append(base, args...)...)
+}
+
+// startReference starts an engine that no entry host knows.
+func (d *deployment) startReference() {
+	d.stubs["reference"] = lowPort(d.t)
+	d.start("reference", "amaranthstub", "--name", "reference", "--listen", d.stubs["reference"], "--model", "lucka")
+}
+
+// patientDocument has targets that a busy machine meets; more parts are added.
+func patientDocument(t testing.TB, note string, first, gap, total time.Duration, more ...builder.Part) string {
+	t.Helper()
+	chat := builder.Class("chat", builder.Tier(0), builder.First(first), builder.Gap(gap), builder.Wait(time.Minute))
+	plain := builder.Class("plain", builder.Tier(1), builder.Total(total), builder.Wait(10*time.Second))
+	extra := builder.Class("extra-"+note, builder.Tier(3), builder.Total(time.Minute), builder.Wait(time.Minute))
+	var b bytes.Buffer
+	assert.NilError(t, builder.New(append([]builder.Part{
+		chat, plain, extra,
+		builder.Organisation("home", builder.Share(1), builder.Key(key)),
+		builder.Model("lucka", chat, builder.Also(extra)),
+		builder.Service("shop", plain, builder.Once("POST", "/renew"), builder.Repeatable("GET", "/check")),
+	}, more...)...).Print(&b))
+	file := filepath.Join(t.TempDir(), "document.json")
+	assert.NilError(t, os.WriteFile(file, b.Bytes(), 0o600))
+	return file
+}
+
+// view is what an entry host tells about the class of a model.
+func (d *deployment) view(entry string) inspector.Explanation {
+	var x inspector.Explanation
+	c := http.Client{Timeout: 2 * time.Second}
+	r, err := c.Get("http://" + d.settings[entry].Admin + inspector.ExplainPath + "?organisation=home&pool=lucka")
+	if err != nil {
+		return x
+	}
+	defer func() { _ = r.Body.Close() }()
+	_ = json.NewDecoder(r.Body).Decode(&x)
+	return x
+}
+
+func others(names []string, but string) []string {
+	var rest []string
+	for _, n := range names {
+		if n != but {
+			rest = append(rest, n)
+		}
+	}
+	return rest
+}
+
+// at joins the addresses of control hosts for an operator's command.
+func (d *deployment) at(controls ...string) string {
+	var all []string
+	for _, c := range controls {
+		all = append(all, d.settings[c].Peers)
+	}
+	return strings.Join(all, ",")
+}
+
+// applyAt submits a document through some control hosts until they accept it.
+func (d *deployment) applyAt(control, file string, base int, change string) {
+	d.t.Helper()
+	d.waitFor("apply of "+change, func() bool {
+		code, out := d.ctlAt(control, "apply", file, "--revision", fmt.Sprint(base), "--change", change)
+		d.t.Log(out)
+		return code == 0
+	})
+}
+
+// TestControlHostCut guards against a control leader that is silently cut off
+// from its group for longer than every lease, while entry hosts and operators
+// still reach it: its stale answers must not be enforced, it must not accept
+// changes, and it must catch up when the cut ends.
+func TestControlHostCut(t *testing.T) {
+	d, n := deployRelayed(t, 3, 2)
+	d.apply(document(t, "a"), 0)
+	for _, e := range d.entries {
+		d.waitFor(e+" to be ready", func() bool { return d.ready(e) })
+	}
+	old := d.leader()
+	rest := others(d.control, old)
+	began := time.Now()
+	n.part([]string{old}, rest)
+	var group conc.WaitGroup
+	defer group.Wait()
+	stale, lost := document(t, "stale"), document(t, "lost")
+	group.Go(func() {
+		code, out := d.ctlAt(d.at(old), "--timeout", "2s", "apply", lost, "--revision", "1", "--change", "lost")
+		assert.Check(t, code != 0, "the host that is cut off accepted a change: %s", out)
+	})
+	group.Go(func() {
+		code, out := d.ctlAt(d.at(old), "--timeout", "2s", "get")
+		assert.Check(t, code != 0, "the host that is cut off answered a read: %s", out)
+	})
+	d.applyAt(d.at(rest...), stale, 1, "kept")
+	accepted := time.Now()
+	for _, e := range d.entries {
+		d.waitFor(e+" to enforce revision 2", func() bool {
+			asked := time.Now()
+			x := d.view(e)
+			assert.Assert(t, asked.Sub(accepted) < follower.Lease || x.Revision != 1 || x.Decision == "refuse",
+				"%s works under revision 1 %v after revision 2 was accepted", e, asked.Sub(accepted))
+			return x.Revision == 2
+		})
+		t.Logf("%s enforced revision 2 within %v", e, time.Since(accepted))
+	}
+	for time.Since(began) < issuer.Lease+time.Second {
+		for _, e := range d.entries {
+			x := d.view(e)
+			assert.Assert(t, x.Revision == 2, "%s went back to revision %d", e, x.Revision)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	group.Wait()
+	for _, e := range d.entries {
+		assert.Assert(t, d.ready(e), "%s is unready although two control hosts work", e)
+	}
+	n.heal()
+	d.waitFor("the host to catch up", func() bool {
+		code, out := d.ctlAt(d.at(old), "--output", "json", "status")
+		return code == 0 && strings.Contains(out, `"revision": 2`)
+	})
+	code, out := d.ctlAt(d.at(old), "history")
+	assert.Equal(t, code, 0, out)
+	assert.Assert(t, strings.Contains(out, "kept") && !strings.Contains(out, "lost"), out)
+}
+
+// TestEntryHostCut guards against an entry host that goes on under a
+// configuration that it cannot confirm, against a refusal that is not true, and
+// against a host that gives up although its peers can confirm the revision.
+func TestEntryHostCut(t *testing.T) {
+	d, n := deployRelayed(t, 1, 3)
+	d.apply(document(t, "a"), 0)
+	d.startBehind(n, "shop-1", "--service", "shop")
+	for _, e := range d.entries {
+		d.waitUpstreams(e, 1)
+	}
+	// entry-1 loses control only, with refused connections; entry-3 loses
+	// control and its peers, silently.
+	n.cut("entry-1", "control-1")
+	n.part([]string{"entry-3"}, []string{"control-1", "entry-1", "entry-2"})
+	began := time.Now()
+	served, refused := map[string]bool{}, map[string]bool{}
+	for i := 0; time.Since(began) < follower.Lease+2*time.Second; i++ {
+		k := fmt.Sprint("call-", i)
+		asked := time.Since(began)
+		method, path := "GET", "/svc/shop/check"
+		if i%2 == 1 {
+			method, path = "POST", "/svc/shop/renew"
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		a := d.send(ctx, "entry-3", method, path, "", "Stub-Key", k)
+		cancel()
+		assert.NilError(t, a.err)
+		switch {
+		case a.status == http.StatusOK:
+			served[k] = true
+			assert.Assert(t, asked < follower.Lease, "served a call that arrived %v after the cut", asked)
+		default:
+			refused[k] = true
+			assert.Equal(t, a.status, http.StatusServiceUnavailable, a.body)
+			assert.Equal(t, a.header.Get("Amaranth-Run"), "no", a.body)
+		}
+		if asked >= follower.Lease {
+			assert.Assert(t, !d.ready("entry-3"), "ready %v after the cut", asked)
+		}
+		assert.Assert(t, d.ready("entry-1"), "entry-1 is unready %v after the cut although its peers confirm", asked)
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Logf("%d served, %d refused", len(served), len(refused))
+	assert.Assert(t, len(served) > 0 && len(refused) > 0)
+	counts := d.runs("shop-1")
+	for k := range refused {
+		assert.Equal(t, counts[k], 0, "%s was refused as not run", k)
+	}
+	for k := range served {
+		assert.Equal(t, counts[k], 1, "%s was served", k)
+	}
+	d.apply(document(t, "b"), 1)
+	accepted := time.Now()
+	d.waitFor("entry-1 to enforce revision 2", func() bool { return d.view("entry-1").Revision == 2 })
+	assert.Assert(t, time.Since(accepted) < follower.Lease || !d.ready("entry-1"), "entry-1 took %v", time.Since(accepted))
+	assert.Equal(t, d.view("entry-3").Revision, uint64(1))
+	n.heal()
+	d.waitFor("entry-3 to become ready", func() bool { return d.ready("entry-3") })
+	assert.Equal(t, d.view("entry-3").Revision, uint64(2), "ready under the old revision")
+}
+
+// TestTwoDispatchers guards against top-tier requests that are lost and keyed
+// calls that run twice while entry hosts are parted and a cell has two owners,
+// and while they find each other again.
+func TestTwoDispatchers(t *testing.T) {
+	d, n := deployRelayed(t, 1, 4)
+	d.apply(patientDocument(t, "a", 20*time.Second, 2*time.Second, 2*time.Second), 0)
+	d.startReference()
+	d.startBehind(n, "engine-1", "--model", "lucka", "--slots", "8")
+	d.startBehind(n, "engine-2", "--model", "lucka", "--slots", "8")
+	d.startBehind(n, "shop-1", "--service", "shop")
+	for _, e := range d.entries {
+		d.waitUpstreams(e, 3)
+	}
+	for _, s := range []string{"engine-1", "engine-2"} {
+		d.order(s, `{"behaviour": {"gap": "5ms"}}`)
+	}
+	d.order("shop-1", `{"behaviour": {"first": "10ms"}}`)
+	left, right := d.entries[:2], d.entries[2:]
+	n.part(left, right)
+	d.waitFor("two owners", func() bool {
+		a, b := d.view(left[0]).Owner, d.view(right[0]).Owner
+		return a != "" && b != "" && a != b && a == d.view(left[1]).Owner && b == d.view(right[1]).Owner
+	})
+	var group conc.WaitGroup
+	done := make(chan struct{})
+	var chats, letters atomic.Int64
+	ask := func(entry, prompt, class string) answer {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		return d.send(ctx, entry, "POST", "/v1/chat/completions", chat(prompt, true), "Amaranth-Class", class)
+	}
+	repeat := func(f func(i int)) {
+		group.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-done:
+					return
+				default:
+					f(i)
+				}
+			}
+		})
+	}
+	for c := range 16 {
+		entry := d.entries[c%4]
+		repeat(func(i int) {
+			if c < 8 {
+				prompt := fmt.Sprintf("Chat %d of %d. [[length=40]]", i, c)
+				a := ask(entry, prompt, "chat")
+				text, ok := whole(a)
+				assert.Check(t, ok && text == d.text(prompt), "%s: %d %v %.300s", entry, a.status, a.err, a.body)
+				chats.Add(1)
+				return
+			}
+			if _, ok := whole(ask(entry, fmt.Sprintf("Letter %d of %d. [[length=400]]", i, c), "extra-a")); ok {
+				letters.Add(1)
+			}
+		})
+	}
+	var mu sync.Mutex
+	answers := map[string]map[string]bool{}
+	for c := range 4 {
+		repeat(func(i int) {
+			k := fmt.Sprintf("renewal-%d", i)
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			defer cancel()
+			a := d.send(ctx, d.entries[c], "POST", "/svc/shop/renew", "{}", "Idempotency-Key", k)
+			if a.err == nil && a.status == http.StatusOK {
+				mu.Lock()
+				defer mu.Unlock()
+				if answers[k] == nil {
+					answers[k] = map[string]bool{}
+				}
+				answers[k][a.body] = true
+			}
+		})
+	}
+	d.waitFor("answers while parted", func() bool { return chats.Load() > 60 })
+	n.heal()
+	d.waitFor("one owner", func() bool {
+		return d.view(left[0]).Owner == d.view(right[0]).Owner
+	})
+	before := chats.Load()
+	d.waitFor("answers after the cut", func() bool { return chats.Load() > before+40 })
+	close(done)
+	group.Wait()
+	counts := d.runs("shop-1")
+	for k, a := range answers {
+		assert.Equal(t, counts[k], 1, "%s", k)
+		assert.Equal(t, len(a), 1, "%s got different answers: %v", k, a)
+	}
+	for k, runs := range counts {
+		assert.Assert(t, runs <= 1, "%s ran %d times", k, runs)
+	}
+	t.Logf("%d chats, %d letters, %d renewals answered", chats.Load(), letters.Load(), len(answers))
+	assert.Assert(t, len(answers) > 10)
+}
