issuer: order again when a state that was shown is lost

An engine that ignores fencing numbers can obey a late order of an earlier issuer. The design says that the next announcement shows the difference and that the wanted state is ordered again. The issuer waited up to 10 minutes for that: an accepted order was repeated only when the time of a load had passed, although the announcements had already shown its result. The wait now ends when the result is shown.

Ruled out: a lack of announcements, and the load lease, which is given back in time. A late order that arrives before the result was shown (3 s after the order) still costs up to the time of a load, because the announcement cannot be told from a load that runs.

--- a/internal/order/issuer/issuer.go
+++ b/internal/order/issuer/issuer.go
@@ -170,6 +170,7 @@
 			i.targets[u.Name] = t
 		}
 		t.announce(u)
+		t.finish(now)
 	}
 	for id, t := range i.targets {
 		if t.idle(now) {
--- a/internal/order/issuer/issuer_test.go
+++ b/internal/order/issuer/issuer_test.go
@@ -7,8 +7,10 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/amaranthcart/amaranthcart/internal/config/validator"
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
 	"github.com/amaranthcart/amaranthcart/internal/order/issuer"
+	"github.com/amaranthcart/amaranthcart/internal/stub/responder"
 )
 
 const second = time.Second
@@ -134,6 +136,18 @@
 		w.run(50 * time.Minute)
 		w.converged("m", "y")
 	}},
+	// An order of an issuer that was frozen for long reaches an engine that
+	// ignores numbers, after a later state was announced.
+	{"late order after the placement was shown", 0, func(w *world, f issuer.Faults, trusted bool) {
+		a, _ := pair(w, f)
+		a.want("z", trusted)
+		w.run(200 * second)
+		w.converged("m", "z")
+		late := w.engines[3].placer
+		assert.Assert(w.t, late.Order(w.now, responder.Order{ID: "late", Models: []validator.PoolName{"x"}}))
+		w.run(200*second + 3*loadTime)
+		w.converged("m", "z")
+	}},
 	{"engine leaves", 4, func(w *world, f issuer.Faults, trusted bool) {
 		a, _ := pair(w, f)
 		w.run(20 * second)
--- a/internal/order/issuer/target.go
+++ b/internal/order/issuer/target.go
@@ -132,6 +132,15 @@
 	return !t.accepted || !now.Before(t.patience)
 }
 
+// finish ends the wait for the result of an order once the announcements show
+// it. A difference after that comes from another order, such as a late one of an
+// earlier issuer, and is ordered again at once.
+func (t *target) finish(now time.Time) {
+	if t.accepted && t.shown(now) {
+		t.patience = now
+	}
+}
+
 // shown reports whether the announcement proves that the last order has been
 // carried out.
 func (t *target) shown(now time.Time) bool {
