receiver: keep answers that callers leave unread for a few seconds

The daemon opens the callers' listener like the one between its own hosts, with a TCP user timeout of 3 s. The kernel applies that also to data that waits for a reader with a full window. A caller that read nothing for 3 s lost a long answer, although the receiver allows 30 s (writeTimeout). The receiver now sets the user timeout of accepted connections to its own bound.

Ruled out: the write deadline of the receiver, which was not reached, and the small receive buffer of the first form of the test; the fault is the same without it.

--- a/internal/entry/receiver/receiver.go
+++ b/internal/entry/receiver/receiver.go
@@ -25,6 +25,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/google/uuid"
@@ -39,6 +40,7 @@
 	"github.com/amaranthcart/amaranthcart/internal/entry/forwarder"
 	"github.com/amaranthcart/amaranthcart/internal/ops/reporter"
 	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/dialer"
 )
 
 // Default limits; a small host holds them in a few hundred megabytes.
@@ -231,9 +233,30 @@
 	})
 }
 
-// Limit bounds the open connections of a listener.
+// Limit bounds the open connections of a listener, and how long the kernel
+// keeps an answer that its caller leaves unread.
 func (r *Receiver) Limit(l net.Listener) net.Listener {
-	return netutil.LimitListener(l, r.options.Limits.Connections)
+	return netutil.LimitListener(patient{l}, r.options.Limits.Connections)
+}
+
+// patient gives callers the writeTimeout to read their answers. The bound on
+// unacknowledged data between the system's own hosts is shorter, and the kernel
+// applies it to data that waits for a slow reader too.
+type patient struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (p patient) Accept() (net.Conn, error) {
+	c, err := p.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	if s, ok := c.(syscall.Conn); ok {
+		if raw, err := s.SyscallConn(); err == nil {
+			// A connection that has failed already shows it at the next read.
+			_ = dialer.LimitUnacknowledged(raw, writeTimeout)
+		}
+	}
+	return c, nil
 }
 
 // Unready makes the readiness check fail while requests are still accepted, so
--- a/internal/rpc/dialer/dialer.go
+++ b/internal/rpc/dialer/dialer.go
@@ -131,9 +131,16 @@
 // SetUserTimeout is a net.Dialer.Control that makes the kernel close connections
 // whose data stays unacknowledged.
 func SetUserTimeout(_, _ string, c syscall.RawConn) error {
+	return LimitUnacknowledged(c, Unacknowledged)
+}
+
+// LimitUnacknowledged makes the kernel close the connection when its data stays
+// unacknowledged for the time. The kernel counts data that waits for a reader
+// with a full buffer as well.
+func LimitUnacknowledged(c syscall.RawConn, d time.Duration) error {
 	var failure error
 	set := func(fd uintptr) {
-		failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(Unacknowledged.Milliseconds()))
+		failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
 	}
 	if err := c.Control(set); err != nil {
 		return err
