--- a/cmd/amaranthd/cut_test.go
+++ b/cmd/amaranthd/cut_test.go
@@ -20,15 +20,19 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/amaranthcart/amaranthcart/builder"
-	"github.com/amaranthcart/amaranthcart/internal/config/follower"
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
 	"github.com/amaranthcart/amaranthcart/internal/ops/inspector"
 	"github.com/amaranthcart/amaranthcart/internal/order/issuer"
 	"github.com/amaranthcart/amaranthcart/internal/settings/loader"
 )
 
-// running bounds the deployments that tests run at the same time.
-var running = make(chan struct{}, 3)
+// Tests with relays run beside each other, at most three at a time: TestTwoIssuers
+// takes 52 s, and each lane holds tests that take less together.
+var laneOfCallers, laneOfCuts sync.Mutex
+
+// bound is how long an entry host may work under a revision that is not
+// confirmed, and how long a change may take to be in force (guarantee 8).
+const bound = 5 * time.Second
 
 // lowPort returns an address below the ports that the kernel gives to
 // connections and to listeners without a port, so that none of these takes it
@@ -51,13 +55,18 @@
 
 var lowPorts sync.Map
 
+// enter makes the test run beside those of other lanes.
+func enter(t *testing.T, lane *sync.Mutex) {
+	t.Helper()
+	t.Parallel()
+	lane.Lock()
+	t.Cleanup(lane.Unlock)
+}
+
 // deployRelayed starts a deployment whose processes reach each other only
 // through relays. The test itself and its operators reach them directly.
-func deployRelayed(t *testing.T, controls, entries int) (*deployment, *network) {
+func deployRelayed(t *testing.T, controls, entries int, changes ...func(*loader.Settings)) (*deployment, *network) {
 	t.Helper()
-	t.Parallel()
-	running <- struct{}{}
-	t.Cleanup(func() { <-running })
 	n := newNetwork(t)
 	d := &deployment{
 		t: t, folder: t.TempDir(),
@@ -97,6 +106,9 @@
 		} else {
 			s.Seeds = seeds
 		}
+		for _, change := range changes {
+			change(s)
+		}
 		d.startDaemon(name)
 	}
 	return d, n
@@ -183,6 +195,7 @@
 // still reach it: its stale answers must not be enforced, it must not accept
 // changes, and it must catch up when the cut ends.
 func TestControlHostCut(t *testing.T) {
+	enter(t, &laneOfCuts)
 	d, n := deployRelayed(t, 3, 2)
 	d.apply(document(t, "a"), 0)
 	for _, e := range d.entries {
@@ -209,7 +222,7 @@
 		d.waitFor(e+" to enforce revision 2", func() bool {
 			asked := time.Now()
 			x := d.view(e)
-			assert.Assert(t, asked.Sub(accepted) < follower.Lease || x.Revision != 1 || x.Decision == "refuse",
+			assert.Assert(t, asked.Sub(accepted) < bound || x.Revision != 1 || x.Decision == "refuse",
 				"%s works under revision 1 %v after revision 2 was accepted", e, asked.Sub(accepted))
 			return x.Revision == 2
 		})
@@ -240,6 +253,7 @@
 // configuration that it cannot confirm, against a refusal that is not true, and
 // against a host that gives up although its peers can confirm the revision.
 func TestEntryHostCut(t *testing.T) {
+	enter(t, &laneOfCallers)
 	d, n := deployRelayed(t, 1, 3)
 	d.apply(document(t, "a"), 0)
 	d.startBehind(n, "shop-1", "--service", "shop")
@@ -252,7 +266,7 @@
 	n.part([]string{"entry-3"}, []string{"control-1", "entry-1", "entry-2"})
 	began := time.Now()
 	served, refused := map[string]bool{}, map[string]bool{}
-	for i := 0; time.Since(began) < follower.Lease+2*time.Second; i++ {
+	for i := 0; time.Since(began) < bound+2*time.Second; i++ {
 		k := fmt.Sprint("call-", i)
 		asked := time.Since(began)
 		method, path := "GET", "/svc/shop/check"
@@ -266,13 +280,13 @@
 		switch {
 		case a.status == http.StatusOK:
 			served[k] = true
-			assert.Assert(t, asked < follower.Lease, "served a call that arrived %v after the cut", asked)
+			assert.Assert(t, asked < bound, "served a call that arrived %v after the cut", asked)
 		default:
 			refused[k] = true
 			assert.Equal(t, a.status, http.StatusServiceUnavailable, a.body)
 			assert.Equal(t, a.header.Get("Amaranth-Run"), "no", a.body)
 		}
-		if asked >= follower.Lease {
+		if asked >= bound {
 			assert.Assert(t, !d.ready("entry-3"), "ready %v after the cut", asked)
 		}
 		assert.Assert(t, d.ready("entry-1"), "entry-1 is unready %v after the cut although its peers confirm", asked)
@@ -290,7 +304,7 @@
 	d.apply(document(t, "b"), 1)
 	accepted := time.Now()
 	d.waitFor("entry-1 to enforce revision 2", func() bool { return d.view("entry-1").Revision == 2 })
-	assert.Assert(t, time.Since(accepted) < follower.Lease || !d.ready("entry-1"), "entry-1 took %v", time.Since(accepted))
+	assert.Assert(t, time.Since(accepted) < bound || !d.ready("entry-1"), "entry-1 took %v", time.Since(accepted))
 	assert.Equal(t, d.view("entry-3").Revision, uint64(1))
 	n.heal()
 	d.waitFor("entry-3 to become ready", func() bool { return d.ready("entry-3") })
@@ -301,6 +315,7 @@
 // calls that run twice while entry hosts are parted and a cell has two owners,
 // and while they find each other again.
 func TestTwoDispatchers(t *testing.T) {
+	enter(t, &laneOfCuts)
 	d, n := deployRelayed(t, 1, 4)
 	d.apply(patientDocument(t, "a", 20*time.Second, 2*time.Second, 2*time.Second), 0)
 	d.startReference()
--- a/cmd/amaranthd/silent_test.go
+++ b/cmd/amaranthd/silent_test.go
@@ -19,6 +19,7 @@
 // repeats a token, and against a call that runs twice, when the connection to an
 // upstream goes silent for good while new ones work.
 func TestUpstreamConnectionSilent(t *testing.T) {
+	enter(t, &laneOfCuts)
 	d, n := deployRelayed(t, 1, 2)
 	d.apply(patientDocument(t, "a", 5*time.Second, 100*time.Millisecond, time.Second), 0)
 	d.startReference()
@@ -92,6 +93,7 @@
 // another answer than the first, while the leader is cut off and answers are
 // slow.
 func TestOperatorsRaceWhileLeaderCut(t *testing.T) {
+	enter(t, &laneOfCuts)
 	d, n := deployRelayed(t, 3, 0)
 	d.apply(document(t, "a"), 0)
 	old := d.leader()
@@ -104,7 +106,7 @@
 		files[i] = document(t, fmt.Sprint("operator-", i))
 	}
 	submit := func(i int, at string) (int, applied) {
-		return d.submit(at, "--timeout", "2s", "--output", "json", "apply", files[i], "--revision", "1", "--change", fmt.Sprint("change-of-", i))
+		return d.submit(at, "--timeout", "1s", "--output", "json", "apply", files[i], "--revision", "1", "--change", fmt.Sprint("change-of-", i))
 	}
 	var group conc.WaitGroup
 	codes, results := make([]int, operators), make([]applied, operators)
