bencher: take costs and prefix cache from the model of the stand-in engine

The costs of an iteration and the prefix cache stood twice, in the bench and in internal/stub/batcher, so that a change of one would have made runs on processes and in virtual time incomparable. Ruled out for now: the whole engine on batcher.Batch, because the bound takes a preempted prompt over without work, which the shared model doesn't offer.

--- a/internal/policy/bencher/engine.go
+++ b/internal/policy/bencher/engine.go
@@ -1,27 +1,12 @@
 package bencher
 
 import (
-	"container/list"
 	"slices"
 	"time"
 
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
 	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
-)
-
-// The costs of the fake engine are of the order of a mid-size model on one
-// accelerator: 16 ms for a decoding step alone, 29 ms with 32 sequences, and
-// 17,000 prompt tokens a second.
-const (
-	stepCost     = 16 * time.Millisecond
-	sequenceCost = 400 * time.Microsecond
-	prefillCost  = 60 * time.Microsecond
-	// chunk bounds the prompt tokens handled in one step.
-	chunk = 512
-	// blockTokens is the size of a block of the prefix cache.
-	blockTokens = 128
-	// cacheBlocks bounds the prefix cache.
-	cacheBlocks = 400
+	"github.com/amaranthcart/amaranthcart/internal/stub/batcher"
 )
 
 // run is an attempt of a call on an engine.
@@ -66,7 +51,7 @@
 	stepEnd time.Duration
 	queue   []*run
 	batch   []*run
-	cache   prefixes
+	cache   batcher.Cache
 	// made counts the tokens generated, whether or not they were of use.
 	made int
 }
@@ -131,7 +116,7 @@
 		e.queue = e.queue[1:]
 		r.started = true
 		r.call.start(e.clock.now)
-		cached := e.cache.use(r.call.prefix) * blockTokens
+		cached := e.cache.Use(r.call.prefix) * batcher.BlockTokens
 		r.prefill = max(r.call.prompt+r.call.emitted-cached, 1)
 		r.want = r.call.output - r.call.emitted
 		e.batch = append(e.batch, r)
@@ -145,7 +130,7 @@
 	if !e.busy {
 		return
 	}
-	budget, decoding := chunk, 0
+	budget, decoding := batcher.Chunk, 0
 	var ready []*run
 	for _, r := range e.batch {
 		if r.prefill == 0 {
@@ -159,7 +144,7 @@
 			ready = append(ready, r)
 		}
 	}
-	cost := stepCost + time.Duration(decoding)*sequenceCost + time.Duration(chunk-budget)*prefillCost
+	cost := batcher.StepCost + time.Duration(decoding)*batcher.SequenceCost + time.Duration(batcher.Chunk-budget)*batcher.PrefillCost
 	incarnation := e.incarnation
 	cost = time.Duration(float64(cost) * e.factor())
 	e.stepEnd = e.clock.now + cost
@@ -193,7 +178,7 @@
 func (e *engine) crash() {
 	lost := append(slices.Clone(e.batch), e.queue...)
 	e.up, e.busy, e.batch, e.queue = false, false, nil, nil
-	e.cache = prefixes{}
+	e.cache = batcher.Cache{}
 	for _, r := range lost {
 		r.ended = true
 		r.onEnd(scheduler.Crashed)
@@ -218,35 +203,3 @@
 		Load:        registrar.Load{Running: len(e.batch), Waiting: len(e.queue)},
 	}
 }
-
-// prefixes is a cache of prompt blocks that drops the least recently used.
-type prefixes struct {
-	order  list.List
-	blocks map[uint64]*list.Element
-}
-
-// use returns the number of leading blocks in the cache and adds the rest.
-func (p *prefixes) use(blocks []uint64) int {
-	if p.blocks == nil {
-		p.blocks = make(map[uint64]*list.Element)
-	}
-	hit, leading := 0, true
-	for _, b := range blocks {
-		e, ok := p.blocks[b]
-		if ok {
-			p.order.MoveToFront(e)
-			if leading {
-				hit++
-			}
-			continue
-		}
-		leading = false
-		p.blocks[b] = p.order.PushFront(b)
-		if p.order.Len() > cacheBlocks {
-			old := p.order.Back()
-			delete(p.blocks, old.Value.(uint64))
-			p.order.Remove(old)
-		}
-	}
-	return hit
-}
--- a/internal/policy/bencher/oracle.go
+++ b/internal/policy/bencher/oracle.go
@@ -7,6 +7,7 @@
 
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
 	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
+	"github.com/amaranthcart/amaranthcart/internal/stub/batcher"
 )
 
 // oracle is the bound: one queue without any delay between hosts, which knows
@@ -56,14 +57,7 @@
 	if o.kept[c] {
 		return 1
 	}
-	n := c.prompt + c.emitted
-	for _, b := range c.prefix {
-		if _, ok := e.cache.blocks[b]; !ok {
-			break
-		}
-		n -= blockTokens
-	}
-	return max(n, 1)
+	return max(c.prompt+c.emitted-e.cache.Leading(c.prefix)*batcher.BlockTokens, 1)
 }
 
 // predict returns the first token and the gap of a call on an engine.
@@ -75,14 +69,14 @@
 	for _, r := range e.queue {
 		prefill += o.uncached(r.call, e)
 	}
-	step := stepCost + time.Duration(len(e.batch)+len(e.queue)+1)*sequenceCost
-	steps := time.Duration((prefill + chunk - 1) / chunk)
-	first = time.Duration(e.factor() * float64(steps*step+time.Duration(prefill)*prefillCost))
+	step := batcher.StepCost + time.Duration(len(e.batch)+len(e.queue)+1)*batcher.SequenceCost
+	steps := time.Duration((prefill + batcher.Chunk - 1) / batcher.Chunk)
+	first = time.Duration(e.factor() * float64(steps*step+time.Duration(prefill)*batcher.PrefillCost))
 	if e.busy {
 		first += e.stepEnd - o.now
 	}
 	left := time.Duration(max(c.output-c.emitted, 1))
-	busy := max(meanPrefill, time.Duration(prefill)*prefillCost/left)
+	busy := max(meanPrefill, time.Duration(prefill)*batcher.PrefillCost/left)
 	return first, time.Duration(e.mean(left*step) * float64(step+busy))
 }
 
@@ -101,14 +95,14 @@
 
 // meanPrefill is the time that the prompts of other calls add to a step on
 // average: about 60 prompt tokens.
-const meanPrefill = 60 * prefillCost
+const meanPrefill = 60 * batcher.PrefillCost
 
 // latest is when the call has to start at the latest on an idle engine.
 func (o *oracle) latest(c *call) time.Duration {
 	k := c.demand.Class
 	at := c.arrived + time.Duration(1<<62)
 	if k.First > 0 && c.first == 0 {
-		at = c.arrived + time.Duration(k.First) - time.Duration(c.prompt/4)*prefillCost
+		at = c.arrived + time.Duration(k.First) - time.Duration(c.prompt/4)*batcher.PrefillCost
 	}
 	if k.Total > 0 {
 		at = min(at, c.arrived+time.Duration(k.Total)-time.Duration(c.output-c.emitted)*o.meanStep)
@@ -140,7 +134,7 @@
 	for _, e := range o.engines {
 		running += len(e.batch)
 	}
-	o.meanStep = stepCost + time.Duration(running/len(o.engines))*sequenceCost
+	o.meanStep = batcher.StepCost + time.Duration(running/len(o.engines))*batcher.SequenceCost
 	slices.SortFunc(o.waiting, func(a, b *call) int {
 		if d := cmp.Compare(tier(a), tier(b)); d != 0 {
 			return d
--- a/internal/policy/bencher/replay.go
+++ b/internal/policy/bencher/replay.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/amaranthcart/amaranthcart/internal/config/validator"
+	"github.com/amaranthcart/amaranthcart/internal/stub/batcher"
 )
 
 // Arrival is a call of a workload as its caller sees it.
@@ -25,7 +26,7 @@
 }
 
 // BlockTokens is the size of the blocks that prompts share.
-const BlockTokens = blockTokens
+const BlockTokens = batcher.BlockTokens
 
 // Model is the model that the calls of all workloads ask for.
 const Model = model
--- a/internal/policy/bencher/workload.go
+++ b/internal/policy/bencher/workload.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/amaranthcart/amaranthcart/internal/config/validator"
+	"github.com/amaranthcart/amaranthcart/internal/stub/batcher"
 )
 
 // model is the only model of the workloads.
@@ -173,7 +174,7 @@
 	}
 	group := uint64(r.IntN(d.Prefixes))
 	base := uint64(len(d.Class.Name))<<40 | uint64(d.Class.Name[0])<<32 | uint64(by)<<24 | group<<12
-	for i := range d.Shared / blockTokens {
+	for i := range d.Shared / batcher.BlockTokens {
 		c.prefix = append(c.prefix, base+uint64(i))
 	}
 	c.crest = w.within(at)
--- a/internal/stub/batcher/batcher.go
+++ b/internal/stub/batcher/batcher.go
@@ -24,7 +24,6 @@
 package batcher
 
 import (
-	"container/list"
 	"slices"
 	"time"
 )
@@ -70,7 +69,7 @@
 	slots   int
 	queue   []*Sequence
 	running []*Sequence
-	cache   prefixes
+	cache   Cache
 }
 
 // New returns an engine without work that runs up to so many sequences at once.
@@ -150,39 +149,7 @@
 		s := b.queue[0]
 		b.queue = b.queue[1:]
 		s.Started = true
-		s.prefill = max(s.Prompt-b.cache.use(s.Prefix)*BlockTokens, 1)
+		s.prefill = max(s.Prompt-b.cache.Use(s.Prefix)*BlockTokens, 1)
 		b.running = append(b.running, s)
 	}
 }
-
-// prefixes is a cache of prompt blocks that drops the least recently used.
-type prefixes struct {
-	order  list.List
-	blocks map[uint64]*list.Element
-}
-
-// use returns the number of leading blocks in the cache and adds the rest.
-func (p *prefixes) use(blocks []uint64) int {
-	if p.blocks == nil {
-		p.blocks = make(map[uint64]*list.Element)
-	}
-	hit, leading := 0, true
-	for _, b := range blocks {
-		e, ok := p.blocks[b]
-		if ok {
-			p.order.MoveToFront(e)
-			if leading {
-				hit++
-			}
-			continue
-		}
-		leading = false
-		p.blocks[b] = p.order.PushFront(b)
-		if p.order.Len() > CacheBlocks {
-			old := p.order.Back()
-			delete(p.blocks, old.Value.(uint64))
-			p.order.Remove(old)
-		}
-	}
-	return hit
-}
