dispatcher: accept links only under the name in the certificate

Cause: the owner of a cell took the host's name in the first message of a link as it was, so that any entry certificate could replace another host's link and take its slots over.

Before: with the check taken out (mutation, reverted) TestDispatchUnderOwnName fails. After: it passes; go test -race -count=1 ./internal/entry/dispatcher passes in 25 s, TestTLS passes.

--- a/internal/entry/dispatcher/server.go
+++ b/internal/entry/dispatcher/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
 	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/authenticator"
 	"github.com/amaranthcart/amaranthcart/internal/rpc/wire"
 )
 
@@ -102,6 +103,9 @@
 	if hello.Host == "" {
 		return connect.NewError(connect.CodeInvalidArgument, fmt.Errorf("the first message names no host"))
 	}
+	if name := authenticator.Named(ctx, authenticator.Entry); name != "" && name != hello.Host {
+		return connect.NewError(connect.CodePermissionDenied, fmt.Errorf("the certificate is that of entry host %s, the message that of %s", name, hello.Host))
+	}
 	if !s.owns() {
 		return stream.Send(&wire.DispatchResponse{Moved: true})
 	}
