--- a/internal/rpc/wire/wireconnect/wire.connect.go
+++ b/internal/rpc/wire/wireconnect/wire.connect.go
@@ -26,6 +26,8 @@
 	ControlName = "amaranthcart.wire.Control"
 	// PeerName is the fully-qualified name of the Peer service.
 	PeerName = "amaranthcart.wire.Peer"
+	// CellsName is the fully-qualified name of the Cells service.
+	CellsName = "amaranthcart.wire.Cells"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -62,6 +64,8 @@
 	PeerFetchProcedure = "/amaranthcart.wire.Peer/Fetch"
 	// PeerDispatchProcedure is the fully-qualified name of the Peer's Dispatch RPC.
 	PeerDispatchProcedure = "/amaranthcart.wire.Peer/Dispatch"
+	// CellsSummarizeProcedure is the fully-qualified name of the Cells's Summarize RPC.
+	CellsSummarizeProcedure = "/amaranthcart.wire.Cells/Summarize"
 )
 
 // ControlClient is a client for the amaranthcart.wire.Control service.
@@ -515,3 +519,75 @@
 func (UnimplementedPeerHandler) Dispatch(context.Context, *connect.BidiStream[wire.DispatchRequest, wire.DispatchResponse]) error {
 	return connect.NewError(connect.CodeUnimplemented, errors.New("amaranthcart.wire.Peer.Dispatch is not implemented"))
 }
+
+// CellsClient is a client for the amaranthcart.wire.Cells service.
+type CellsClient interface {
+	// Summarize returns the summaries of cells that the asking host lacks.
+	Summarize(context.Context, *connect.Request[wire.SummaryRequest]) (*connect.Response[wire.SummaryResponse], error)
+}
+
+// NewCellsClient constructs a client for the amaranthcart.wire.Cells service. By default, it uses
+// the Connect protocol with the binary Protobuf Codec, asks for gzipped responses, and sends
+// uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the connect.WithGRPC() or
+// connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewCellsClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) CellsClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	cellsMethods := wire.File_wire_wire_proto.Services().ByName("Cells").Methods()
+	return &cellsClient{
+		summarize: connect.NewClient[wire.SummaryRequest, wire.SummaryResponse](
+			httpClient,
+			baseURL+CellsSummarizeProcedure,
+			connect.WithSchema(cellsMethods.ByName("Summarize")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// cellsClient implements CellsClient.
+type cellsClient struct {
+	summarize *connect.Client[wire.SummaryRequest, wire.SummaryResponse]
+}
+
+// Summarize calls amaranthcart.wire.Cells.Summarize.
+func (c *cellsClient) Summarize(ctx context.Context, req *connect.Request[wire.SummaryRequest]) (*connect.Response[wire.SummaryResponse], error) {
+	return c.summarize.CallUnary(ctx, req)
+}
+
+// CellsHandler is an implementation of the amaranthcart.wire.Cells service.
+type CellsHandler interface {
+	// Summarize returns the summaries of cells that the asking host lacks.
+	Summarize(context.Context, *connect.Request[wire.SummaryRequest]) (*connect.Response[wire.SummaryResponse], error)
+}
+
+// NewCellsHandler builds an HTTP handler from the service implementation. It returns the path on
+// which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewCellsHandler(svc CellsHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	cellsMethods := wire.File_wire_wire_proto.Services().ByName("Cells").Methods()
+	cellsSummarizeHandler := connect.NewUnaryHandler(
+		CellsSummarizeProcedure,
+		svc.Summarize,
+		connect.WithSchema(cellsMethods.ByName("Summarize")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/amaranthcart.wire.Cells/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case CellsSummarizeProcedure:
+			cellsSummarizeHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedCellsHandler returns CodeUnimplemented from all methods.
+type UnimplementedCellsHandler struct{}
+
+func (UnimplementedCellsHandler) Summarize(context.Context, *connect.Request[wire.SummaryRequest]) (*connect.Response[wire.SummaryResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("amaranthcart.wire.Cells.Summarize is not implemented"))
+}
