--- a/internal/policy/scheduler/types.go
+++ b/internal/policy/scheduler/types.go
@@ -52,6 +52,11 @@
 	// Moved marks a request that another owner of the cell has admitted; it
 	// counts against no limit or budget again.
 	Moved bool
+	// Cell is the cell in which the last attempt ran; empty before the first.
+	Cell registrar.CellName
+	// Spilled is the other cell that the request was sent to. It is sent to no
+	// further one, so that it cannot circle.
+	Spilled registrar.CellName
 	// Emitted is the number of tokens already passed to the caller.
 	Emitted int
 	// Avoid lists upstreams that already failed the request.
@@ -107,6 +112,8 @@
 	Poisonous Reason = "poisonous"
 	// OutOfRetries means that the retry budget is spent.
 	OutOfRetries Reason = "retries"
+	// Elsewhere means that another cell should be asked in place of this one.
+	Elsewhere Reason = "elsewhere"
 )
 
 // Event is an input of the scheduler.
@@ -196,6 +203,8 @@
 	Reason Reason
 	// RetryAfter tells the caller when to come back.
 	RetryAfter time.Duration
+	// Cell is the one to ask when the reason is Elsewhere.
+	Cell registrar.CellName
 }
 
 // Preempt asks for an attempt to be cancelled; the request is submitted again
