dispatcher: send slot requests to another cell when the own one cannot serve

Cause: a request was refused with "no live upstream", or waited out the lease of a dead upstream, while other cells had free slots.

The dispatcher of the own cell answers "elsewhere" with a cell; the entry host (Fleet) asks the dispatcher of that cell or its fallback hosts over a link of its own, and grants carry the address of the upstream. A request that is not granted there waits in its own queue and never leaves again. Crash records go with it both ways. A host that does not say that it can follow such an answer never gets one, so that hosts of different settings or versions work together.

Ruled out: a timeout of its own for accepting a link. Without it the test passed just as well, since the silence limit of the link does the same, so it was removed. Counting a further attempt against the retries of the other cell: its tenth attempt was refused (TestSpillStays).

Before and after: each rule was switched off in turn; 13 changes made a test fail (unmarked requests circled, waiting requests stayed 60 s, fallbacks, silence, broken links, own queue, staying, crash records both ways, retries, hosts that cannot follow, addresses).

--- a/internal/entry/dispatcher/cell.go
+++ b/internal/entry/dispatcher/cell.go
@@ -53,8 +53,10 @@
 	Membership Membership
 	Local      *Local
 	Client     connect.HTTPClient
-	Clock      clockwork.Clock
-	Logger     *zap.Logger
+	// Roams is set when requests of this host may be sent to other cells.
+	Roams  bool
+	Clock  clockwork.Clock
+	Logger *zap.Logger
 }
 
 // Cell implements Dispatcher for the upstreams of one cell. It schedules
--- a/internal/entry/dispatcher/link.go
+++ b/internal/entry/dispatcher/link.go
@@ -23,6 +23,10 @@
 	// under the smallest first-token target, so that waiting requests still
 	// have time on this host's own part of the slots.
 	silenceLimit = 400 * time.Millisecond
+	// foreignSilence is the same for a link to another cell. It leaves time for
+	// the two round trips of a new connection between regions and one packet
+	// that is sent again.
+	foreignSilence = 800 * time.Millisecond
 )
 
 // link is the stream to the owner of the cell. It implements route.
@@ -40,25 +44,47 @@
 	pending outbox
 	wake    chan struct{}
 	sinks   map[scheduler.RequestID]sink
+
+	hello *wire.DispatchRequest
+	// accepted is closed once the owner has answered.
+	accepted chan struct{}
+	// cell is the one of the owner when it is another cell than this host's;
+	// addresses are those of its upstreams, as the grants gave them.
+	cell      registrar.CellName
+	addresses sync.Map
 }
 
+// openLink opens a link to the owner of this host's cell.
 func openLink(ctx context.Context, s Settings, owner registrar.HostName, address string) *link {
-	ctx, cancel := context.WithCancel(ctx)
+	l := &link{owner: owner, hello: &wire.DispatchRequest{Host: string(s.Host), Roams: s.Roams}}
+	l.open(ctx, s, address)
+	return l
+}
+
+// openForeign opens a link to the owner of another cell.
+func openForeign(ctx context.Context, s Settings, cell registrar.CellName, address string) *link {
 	l := &link{
-		owner:    owner,
-		settings: s,
-		broken:   make(chan struct{}),
-		cancel:   cancel,
-		heard:    s.Clock.Now(),
-		wake:     make(chan struct{}, 1),
-		sinks:    map[scheduler.RequestID]sink{},
+		owner: registrar.HostName(address),
+		hello: &wire.DispatchRequest{Host: string(s.Host), Cell: string(s.Cell)},
+		cell:  cell,
 	}
+	l.open(ctx, s, address)
+	return l
+}
+
+func (l *link) open(ctx context.Context, s Settings, address string) {
+	ctx, l.cancel = context.WithCancel(ctx)
+	l.settings = s
+	l.broken = make(chan struct{})
+	l.accepted = make(chan struct{})
+	l.heard = s.Clock.Now()
+	l.wake = make(chan struct{}, 1)
+	l.sinks = map[scheduler.RequestID]sink{}
 	client := wireconnect.NewPeerClient(s.Client, dialer.URL(address))
 	stream := client.Dispatch(ctx)
 	l.group.Go(func() { l.write(ctx, stream) })
 	l.group.Go(func() { l.read(stream) })
 	l.group.Go(func() { l.watch(ctx) })
-	return l
 }
 
 func (l *link) close() {
@@ -120,12 +146,15 @@
 func (l *link) silent() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.settings.Clock.Since(l.heard) > silenceLimit
+	limit := silenceLimit
+	if l.cell != "" {
+		limit = foreignSilence
+	}
+	return l.settings.Clock.Since(l.heard) > limit
 }
 
 func (l *link) write(ctx context.Context, stream *connect.BidiStreamForClient[wire.DispatchRequest, wire.DispatchResponse]) {
-	hello := &wire.DispatchRequest{Host: string(l.settings.Host)}
-	if err := stream.Send(hello); err != nil {
+	if err := stream.Send(l.hello); err != nil {
 		l.fail(err.Error())
 		return
 	}
@@ -168,9 +197,20 @@
 }
 
 func (l *link) take(m *wire.DispatchResponse) {
+	if len(m.Fingerprints) > 0 {
+		l.settings.Local.Learn(DecodeCrashes(m.Fingerprints))
+	}
+	for _, g := range m.Grants {
+		if l.cell != "" {
+			l.addresses.Store(registrar.UpstreamID(g.Upstream), g.Address)
+		}
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.up = true
+	if !l.up {
+		l.up = true
+		close(l.accepted)
+	}
 	l.heard = l.settings.Clock.Now()
 	for _, a := range decodeActions(m) {
 		n, ok := l.sinks[a.id]
@@ -186,6 +226,22 @@
 	}
 }
 
+// find returns an upstream of another cell that was granted.
+func (l *link) find(id registrar.UpstreamID) (registrar.Upstream, bool) {
+	a, ok := l.addresses.Load(id)
+	if !ok {
+		return registrar.Upstream{}, false
+	}
+	return registrar.Upstream{Name: id, Address: a.(string), Cell: l.cell}, true
+}
+
+// idle reports whether no request uses the link.
+func (l *link) idle() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.sinks) == 0
+}
+
 // decline returns a slot that nobody takes to the owner.
 func (l *link) decline(a scheduler.Action) {
 	switch a := a.(type) {
--- a/internal/entry/dispatcher/local.go
+++ b/internal/entry/dispatcher/local.go
@@ -31,6 +31,8 @@
 	// preempted lists the slots that have to be given up. A host whose link
 	// broke is told again when it reports them.
 	preempted []registrar.UpstreamID
+	// request is kept only while another cell may take it.
+	request *scheduler.Request
 }
 
 func newOpen(n sink) *open {
@@ -65,6 +67,8 @@
 	hosts    int
 	settled  bool
 	disown   func()
+	// elsewhere is nil on a host that works with no other cell.
+	elsewhere Elsewhere
 
 	stop  chan struct{}
 	group conc.WaitGroup
@@ -102,6 +106,7 @@
 		case <-t.Chan():
 			l.mu.Lock()
 			l.step(scheduler.Tick{})
+			l.evacuate()
 			l.mu.Unlock()
 		}
 	}
@@ -168,7 +173,16 @@
 func (l *Local) submit(r scheduler.Request, n sink) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.requests[r.ID] = newOpen(n)
+	if l.divert(r, n) {
+		return
+	}
+	o := newOpen(n)
+	if l.elsewhere != nil && r.Spilled == "" {
+		// A copy, so that requests are not moved to the heap without need.
+		kept := r
+		o.request = &kept
+	}
+	l.requests[r.ID] = o
 	l.step(scheduler.Submit{Request: r})
 }
 
@@ -273,7 +287,7 @@
 	case scheduler.Refuse:
 		if o, ok := l.requests[e.ID]; ok {
 			delete(l.requests, e.ID)
-			o.notify(a)
+			o.notify(l.reconsider(o, e))
 		}
 	case scheduler.Preempt:
 		if o, ok := l.requests[e.ID]; ok {
--- a/internal/entry/dispatcher/message.go
+++ b/internal/entry/dispatcher/message.go
@@ -25,6 +25,7 @@
 		Emitted:      uint32(max(r.Emitted, 0)),
 		Age:          now.Sub(r.Arrived).Milliseconds(),
 		Held:         string(held),
+		Spilled:      string(r.Spilled),
 	}
 	for _, id := range r.Avoid {
 		m.Avoid = append(m.Avoid, string(id))
@@ -47,6 +48,7 @@
 		Moved:        m.Moved,
 		Fingerprint:  m.Fingerprint,
 		Emitted:      int(m.Emitted),
+		Spilled:      registrar.CellName(m.Spilled),
 		Arrived:      now.Add(-time.Duration(max(m.Age, 0)) * time.Millisecond),
 	}
 	for _, id := range m.Avoid {
@@ -100,7 +102,7 @@
 	case scheduler.Hedge:
 		m.Grants = append(m.Grants, &wire.SlotGrant{Id: string(a.ID), Upstream: string(a.Upstream), Priority: int32(a.Priority), Hedge: true})
 	case scheduler.Refuse:
-		m.Refusals = append(m.Refusals, &wire.SlotRefusal{Id: string(a.ID), Reason: string(a.Reason), Retry: a.RetryAfter.Milliseconds()})
+		m.Refusals = append(m.Refusals, &wire.SlotRefusal{Id: string(a.ID), Reason: string(a.Reason), Retry: a.RetryAfter.Milliseconds(), Cell: string(a.Cell)})
 	case scheduler.Preempt:
 		m.Preempted = append(m.Preempted, &wire.SlotPreemption{Id: string(a.ID), Upstream: string(a.Upstream)})
 	}
@@ -119,7 +121,7 @@
 	}
 	for _, r := range m.Refusals {
 		id := scheduler.RequestID(r.Id)
-		all = append(all, addressed{id, scheduler.Refuse{ID: id, Reason: scheduler.Reason(r.Reason), RetryAfter: time.Duration(r.Retry) * time.Millisecond}})
+		all = append(all, addressed{id, scheduler.Refuse{ID: id, Reason: scheduler.Reason(r.Reason), RetryAfter: time.Duration(r.Retry) * time.Millisecond, Cell: registrar.CellName(r.Cell)}})
 	}
 	for _, p := range m.Preempted {
 		id := scheduler.RequestID(p.Id)
--- a/internal/entry/dispatcher/port.go
+++ b/internal/entry/dispatcher/port.go
@@ -50,6 +50,8 @@
 type RefusedError struct {
 	Reason     scheduler.Reason
 	RetryAfter time.Duration
+	// Cell is the one to ask when the reason is scheduler.Elsewhere.
+	Cell registrar.CellName
 }
 
 // Error describes the refusal.
--- a/internal/entry/dispatcher/server.go
+++ b/internal/entry/dispatcher/server.go
@@ -106,6 +106,8 @@
 		return stream.Send(&wire.DispatchResponse{Moved: true})
 	}
 	n := s.begin(registrar.HostName(hello.Host))
+	n.foreign = hello.Cell != "" && registrar.CellName(hello.Cell) != s.settings.Cell
+	n.roams = hello.Roams && !n.foreign
 	defer s.finish(n)
 	return n.serve(ctx, stream)
 }
@@ -144,6 +146,12 @@
 type session struct {
 	server *Server
 	host   registrar.HostName
+	// foreign is set for a host of another cell. It does not know the
+	// upstreams of this one, and has no lease here: its slots are freed when
+	// its link breaks.
+	foreign bool
+	// roams is set when the host can send its requests to other cells.
+	roams bool
 
 	// taking orders the host's messages against the end of the session.
 	taking  sync.Mutex
@@ -203,7 +211,7 @@
 			n.end()
 			return stream.Send(&wire.DispatchResponse{Moved: true})
 		}
-		if err := stream.Send(n.batch()); err != nil {
+		if err := stream.Send(n.warn(n.batch())); err != nil {
 			return fmt.Errorf("send grants: %w", err)
 		}
 		select {
@@ -228,6 +236,18 @@
 	return m
 }
 
+// warn adds the crashes that the host has to know before it asks another cell,
+// or before other hosts of its cell run the request again.
+func (n *session) warn(m *wire.DispatchResponse) *wire.DispatchResponse {
+	for _, r := range m.Refusals {
+		if reason := scheduler.Reason(r.Reason); reason == scheduler.Elsewhere || reason == scheduler.Poisonous && n.foreign {
+			m.Fingerprints = EncodeCrashes(n.server.settings.Local.Crashes())
+			break
+		}
+	}
+	return m
+}
+
 func (n *session) take(m *wire.DispatchRequest) {
 	n.taking.Lock()
 	defer n.taking.Unlock()
@@ -251,6 +271,9 @@
 
 func (n *session) submit(m *wire.SlotRequest, now time.Time) {
 	r := decodeRequest(m, now)
+	if !n.roams && r.Spilled == "" {
+		r.Spilled = n.server.settings.Cell
+	}
 	n.track(r.ID)
 	l := n.server.settings.Local
 	if m.Held == "" {
@@ -338,6 +361,9 @@
 	}
 	n.queued++
 	appendAction(n.pending, a)
+	if n.foreign {
+		n.locate(n.pending)
+	}
 	select {
 	case n.wake <- struct{}{}:
 	default:
@@ -345,6 +371,17 @@
 	return true
 }
 
+// locate adds the address to the last grant.
+func (n *session) locate(m *wire.DispatchResponse) {
+	if len(m.Grants) == 0 {
+		return
+	}
+	g := m.Grants[len(m.Grants)-1]
+	if u, ok := n.server.settings.Membership.Upstream(registrar.UpstreamID(g.Upstream)); ok {
+		g.Address = u.Address
+	}
+}
+
 // end withdraws the host's waiting requests and keeps its slots for the time
 // that its lease lasts.
 func (n *session) end() {
--- a/internal/entry/dispatcher/ticket.go
+++ b/internal/entry/dispatcher/ticket.go
@@ -112,7 +112,7 @@
 	if len(held) == 0 {
 		r := t.request
 		// The request has passed the limits for new ones at the last route.
-		r.Moved = from != nil
+		r.Moved = r.Moved || from != nil
 		to.submit(r, notify)
 	}
 	for _, id := range held {
@@ -137,7 +137,7 @@
 		return t.grant(a)
 	case scheduler.Refuse:
 		t.closed = true
-		t.result <- grant{refusal: &RefusedError{Reason: a.Reason, RetryAfter: a.RetryAfter}}
+		t.result <- grant{refusal: &RefusedError{Reason: a.Reason, RetryAfter: a.RetryAfter, Cell: a.Cell}}
 	case scheduler.Preempt:
 		if s := t.slot(a.Upstream); s != nil {
 			s.preempt()
--- a/internal/entry/forwarder/plain.go
+++ b/internal/entry/forwarder/plain.go
@@ -75,6 +75,7 @@
 		if err != nil {
 			return nil, refusal(err, run)
 		}
+		request.Cell = slot.Upstream().Cell
 		p.Trace.grant(f.clock.Now())
 		t := &plainAttempt{forwarder: f, call: &p, slot: slot}
 		answer, err := t.run(ctx)
--- a/internal/entry/forwarder/session.go
+++ b/internal/entry/forwarder/session.go
@@ -123,6 +123,7 @@
 		if err != nil {
 			return refusal(err, s.run)
 		}
+		s.request.Cell = slot.Upstream().Cell
 		s.call.Trace.grant(s.forwarder.clock.Now())
 		err = s.attempt(ctx, slot, read)
 		if err == nil {
