dispatcher: test the ways out of a cell one by one

Cause: with the decision for new requests switched off, and with the one for refused requests switched off, all tests of the way to another cell still passed, because either covers for the other when no upstream is left.

TestSpillWithoutDispatcher adds a host that cannot reach its own dispatcher.

--- a/internal/entry/dispatcher/fleet_test.go
+++ b/internal/entry/dispatcher/fleet_test.go
@@ -196,6 +196,22 @@
 	}
 }
 
+// TestSpillWithoutDispatcher guards against a host that cannot reach the
+// dispatcher of its own cell and refuses what another cell would serve.
+func TestSpillWithoutDispatcher(t *testing.T) {
+	west, east := startSite(t, "west"), startSite(t, "east")
+	east.engine("e", 1)
+	west.cells.set(summary("east", east.address))
+	west.view.mu.Lock()
+	west.view.owner, west.view.addresses["lost"] = "lost", dead(t)
+	west.view.mu.Unlock()
+	waitFor(t, "the loss", func() bool { return !west.server.owns() && !west.linked() })
+	s, err := west.fleet.Acquire(t.Context(), request("r"))
+	assert.NilError(t, err)
+	assert.Equal(t, s.Upstream().Name, registrar.UpstreamID("e"))
+	s.Release(scheduler.Completed, 5)
+}
+
 // TestSpillOfWaiting guards against requests that wait out the lease of a dead
 // upstream, or the wait of their class, while another cell has free slots.
 func TestSpillOfWaiting(t *testing.T) {
@@ -220,6 +236,60 @@
 	s.Release(scheduler.Completed, 5)
 }
 
+// TestSpillOfGone guards against requests that are refused when the lease of the
+// last upstream ends while they wait.
+func TestSpillOfGone(t *testing.T) {
+	west, east := startSite(t, "west"), startSite(t, "east")
+	west.engine("w", 1)
+	east.engine("e", 2)
+	west.cells.set(summary("east", east.address))
+	_, err := west.fleet.Acquire(t.Context(), request("running"))
+	assert.NilError(t, err)
+	granted := make(chan Slot, 1)
+	west.local.group.Go(func() {
+		s, err := west.fleet.Acquire(t.Context(), request("waiting"))
+		assert.Check(t, err)
+		granted <- s
+	})
+	waitFor(t, "the queue", func() bool { return len(west.cell.tickets()) == 2 })
+	west.local.Forget("w")
+	s := <-granted
+	assert.Assert(t, s != nil)
+	assert.Equal(t, s.Upstream().Name, registrar.UpstreamID("e"))
+	s.Release(scheduler.Completed, 5)
+}
+
+// TestSpillOfOverload guards against requests that miss their target in the own
+// queue while another cell has free slots.
+func TestSpillOfOverload(t *testing.T) {
+	west, east := startSite(t, "west"), startSite(t, "east")
+	d := document()
+	d.Classes[0].First = validator.Duration(500 * time.Millisecond)
+	west.local.Configure(d)
+	west.engine("w", 1)
+	east.engine("e", 100)
+	c := summary("east", east.address)
+	c.RoundTrip = 10 * time.Millisecond
+	west.cells.set(c)
+	_, err := west.fleet.Acquire(t.Context(), request("running"))
+	assert.NilError(t, err)
+	granted := make(chan Slot, 100)
+	for range 50 {
+		west.local.group.Go(func() {
+			if s, err := west.fleet.Acquire(t.Context(), request("late")); err == nil {
+				granted <- s
+			}
+		})
+		select {
+		case s := <-granted:
+			assert.Equal(t, s.Upstream().Name, registrar.UpstreamID("e"))
+			return
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+	t.Fatal("no request left the overloaded cell")
+}
+
 // TestSpillBroken guards against requests that hang when the dispatcher of the
 // other cell dies, and against slots there that are never freed when the host of
 // this cell dies.
