Carry the summaries of cells between entry hosts

Cause: the dispatcher of each cell has to know what the other cells can do, and so has the host that takes over from it, within 8 KB/s a host at 20 cells and 410 hosts.

A host that is asked by one with newer summaries asks back for these.

Ruled out: sending summaries along with a question. Ages would have to count from the arrival, so that a frozen host would take old summaries for new ones when it wakes.

--- a/internal/member/registrar/view.go
+++ b/internal/member/registrar/view.go
@@ -1,6 +1,7 @@
 package registrar
 
 import (
+	"cmp"
 	"encoding/binary"
 	"slices"
 	"strings"
@@ -126,16 +127,38 @@
 		if h.Draining || !eligible(h) {
 			continue
 		}
-		b = append(b[:0], c...)
-		b = append(b, 0)
-		b = append(b, h.Name...)
-		if s := xxhash.Sum64(b); best == "" || s > highest {
+		if s := rendezvous(b, c, h.Name); best == "" || s > highest {
 			best, highest = h.Name, s
 		}
 	}
 	return best
 }
 
+// Successors lists the hosts of the cell that would own it after the owner, the
+// next one first.
+func (v *View) Successors(c CellName) []Host {
+	var list []Host
+	weight := map[HostName]uint64{}
+	owner := v.Owner(c)
+	for _, h := range v.hosts {
+		if h.Draining || h.Name == owner || h.Cell != c && h.Cell != "" {
+			continue
+		}
+		weight[h.Name] = rendezvous(nil, c, h.Name)
+		list = append(list, h)
+	}
+	slices.SortFunc(list, func(a, b Host) int { return cmp.Compare(weight[b.Name], weight[a.Name]) })
+	return list
+}
+
+// rendezvous is the weight of a host for a cell; b is used as scratch space.
+func rendezvous(b []byte, c CellName, h HostName) uint64 {
+	b = append(b[:0], c...)
+	b = append(b, 0)
+	b = append(b, h...)
+	return xxhash.Sum64(b)
+}
+
 // Rank returns the place of this host in an order of the live hosts of its cell
 // on which they all agree, and their number.
 func (v *View) Rank() (place, hosts int) {
--- a/internal/member/summarizer/summarizer.go
+++ b/internal/member/summarizer/summarizer.go
@@ -191,15 +191,17 @@
 	return list
 }
 
-// Answer lists what a host with the marks lacks.
-func (s *Summarizer) Answer(now time.Time, marks []Mark) []News {
+// Answer lists what a host with the marks lacks; only leaves out the cells that
+// the marks don't name.
+func (s *Summarizer) Answer(now time.Time, marks []Mark, only bool) []News {
 	known := make(map[uint64]Stamp, len(marks))
 	for _, m := range marks {
 		known[m.Key] = m.Stamp
 	}
 	var list []News
 	for _, r := range s.cells {
-		if r.Live(now) && r.Stamp.newer(known[r.key]) {
+		have, named := known[r.key]
+		if r.Live(now) && r.Stamp.newer(have) && (named || !only) {
 			list = append(list, News{Summary: r.Summary, Age: now.Sub(r.Made)})
 		}
 	}
@@ -207,6 +209,22 @@
 	return list
 }
 
+// Wanted lists, with the stamps that this host has, the cells of which a host
+// with the marks has a newer summary.
+func (s *Summarizer) Wanted(marks []Mark) []Mark {
+	known := make(map[uint64]Stamp, len(s.cells))
+	for _, r := range s.cells {
+		known[r.key] = r.Stamp
+	}
+	var list []Mark
+	for _, m := range marks {
+		if m.Stamp.newer(known[m.Key]) {
+			list = append(list, Mark{Key: m.Key, Stamp: known[m.Key]})
+		}
+	}
+	return list
+}
+
 func keyOf(c registrar.CellName) uint64 { return xxhash.Sum64String(string(c)) }
 
 func (s *Summarizer) publishView() {
--- a/internal/member/summarizer/summarizer_test.go
+++ b/internal/member/summarizer/summarizer_test.go
@@ -83,7 +83,7 @@
 	s.Step(at(healed), summarizer.Tick{})
 	assert.Equal(t, len(s.Cells(at(healed))), 0)
 	assert.Equal(t, s.Known()[0].Dispatcher, "10.1.0.1:7070", "the address to find the cell again is lost")
-	assert.Equal(t, len(s.Answer(at(healed), nil)), 0, "an expired summary is passed on")
+	assert.Equal(t, len(s.Answer(at(healed), nil, false)), 0, "an expired summary is passed on")
 	old := news("east", 5, 6, 9, 0)
 	s.Step(at(healed), summarizer.Merge{From: "north", Began: at(healed), News: []summarizer.News{old}})
 	assert.Equal(t, len(s.Cells(at(healed))), 0)
@@ -124,7 +124,7 @@
 }
 
 func pass(from, to *summarizer.Summarizer, now time.Time) {
-	to.Step(now, summarizer.Merge{From: "west", Began: now, News: from.Answer(now, to.Marks())})
+	to.Step(now, summarizer.Merge{From: "west", Began: now, News: from.Answer(now, to.Marks(), false)})
 }
 
 // TestPublishRate guards against a cell whose upstreams come and go all the time
