Let cells serve each other's requests in amaranthd

Cause: the parts for routing between cells were not used by the daemon.

The settings cells and region turn them on. Without cells nothing is built, asked or answered, and the forwarder talks to its own cell as before.

Before and after: TestCells kills the only engine of a cell under the load of 8 callers and brings it back.

--- /dev/null
+++ b/internal/daemon/runner/cells.go
@@ -0,0 +1,48 @@
+package runner
+
+import (
+	"net/http"
+
+	"go.uber.org/zap"
+
+	"github.com/amaranthcart/amaranthcart/internal/entry/dispatcher"
+	"github.com/amaranthcart/amaranthcart/internal/member/courier"
+	"github.com/amaranthcart/amaranthcart/internal/policy/spiller"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/dialer"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/wire/wireconnect"
+)
+
+// startCourier lets this host work with other cells.
+func (e *entry) startCourier(logger *zap.Logger, mux *http.ServeMux) {
+	s := e.settings
+	e.foreign = dialer.New()
+	e.courier = courier.New(courier.Options{
+		Cell:    s.Cell,
+		Region:  s.Region,
+		Address: s.Advertise,
+		Seeds:   s.Cells,
+		Members: e.members,
+		Loads:   e.local.Loads,
+		Clock:   e.clock,
+		Logger:  logger.Named("courier"),
+	})
+	mux.Handle(wireconnect.NewCellsHandler(e.courier))
+	decisions := spiller.New(spiller.WithSeed(uint64(e.clock.Now().UnixNano())))
+	e.local.Consult(dispatcher.NewDecider(s.Cell, s.Region, e.courier, decisions, e.clock))
+}
+
+// members describes the own cell to the courier.
+func (e *entry) members() courier.Membership {
+	view := e.gossiper.Snapshot()
+	owner := view.Owner(e.settings.Cell)
+	m := courier.Membership{Owns: owner == e.settings.Name, Owned: owner != ""}
+	for _, h := range view.Successors(e.settings.Cell) {
+		if h.Name != e.settings.Name {
+			m.Others = append(m.Others, h.Address)
+		}
+	}
+	if h, ok := view.Host(owner); ok && !m.Owns {
+		m.Others = append(m.Others, h.Address)
+	}
+	return m
+}
--- a/internal/daemon/runner/entry.go
+++ b/internal/daemon/runner/entry.go
@@ -21,6 +21,7 @@
 	"github.com/amaranthcart/amaranthcart/internal/entry/dispatcher"
 	"github.com/amaranthcart/amaranthcart/internal/entry/forwarder"
 	"github.com/amaranthcart/amaranthcart/internal/entry/receiver"
+	"github.com/amaranthcart/amaranthcart/internal/member/courier"
 	"github.com/amaranthcart/amaranthcart/internal/member/gossiper"
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
 	"github.com/amaranthcart/amaranthcart/internal/ops/reporter"
@@ -56,6 +57,10 @@
 	claimer   *claimer.Claimer
 	receiver  *receiver.Receiver
 	orders    *orders
+	// courier and fleet are nil on a host that works with its own cell only.
+	courier *courier.Courier
+	fleet   *dispatcher.Fleet
+	foreign *dialer.Client
 }
 
 // peer serves the Peer service from its two halves.
@@ -85,6 +90,9 @@
 		return err
 	}
 	e.startGossiper()
+	if len(e.settings.Cells) > 0 {
+		e.startCourier(d.logger, mux)
+	}
 	e.startDispatcher(d.logger)
 	e.startReceiver(d.logger)
 	e.orders = newOrders(e)
@@ -215,15 +223,30 @@
 		Membership: membership{e.gossiper, e.clock, e.settings.Name},
 		Local:      e.local,
 		Client:     e.client,
+		Roams:      e.courier != nil,
 		Clock:      e.clock,
 		Logger:     logger.Named("dispatcher"),
 	}
 	e.server = dispatcher.NewServer(s)
 	e.cell = dispatcher.NewCell(s)
+	if e.courier != nil {
+		// Links to other cells get connections of their own, which are
+		// replaced without those inside the cell.
+		s.Client = e.foreign
+		e.fleet = dispatcher.NewFleet(s, e.cell, e.courier)
+	}
+}
+
+// dispatcher is where the forwarder asks for slots.
+func (e *entry) dispatcher() dispatcher.Dispatcher {
+	if e.fleet != nil {
+		return e.fleet
+	}
+	return e.cell
 }
 
 func (e *entry) startReceiver(logger *zap.Logger) {
-	e.forwarder = forwarder.New(forwarder.Options{Dispatcher: e.cell, Clock: e.clock, Logger: logger})
+	e.forwarder = forwarder.New(forwarder.Options{Dispatcher: e.dispatcher(), Clock: e.clock, Logger: logger})
 	e.claimer = claimer.New(claimer.Options{
 		Addresses: e.controls(),
 		Host:      string(e.settings.Name),
@@ -288,9 +311,16 @@
 	if e.receiver != nil {
 		failed = errors.Join(failed, e.receiver.Close(), e.claimer.Close(), e.forwarder.Close())
 	}
+	if e.fleet != nil {
+		e.fleet.Close()
+	}
 	if e.cell != nil {
 		e.cell.Close()
 	}
+	if e.courier != nil {
+		e.courier.Close()
+		e.foreign.Close()
+	}
 	if e.gossiper != nil {
 		e.gossiper.Close()
 	}
--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -121,6 +121,9 @@
 	}
 	d.entry.gossiper.Start()
 	d.entry.follower.Start()
+	if d.entry.courier != nil {
+		d.entry.courier.Start()
+	}
 	d.entry.orders.Start()
 	r := d.entry.receiver
 	d.callers, err = d.serve(r.Server(r.Handler()), d.settings.Callers, r.Limit)
--- a/internal/settings/loader/load.go
+++ b/internal/settings/loader/load.go
@@ -96,7 +96,9 @@
 	checkRoles(s, p)
 	checkData(s, p)
 	checkListeners(s, p)
-	checkSeeds(s, p)
+	p.Check(s.Region == "" || label.MatchString(string(s.Region)), "$.region", s.Region, labelAllowed)
+	checkAddresses("$.seeds", s.Seeds, p)
+	checkAddresses("$.cells", s.Cells, p)
 	checkControl(s, p)
 	checkBootstrap(s, p)
 	rules := []StaleRule{RefuseStale, ServeStale}
@@ -157,11 +159,11 @@
 	return ok && a.Port() != 0 && !a.Addr().IsUnspecified() && !a.Addr().IsMulticast()
 }
 
-func checkSeeds(s *Settings, p *decoder.Problems) {
-	for i, v := range s.Seeds {
-		at := decoder.Item("$.seeds", i)
+func checkAddresses(path string, list []string, p *decoder.Problems) {
+	for i, v := range list {
+		at := decoder.Item(path, i)
 		p.Check(reachable(v), at, v, peerAllowed)
-		p.Check(!slices.Contains(s.Seeds[:i], v), at, v, "each address once")
+		p.Check(!slices.Contains(list[:i], v), at, v, "each address once")
 	}
 }
 
--- a/internal/settings/loader/settings.go
+++ b/internal/settings/loader/settings.go
@@ -19,6 +19,7 @@
 
 	"github.com/amaranthcart/amaranthcart/internal/config/validator"
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"github.com/amaranthcart/amaranthcart/internal/member/summarizer"
 )
 
 // Role is a part that a process plays.
@@ -64,6 +65,11 @@
 	Admin string `json:"admin"`
 	// Seeds are the peers addresses of entry hosts that are asked first.
 	Seeds []string `json:"seeds,omitempty"`
+	// Region groups data centres that are near each other.
+	Region summarizer.Region `json:"region,omitempty"`
+	// Cells are the peers addresses of entry hosts of other cells that are
+	// asked first; without any this host works with its own cell only.
+	Cells []string `json:"cells,omitempty"`
 	// Control lists the control hosts.
 	Control []Member `json:"control"`
 	// Bootstrap names the control hosts that are the first voters. It only
