Keep sending work to a cell that refused one request for want of time

Cause: in 1 of 5 runs of TestCells, after the engine was killed, the other cell refused one request as overloaded; the cell was then left alone for 2 s, and a few thousand requests were refused with "no live upstream" although the other cell had free slots. The refused request was probably one of those in flight at the crash, which wait for an upstream of their own; its log was not kept.

A request that comes back says whether the other cell refused for want of time. Such a refusal counts against the cell only for work that has upstreams at home.

--- a/internal/entry/dispatcher/elsewhere.go
+++ b/internal/entry/dispatcher/elsewhere.go
@@ -19,8 +19,9 @@
 	Any() bool
 	// Choose returns the cell to ask in place of this one.
 	Choose(p validator.PoolName, own scheduler.Prospect) (registrar.CellName, bool)
-	// Refused reports that a cell did not serve a request.
-	Refused(c registrar.CellName, p validator.PoolName)
+	// Refused reports that a cell did not serve a request; busy tells that it
+	// takes others.
+	Refused(c registrar.CellName, p validator.PoolName, busy bool)
 }
 
 // Cells is what this host knows of the other cells.
@@ -67,13 +68,13 @@
 
 // Refused implements Elsewhere. A request that another cell has sent here names
 // this cell and tells nothing.
-func (d *Decider) Refused(c registrar.CellName, p validator.PoolName) {
+func (d *Decider) Refused(c registrar.CellName, p validator.PoolName, busy bool) {
 	if c == d.cell {
 		return
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.spiller.Step(d.clock.Now(), spiller.Refused{Cell: c, Pool: p})
+	d.spiller.Step(d.clock.Now(), spiller.Refused{Cell: c, Pool: p, Busy: busy})
 }
 
 // Consult lets the scheduler of this host send requests to other cells.
@@ -96,7 +97,7 @@
 		return false
 	}
 	if r.Spilled != "" {
-		l.elsewhere.Refused(r.Spilled, r.Pool)
+		l.elsewhere.Refused(r.Spilled, r.Pool, r.Busy)
 		return false
 	}
 	a, ok := l.other(r)
--- a/internal/entry/dispatcher/fleet.go
+++ b/internal/entry/dispatcher/fleet.go
@@ -84,9 +84,18 @@
 	}
 	f.settings.Logger.Info("another cell did not grant a slot",
 		zap.String("request", string(r.ID)), zap.String("cell", string(r.Spilled)), zap.Error(err))
+	r.Busy = busy(err)
 	return f.cell.Acquire(ctx, r)
 }
 
+// busy reports whether another cell refused for want of time or retries, which
+// tells little about the next request: one that has met a crash waits there for
+// an upstream of its own.
+func busy(err error) bool {
+	var refused *RefusedError
+	return errors.As(err, &refused) && refused.Reason != scheduler.NoUpstream
+}
+
 // foreign returns the cell unless it is the own one. A further attempt of a
 // request that was sent to another cell stays with that cell.
 func (f *Fleet) foreign(c registrar.CellName) registrar.CellName {
--- a/internal/entry/dispatcher/fleet_test.go
+++ b/internal/entry/dispatcher/fleet_test.go
@@ -328,6 +328,26 @@
 	})
 }
 
+// TestSpillBusy guards against callers that are all refused because the other
+// cell refused one request for want of time.
+func TestSpillBusy(t *testing.T) {
+	west, east := startSite(t, "west"), startSite(t, "east")
+	d := document()
+	d.Classes[0].Wait = validator.Duration(200 * time.Millisecond)
+	east.local.Configure(d)
+	east.engine("e", 1)
+	west.cells.set(summary("east", east.address))
+	held, err := west.fleet.Acquire(t.Context(), request("held"))
+	assert.NilError(t, err)
+	_, err = west.fleet.Acquire(t.Context(), request("late"))
+	var refused *RefusedError
+	assert.Assert(t, errors.As(err, &refused), "%v", err)
+	held.Release(scheduler.Completed, 5)
+	s, err := west.fleet.Acquire(t.Context(), request("next"))
+	assert.NilError(t, err)
+	s.Release(scheduler.Completed, 5)
+}
+
 // TestSpillStays guards against a request that circles: a further attempt stays
 // with the cell that the request was sent to, and then only the own one is left.
 func TestSpillStays(t *testing.T) {
--- a/internal/entry/dispatcher/message.go
+++ b/internal/entry/dispatcher/message.go
@@ -26,6 +26,7 @@
 		Age:          now.Sub(r.Arrived).Milliseconds(),
 		Held:         string(held),
 		Spilled:      string(r.Spilled),
+		Busy:         r.Busy,
 	}
 	for _, id := range r.Avoid {
 		m.Avoid = append(m.Avoid, string(id))
@@ -49,6 +50,7 @@
 		Fingerprint:  m.Fingerprint,
 		Emitted:      int(m.Emitted),
 		Spilled:      registrar.CellName(m.Spilled),
+		Busy:         m.Busy,
 		Arrived:      now.Add(-time.Duration(max(m.Age, 0)) * time.Millisecond),
 	}
 	for _, id := range m.Avoid {
--- a/internal/policy/scheduler/types.go
+++ b/internal/policy/scheduler/types.go
@@ -57,6 +57,8 @@
 	// Spilled is the other cell that the request was sent to. It is sent to no
 	// further one, so that it cannot circle.
 	Spilled registrar.CellName
+	// Busy is set when that cell refused this request, but takes others.
+	Busy bool
 	// Emitted is the number of tokens already passed to the caller.
 	Emitted int
 	// Avoid lists upstreams that already failed the request.
--- a/internal/policy/spiller/spiller.go
+++ b/internal/policy/spiller/spiller.go
@@ -15,6 +15,7 @@
 package spiller
 
 import (
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -71,6 +72,9 @@
 type Refused struct {
 	Cell registrar.CellName
 	Pool validator.PoolName
+	// Busy is set when the cell refused for want of time. It then stays a
+	// choice for work that has no upstream in its own cell.
+	Busy bool
 }
 
 func (Ask) event()     {}
@@ -95,6 +99,8 @@
 	misses  map[level]miss
 	budgets map[target]*budget
 	resting map[target]time.Time
+	// busy is the same for work that has upstreams in its own cell.
+	busy map[target]time.Time
 }
 
 type level struct {
@@ -132,6 +138,7 @@
 		misses:  map[level]miss{},
 		budgets: map[target]*budget{},
 		resting: map[target]time.Time{},
+		busy:    map[target]time.Time{},
 	}
 	for _, o := range options {
 		o(s)
@@ -143,7 +150,7 @@
 func (s *Spiller) Step(now time.Time, e Event) Action {
 	switch e := e.(type) {
 	case Refused:
-		s.rest(now, target{e.Cell, e.Pool})
+		s.rest(now, e)
 	case Ask:
 		if cell, ok := s.decide(now, e); ok {
 			return Spill{Cell: cell}
@@ -153,18 +160,20 @@
 }
 
 // rest notes a refusal and drops what no longer counts.
-func (s *Spiller) rest(now time.Time, t target) {
-	for k, until := range s.resting {
-		if !now.Before(until) {
-			delete(s.resting, k)
-		}
-	}
+func (s *Spiller) rest(now time.Time, e Refused) {
+	over := func(_ target, until time.Time) bool { return !now.Before(until) }
+	maps.DeleteFunc(s.resting, over)
+	maps.DeleteFunc(s.busy, over)
 	for k, b := range s.budgets {
 		if now.Sub(b.at) > summarizer.Life {
 			delete(s.budgets, k)
 		}
 	}
-	s.resting[t] = now.Add(backoff)
+	list := s.resting
+	if e.Busy {
+		list = s.busy
+	}
+	list[target{e.Cell, e.Pool}] = now.Add(backoff)
 }
 
 func (s *Spiller) decide(now time.Time, e Ask) (registrar.CellName, bool) {
@@ -226,7 +235,8 @@
 	var list []candidate
 	for _, c := range e.Others {
 		p, ok := c.Pool(e.Pool)
-		if !ok || p.Live == 0 || c.Leaving || !c.Live(now) || now.Before(s.resting[target{c.Cell, e.Pool}]) {
+		k := target{c.Cell, e.Pool}
+		if !ok || p.Live == 0 || c.Leaving || !c.Live(now) || now.Before(s.resting[k]) || e.Own.Live > 0 && now.Before(s.busy[k]) {
 			continue
 		}
 		tier := min(max(e.Own.Tier, 0), validator.LowestTier)
--- a/internal/policy/spiller/spiller_test.go
+++ b/internal/policy/spiller/spiller_test.go
@@ -184,3 +184,24 @@
 	assert.Equal(t, s.Step(start.Add(time.Second), e), spiller.Keep{})
 	assert.Equal(t, s.Step(start.Add(2*time.Second), e), spiller.Spill{Cell: "east"})
 }
+
+// TestBusy guards against a cell without upstreams whose callers are all refused
+// for seconds because the other cell refused one request; it was seen after a
+// crash, whose suspects wait for an upstream of their own. Work that has
+// upstreams at home stays there meanwhile.
+func TestBusy(t *testing.T) {
+	cases := map[string]struct {
+		ask  spiller.Ask
+		want spiller.Action
+	}{
+		"no upstream here": {ask(0, 0, 300*ms, cell("east", 2, 4, 0)), spiller.Spill{Cell: "east"}},
+		"target missed":    {ask(1, 400*ms, 300*ms, cell("east", 2, 4, 0)), spiller.Keep{}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s, now := settled(c.ask)
+			s.Step(now, spiller.Refused{Cell: "east", Pool: "story", Busy: true})
+			assert.Equal(t, s.Step(now, c.ask), c.want)
+		})
+	}
+}
