--- a/internal/daemon/runner/entry.go
+++ b/internal/daemon/runner/entry.go
@@ -22,6 +22,7 @@
 	"github.com/amaranthcart/amaranthcart/internal/entry/dispatcher"
 	"github.com/amaranthcart/amaranthcart/internal/entry/forwarder"
 	"github.com/amaranthcart/amaranthcart/internal/entry/receiver"
+	"github.com/amaranthcart/amaranthcart/internal/member/courier"
 	"github.com/amaranthcart/amaranthcart/internal/member/gossiper"
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
 	"github.com/amaranthcart/amaranthcart/internal/ops/reporter"
@@ -67,6 +68,10 @@
 	claimer   *claimer.Claimer
 	receiver  *receiver.Receiver
 	orders    *orders
+	// courier and fleet are nil on a host that works with its own cell only.
+	courier *courier.Courier
+	fleet   *dispatcher.Fleet
+	foreign *dialer.Client
 
 	// standby ends when the host has offered itself as owner of the cell, or
 	// is about to stop.
@@ -103,6 +108,9 @@
 		return err
 	}
 	e.startGossiper()
+	if len(e.settings.Cells) > 0 {
+		e.startCourier(d.logger, mux)
+	}
 	e.startDispatcher(d.logger)
 	e.startReceiver(d.logger)
 	e.orders = newOrders(e)
@@ -240,15 +248,30 @@
 		Membership: membership{e.gossiper, e.clock, e.settings.Name},
 		Local:      e.local,
 		Client:     e.client,
+		Roams:      e.courier != nil,
 		Clock:      e.clock,
 		Logger:     logger.Named("dispatcher"),
 	}
 	e.server = dispatcher.NewServer(s)
 	e.cell = dispatcher.NewCell(s)
+	if e.courier != nil {
+		// Links to other cells get connections of their own, which are
+		// replaced without those inside the cell.
+		s.Client = e.foreign
+		e.fleet = dispatcher.NewFleet(s, e.cell, e.courier)
+	}
+}
+
+// dispatcher is where the forwarder asks for slots.
+func (e *entry) dispatcher() dispatcher.Dispatcher {
+	if e.fleet != nil {
+		return e.fleet
+	}
+	return e.cell
 }
 
 func (e *entry) startReceiver(logger *zap.Logger) {
-	e.forwarder = forwarder.New(forwarder.Options{Dispatcher: e.cell, Clock: e.clock, Logger: logger, TLS: e.upstreams})
+	e.forwarder = forwarder.New(forwarder.Options{Dispatcher: e.dispatcher(), Clock: e.clock, Logger: logger, TLS: e.upstreams})
 	e.claimer = claimer.New(claimer.Options{
 		Addresses: e.controls(),
 		Host:      string(e.settings.Name),
@@ -294,6 +317,9 @@
 func (e *entry) start() {
 	e.gossiper.Start()
 	e.follower.Start()
+	if e.courier != nil {
+		e.courier.Start()
+	}
 	e.orders.Start()
 	ctx, cancel := context.WithCancel(context.Background())
 	e.standby = cancel
@@ -362,9 +388,16 @@
 	if e.receiver != nil {
 		failed = errors.Join(failed, e.receiver.Close(), e.claimer.Close(), e.forwarder.Close())
 	}
+	if e.fleet != nil {
+		e.fleet.Close()
+	}
 	if e.cell != nil {
 		e.cell.Close()
 	}
+	if e.courier != nil {
+		e.courier.Close()
+		e.foreign.Close()
+	}
 	if e.gossiper != nil {
 		e.gossiper.Close()
 	}
--- a/internal/ops/guardian/access.go
+++ b/internal/ops/guardian/access.go
@@ -36,6 +36,7 @@
 	wireconnect.PeerGossipProcedure:      {authenticator.Entry},
 	wireconnect.PeerFetchProcedure:       {authenticator.Entry},
 	wireconnect.PeerDispatchProcedure:    {authenticator.Entry},
+	wireconnect.CellsSummarizeProcedure:  {authenticator.Entry},
 	announcePath:                         {authenticator.Upstream},
 }
 
--- a/internal/ops/guardian/access_test.go
+++ b/internal/ops/guardian/access_test.go
@@ -54,6 +54,7 @@
 		{wireconnect.PeerGossipProcedure, loader.RequireCertificate, []string{entry}},
 		{wireconnect.PeerFetchProcedure, loader.RequireCertificate, []string{entry}},
 		{wireconnect.PeerDispatchProcedure, loader.RequireCertificate, []string{entry}},
+		{wireconnect.CellsSummarizeProcedure, loader.RequireCertificate, []string{entry}},
 		{gossiper.AnnouncePath, loader.RequireCertificate, []string{upstream}},
 		{gossiper.AnnouncePath, loader.AcceptAny, []string{upstream, ""}},
 		{wireconnect.ControlExchangeProcedure, loader.AcceptAny, []string{control}},
