loader: test the announced address of a host behind address translation

The setting advertise existed, and the process tests with relays rely on it, but no settings test had an address that differs from peers.

Before: none of the tests of the package set advertise.

--- a/internal/settings/loader/load_test.go
+++ b/internal/settings/loader/load_test.go
@@ -37,6 +37,16 @@
 	assert.Equal(t, len(problems), 1)
 }
 
+// TestAdvertise guards against a host behind address translation that announces
+// the address at which it listens.
+func TestAdvertise(t *testing.T) {
+	behind := strings.Replace(valid, `"peers": "10.0.0.1:7070"`, `"peers": "192.168.0.2:7070", "advertise": "10.0.0.1:7070"`, 1)
+	s, problems := loader.Decode([]byte(behind))
+	assert.Equal(t, len(problems), 0, "%v", problems)
+	assert.Equal(t, s.Peers, "192.168.0.2:7070")
+	assert.Equal(t, s.Advertise, "10.0.0.1:7070")
+}
+
 // TestProblems guards against a setting that is only found to be wrong after
 // the process has opened its folder or sockets.
 func TestProblems(t *testing.T) {
