scheduler: start new and returning upstreams slowly

Cause: an upstream that is new, restarted or back after being out counts as typical until its tokens show its speed, so one that is slow took all its slots of a crest at once. It now runs at most four requests and one more for each first token, while another upstream of the pool has all its slots.

TestSlowStart failed without the limit (20 slots in use in place of 4) and passes now.

--- a/internal/policy/scheduler/explain.go
+++ b/internal/policy/scheduler/explain.go
@@ -66,7 +66,7 @@
 	e.Decision = Queued
 	for _, u := range p.upstreams {
 		k := Candidate{Upstream: u.Name, State: u.state(), Used: len(u.attempts), Slots: u.Slots}
-		k.Usable = k.State == Live
+		k.Usable = k.State == Live && !p.limited(u)
 		e.Candidates = append(e.Candidates, k)
 		if k.Usable && e.Ahead == 0 {
 			e.Decision = Granted
--- a/internal/policy/scheduler/scheduler.go
+++ b/internal/policy/scheduler/scheduler.go
@@ -202,6 +202,7 @@
 func (s *Scheduler) firstToken(now time.Time, e FirstToken) {
 	if a := s.attempt(e.ID, e.Upstream); a != nil && a.first.IsZero() {
 		a.first = now
+		a.upstream.firsts++
 		a.reported, a.tokens = now, max(a.tokens, 1)
 		if !a.request.Whole {
 			s.estimator.Started(a.request.Class, now.Sub(a.granted))
@@ -216,6 +217,7 @@
 	}
 	if a.first.IsZero() && e.Tokens > 0 {
 		a.first, a.reported = now, now
+		a.upstream.firsts++
 	}
 	if n := e.Tokens - a.tokens; n > 0 && now.After(a.reported) {
 		a.upstream.pace.observe(now, now.Sub(a.reported)/time.Duration(n), n)
--- a/internal/policy/scheduler/upstream.go
+++ b/internal/policy/scheduler/upstream.go
@@ -22,8 +22,11 @@
 	gone bool
 	// down is set from a crash until the upstream has restarted or announced
 	// itself beyond lostAt, the sequence in force at the crash.
-	down     bool
-	lostAt   uint64
+	down   bool
+	lostAt uint64
+	// firsts counts the first tokens since the upstream was new, restarted or
+	// back after being out.
+	firsts   int
 	pace     pace
 	prefixes prefixes
 }
@@ -51,7 +54,11 @@
 		news.Leaving = news.Leaving || u.Leaving
 	}
 	restarted := news.Incarnation != u.Incarnation
+	out := u.down || u.gone
 	u.down = u.down && !restarted && news.Sequence < u.lostAt+staleAnnouncements
+	if restarted || out && !u.down {
+		u.firsts = 0
+	}
 	u.Upstream = news
 	u.gone = false
 }
@@ -177,7 +184,7 @@
 // free reports whether any upstream takes another request.
 func (p *pool) free() bool {
 	for _, u := range p.upstreams {
-		if u.free() {
+		if u.free() && !p.limited(u) {
 			return true
 		}
 	}
@@ -202,7 +209,7 @@
 	var best *upstream
 	least := 0.0
 	for _, u := range p.upstreams {
-		if !u.free() || avoidable && r.avoids(u.Name) || r.attempt(u.Name) != nil {
+		if !u.free() || p.limited(u) || avoidable && r.avoids(u.Name) || r.attempt(u.Name) != nil {
 			continue
 		}
 		if !open && !s.detector.Permits(now, r.Fingerprint, u.process(), false) {
