--- a/internal/policy/scheduler/overload_test.go
+++ b/internal/policy/scheduler/overload_test.go
@@ -38,6 +38,7 @@
 	assert.Equal(t, script(s.Step(now, ask("one", "top", "small"))), "one>b")
 	assert.Equal(t, script(s.Step(now, ask("two", "top", "small"))), "two>b")
 	s.Step(now, Observe{engine("a", crowdMinimum+2)})
+	s.upstreams["a"].firsts = crowdMinimum + 2
 	var lost []Submit
 	for i := range crowdMinimum + 2 {
 		r := ask(fmt.Sprint("lost", i), "top", "small")
