--- a/internal/member/courier/courier_test.go
+++ b/internal/member/courier/courier_test.go
@@ -294,7 +294,7 @@
 // in messages, and how long a change of upstreams takes to reach all hosts.
 func BenchmarkSummaries(b *testing.B) {
 	for _, s := range []struct{ cells, hosts, pools int }{
-		{2, 20, 7}, {5, 20, 7}, {10, 20, 7}, {20, 20, 7}, {20, 5, 7}, {20, 20, 1}, {20, 20, 3}, {20, 20, 14},
+		{2, 20, 7}, {5, 20, 7}, {10, 20, 7}, {20, 20, 7}, {20, 21, 7}, {20, 5, 7}, {20, 20, 1}, {20, 20, 3}, {20, 20, 14},
 	} {
 		b.Run(fmt.Sprintf("cells=%d/hosts=%d/pools=%d", s.cells, s.hosts, s.pools), func(b *testing.B) {
 			for range b.N {
