forwarder: don't cut off an answer that cannot go on elsewhere

Cause: a preempted stream was cancelled at once, also where its answer cannot be resumed (log probabilities, tools, a stop string that may have begun). The caller had a part of it, so it ended in a broken connection. The attempt now gives way between two events, and only where the answer can go on; until then it keeps its slot.

Ruled out: telling the scheduler which requests can be resumed. Whether a stop string has begun changes with each token, so the entry host has to look anyway. Open: the scheduler counts such an attempt among those giving way until it ends.

Before: TestPreemptUnresumable failed with an unexpected end of the stream. After: it passes, and so do the tests of forwarder and receiver with -race.

--- a/internal/entry/forwarder/candidate.go
+++ b/internal/entry/forwarder/candidate.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 
@@ -47,6 +48,21 @@
 	reused    atomic.Bool
 	answered  bool
 	err       error
+
+	// turn is held while an event is passed on, so that the attempt gives way
+	// between two events only. It guards asked.
+	turn  sync.Mutex
+	asked bool
+}
+
+// yield ends an attempt that was asked to give way if the answer can go on
+// elsewhere; otherwise it keeps its slot, because the answer would be cut off.
+func (c *candidate) yield(continuable func() bool) error {
+	if !c.asked || !continuable() {
+		return nil
+	}
+	c.cancel(errPreempted)
+	return errPreempted
 }
 
 // headEvent is an event up to the first token.
--- a/internal/entry/forwarder/session.go
+++ b/internal/entry/forwarder/session.go
@@ -164,6 +164,12 @@
 	}
 }
 
+// continuable reports whether another attempt can go on where this one is.
+func (s *session) continuable() bool {
+	text := s.text.String()
+	return s.passed == 0 || text != "" && !s.mixed && s.call.Generation.canResume(text)
+}
+
 // prepare readies the session for a further attempt; false means that the
 // answer cannot go on without repeating or losing a part.
 func (s *session) prepare() bool {
@@ -335,14 +341,17 @@
 }
 
 // watch reacts to news of the slot while the answer is read.
-func (c *candidate) watch(group *conc.WaitGroup, leaseEnded func()) {
+func (c *candidate) watch(group *conc.WaitGroup, continuable func() bool, leaseEnded func()) {
 	group.Go(func() {
-		hedged, gone := c.slot.Hedged(), c.slot.Gone()
+		hedged, gone, preempted := c.slot.Hedged(), c.slot.Gone(), c.slot.Preempted()
 		for {
 			select {
-			case <-c.slot.Preempted():
-				c.cancel(errPreempted)
-				return
+			case <-preempted:
+				preempted = nil
+				c.turn.Lock()
+				c.asked = true
+				_ = c.yield(continuable)
+				c.turn.Unlock()
 			case <-gone:
 				gone = nil
 				leaseEnded()
--- a/internal/entry/forwarder/stream.go
+++ b/internal/entry/forwarder/stream.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"context"
+	"errors"
 	"fmt"
 	"math/bits"
 	"time"
@@ -50,7 +52,7 @@
 func (s *session) readStream(c *candidate) error {
 	timer := newGapTimer(s.forwarder.clock, s.deadlines.gap, c.cancel)
 	defer timer.disarm()
-	c.watch(&s.forwarder.group, func() { timer.shorten(goneGrace, errGone) })
+	c.watch(&s.forwarder.group, s.continuable, func() { timer.shorten(goneGrace, errGone) })
 	for i, e := range c.head {
 		more := i < len(c.head)-1 || c.done || c.events.Ready()
 		if err := s.passDecoded(c, e.chunk, e.data, more); err != nil {
@@ -128,7 +130,21 @@
 	return true, s.emit(doneMark, false)
 }
 
+// passDecoded takes one event in the candidate's turn: an attempt that was asked
+// to give way does so where the answer can go on after what the caller has.
 func (s *session) passDecoded(c *candidate, k *chunk, data []byte, more bool) error {
+	c.turn.Lock()
+	defer c.turn.Unlock()
+	if err := context.Cause(c.context); errors.Is(err, errPreempted) {
+		return err
+	}
+	if err := s.passEvent(c, k, data, more); err != nil {
+		return err
+	}
+	return c.yield(s.continuable)
+}
+
+func (s *session) passEvent(c *candidate, k *chunk, data []byte, more bool) error {
 	if k.failed {
 		return fmt.Errorf("%w: error event", errBadAnswer)
 	}
