scheduler: move top-tier streams off upstreams that became slow

Cause: a top-tier answer that ran on an upstream when it became slow stayed there to its end and missed its time between tokens. Such a stream is now cancelled and resumed elsewhere where that saves more than the time to the next first token.

--- a/internal/entry/dispatcher/port.go
+++ b/internal/entry/dispatcher/port.go
@@ -36,7 +36,8 @@
 	FirstToken()
 	// Progress reports the total number of tokens received so far.
 	Progress(tokens int)
-	// Preempted is closed when the attempt has to give way to a higher tier.
+	// Preempted is closed when the attempt has to give way to a higher tier or
+	// goes on better on another upstream.
 	Preempted() <-chan struct{}
 	// Gone is closed when the upstream's lease has ended.
 	Gone() <-chan struct{}
--- a/internal/policy/scheduler/request.go
+++ b/internal/policy/scheduler/request.go
@@ -80,6 +80,8 @@
 	charge   float64
 	// preempted is set when the attempt was asked to give way.
 	preempted bool
+	// moving is set when the attempt was asked to go on elsewhere.
+	moving bool
 	// protected attempts were overdue and are not preempted.
 	protected bool
 	process   detector.Process
--- a/internal/policy/scheduler/scheduler.go
+++ b/internal/policy/scheduler/scheduler.go
@@ -92,6 +92,7 @@
 			s.dispatch(now, p)
 			s.preempt(now, p)
 			s.hedge(now, p)
+			s.move(now, p)
 		}
 	}
 	return s.actions
--- a/internal/policy/scheduler/types.go
+++ b/internal/policy/scheduler/types.go
@@ -86,7 +86,8 @@
 	Crashed
 	// Abandoned means that the caller went away or lost interest.
 	Abandoned
-	// Preempted means that the attempt was cancelled for a higher tier.
+	// Preempted means that the attempt was cancelled for a higher tier or to go
+	// on elsewhere.
 	Preempted
 	// Silent means that a deadline passed without news.
 	Silent
