scheduler: look for established upstreams once for each choice

Cause: slow start searched the pool for an established upstream again for each upstream of a choice, which is quadratic where none is established yet.

Ruled out: a count of established upstreams kept by the pool, because each change of an upstream would have to keep it right.

--- a/internal/policy/scheduler/explain.go
+++ b/internal/policy/scheduler/explain.go
@@ -64,9 +64,10 @@
 		}
 	}
 	e.Decision = Queued
+	limits := p.limits()
 	for _, u := range p.upstreams {
 		k := Candidate{Upstream: u.Name, State: u.state(), Used: len(u.attempts), Slots: u.Slots}
-		k.Usable = k.State == Live && !p.limited(u)
+		k.Usable = k.State == Live && u.usable(limits)
 		e.Candidates = append(e.Candidates, k)
 		if k.Usable && e.Ahead == 0 {
 			e.Decision = Granted
--- a/internal/policy/scheduler/ramp.go
+++ b/internal/policy/scheduler/ramp.go
@@ -16,8 +16,12 @@
 	return !u.gone && !u.down && !u.Leaving && u.limit() >= u.Slots
 }
 
-// limited reports whether slots of the upstream are held back. Where no
-// upstream is established, holding them back would only delay the work.
-func (p *pool) limited(u *upstream) bool {
-	return len(u.attempts) >= u.limit() && slices.ContainsFunc(p.upstreams, (*upstream).established)
+// limits reports whether slots are held back in the pool. Where no upstream is
+// established, holding them back would only delay the work.
+func (p *pool) limits() bool { return slices.ContainsFunc(p.upstreams, (*upstream).established) }
+
+// usable reports whether the upstream takes another request, in a pool that
+// holds slots back or not.
+func (u *upstream) usable(limits bool) bool {
+	return u.free() && (!limits || len(u.attempts) < u.limit())
 }
--- a/internal/policy/scheduler/upstream.go
+++ b/internal/policy/scheduler/upstream.go
@@ -183,8 +183,9 @@
 
 // free reports whether any upstream takes another request.
 func (p *pool) free() bool {
+	limits := p.limits()
 	for _, u := range p.upstreams {
-		if u.free() && !p.limited(u) {
+		if u.usable(limits) {
 			return true
 		}
 	}
@@ -207,9 +208,9 @@
 		fast = fast || !u.Leaving && !u.down && u.suits(now, r.class, p.typical)
 	}
 	var best *upstream
-	least := 0.0
+	least, limits := 0.0, p.limits()
 	for _, u := range p.upstreams {
-		if !u.free() || p.limited(u) || avoidable && r.avoids(u.Name) || r.attempt(u.Name) != nil {
+		if !u.usable(limits) || avoidable && r.avoids(u.Name) || r.attempt(u.Name) != nil {
 			continue
 		}
 		if !open && !s.detector.Permits(now, r.Fingerprint, u.process(), false) {
