--- a/cmd/amaranthd/fault_test.go
+++ b/cmd/amaranthd/fault_test.go
@@ -26,15 +26,18 @@
 // balancer sends requests to the entry hosts that last were ready, as the
 // platform's balancer does.
 type balancer struct {
-	d     *deployment
-	ready sync.Map
-	stop  chan struct{}
-	group conc.WaitGroup
+	d *deployment
+	// entries is a copy, because tests change that of the deployment while the
+	// balancer runs.
+	entries []string
+	ready   sync.Map
+	stop    chan struct{}
+	group   conc.WaitGroup
 }
 
 func newBalancer(d *deployment) *balancer {
-	b := &balancer{d: d, stop: make(chan struct{})}
-	for _, e := range d.entries {
+	b := &balancer{d: d, entries: slices.Clone(d.entries), stop: make(chan struct{})}
+	for _, e := range b.entries {
 		b.group.Go(func() { b.check(e) })
 	}
 	d.t.Cleanup(func() {
@@ -57,13 +60,13 @@
 
 func (b *balancer) pick() string {
 	for range 1000 {
-		e := b.d.entries[rand.IntN(len(b.d.entries))]
+		e := b.entries[rand.IntN(len(b.entries))]
 		if ok, _ := b.ready.Load(e); ok == true {
 			return e
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	return b.d.entries[0]
+	return b.entries[0]
 }
 
 // load runs callers until its stop is called, which returns the failures.
