follower: log lost streams from control once

While no control host answers, an entry host opened and lost a stream every 0.2 to 2 s and logged a warning each time, which hides the other entries. The first end, the point at which all control hosts have failed, and the return are logged now; the tries between are at the level debug. The pace of the tries is unchanged.

Ruled out: limiting by time. The state says more: one host lost or all of them.

--- a/internal/config/follower/control.go
+++ b/internal/config/follower/control.go
@@ -190,7 +190,7 @@
 	for failures := 0; ; {
 		address := f.controls[turn%len(f.controls)]
 		turn++
-		if f.watch(address) {
+		if f.watch(address, failures) {
 			failures = 0
 		} else {
 			failures++
@@ -204,8 +204,9 @@
 	}
 }
 
-// watch follows one control host and reports whether it sent anything.
-func (f *Follower) watch(address string) bool {
+// watch follows one control host and reports whether it sent anything. The
+// streams before it, as many as failures, brought nothing.
+func (f *Follower) watch(address string, failures int) bool {
 	ctx, cancel := context.WithCancel(f.context)
 	defer cancel()
 	silence := f.clock.AfterFunc(Silence, cancel)
@@ -215,6 +216,9 @@
 	f.mu.Unlock()
 	heard := false
 	err := f.network.Watch(ctx, address, &wire.WatchRequest{Host: f.host, Centre: f.centre, Revision: number}, func(m *wire.WatchResponse) {
+		if !heard && failures > 0 {
+			f.log.Info("The stream from control is open again.", zap.String("address", address))
+		}
 		heard = true
 		silence.Reset(Silence)
 		if r := m.GetRevision(); r != nil {
@@ -222,7 +226,24 @@
 		}
 	})
 	if f.context.Err() == nil {
-		f.log.Warn("The stream from control ended; trying the next control host.", zap.String("address", address), zap.Error(err))
+		if !heard {
+			failures++
+		}
+		f.logEnd(address, heard, failures, err)
 	}
 	return heard
 }
+
+// logEnd logs the end of a stream. While control is down a stream ends every
+// second or so, so only the first failure and the one after which all control
+// hosts have failed are logged above the level debug.
+func (f *Follower) logEnd(address string, heard bool, failures int, err error) {
+	level, message := zap.DebugLevel, "The stream from control ended; trying the next control host."
+	switch {
+	case heard || failures == 1 && len(f.controls) > 1:
+		level = zap.WarnLevel
+	case failures == len(f.controls):
+		level, message = zap.WarnLevel, "No control host sends its stream; trying them in turn until one does."
+	}
+	f.log.Log(level, message, zap.String("address", address), zap.Error(err))
+}
