Say in five error messages what to do

Left alone: amaranthctl's other messages. Of 14 wrong calls, with the exit codes 1 to 5 as docs/operators.md has them, those of a wrong command line and the conflict say what to do; those of an unreachable host, a missing file and a missing revision tell only what is wrong. Exit codes are unchanged.

Before: the port error ends with 'address already in use'. Tests with the race detector: the changed packages; of cmd/amaranthd only TestWholePath and TestControlLost.

--- a/cmd/amaranthd/dev.go
+++ b/cmd/amaranthd/dev.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
+	"syscall"
 
 	"go.uber.org/zap"
 
@@ -33,6 +35,10 @@
 		return exitFailed
 	}
 	d, err := runner.StartDev(folder, callers, logger)
+	if errors.Is(err, syscall.EADDRINUSE) {
+		logger.Error("start failed; choose another address for callers with --callers, such as 127.0.0.1:0", zap.Error(err))
+		return exitFailed
+	}
 	if err != nil {
 		logger.Error("start failed", zap.Error(err))
 		return exitFailed
--- a/cmd/amaranthd/main.go
+++ b/cmd/amaranthd/main.go
@@ -75,6 +75,9 @@
 	for _, p := range problems {
 		fmt.Fprintln(os.Stderr, p)
 	}
+	if len(problems) > 0 {
+		fmt.Fprintf(os.Stderr, "amaranthd: the settings in %s are not valid: correct what is listed above; docs/settings.md describes every field\n", path)
+	}
 	return s, len(problems) == 0
 }
 
--- a/cmd/amaranthstub/main.go
+++ b/cmd/amaranthstub/main.go
@@ -49,7 +49,7 @@
 	logger, err := zap.NewProduction()
 	app.FatalIfError(err, "logger")
 	listener, err := net.Listen("tcp", *listen)
-	app.FatalIfError(err, "listen")
+	app.FatalIfError(err, "cannot listen on %q; --listen takes a free address and port such as 127.0.0.1:9001", *listen)
 	var client *tls.Config
 	if *certificate != "" {
 		var server *tls.Config
--- a/internal/ops/inspector/inspector.go
+++ b/internal/ops/inspector/inspector.go
@@ -101,7 +101,7 @@
 
 // Error describes the missing part.
 func (e *NotFoundError) Error() string {
-	return fmt.Sprintf("no %s named %q in the revision in force", e.Kind, e.Name)
+	return fmt.Sprintf("no %s named %q in the revision in force; amaranthctl get prints the configuration", e.Kind, e.Name)
 }
 
 // Source is the entry host behind the requests.
--- a/internal/settings/loader/load.go
+++ b/internal/settings/loader/load.go
@@ -48,7 +48,7 @@
 func Load(path string) (*Settings, []decoder.Problem) {
 	data, err := readFile(path)
 	if err != nil {
-		return nil, []decoder.Problem{{Path: decoder.Root, Value: err.Error(), Allowed: "a readable file"}}
+		return nil, []decoder.Problem{{Path: decoder.Root, Value: "a file that cannot be read (" + err.Error() + ")", Allowed: "a readable settings file"}}
 	}
 	return Decode(data)
 }
