Process tests: wait until the entry hosts agree on the owner of the cell

Cause: since a starting host leaves the cell to the others for a second, the owner can change once after a cold start; the test took the first owner that one host showed and held the orders of a host that was none any more. Ruled out: the issuer; its log shows that the real owner sent the orders.

Tests that disturb the owner now wait until all entry hosts have agreed on it for 2 s.

--- a/cmd/amaranthd/fault_test.go
+++ b/cmd/amaranthd/fault_test.go
@@ -20,6 +20,7 @@
 	"github.com/sourcegraph/conc"
 	"gotest.tools/v3/assert"
 
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
 	"github.com/amaranthcart/amaranthcart/internal/rpc/wire"
 )
 
@@ -249,7 +250,7 @@
 	for _, e := range d.entries {
 		d.waitUpstreams(e, 1)
 	}
-	owner := d.owner("entry-1")
+	owner := d.owner()
 	d.signal(owner, syscall.SIGSTOP)
 	began := time.Now()
 	for i := 0; time.Since(began) < 6*time.Second; i++ {
@@ -307,19 +308,28 @@
 	return x.Revision
 }
 
-// owner returns the host that owns the cell in the view of an entry host.
-func (d *deployment) owner(entry string) string {
+// settleTime is how long the entry hosts have to agree on an owner until it counts
+// as settled. A starting host leaves the cell to the others for about a second.
+const settleTime = 2 * time.Second
+
+// owner waits until all entry hosts agree on the host that owns the cell.
+func (d *deployment) owner() string {
 	d.t.Helper()
-	var owner string
-	d.waitFor("an owner of the cell", func() bool {
-		_, out := d.explain(entry)
-		i := slices.IndexFunc(d.entries, func(e string) bool { return strings.Contains(out, `"owner": "`+e+`"`) })
-		if i >= 0 {
-			owner = d.entries[i]
+	var owner registrar.HostName
+	var since time.Time
+	d.waitFor("a settled owner of the cell", func() bool {
+		for i, e := range d.entries {
+			seen := d.view(e).Owner
+			if i == 0 && seen != owner {
+				owner, since = seen, time.Now()
+			}
+			if seen == "" || seen != owner {
+				since = time.Now()
+			}
 		}
-		return i >= 0
+		return time.Since(since) >= settleTime
 	})
-	return owner
+	return string(owner)
 }
 
 func (d *deployment) explain(entry string) (int, string) {
--- a/cmd/amaranthd/order_test.go
+++ b/cmd/amaranthd/order_test.go
@@ -71,7 +71,7 @@
 	have := func(engine string, models ...string) func() bool {
 		return func() bool { return slices.Equal(d.loaded(engine), models) }
 	}
-	old := string(d.view("entry-1").Owner)
+	old := d.owner()
 	next := others(d.entries, old)[0]
 	// The orders of the holder are held on their way.
 	for _, e := range engines {
