--- a/internal/control/coordinator/fault_test.go
+++ b/internal/control/coordinator/fault_test.go
@@ -14,7 +14,7 @@
 	// runsVariable sets the number of seeds for longer searches. The seeds are
 	// counted from 0.
 	runsVariable = "AMARANTH_RUNS"
-	defaultRuns  = 1000
+	defaultRuns  = 2000
 	// faultyTime is the virtual time with faults in a run.
 	faultyTime = 4 * time.Second
 	// simulationWorkers leaves cores to others.
