Process tests: one way to make a deployment

The tests with relays wrote the settings of a deployment a second time, and three tests started the reference engine by hand. They now take the settings of deploySettings and replace the addresses by those of the relays, and call startReference. No check changed.

--- a/cmd/amaranthd/cells_test.go
+++ b/cmd/amaranthd/cells_test.go
@@ -53,8 +53,7 @@
 	d := deployCells(t, "west", "west", "east")
 	d.apply(document(t, "a"), 0)
 	west := d.entries[:2]
-	d.stubs["reference"] = freePort(t)
-	d.start("reference", "amaranthstub", "--name", "reference", "--listen", d.stubs["reference"], "--model", "lucka")
+	d.startReference()
 	d.startStub("engine-west", "--cell", "west", "--model", "lucka")
 	// Two, because the requests in flight at the crash run on one upstream each:
 	// eight in a row on a single engine take longer than the target of 2 s.
--- a/cmd/amaranthd/cut_test.go
+++ b/cmd/amaranthd/cut_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -18,7 +19,6 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/amaranthcart/amaranthcart/builder"
-	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
 	"github.com/amaranthcart/amaranthcart/internal/ops/inspector"
 	"github.com/amaranthcart/amaranthcart/internal/order/issuer"
 	"github.com/amaranthcart/amaranthcart/internal/settings/loader"
@@ -45,43 +45,21 @@
 func deployRelayed(t *testing.T, controls, entries int, changes ...func(*loader.Settings)) (*deployment, *network) {
 	t.Helper()
 	n := newNetwork(t)
-	d := &deployment{
-		t: t, folder: t.TempDir(),
-		processes: map[string]*process{}, settings: map[string]*loader.Settings{}, stubs: map[string]string{},
-	}
-	t.Cleanup(d.close)
-	for i := range controls {
-		d.control = append(d.control, fmt.Sprint("control-", i+1))
-	}
-	for i := range entries {
-		d.entries = append(d.entries, fmt.Sprint("entry-", i+1))
-	}
-	var members []loader.Member
-	var voters []registrar.HostName
-	var seeds []string
-	for i, name := range append(d.control, d.entries...) {
-		s := loader.Default()
-		s.Name, s.Centre = registrar.HostName(name), "centre-1"
-		s.Data = filepath.Join(d.folder, name)
-		s.Admin, s.Peers = freePort(t), freePort(t)
+	d := newDeployment(t)
+	deploySettings(t, d, controls, entries)
+	relays := map[string]string{}
+	for name, s := range d.settings {
 		s.Advertise = n.relay(name, s.Peers)
-		if i < controls {
-			s.Roles = []loader.Role{loader.Control}
-			members = append(members, loader.Member{Name: s.Name, Address: s.Advertise})
-			voters = append(voters, s.Name)
-		} else {
-			s.Roles = []loader.Role{loader.Entry}
-			s.Callers = freePort(t)
-			seeds = append(seeds, s.Advertise)
-		}
-		d.settings[name] = s
+		relays[s.Peers] = s.Advertise
 	}
 	for name, s := range d.settings {
-		s.Control = members
-		if strings.HasPrefix(name, "control") {
-			s.Bootstrap = voters
-		} else {
-			s.Seeds = seeds
+		s.Control = slices.Clone(s.Control)
+		for i := range s.Control {
+			s.Control[i].Address = relays[s.Control[i].Address]
+		}
+		s.Seeds = slices.Clone(s.Seeds)
+		for i := range s.Seeds {
+			s.Seeds[i] = relays[s.Seeds[i]]
 		}
 		for _, change := range changes {
 			change(s)
--- a/cmd/amaranthd/fault_test.go
+++ b/cmd/amaranthd/fault_test.go
@@ -106,8 +106,7 @@
 // startEngines starts engines that every entry host knows, and the reference.
 func (d *deployment) startEngines(names ...string) {
 	d.t.Helper()
-	d.stubs["reference"] = freePort(d.t)
-	d.start("reference", "amaranthstub", "--name", "reference", "--listen", d.stubs["reference"], "--model", "lucka")
+	d.startReference()
 	for _, s := range names {
 		d.startStub(s, "--model", "lucka")
 	}
@@ -468,8 +467,7 @@
 func TestPreempted(t *testing.T) {
 	d := deploy(t, 1, 2)
 	d.apply(document(t, "a"), 0)
-	d.stubs["reference"] = freePort(t)
-	d.start("reference", "amaranthstub", "--name", "reference", "--listen", d.stubs["reference"], "--model", "lucka")
+	d.startReference()
 	d.startStub("engine-1", "--model", "lucka", "--slots", "4")
 	for _, e := range d.entries {
 		d.waitUpstreams(e, 1)
--- a/cmd/amaranthd/process_test.go
+++ b/cmd/amaranthd/process_test.go
@@ -75,13 +75,20 @@
 	stubs     map[string]string
 }
 
-func deploy(t testing.TB, controls, entries int) *deployment {
+// newDeployment returns a deployment without processes.
+func newDeployment(t testing.TB) *deployment {
 	t.Helper()
 	d := &deployment{
 		t: t, folder: t.TempDir(),
 		processes: map[string]*process{}, settings: map[string]*loader.Settings{}, stubs: map[string]string{},
 	}
 	t.Cleanup(d.close)
+	return d
+}
+
+func deploy(t testing.TB, controls, entries int) *deployment {
+	t.Helper()
+	d := newDeployment(t)
 	deploySettings(t, d, controls, entries)
 	for _, name := range append(d.control, d.entries...) {
 		d.startDaemon(name)
--- a/cmd/amaranthd/tls_test.go
+++ b/cmd/amaranthd/tls_test.go
@@ -83,8 +83,7 @@
 // with it: three control hosts, two entry hosts, an engine and a service,
 // an operator, and certificates that are replaced under load.
 func TestTLS(t *testing.T) {
-	d := &deployment{t: t, folder: t.TempDir(), processes: map[string]*process{}, settings: map[string]*loader.Settings{}, stubs: map[string]string{}}
-	t.Cleanup(d.close)
+	d := newDeployment(t)
 	plain := deploySettings(t, d, 3, 2)
 	c := newCertificates(t)
 	for _, name := range d.control {
