--- a/internal/config/follower/control.go
+++ b/internal/config/follower/control.go
@@ -95,8 +95,8 @@
 }
 
 func (f *Follower) confirmOften() {
-	turn := int(f.float() * float64(len(f.controls)))
-	failed := make(map[string]time.Time, len(f.controls))
+	turn := int(f.float() * float64(len(f.addresses())))
+	failed := map[string]time.Time{}
 	for {
 		select {
 		case <-f.context.Done():
@@ -113,9 +113,10 @@
 // ask asks control hosts in turn, those that failed lately last, until one has
 // confirmed.
 func (f *Follower) ask(turn int, failed map[string]time.Time) {
-	order := make([]string, 0, len(f.controls))
-	for i := range f.controls {
-		order = append(order, f.controls[(turn+i)%len(f.controls)])
+	known := f.addresses()
+	order := make([]string, 0, len(known))
+	for i := range known {
+		order = append(order, known[(turn+i)%len(known)])
 	}
 	now := f.clock.Now()
 	lately := func(a string) int {
@@ -186,9 +187,10 @@
 // watchAlways keeps one stream to a control host open and moves to the next one
 // when it ends or goes silent.
 func (f *Follower) watchAlways() {
-	turn := int(f.float() * float64(len(f.controls)))
+	turn := int(f.float() * float64(len(f.addresses())))
 	for failures := 0; ; {
-		address := f.controls[turn%len(f.controls)]
+		known := f.addresses()
+		address := known[turn%len(known)]
 		turn++
 		if f.watch(address, failures) {
 			failures = 0
@@ -240,9 +242,9 @@
 func (f *Follower) logEnd(address string, heard bool, failures int, err error) {
 	level, message := zap.DebugLevel, "The stream from control ended; trying the next control host."
 	switch {
-	case heard || failures == 1 && len(f.controls) > 1:
+	case heard || failures == 1 && len(f.addresses()) > 1:
 		level = zap.WarnLevel
-	case failures == len(f.controls):
+	case failures == len(f.addresses()):
 		level, message = zap.WarnLevel, "No control host sends its stream; trying them in turn until one does."
 	}
 	f.log.Log(level, message, zap.String("address", address), zap.Error(err))
--- a/internal/config/follower/follower.go
+++ b/internal/config/follower/follower.go
@@ -23,6 +23,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -56,6 +57,7 @@
 	host      string
 	centre    string
 	controls  []string
+	directory func() []string
 	folder    string
 	stale     Stale
 	clock     clockwork.Clock
@@ -109,6 +111,12 @@
 	return func(f *Follower) { f.controls = append(f.controls, addresses...) }
 }
 
+// WithDirectory tells the addresses of control hosts that were learned since the
+// start. They are asked beside those of WithControls.
+func WithDirectory(list func() []string) Option {
+	return func(f *Follower) { f.directory = list }
+}
+
 // WithFolder keeps the last revision in the folder.
 func WithFolder(path string) Option { return func(f *Follower) { f.folder = path } }
 
@@ -152,13 +160,14 @@
 // revision is not fresh until it is confirmed.
 func New(decode Decode, options ...Option) (*Follower, error) {
 	f := &Follower{
-		stale:    Refuse,
-		clock:    clockwork.NewRealClock(),
-		log:      zap.NewNop(),
-		rank:     func() Rank { return Rank{Hosts: 1} },
-		others:   func() []*wire.Follower { return nil },
-		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		reported: map[uint64]time.Time{},
+		stale:     Refuse,
+		clock:     clockwork.NewRealClock(),
+		log:       zap.NewNop(),
+		rank:      func() Rank { return Rank{Hosts: 1} },
+		others:    func() []*wire.Follower { return nil },
+		directory: func() []string { return nil },
+		random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		reported:  map[uint64]time.Time{},
 	}
 	for _, o := range options {
 		o(f)
@@ -198,12 +207,24 @@
 // Start begins to follow control.
 func (f *Follower) Start() {
 	f.group.Go(f.tick)
-	if len(f.controls) > 0 {
+	if len(f.addresses()) > 0 {
 		f.group.Go(f.watchAlways)
 		f.group.Go(f.confirmOften)
 	}
 }
 
+// addresses lists the control hosts that are known.
+func (f *Follower) addresses() []string {
+	learned := f.directory()
+	all := make([]string, 0, len(f.controls)+len(learned))
+	for _, a := range slices.Concat(learned, f.controls) {
+		if !slices.Contains(all, a) {
+			all = append(all, a)
+		}
+	}
+	return all
+}
+
 // Close stops following and waits until nothing runs.
 func (f *Follower) Close() {
 	f.closing.Do(func() {
--- a/internal/config/validator/decode.go
+++ b/internal/config/validator/decode.go
@@ -94,6 +94,7 @@
 	c.checkClasses()
 	c.checkOrganisations()
 	c.checkPools()
+	c.checkRoutes()
 	c.checkPlacements()
 }
 
@@ -131,6 +132,7 @@
 		c.Check(v.Share > 0 && v.Share <= maxNumber, at+".share", v.Share, "more than 0, up to 1000000")
 		c.Check(v.Limit >= 0 && v.Limit <= maxNumber, at+".limit", v.Limit, "0 (no limit) to 1000000")
 		c.Check(v.Rate >= 0 && v.Rate <= maxNumber, at+".rate", v.Rate, "0 (no limit) to 1000000")
+		c.Check(v.Tier == nil || *v.Tier >= 0 && *v.Tier <= LowestTier, at+".tier", v.Tier, fmt.Sprintf("0 (most urgent) to %d", LowestTier))
 		c.Check(len(v.Keys) <= maxKeys, at+".keys", len(v.Keys), fmt.Sprintf("at most %d keys", maxKeys))
 		for j, k := range v.Keys[:min(len(v.Keys), maxKeys)] {
 			p := decoder.Item(at+".keys", j)
--- a/internal/config/validator/decode_test.go
+++ b/internal/config/validator/decode_test.go
@@ -34,7 +34,7 @@
 // reported at the wrong path, or that hides another one.
 func TestDecodeProblems(t *testing.T) {
 	for _, c := range []struct{ name, old, new, want string }{
-		{"unknown field", `"limit": 10`, `"Limit": 10`, `$.organisations[0].Limit: found 10; allowed: no such field; the fields are name, share, keys, limit, rate`},
+		{"unknown field", `"limit": 10`, `"Limit": 10`, `$.organisations[0].Limit: found 10; allowed: no such field; the fields are name, share, keys, limit, rate, tier`},
 		{"duplicate key", `"limit": 10`, `"limit": 10, "limit": 9`, `$.organisations[0].limit: found the key twice; allowed: each key once`},
 		{"missing tier", `"tier": 0, `, ``, `$.classes[0].tier: found nothing; allowed: the field is required`},
 		{"tier", `"tier": 3`, `"tier": 4`, `$.classes[1].tier: found 4; allowed: 0 (most urgent) to 3`},
--- a/internal/config/validator/document.go
+++ b/internal/config/validator/document.go
@@ -63,6 +63,8 @@
 	Organisations []Organisation `json:"organisations"`
 	Models        []Model        `json:"models"`
 	Services      []Service      `json:"services"`
+	// Routes lead plain and model requests by host and path to pools.
+	Routes []Route `json:"routes,omitempty"`
 	// Placements lists what engines shall have loaded.
 	Placements []Placement `json:"placements,omitempty"`
 	// Loads bounds the weight loads that run at the same time in the fleet;
@@ -99,6 +101,9 @@
 	Limit int `json:"limit,omitempty"`
 	// Rate bounds the organisation's requests a second; zero means none.
 	Rate float64 `json:"rate,omitempty"`
+	// Tier is the tier of all requests of the organisation that come by a route;
+	// without it the class of the route decides.
+	Tier *Tier `json:"tier,omitempty"`
 }
 
 // Model is a language model that engines serve.
@@ -108,6 +113,12 @@
 	Class ClassName `json:"class"`
 	// Classes lists the further classes that may use the model.
 	Classes []ClassName `json:"classes,omitempty"`
+	// Memory is the number of tokens that an engine of the model keeps in memory;
+	// zero means unknown.
+	Memory int `json:"memory,omitempty"`
+	// Connections bounds the open connections of one engine from all hosts; zero
+	// means unknown.
+	Connections int `json:"connections,omitempty"`
 }
 
 // Service is a plain service.
@@ -117,6 +128,9 @@
 	// Calls lists the calls that differ from the default, which repeats the
 	// safe methods GET, HEAD and OPTIONS and no other.
 	Calls []Call `json:"calls,omitempty"`
+	// Connections bounds the open connections of one upstream from all hosts;
+	// zero means unknown.
+	Connections int `json:"connections,omitempty"`
 }
 
 // Call tells whether the calls with a method and path may be repeated.
--- a/internal/config/validator/index.go
+++ b/internal/config/validator/index.go
@@ -19,6 +19,7 @@
 	models        map[PoolName]*Model
 	services      map[PoolName]*Service
 	rules         map[PoolName]map[string]Call
+	routes        routeIndex
 }
 
 // Rule tells how one call to a service is treated.
@@ -39,6 +40,7 @@
 		models:        make(map[PoolName]*Model, len(d.Models)),
 		services:      make(map[PoolName]*Service, len(d.Services)),
 		rules:         make(map[PoolName]map[string]Call, len(d.Services)),
+		routes:        newRouteIndex(d.Routes),
 	}
 	for i := range d.Classes {
 		x.classes[d.Classes[i].Name] = &d.Classes[i]
--- a/internal/control/applier/applier.go
+++ b/internal/control/applier/applier.go
@@ -85,8 +85,10 @@
 
 // State is the applied state. It isn't safe for concurrent use.
 type State struct {
-	time      int64
-	revision  uint64
+	time     int64
+	revision uint64
+	// version is the operator's highest version of all accepted changes.
+	version   uint64
 	revisions []*wire.Revision
 	audit     []*wire.AuditEntry
 	auditSize int
@@ -131,6 +133,9 @@
 // apply accepts a change when its base is the current revision.
 func (s *State) apply(c *record.ApplyCommand) *wire.ApplyResponse {
 	q := c.Request
+	if q.Version > 0 {
+		return s.raise(c)
+	}
 	if r := s.Resent(q); r != nil {
 		return r
 	}
@@ -146,19 +151,30 @@
 	return proto.CloneOf(r)
 }
 
+// raise accepts a change when its version is higher than all before it. The
+// version decides alone, so that a resend needs no change ID.
+func (s *State) raise(c *record.ApplyCommand) *wire.ApplyResponse {
+	if c.Request.Version <= s.version {
+		return &wire.ApplyResponse{Outcome: wire.ApplyResponse_OUTCOME_OVERTAKEN, Revision: s.revision, Current: s.revision}
+	}
+	s.accept(c)
+	return &wire.ApplyResponse{Outcome: wire.ApplyResponse_OUTCOME_ACCEPTED, Revision: s.revision, Current: s.revision}
+}
+
 // accept makes the document the current revision.
 func (s *State) accept(c *record.ApplyCommand) {
 	q := c.Request
 	s.revision++
 	s.revisions = append(s.revisions, &wire.Revision{
-		Number: s.revision, Document: q.Document, Digest: c.Digest, Accepted: s.time,
+		Number: s.revision, Document: q.Document, Digest: c.Digest, Accepted: s.time, Version: q.Version,
 	})
+	s.version = max(s.version, q.Version)
 	if over := len(s.revisions) - keptRevisions; over > 0 {
 		s.revisions = append([]*wire.Revision(nil), s.revisions[over:]...)
 	}
 	s.record(&wire.AuditEntry{
 		Revision: s.revision, Base: q.Base, Change: q.Change, Operator: q.Operator,
-		Note: q.Note, Accepted: s.time, Digest: c.Digest, Differences: c.Differences,
+		Note: q.Note, Accepted: s.time, Digest: c.Digest, Differences: c.Differences, Version: q.Version,
 	})
 }
 
@@ -173,9 +189,15 @@
 	}
 }
 
-// Resent returns the answer when the change ID was used before, and nil
-// otherwise.
+// Resent returns the answer when the change ID was used before, or when a change
+// of the same version or a higher one is in force, and nil otherwise.
 func (s *State) Resent(q *wire.ApplyRequest) *wire.ApplyResponse {
+	if q.Version > 0 {
+		if q.Version > s.version {
+			return nil
+		}
+		return &wire.ApplyResponse{Outcome: wire.ApplyResponse_OUTCOME_OVERTAKEN, Revision: s.revision, Current: s.revision}
+	}
 	c := s.changes.get(q.Change)
 	if c == nil {
 		return nil
@@ -268,6 +290,9 @@
 	}
 	s := New()
 	s.time, s.revision, s.revisions = p.Time, p.Revision, p.Revisions
+	for _, r := range p.Revisions {
+		s.version = max(s.version, r.Version)
+	}
 	for _, e := range p.Audit {
 		s.record(e)
 	}
--- a/internal/control/coordinator/coordinator.go
+++ b/internal/control/coordinator/coordinator.go
@@ -41,7 +41,9 @@
 	"errors"
 	"fmt"
 	"runtime/debug"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -74,8 +76,16 @@
 	// Centre is the data centre.
 	Centre string
 	// Peers are the initial voters, including this host. All control hosts
-	// must be given the same names.
+	// must be given the same names. With Voters a host that is no founder has
+	// none.
 	Peers []Peer
+	// Contacts are control hosts that a host without a leader asks for the
+	// group.
+	Contacts []Peer
+	// Voters is the number of voters that the group grows to by taking in hosts
+	// that introduce themselves. Until it has them, no change is accepted,
+	// since a smaller group could lose it with its disks. 0 keeps the founders.
+	Voters int
 	// TLS protects calls to other control hosts; nil means without.
 	TLS dialer.TLS
 	// Check returns the problems of a configuration document.
@@ -110,8 +120,13 @@
 	errUnknown   = errors.New("the leader changed before the outcome was known")
 	errStopped   = errors.New("this control host is stopping")
 	errBusy      = errors.New("too many calls are waiting")
+	errSmall     = errors.New("the group does not have all its voters yet")
 )
 
+// ErrRetired is the reason for stopping on a host that the group has removed.
+// Its data folder has been cleared, so that it can join anew.
+var ErrRetired = errors.New("the group has removed this replica")
+
 // Coordinator is a running control host.
 type Coordinator struct {
 	settings  Settings
@@ -134,6 +149,8 @@
 	closed   error
 
 	notes noteLimiter
+	// retired is set when the group has removed this replica.
+	retired atomic.Bool
 }
 
 // Open reads the data folder and starts the control host.
@@ -159,11 +176,11 @@
 	}
 	c.queue.init()
 	c.disk.init()
-	c.transport = newTransport(c.logger, s.Name, s.Peers, s.TLS, &c.group)
+	c.transport = newTransport(c.logger, s.Name, slices.Concat(s.Contacts, s.Peers), s.TLS, &c.group)
 	c.core, err = newCore(s.Clock.Now(), coreOptions{
 		replica: replicator.Options{
 			Name: s.Name, Address: s.Address, Centre: s.Centre,
-			Founders: names(s.Peers), Seed: s.Seed,
+			Founders: names(s.Peers), Contacts: names(s.Contacts), Voters: s.Voters, Seed: s.Seed,
 		},
 		compact: s.Compact,
 	}, stored, c)
@@ -203,7 +220,7 @@
 		}
 		seen[p.Name] = true
 	}
-	if !seen[s.Name] {
+	if !seen[s.Name] && s.Voters == 0 {
 		return fmt.Errorf("control host %q is not among the peers", s.Name)
 	}
 	return nil
@@ -298,6 +315,7 @@
 	for {
 		w, open := c.disk.take()
 		if !open {
+			c.clearRetired()
 			return
 		}
 		sends, saved, err := flush(c.journal, w)
@@ -375,6 +393,27 @@
 	c.group.Go(c.guard(func() { c.queue.events(f()) }))
 }
 
+// retire is called by the core when the group has removed this replica.
+func (c *Coordinator) retire() {
+	c.retired.Store(true)
+	c.stop()
+}
+
+// clearRetired empties the data folder of a removed replica. It runs after the
+// last write.
+func (c *Coordinator) clearRetired() {
+	if !c.retired.Load() {
+		return
+	}
+	c.fail(errors.Join(ErrRetired, c.journal.Clear()))
+}
+
+// Introduce replaces the contacts of a host that has no leader.
+func (c *Coordinator) Introduce(contacts []Peer) {
+	c.transport.add(contacts)
+	c.queue.events(replicator.Contact{Names: names(contacts)})
+}
+
 // note is called by the core for events worth a line in the log.
 func (c *Coordinator) note(text string, fields ...zap.Field) {
 	if c.notes.allow(c.clock.Now(), text) {
--- a/internal/control/coordinator/core.go
+++ b/internal/control/coordinator/core.go
@@ -22,6 +22,8 @@
 	transmit(replicator.Send)
 	// background runs f on another goroutine and feeds its event to the replica.
 	background(f func() replicator.Event)
+	// retire ends a replica that the group has removed.
+	retire()
 	// note logs an event.
 	note(text string, fields ...zap.Field)
 }
@@ -220,6 +222,8 @@
 		if a.Role != replicator.Leader {
 			c.failPending(errUnknown)
 		}
+	case replicator.Retire:
+		c.port.retire()
 	case replicator.Note:
 		c.port.note(a.Text, zap.String("host", a.Name), zap.Uint64("replica", uint64(a.ID)))
 	}
--- a/internal/control/coordinator/service.go
+++ b/internal/control/coordinator/service.go
@@ -44,7 +44,7 @@
 // Apply submits a configuration.
 func (s service) Apply(ctx context.Context, q *connect.Request[wire.ApplyRequest]) (*connect.Response[wire.ApplyResponse], error) {
 	m := q.Msg
-	if m.Change == "" || len(m.Document) == 0 {
+	if m.Change == "" && m.Version == 0 || len(m.Document) == 0 {
 		return nil, invalid("a change needs an ID and a document")
 	}
 	if len(m.Document) > maximumDocument {
@@ -60,13 +60,16 @@
 
 // apply checks and proposes a change on the leader.
 func (c *Coordinator) apply(ctx context.Context, q *wire.ApplyRequest) (*wire.ApplyResponse, error) {
+	if !c.whole() {
+		return nil, connect.NewError(connect.CodeUnavailable, errSmall)
+	}
 	var resent *wire.ApplyResponse
 	var before []byte
 	current := false
 	c.core.inspect(func(s *applier.State) {
 		resent = s.Resent(q)
 		if r := s.Current(); r != nil {
-			current = r.Number == q.Base
+			current = r.Number == q.Base || q.Version > 0
 			before = r.Document
 			return
 		}
@@ -90,6 +93,32 @@
 	return r.Apply, nil
 }
 
+// whole reports whether the group has the voters that the settings ask for. One
+// may be missing while a lost one is being replaced.
+func (c *Coordinator) whole() bool {
+	v := c.core.view()
+	missing := c.settings.Voters - v.voters
+	return missing <= 0 || missing == 1 && len(v.replica.Membership.Retired) > 0
+}
+
+// Submit applies a configuration as the Apply call of the Control service does.
+func (c *Coordinator) Submit(ctx context.Context, q *wire.ApplyRequest) (*wire.ApplyResponse, error) {
+	a, err := service{c}.Apply(ctx, connect.NewRequest(q))
+	if err != nil {
+		return nil, err
+	}
+	return a.Msg, nil
+}
+
+// Latest returns the current revision after a quorum has confirmed it.
+func (c *Coordinator) Latest(ctx context.Context) (*wire.Revision, error) {
+	a, err := service{c}.Get(ctx, connect.NewRequest(&wire.GetRequest{}))
+	if err != nil {
+		return nil, err
+	}
+	return a.Msg.Revision, nil
+}
+
 // Get returns a revision.
 func (s service) Get(ctx context.Context, q *connect.Request[wire.GetRequest]) (*connect.Response[wire.GetResponse], error) {
 	if q.Msg.Revision != 0 {
--- a/internal/control/coordinator/transport.go
+++ b/internal/control/coordinator/transport.go
@@ -71,14 +71,28 @@
 	return x
 }
 
+// add notes the addresses of hosts.
+func (t *transport) add(peers []Peer) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range peers {
+		t.addresses[p.Name] = p.Address
+	}
+}
+
 // learn notes the address that a host gives in its introduction, which is
 // newer than the one in the settings.
 func (t *transport) learn(m *record.Message) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, x := range m.Members {
+		if t.addresses[x.Name] == "" {
+			t.addresses[x.Name] = x.Address
+		}
+	}
 	if m.Address == "" || m.Name == t.name {
 		return
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	t.addresses[m.Name] = m.Address
 }
 
--- a/internal/control/replicator/election.go
+++ b/internal/control/replicator/election.go
@@ -109,6 +109,7 @@
 func (r *Replicator) lead() {
 	r.role, r.leader = Leader, r.id
 	r.votes = nil
+	r.leadingAt = r.now
 	r.progress = map[ID]*progress{}
 	r.newcomers = map[string]newcomer{}
 	r.syncProgress()
--- a/internal/control/replicator/event.go
+++ b/internal/control/replicator/event.go
@@ -40,6 +40,9 @@
 // Transfer asks the leader to hand over leadership.
 type Transfer struct{}
 
+// Contact replaces the names in Options.Contacts.
+type Contact struct{ Names []string }
+
 func (Tick) event()             {}
 func (Receive) event()          {}
 func (Propose) event()          {}
@@ -48,6 +51,7 @@
 func (Saved) event()            {}
 func (Compact) event()          {}
 func (Transfer) event()         {}
+func (Contact) event()          {}
 
 // Action is an output of Step.
 type Action interface{ action() }
@@ -109,6 +113,10 @@
 	Term   uint64
 }
 
+// Retire reports that the group has removed this replica: its identity will
+// never be accepted again.
+type Retire struct{}
+
 // Note is worth a line in the log.
 type Note struct {
 	Text string
@@ -125,4 +133,5 @@
 func (ReadReady) action()  {}
 func (ReadFailed) action() {}
 func (Changed) action()    {}
+func (Retire) action()     {}
 func (Note) action()       {}
--- a/internal/control/replicator/exchange.go
+++ b/internal/control/replicator/exchange.go
@@ -23,6 +23,9 @@
 	case record.Message_KIND_HELLO, record.Message_KIND_HELLO_REPLY:
 		r.receiveHello(m)
 		return
+	case record.Message_KIND_RETIRED:
+		r.receiveRetired(m)
+		return
 	}
 	if ID(m.To) != r.id {
 		return
--- a/internal/control/replicator/membership.go
+++ b/internal/control/replicator/membership.go
@@ -137,27 +137,23 @@
 		r.form()
 		return
 	}
-	names := slices.Clone(r.options.Founders)
-	for _, m := range r.membership().Members {
-		if !slices.Contains(names, m.Name) {
-			names = append(names, m.Name)
-		}
-	}
-	for _, n := range names {
-		if n != r.options.Name {
-			r.introduce(record.Message_KIND_HELLO, n, 0)
-		}
+	for _, n := range r.acquaintances() {
+		r.introduce(record.Message_KIND_HELLO, n, 0)
 	}
 }
 
 // introduce sends a hello or the answer to one. The founders are in it so that
 // hosts with different settings never form groups with each other.
 func (r *Replicator) introduce(kind record.Message_Kind, name string, to uint64) {
-	r.emit(Send{Name: name, Durable: true, Message: &record.Message{
+	m := &record.Message{
 		Kind: kind, Group: r.group, From: uint64(r.id), To: to,
 		Name: r.options.Name, Address: r.options.Address, Centre: r.options.Centre,
 		Founders: r.options.Founders, Index: r.log.last(),
-	}})
+	}
+	if kind == record.Message_KIND_HELLO_REPLY {
+		m.Members = r.membership().Members
+	}
+	r.emit(Send{Name: name, Durable: true, Message: m})
 }
 
 // receiveHello answers an introduction and notes it.
@@ -168,6 +164,7 @@
 	if m.Kind == record.Message_KIND_HELLO {
 		r.introduce(record.Message_KIND_HELLO_REPLY, m.Name, m.From)
 	}
+	r.remember(m.Members)
 	member := &record.Member{Id: m.From, Name: m.Name, Address: m.Address, Centre: m.Centre}
 	switch {
 	case r.group == 0 && m.Kind == record.Message_KIND_HELLO_REPLY:
@@ -285,7 +282,8 @@
 func (r *Replicator) admit(c *record.Member) *record.Membership {
 	m := proto.CloneOf(r.membership())
 	if slices.Contains(m.Retired, c.Id) {
-		r.emit(Note{Text: "refused a replica that was removed; clear its data folder to let it join anew", Name: c.Name, ID: ID(c.Id)})
+		r.emit(Note{Text: "refused a replica that was removed; it has to join anew", Name: c.Name, ID: ID(c.Id)})
+		r.tellRetired(c)
 		return nil
 	}
 	named := false
@@ -311,7 +309,7 @@
 			return m
 		}
 	}
-	if !named {
+	if !named && !r.grows(m) {
 		r.emit(Note{Text: "refused a replica under an unknown name", Name: c.Name, ID: ID(c.Id)})
 		return nil
 	}
@@ -339,6 +337,9 @@
 		m.Retired = append(m.Retired, x.Id)
 		return m
 	}
+	if r.options.Voters > 0 && voters(m) >= r.options.Voters {
+		return r.dropSilent(m)
+	}
 	for _, x := range m.Members {
 		if x.Id == learner.Id {
 			x.Voter = true
--- a/internal/control/replicator/replicator.go
+++ b/internal/control/replicator/replicator.go
@@ -131,6 +131,12 @@
 	Centre  string
 	// Founders are the names of the initial voters.
 	Founders []string
+	// Contacts are names of hosts that a replica without a leader introduces
+	// itself to, beside the founders and the members that it knows.
+	Contacts []string
+	// Voters is the number of voters that the group grows to by admitting hosts
+	// under names that it doesn't know; 0 admits none.
+	Voters int
 	// Seed randomises election timeouts and the group number.
 	Seed uint64
 	// Keep is the number of entries that stay in memory behind a snapshot, so
@@ -169,6 +175,8 @@
 
 	// introductions are replies of blank founders.
 	introductions map[string]introduction
+	// known are members that the answers to hellos named.
+	known map[string]bool
 
 	// State of a candidate.
 	votes map[ID]bool
@@ -184,8 +192,10 @@
 	notifyCommit  bool
 	transferee    ID
 	transferUntil time.Time
-	round         uint64
-	reads         []pendingRead
+	// leadingAt is when this replica last became leader.
+	leadingAt time.Time
+	round     uint64
+	reads     []pendingRead
 }
 
 // New restores a replica from its data folder.
@@ -252,6 +262,8 @@
 		r.compact(e)
 	case Transfer:
 		r.startTransfer()
+	case Contact:
+		r.options.Contacts = e.Names
 	}
 	r.emitCommitted()
 	return r.actions
--- a/internal/daemon/runner/admin.go
+++ b/internal/daemon/runner/admin.go
@@ -33,7 +33,7 @@
 	if d.entry == nil {
 		return true, ""
 	}
-	if d.entry.receiver.Draining() {
+	if d.entry.front != nil && d.entry.front.Draining() {
 		return false, "a planned stop has begun"
 	}
 	if _, fresh := d.entry.follower.Current(); !fresh {
@@ -74,7 +74,7 @@
 	d := s.daemon
 	repeated := !d.requestStop()
 	d.logger.Info("operator asked for a planned stop", zap.String("operator", operator), zap.Bool("repeated", repeated))
-	return inspector.Drain{Host: d.settings.Name, Open: d.entry.receiver.Open(), Repeated: repeated}, nil
+	return inspector.Drain{Host: d.settings.Name, Open: d.entry.open(), Repeated: repeated}, nil
 }
 
 // Explain tells what this host's scheduler would do with a request. On a host
--- a/internal/daemon/runner/control.go
+++ b/internal/daemon/runner/control.go
@@ -5,10 +5,10 @@
 	"net/http"
 	"path/filepath"
 	"slices"
+	"strings"
 
 	"connectrpc.com/connect"
 
-	"github.com/amaranthcart/amaranthcart/internal/config/validator"
 	"github.com/amaranthcart/amaranthcart/internal/control/coordinator"
 	"github.com/amaranthcart/amaranthcart/internal/settings/loader"
 )
@@ -19,16 +19,18 @@
 func (d *Daemon) startControl(mux *http.ServeMux) error {
 	s := d.settings
 	c, err := coordinator.Open(coordinator.Settings{
-		Name:    string(s.Name),
-		Address: s.Advertise,
-		Folder:  filepath.Join(s.Data, "control"),
-		Centre:  string(s.Centre),
-		Peers:   voters(s),
-		TLS:     d.tls(),
-		Check:   checkDocument,
-		Fatal:   d.fail,
-		Clock:   d.clock,
-		Logger:  d.logger.Named("control"),
+		Name:     string(s.Name),
+		Address:  s.Advertise,
+		Folder:   filepath.Join(s.Data, "control"),
+		Centre:   string(s.Centre),
+		Peers:    founders(s),
+		Contacts: contacts(s),
+		Voters:   s.Voters,
+		TLS:      d.tls(),
+		Check:    d.checkDocument,
+		Fatal:    d.fail,
+		Clock:    d.clock,
+		Logger:   d.logger.Named("control"),
 	})
 	if err != nil {
 		return err
@@ -38,21 +40,36 @@
 	return nil
 }
 
-// voters are the hosts that form the group when there is none yet.
-func voters(s *loader.Settings) []coordinator.Peer {
+// founders are the hosts that form the group when there is none yet.
+func founders(s *loader.Settings) []coordinator.Peer {
+	if s.Voters > 0 && len(s.Bootstrap) == 0 {
+		return nil
+	}
+	return peersAmong(s.Control, func(m loader.Member) bool {
+		return len(s.Bootstrap) == 0 || slices.Contains(s.Bootstrap, m.Name)
+	})
+}
+
+// contacts are the hosts that know the group.
+func contacts(s *loader.Settings) []coordinator.Peer {
+	return peersAmong(s.Control, func(m loader.Member) bool { return m.Name != s.Name })
+}
+
+func peersAmong(members []loader.Member, counts func(loader.Member) bool) []coordinator.Peer {
 	var all []coordinator.Peer
-	for _, m := range s.Control {
-		if len(s.Bootstrap) > 0 && !slices.Contains(s.Bootstrap, m.Name) {
-			continue
+	for _, m := range members {
+		if counts(m) {
+			all = append(all, coordinator.Peer{Name: string(m.Name), Address: m.Address})
 		}
-		all = append(all, coordinator.Peer{Name: string(m.Name), Address: m.Address})
 	}
 	return all
 }
 
-func checkDocument(data []byte) []string {
-	_, problems := validator.Decode(data)
-	return describe(problems)
+func (d *Daemon) checkDocument(data []byte) []string {
+	if _, err := d.decode(data); err != nil {
+		return strings.Split(err.Error(), "; ")
+	}
+	return nil
 }
 
 func (c *control) close(ctx context.Context) error {
--- a/internal/daemon/runner/entry.go
+++ b/internal/daemon/runner/entry.go
@@ -8,6 +8,8 @@
 	"os"
 	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -22,6 +24,7 @@
 	"github.com/amaranthcart/amaranthcart/internal/entry/dispatcher"
 	"github.com/amaranthcart/amaranthcart/internal/entry/forwarder"
 	"github.com/amaranthcart/amaranthcart/internal/entry/receiver"
+	"github.com/amaranthcart/amaranthcart/internal/entry/relayer"
 	"github.com/amaranthcart/amaranthcart/internal/member/courier"
 	"github.com/amaranthcart/amaranthcart/internal/member/gossiper"
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
@@ -55,6 +58,7 @@
 	logger    *zap.Logger
 	notice    time.Duration
 	started   time.Time
+	directory directory
 	reporter  *reporter.Reporter
 	tls       dialer.TLS
 	upstreams dialer.TLS
@@ -66,8 +70,15 @@
 	server    *dispatcher.Server
 	forwarder *forwarder.Forwarder
 	claimer   *claimer.Claimer
-	receiver  *receiver.Receiver
-	orders    *orders
+	// receiver serves callers in the OpenAI protocol, relayer by routes; both are
+	// nil on a host that only schedules.
+	receiver *receiver.Receiver
+	relayer  *relayer.Relayer
+	// front is the one of them that is there.
+	front  front
+	decode follower.Decode
+	orders *orders
+	index  compiled
 	// courier and fleet are nil on a host that works with its own cell only.
 	courier *courier.Courier
 	fleet   *dispatcher.Fleet
@@ -79,6 +90,52 @@
 	group   conc.WaitGroup
 }
 
+// front serves callers.
+type front interface {
+	Unready()
+	Draining() bool
+	Open() int
+	Drain(ctx context.Context) error
+	Close() error
+}
+
+// compiled keeps the index of the revision in force.
+type compiled struct {
+	index atomic.Pointer[validator.Index]
+}
+
+// of returns the index of the document, which is built once.
+func (c *compiled) of(d *validator.Document) *validator.Index {
+	x := c.index.Load()
+	if x == nil || x.Document() != d {
+		x = validator.Compile(d)
+		c.index.Store(x)
+	}
+	return x
+}
+
+// directory holds the control hosts of the settings, which may change.
+type directory struct {
+	mu      sync.Mutex
+	control []loader.Member
+}
+
+func (d *directory) set(m []loader.Member) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.control = m
+}
+
+func (d *directory) addresses() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var all []string
+	for _, m := range d.control {
+		all = append(all, m.Address)
+	}
+	return all
+}
+
 // peer serves the Peer service from its two halves.
 type peer struct {
 	*gossiper.Gossiper
@@ -103,6 +160,8 @@
 		client:    dialer.New(dialer.WithTLS(d.tls())),
 		local:     dispatcher.NewLocal(scheduler.New(scheduler.WithSeed(uint64(d.clock.Now().UnixNano()))), d.clock),
 	}
+	e.decode = d.decode
+	e.directory.set(e.settings.Control)
 	d.entry = e
 	if err := e.startFollower(); err != nil {
 		return err
@@ -112,7 +171,13 @@
 		e.startCourier(d.logger, mux)
 	}
 	e.startDispatcher(d.logger)
-	e.startReceiver(d.logger)
+	switch {
+	case e.settings.Callers == "":
+	case d.protocol != nil:
+		e.startRelayer(d.logger, d.protocol)
+	default:
+		e.startReceiver(d.logger)
+	}
 	e.orders = newOrders(e)
 	mux.Handle(wireconnect.NewPeerHandler(peer{e.gossiper, e.server}))
 	mux.Handle(gossiper.AnnouncePath, e.gossiper.Announcements())
@@ -123,7 +188,7 @@
 	s := e.settings
 	options := []follower.Option{
 		follower.WithHost(string(s.Name), string(s.Centre)),
-		follower.WithControls(e.controls()...),
+		follower.WithDirectory(e.controls),
 		follower.WithStale(follower.Stale(s.Stale)),
 		follower.WithClock(e.clock),
 		follower.WithLogger(e.logger),
@@ -132,13 +197,14 @@
 		follower.WithOnEnforce(e.enforce),
 		follower.WithTLS(e.tls),
 	}
-	if s.Data != "" {
+	// A host that serves no callers enforces nothing and needs no copy.
+	if s.Data != "" && s.Callers != "" {
 		if err := os.MkdirAll(s.Data, folderMode); err != nil {
 			return fmt.Errorf("make the data folder: %w", err)
 		}
 		options = append(options, follower.WithFolder(s.Data))
 	}
-	f, err := follower.New(decodeDocument, options...)
+	f, err := follower.New(e.decode, options...)
 	if err != nil {
 		return fmt.Errorf("open the stored revision: %w", err)
 	}
@@ -170,14 +236,27 @@
 	return all
 }
 
+// controls lists the control hosts of the settings and those that other hosts
+// have told of.
 func (e *entry) controls() []string {
-	var all []string
-	for _, m := range e.settings.Control {
-		all = append(all, m.Address)
+	all := e.directory.addresses()
+	if e.gossiper == nil {
+		return all
+	}
+	for _, h := range e.gossiper.Snapshot().Hosts() {
+		if h.Control && !slices.Contains(all, h.Address) {
+			all = append(all, h.Address)
+		}
 	}
 	return all
 }
 
+// meet replaces the hosts of the settings.
+func (e *entry) meet(control []loader.Member, seeds []string) {
+	e.directory.set(control)
+	e.gossiper.Seed(seeds...)
+}
+
 func decodeDocument(data []byte) (*validator.Document, error) {
 	d, problems := validator.Decode(data)
 	if len(problems) > 0 {
@@ -203,7 +282,8 @@
 func (e *entry) startGossiper() {
 	s := e.settings
 	self := registrar.Host{
-		Draining:    !e.alone(),
+		Draining:    !e.alone() || !s.Schedules(),
+		Control:     s.Plays(loader.Control),
 		Name:        s.Name,
 		Address:     s.Advertise,
 		Centre:      s.Centre,
@@ -217,7 +297,7 @@
 		gossiper.WithFingerprints(crashes{e.local}),
 		gossiper.WithRevisions(e.follower),
 		gossiper.WithOnAction(e.apply),
-		gossiper.WithRegistrarOptions(registrar.WithScope()),
+		gossiper.WithRegistrarOptions(registrar.WithScope(), registrar.WithLease(time.Duration(s.Lease))),
 		gossiper.WithTLS(e.tls),
 	}
 	if e.upstreams != nil {
@@ -289,6 +369,33 @@
 		Report:        e.reporter.ReportRequest,
 		Limits:        receiver.Limits{Connections: l.Connections, Body: l.Body, Header: l.Header},
 	})
+	e.front = e.receiver
+}
+
+func (e *entry) startRelayer(logger *zap.Logger, p relayer.Protocol) {
+	e.relayer = relayer.New(relayer.Options{
+		Protocol:      p,
+		Dispatcher:    e.dispatcher(),
+		Sender:        forwarder.NewSender(e.clock, e.upstreams),
+		Configuration: e.routes,
+		Body:          e.settings.Limits.Body,
+		Connections:   e.settings.Limits.Connections,
+		Host:          string(e.settings.Name),
+		Clock:         e.clock,
+		Logger:        logger,
+		Metrics:       e.reporter.Registry(),
+		Report:        e.reporter.ReportRequest,
+	})
+	e.front = e.relayer
+}
+
+// routes returns the routes in force, if they are confirmed.
+func (e *entry) routes() (*validator.Index, bool) {
+	s, fresh := e.follower.Current()
+	if s.Document == nil {
+		return nil, false
+	}
+	return e.index.of(s.Document), fresh && e.joined()
 }
 
 func (e *entry) configuration() (receiver.Snapshot, bool) {
@@ -296,6 +403,14 @@
 	return receiver.Snapshot{Revision: s.Revision, Document: s.Document}, fresh && e.joined()
 }
 
+// open counts the requests in progress.
+func (e *entry) open() int {
+	if e.front == nil {
+		return 0
+	}
+	return e.front.Open()
+}
+
 // joined reports whether this host has met another entry host, or has tried for
 // long enough. Before that it would take itself for the owner of the cell and
 // dispatch beside the real one, without knowing which requests crash upstreams.
@@ -323,7 +438,7 @@
 	e.orders.Start()
 	ctx, cancel := context.WithCancel(context.Background())
 	e.standby = cancel
-	if !e.alone() {
+	if !e.alone() && e.settings.Schedules() {
 		e.group.Go(func() { e.offer(ctx) })
 	}
 }
@@ -364,16 +479,21 @@
 // drain is the planned stop: unready at once, then no new work, then the open
 // requests run to their end. Another host takes the cell over meanwhile.
 func (e *entry) drain(ctx context.Context) error {
-	e.receiver.Unready()
+	if e.front != nil {
+		e.front.Unready()
+	}
 	e.withdraw()
 	e.gossiper.Drain(true)
+	if e.front == nil {
+		return nil
+	}
 	select {
 	case <-e.clock.After(e.notice):
 	case <-ctx.Done():
 	}
 	ctx, cancel := clockwork.WithTimeout(ctx, e.clock, time.Duration(e.settings.Drain))
 	defer cancel()
-	if err := e.receiver.Drain(ctx); err != nil {
+	if err := e.front.Drain(ctx); err != nil {
 		return fmt.Errorf("drain: %w", err)
 	}
 	return nil
@@ -388,6 +508,9 @@
 	if e.receiver != nil {
 		failed = errors.Join(failed, e.receiver.Close(), e.claimer.Close(), e.forwarder.Close())
 	}
+	if e.relayer != nil {
+		failed = errors.Join(failed, e.relayer.Close())
+	}
 	if e.fleet != nil {
 		e.fleet.Close()
 	}
--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -24,6 +24,10 @@
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"github.com/amaranthcart/amaranthcart/internal/config/follower"
+	"github.com/amaranthcart/amaranthcart/internal/control/coordinator"
+	"github.com/amaranthcart/amaranthcart/internal/entry/relayer"
+	"github.com/amaranthcart/amaranthcart/internal/member/gossiper"
 	"github.com/amaranthcart/amaranthcart/internal/ops/guardian"
 	"github.com/amaranthcart/amaranthcart/internal/ops/reporter"
 	"github.com/amaranthcart/amaranthcart/internal/rpc/authenticator"
@@ -40,6 +44,8 @@
 	logger   *zap.Logger
 	clock    clockwork.Clock
 	notice   time.Duration
+	decode   follower.Decode
+	protocol relayer.Protocol
 	security *authenticator.Authenticator
 	guardian *guardian.Guardian
 	reporter *reporter.Reporter
@@ -71,6 +77,14 @@
 // became unready, so that the balancer in front can take notice.
 func WithNotice(t time.Duration) Option { return func(d *Daemon) { d.notice = t } }
 
+// WithDecode replaces the format of configuration documents. The function
+// returns an error that lists all problems of a document.
+func WithDecode(f follower.Decode) Option { return func(d *Daemon) { d.decode = f } }
+
+// WithRoutes makes the callers' listener serve the routes of the configuration in
+// the given protocol, in place of the OpenAI protocol and /svc.
+func WithRoutes(p relayer.Protocol) Option { return func(d *Daemon) { d.protocol = p } }
+
 // DefaultNotice covers a balancer that checks readiness once a second and
 // takes a host out after two failed checks.
 const DefaultNotice = 3 * time.Second
@@ -82,6 +96,7 @@
 		logger:   zap.NewNop(),
 		clock:    clockwork.NewRealClock(),
 		notice:   DefaultNotice,
+		decode:   decodeDocument,
 		fatal:    make(chan error, 1),
 		stop:     make(chan struct{}),
 	}
@@ -124,11 +139,46 @@
 		return nil
 	}
 	d.entry.start()
-	r := d.entry.receiver
-	d.callers, err = d.serve(d.callersServer(r), d.settings.Callers, r.Limit)
+	switch {
+	case d.entry.relayer != nil:
+		d.callers, err = d.serve(d.entry.relayer.Server(), d.settings.Callers, d.entry.relayer.Limit)
+	case d.entry.receiver != nil:
+		r := d.entry.receiver
+		d.callers, err = d.serve(d.callersServer(r), d.settings.Callers, r.Limit)
+	}
 	return err
 }
 
+// Ready reports whether the process takes work, and why not.
+func (d *Daemon) Ready() (bool, string) { return d.readiness() }
+
+// Control returns the control host of the process, or nil.
+func (d *Daemon) Control() *coordinator.Coordinator {
+	if d.control == nil {
+		return nil
+	}
+	return d.control.coordinator
+}
+
+// Members returns the exchange of news about upstreams and hosts, or nil on a
+// host without the role entry.
+func (d *Daemon) Members() *gossiper.Gossiper {
+	if d.entry == nil {
+		return nil
+	}
+	return d.entry.gossiper
+}
+
+// Meet replaces the hosts that are asked for the group and for news.
+func (d *Daemon) Meet(control []loader.Member, seeds []string) {
+	if d.entry != nil {
+		d.entry.meet(control, seeds)
+	}
+	if d.control != nil {
+		d.control.coordinator.Introduce(peersAmong(control, func(m loader.Member) bool { return m.Name != d.settings.Name }))
+	}
+}
+
 // serve listens and serves until the server is closed.
 func (d *Daemon) serve(s *http.Server, address string, limit func(net.Listener) net.Listener) (string, error) {
 	l, err := dialer.Listen(context.Background(), address)
--- a/internal/entry/dispatcher/message.go
+++ b/internal/entry/dispatcher/message.go
@@ -29,6 +29,9 @@
 		Spilled:      string(r.Spilled),
 		Busy:         r.Busy,
 	}
+	for _, end := range r.Ends {
+		m.Ends = append(m.Ends, uint32(max(end, 0)))
+	}
 	for _, id := range r.Avoid {
 		m.Avoid = append(m.Avoid, string(id))
 	}
@@ -55,6 +58,9 @@
 		Busy:         m.Busy,
 		Arrived:      now.Add(-time.Duration(max(m.Age, 0)) * time.Millisecond),
 	}
+	for _, end := range m.Ends {
+		r.Ends = append(r.Ends, int(end))
+	}
 	for _, id := range m.Avoid {
 		r.Avoid = append(r.Avoid, registrar.UpstreamID(id))
 	}
--- a/internal/entry/forwarder/once.go
+++ b/internal/entry/forwarder/once.go
@@ -10,8 +10,11 @@
 	"math"
 	"net"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/sourcegraph/conc"
+
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
 )
 
 // maxInterim bounds the 1xx answers before the final one.
@@ -26,8 +29,14 @@
 	if err != nil {
 		return nil, err
 	}
+	return t.forwarder.pool.once(ctx, t.slot.Upstream(), request, &t.sent)
+}
+
+// once sends the request on a connection of its own; sent is set before the
+// first byte may leave.
+func (p *pool) once(ctx context.Context, u registrar.Upstream, request *http.Request, sent *atomic.Bool) (*http.Response, error) {
 	request.Close = true
-	connection, err := t.forwarder.pool.open(ctx, t.slot.Upstream())
+	connection, err := p.open(ctx, u)
 	if err != nil {
 		return nil, fmt.Errorf("dial upstream: %w", err)
 	}
@@ -37,7 +46,7 @@
 		_ = lower.Close()
 		return nil, context.Cause(ctx)
 	}
-	t.sent.Store(true)
+	sent.Store(true)
 	x := &exchange{connection: lower, stop: stop}
 	// The upstream may answer before it has read the whole body.
 	x.group.Go(func() { x.written = request.Write(connection) })
--- a/internal/entry/forwarder/plain.go
+++ b/internal/entry/forwarder/plain.go
@@ -303,12 +303,19 @@
 
 // sendPooled sends a repeatable call on a connection that may have been used.
 func (t *plainAttempt) sendPooled(ctx context.Context) (*http.Response, error) {
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { t.sent.Store(true) }}
-	request, err := t.newRequest(httptrace.WithClientTrace(ctx, trace))
+	request, err := t.newRequest(ctx)
 	if err != nil {
 		return nil, err
 	}
-	response, err := t.forwarder.pool.transport(t.slot.Upstream().Address).RoundTrip(request)
+	return t.forwarder.pool.pooled(ctx, t.slot.Upstream(), request, &t.sent)
+}
+
+// pooled sends the request on a connection that may have been used; sent is set
+// before the first byte may leave.
+func (p *pool) pooled(ctx context.Context, u registrar.Upstream, request *http.Request, sent *atomic.Bool) (*http.Response, error) {
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	request = request.WithContext(httptrace.WithClientTrace(ctx, trace))
+	response, err := p.transport(u.Address).RoundTrip(request)
 	if err != nil {
 		return nil, fmt.Errorf("call upstream: %w", err)
 	}
--- /dev/null
+++ b/internal/entry/forwarder/sender.go
@@ -0,0 +1,59 @@
+package forwarder
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/dialer"
+)
+
+// Sender makes single attempts at upstreams for callers that decide themselves
+// what an answer means.
+type Sender struct{ pool *pool }
+
+// NewSender returns a sender; t is nil when upstreams with https addresses are
+// not called.
+func NewSender(c clockwork.Clock, t dialer.TLS) *Sender {
+	return &Sender{newPool(c, t)}
+}
+
+// Attempt is one request to one upstream.
+type Attempt struct {
+	Upstream registrar.Upstream
+	Request  *http.Request
+	// Once gives the request a connection of its own, so that no part of it can
+	// be sent twice.
+	Once bool
+	// Sent is set before the first byte may leave.
+	Sent atomic.Bool
+}
+
+// Send makes the attempt. Nothing repeats it below.
+func (s *Sender) Send(ctx context.Context, a *Attempt) (*http.Response, error) {
+	a.Request.GetBody = nil
+	if a.Once {
+		return s.pool.once(ctx, a.Upstream, a.Request, &a.Sent)
+	}
+	return s.pool.pooled(ctx, a.Upstream, a.Request, &a.Sent)
+}
+
+// Discard makes later attempts use new connections to the upstream, after one
+// brought something that belongs to another request.
+func (s *Sender) Discard(u registrar.Upstream) {
+	s.pool.discard(u.Address, s.pool.transport(u.Address))
+}
+
+// Refused reports whether the attempt failed because no process listens at the
+// upstream's address.
+func Refused(err error) bool { return unsent(err) == scheduler.Unreachable }
+
+// Close closes the idle connections.
+func (s *Sender) Close() { s.pool.close() }
+
+// WithoutHops returns the headers that do not concern one connection only.
+func WithoutHops(h http.Header) http.Header { return withoutHops(h) }
--- /dev/null
+++ b/internal/entry/relayer/stream.go
@@ -0,0 +1,168 @@
+package relayer
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+)
+
+const (
+	// readBuffer is for the events of one stream.
+	readBuffer = 4 << 10
+	// maxEvent bounds one event in bytes.
+	maxEvent = 1 << 20
+	// progressEvents is the number of events after which the scheduler is told
+	// of the progress.
+	progressEvents = 8
+)
+
+var (
+	errPartial  = errors.New("the stream ended within an event")
+	errSequence = errors.New("an event of the stream is missing")
+	errTooLong  = errors.New("an event is too long")
+)
+
+// streamState is what the caller has of a stream, over all attempts.
+type streamState struct {
+	// begun is set once a part of the answer has been passed on.
+	begun bool
+	// events counts the whole events passed on.
+	events int
+	// last is the ID of the last of them, or that of an earlier stream of the
+	// caller.
+	last string
+	// resumed is set while the stream goes on at a further upstream.
+	resumed bool
+}
+
+// tokens is the progress that the scheduler is told.
+func (s *streamState) tokens() int { return s.events }
+
+// relayStream passes events on until the stream ends.
+func (a *attempt) relayStream(ctx context.Context, response *http.Response) result {
+	events := bufio.NewReaderSize(response.Body, readBuffer)
+	for {
+		event, err := readEvent(events)
+		if errors.Is(err, io.EOF) {
+			if !a.call.stream.begun {
+				a.begin(response)
+			}
+			return delivered{status: response.StatusCode}
+		}
+		if err != nil {
+			return a.lost(ctx, fmt.Errorf("read stream: %w", err))
+		}
+		a.heard()
+		if r := a.relayEvent(response, event); r != nil {
+			return r
+		}
+	}
+}
+
+// relayEvent passes one event on. It returns nil when the stream goes on.
+func (a *attempt) relayEvent(response *http.Response, event []byte) result {
+	c := a.call
+	id := eventID(event)
+	switch c.stream.compare(id) {
+	case repeated:
+		return nil
+	case missing:
+		return failed{cause: errSequence}
+	}
+	if !c.stream.begun {
+		a.begin(response)
+	}
+	if _, err := c.writer.Write(event); err != nil {
+		return cutOff{cause: err}
+	}
+	if err := http.NewResponseController(c.writer).Flush(); err != nil {
+		return cutOff{cause: err}
+	}
+	if id != "" {
+		c.stream.last = id
+	}
+	c.stream.events++
+	if c.stream.events == 1 {
+		a.first()
+	}
+	if c.stream.events%progressEvents == 0 {
+		a.slot.Progress(c.stream.events)
+	}
+	return nil
+}
+
+// begin passes the head of the stream on. A stream that goes on elsewhere keeps
+// that of its first upstream.
+func (a *attempt) begin(response *http.Response) {
+	c := a.call
+	c.copyHeader(response)
+	c.writer.WriteHeader(response.StatusCode)
+	c.stream.begun = true
+}
+
+// order is the place of an event in its stream.
+type order int
+
+const (
+	next order = iota
+	repeated
+	missing
+)
+
+// compare tells whether an event follows on the last one. IDs that are no numbers
+// are not compared.
+func (s *streamState) compare(id string) order {
+	if s.last == "" {
+		return next
+	}
+	before, errBefore := strconv.ParseInt(s.last, 10, 64)
+	now, errNow := strconv.ParseInt(id, 10, 64)
+	switch {
+	case errBefore != nil || errNow != nil || now == before+1:
+		return next
+	case now <= before:
+		return repeated
+	}
+	return missing
+}
+
+// readEvent reads one event with the empty line behind it. It returns io.EOF
+// only between two events.
+func readEvent(r *bufio.Reader) ([]byte, error) {
+	var event []byte
+	for {
+		line, err := r.ReadSlice('\n')
+		event = append(event, line...)
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+			if len(event) > maxEvent {
+				return nil, errTooLong
+			}
+			continue
+		case errors.Is(err, io.EOF) && len(event) > 0:
+			return nil, errPartial
+		case err != nil:
+			return nil, err
+		case len(event) > maxEvent:
+			return nil, errTooLong
+		}
+		if len(bytes.TrimRight(line, "\r\n")) == 0 && len(event) > len(line) {
+			return event, nil
+		}
+	}
+}
+
+// eventID returns the field id of an event.
+func eventID(event []byte) string {
+	for line := range bytes.Lines(event) {
+		if v, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			return string(bytes.TrimSpace(v))
+		}
+	}
+	return ""
+}
--- a/internal/member/gossiper/announce.go
+++ b/internal/member/gossiper/announce.go
@@ -120,7 +120,7 @@
 		a.reply(w, http.StatusForbidden, Reply{Reason: reason})
 		return
 	}
-	status, reply := a.g.announce(u)
+	status, reply := a.g.Announce(u)
 	a.reply(w, status, reply)
 }
 
@@ -159,8 +159,9 @@
 	return ""
 }
 
-// announce applies the announcement of an upstream that reached this host.
-func (g *Gossiper) announce(u registrar.Upstream) (int, Reply) {
+// Announce applies the announcement of an upstream that reached this host. It
+// returns the status of the answer beside its body.
+func (g *Gossiper) Announce(u registrar.Upstream) (int, Reply) {
 	if u.Cell == "" {
 		u.Cell = g.cell
 	}
--- a/internal/member/gossiper/gossiper.go
+++ b/internal/member/gossiper/gossiper.go
@@ -199,6 +199,9 @@
 	return g
 }
 
+// Seed replaces the addresses of hosts to ask first.
+func (g *Gossiper) Seed(addresses ...string) { g.peers.seed(addresses) }
+
 // Start begins to exchange news.
 func (g *Gossiper) Start() {
 	g.group.Go(g.beat)
--- a/internal/member/gossiper/peer.go
+++ b/internal/member/gossiper/peer.go
@@ -195,6 +195,13 @@
 	return &peers{self: self, seeds: seeds, busy: map[string]bool{}, known: map[string]acquaintance{}, sent: map[string]sent{}}
 }
 
+// seed replaces the seeds.
+func (p *peers) seed(addresses []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.seeds = slices.Clone(addresses)
+}
+
 // choose picks a live host at random that no exchange is open with, and
 // sometimes a seed or a lost host.
 func (p *peers) choose(random *rand.Rand, v *registrar.View) string {
--- a/internal/member/registrar/event.go
+++ b/internal/member/registrar/event.go
@@ -116,6 +116,8 @@
 	Draining    bool
 	// Left is set by a host that has stopped.
 	Left bool
+	// Control is set by a host that keeps the durable state.
+	Control bool
 	// Revision is the configuration in force on the host when it last
 	// described itself.
 	Revision uint64
--- a/internal/member/registrar/registrar.go
+++ b/internal/member/registrar/registrar.go
@@ -64,6 +64,7 @@
 	incomplete bool
 	fresh      bool
 	scoped     bool
+	lease      time.Duration
 
 	hosts     map[HostName]*host
 	keys      map[HostKey]*host
@@ -94,6 +95,12 @@
 	return func(r *Registrar) { r.scoped = true }
 }
 
+// WithLease sets how long an announcement is good for; Lease when it is not
+// given. All hosts of a deployment must use the same time.
+func WithLease(d time.Duration) Option {
+	return func(r *Registrar) { r.lease = d }
+}
+
 // WithFaults is for tests that show that the checks can fail.
 func WithFaults(f Faults) Option {
 	return func(r *Registrar) { r.faults = f }
@@ -124,6 +131,7 @@
 		self:      self,
 		key:       keyOf(self.Name, self.Incarnation),
 		version:   1,
+		lease:     Lease,
 		described: 1,
 		beaten:    now,
 		last:      now,
@@ -258,7 +266,7 @@
 	if c := r.upstreams[u.Name]; c != nil && sameDescription(c.slot.load().Upstream, u) && r.serves(c.described.Origin) {
 		described = c.described
 	}
-	if why := r.apply(now, News{Upstream: u, Stamp: stamp, Described: described}, now.Add(Lease)); why != "" {
+	if why := r.apply(now, News{Upstream: u, Stamp: stamp, Described: described}, now.Add(r.lease)); why != "" {
 		ignore(why)
 		return
 	}
@@ -397,9 +405,9 @@
 
 func (r *Registrar) until(now, began time.Time, remaining time.Duration) time.Time {
 	if r.faults.ExtendLeases {
-		return now.Add(Lease)
+		return now.Add(r.lease)
 	}
-	return began.Add(min(remaining, Lease))
+	return began.Add(min(remaining, r.lease))
 }
 
 func (r *Registrar) describe(e Describe) {
--- /dev/null
+++ b/internal/ops/reporter/lossy.go
@@ -0,0 +1,104 @@
+package reporter
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+const (
+	// maxPending bounds the log lines that wait to be written.
+	maxPending = 4096
+	// maxBatch bounds the bytes that are written at once.
+	maxBatch = 64 << 10
+)
+
+// NewLossyLogger returns a logger like NewLogger that never waits for w: lines
+// that w takes too slowly are dropped and counted in a later line. The function
+// writes what is pending and waits for it; the logger drops all lines after it.
+func NewLossyLogger(level string, w io.Writer) (*zap.Logger, func(), error) {
+	l := newLossyWriter(w)
+	logger, err := NewLogger(level, zapcore.AddSync(l))
+	if err != nil {
+		l.Close()
+		return nil, nil, err
+	}
+	return logger, l.Close, nil
+}
+
+// lossyWriter hands lines to a goroutine that writes them in batches.
+type lossyWriter struct {
+	out     io.Writer
+	dropped atomic.Int64
+	group   conc.WaitGroup
+
+	mu     sync.Mutex
+	lines  chan []byte
+	closed bool
+}
+
+func newLossyWriter(w io.Writer) *lossyWriter {
+	l := &lossyWriter{out: w, lines: make(chan []byte, maxPending)}
+	l.group.Go(l.run)
+	return l
+}
+
+// Write queues a line.
+func (l *lossyWriter) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return len(p), nil
+	}
+	select {
+	case l.lines <- append([]byte(nil), p...):
+	default:
+		l.dropped.Add(1)
+	}
+	return len(p), nil
+}
+
+// Close writes what is pending and waits for it.
+func (l *lossyWriter) Close() {
+	l.mu.Lock()
+	if !l.closed {
+		l.closed = true
+		close(l.lines)
+	}
+	l.mu.Unlock()
+	l.group.Wait()
+}
+
+func (l *lossyWriter) run() {
+	batch := make([]byte, 0, maxBatch)
+	for line := range l.lines {
+		batch = append(batch[:0], line...)
+		batch = l.gather(batch)
+		if n := l.dropped.Swap(0); n > 0 {
+			batch = fmt.Appendf(batch, "{\"level\":\"warn\",\"part\":\"log\",\"message\":\"log lines dropped\",\"lines\":%d}\n", n)
+		}
+		// There is nowhere left to report that the log can't be written.
+		_, _ = l.out.Write(batch)
+	}
+}
+
+// gather adds the lines that wait already.
+func (l *lossyWriter) gather(batch []byte) []byte {
+	for len(batch) < maxBatch {
+		select {
+		case line, ok := <-l.lines:
+			if !ok {
+				return batch
+			}
+			batch = append(batch, line...)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
--- a/internal/ops/reporter/reporter.go
+++ b/internal/ops/reporter/reporter.go
@@ -145,6 +145,9 @@
 	r.classes = next
 }
 
+// Registry holds the metrics, for parts that keep some of their own.
+func (r *Reporter) Registry() metrics.Registry { return r.registry }
+
 // ReportRequest records the end of a request.
 func (r *Reporter) ReportRequest(v Result) {
 	r.mutex.RLock()
--- a/internal/policy/scheduler/types.go
+++ b/internal/policy/scheduler/types.go
@@ -45,6 +45,9 @@
 	Limit int
 	// Prefix holds the chained hashes of the prompt's blocks.
 	Prefix []uint64
+	// Ends holds the number of prompt tokens up to the end of each block; empty
+	// when the blocks have equal lengths.
+	Ends []int
 	// Repeatable requests may be retried, hedged, preempted and resumed.
 	Repeatable bool
 	// Whole marks an answer that comes in one piece: its first token is its
--- a/internal/settings/loader/load.go
+++ b/internal/settings/loader/load.go
@@ -28,6 +28,11 @@
 	maxKeys        = 16
 	// A control group larger than five hosts only gets slower.
 	maxVoters = 5
+	// maxGroup bounds a group that grows by itself.
+	maxGroup = 9
+
+	minLease = time.Second
+	maxLease = time.Minute
 )
 
 // Levels lists the values of the field log.
@@ -103,6 +108,8 @@
 	checkBootstrap(s, p)
 	rules := []StaleRule{RefuseStale, ServeStale}
 	p.Check(slices.Contains(rules, s.Stale), "$.stale", s.Stale, "refuse or serve")
+	lease := time.Duration(s.Lease)
+	p.Check(lease >= minLease && lease <= maxLease, "$.lease", s.Lease, fmt.Sprintf("a duration from %v to %v", minLease, maxLease))
 	drain := s.DrainTime()
 	p.Check(drain >= MinDrain && drain <= MaxDrain, "$.drain", s.Drain, fmt.Sprintf("a duration from %v to %v", MinDrain, MaxDrain))
 	checkLimits(s.Limits, p)
@@ -128,7 +135,9 @@
 }
 
 func checkListeners(s *Settings, p *decoder.Problems) {
-	if s.Plays(Entry) || s.Callers != "" {
+	p.Check(s.Scheduler == Entry || s.Scheduler == Control, "$.scheduler", s.Scheduler, "entry or control")
+	// A host that only schedules serves no callers.
+	if s.Plays(Entry) && !(s.Scheduler == Control && s.Plays(Control)) || s.Callers != "" {
 		_, ok := address(s.Callers)
 		p.Check(ok, "$.callers", s.Callers, listenAllowed)
 		p.Check(s.Plays(Entry), "$.callers", s.Callers, "nothing without the role entry")
@@ -186,14 +195,16 @@
 			p.Check(m.Address == s.Advertise, at+".address", m.Address, "this host's own address, "+s.Advertise)
 		}
 	}
-	if _, ok := names[s.Name]; !ok && s.Plays(Control) {
+	p.Check(s.Voters >= 0 && s.Voters <= maxGroup, "$.voters", s.Voters, fmt.Sprintf("0 (the hosts in bootstrap) to %d", maxGroup))
+	if _, ok := names[s.Name]; !ok && s.Plays(Control) && s.Voters == 0 {
 		p.Add("$.control", fmt.Sprintf("no entry named %q", s.Name), "an entry for this host, because it has the role control")
 	}
 }
 
 func checkBootstrap(s *Settings, p *decoder.Problems) {
 	n := len(s.Bootstrap)
-	p.Check(n == 0 || n%2 == 1 && n <= maxVoters, "$.bootstrap", n, "the names of 1, 3 or 5 control hosts")
+	odd := n%2 == 1 || s.Voters > 0
+	p.Check(n == 0 || odd && n <= maxVoters, "$.bootstrap", n, "the names of 1, 3 or 5 control hosts")
 	for i, name := range s.Bootstrap {
 		at := decoder.Item("$.bootstrap", i)
 		listed := slices.ContainsFunc(s.Control, func(m Member) bool { return m.Name == name })
--- a/internal/settings/loader/settings.go
+++ b/internal/settings/loader/settings.go
@@ -75,7 +75,16 @@
 	// Bootstrap names the control hosts that are the first voters. It only
 	// counts while no group exists.
 	Bootstrap []registrar.HostName `json:"bootstrap,omitempty"`
-	Stale     StaleRule            `json:"stale,omitempty"`
+	// Voters is the number of voters that the control group grows to. With it the
+	// hosts in Control are only where the group is looked for, and hosts that are
+	// not listed may join it; no change is accepted before it has its voters.
+	Voters int `json:"voters,omitempty"`
+	// Scheduler is the role of the hosts that own cells.
+	Scheduler Role `json:"scheduler,omitempty"`
+	// Lease is how long an upstream's announcement counts; the same on all
+	// hosts.
+	Lease validator.Duration `json:"lease,omitempty"`
+	Stale StaleRule          `json:"stale,omitempty"`
 	// Drain is how long a planned stop waits for open streams.
 	Drain  validator.Duration `json:"drain,omitempty"`
 	Limits Limits             `json:"limits,omitzero"`
@@ -160,6 +169,7 @@
 	DefaultHeader      = 64 << 10
 	DefaultConnections = 10_000
 	DefaultLog         = "info"
+	DefaultLease       = registrar.Lease
 )
 
 // Default returns settings with the default of each optional field.
@@ -173,6 +183,8 @@
 func (s *Settings) complete() {
 	setDefault(&s.Cell, DefaultCell)
 	setDefault(&s.Stale, RefuseStale)
+	setDefault(&s.Scheduler, Entry)
+	setDefault(&s.Lease, validator.Duration(DefaultLease))
 	setDefault(&s.Drain, validator.Duration(DefaultDrain))
 	setDefault(&s.Limits.Body, DefaultBody)
 	setDefault(&s.Limits.Header, DefaultHeader)
@@ -194,6 +206,9 @@
 // Plays reports whether the process has the role.
 func (s *Settings) Plays(r Role) bool { return slices.Contains(s.Roles, r) }
 
+// Schedules reports whether the process may own a cell.
+func (s *Settings) Schedules() bool { return s.Plays(s.Scheduler) }
+
 // DrainTime returns how long a planned stop waits for open streams.
 func (s *Settings) DrainTime() time.Duration { return time.Duration(s.Drain) }
 
--- a/internal/storage/journaler/journal.go
+++ b/internal/storage/journaler/journal.go
@@ -431,6 +431,34 @@
 	return nil
 }
 
+// Clear removes all files, so that the next Open makes a new replica. Nothing may
+// be written afterwards.
+func (j *Journal) Clear() error {
+	names, err := j.folder.List()
+	if err != nil {
+		return fmt.Errorf("list data folder: %w", err)
+	}
+	// The identity goes first: without it the rest belongs to nobody.
+	slices.SortFunc(names, func(a, b string) int { return boolOrder(a == replicaName, b == replicaName) })
+	for _, n := range names {
+		if err := j.folder.Remove(n); err != nil {
+			return fmt.Errorf("clear data folder: %w", err)
+		}
+	}
+	return j.folder.Sync()
+}
+
+// boolOrder sorts true before false.
+func boolOrder(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	}
+	return 1
+}
+
 // Close closes the log file and the folder.
 func (j *Journal) Close() error {
 	return errors.Join(j.file.Close(), j.folder.Close())
