relayer: answer a request that every upstream refused

Ruled out: upstreams' answers without signature (those give 502, tested). Test: TestAnswers, refusals by all upstreams; it failed before.

--- a/internal/entry/relayer/call.go
+++ b/internal/entry/relayer/call.go
@@ -215,7 +215,10 @@
 		panic(http.ErrAbortHandler)
 	case notRun:
 		c.cause = r.cause
-		return !c.again(ctx, a, r.refused)
+		if c.again(ctx, a, r.refused) {
+			c.relayer.logRepeat(c, a, r.cause)
+			return false
+		}
 	case answered:
 		c.mayHaveRun = true
 		if c.again(ctx, a, true) {
--- /dev/null
+++ b/internal/entry/relayer/harness_test.go
@@ -0,0 +1,263 @@
+package relayer
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/amaranthcart/amaranthcart/internal/config/validator"
+	"github.com/amaranthcart/amaranthcart/internal/entry/dispatcher"
+	"github.com/amaranthcart/amaranthcart/internal/entry/forwarder"
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
+	"github.com/jonboulle/clockwork"
+)
+
+// testProtocol is a small protocol of the tests' own.
+type testProtocol struct{}
+
+func (testProtocol) Intent(q *http.Request) Intent {
+	patience, _ := time.ParseDuration(q.Header.Get("X-Patience"))
+	return Intent{ID: q.Header.Get("X-Id"), Key: q.Header.Get("X-Key"), After: q.Header.Get("Last-Event-Id"), Patience: patience}
+}
+
+func (testProtocol) Prepare(h http.Header, o Order) {
+	h.Del("X-Key")
+	h.Set("X-Upstream", o.Upstream)
+	h.Set("X-Left", o.Left.String())
+	h.Set("X-Organisation", string(o.Organisation))
+	if o.After != "" {
+		h.Set("Last-Event-Id", o.After)
+	}
+}
+
+func (testProtocol) Reply(r *http.Response) Reply {
+	return Reply{ID: r.Header.Get("X-Id"), Signed: r.Header.Get("X-Signed") != "", NotRun: r.Header.Get("X-Not-Run") != ""}
+}
+
+func (testProtocol) Refuse(h http.Header, r Refusal) {
+	if r.Retry > 0 {
+		h.Set("Retry-After", r.Retry.String())
+	}
+}
+
+// fakeDispatcher hands out the upstreams in turn, without those to avoid.
+type fakeDispatcher struct {
+	mu        sync.Mutex
+	upstreams []registrar.Upstream
+	refusal   *dispatcher.RefusedError
+	asked     []scheduler.Request
+	outcomes  []scheduler.Outcome
+}
+
+func (d *fakeDispatcher) Acquire(_ context.Context, r scheduler.Request) (dispatcher.Slot, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.asked = append(d.asked, r)
+	if d.refusal != nil {
+		return nil, d.refusal
+	}
+	for _, u := range d.upstreams {
+		avoided := false
+		for _, a := range r.Avoid {
+			avoided = avoided || a == u.Name
+		}
+		if !avoided {
+			return &fakeSlot{dispatcher: d, upstream: u}, nil
+		}
+	}
+	return nil, &dispatcher.RefusedError{Reason: scheduler.NoUpstream, RetryAfter: time.Second}
+}
+
+type fakeSlot struct {
+	dispatcher *fakeDispatcher
+	upstream   registrar.Upstream
+}
+
+func (s *fakeSlot) Upstream() registrar.Upstream   { return s.upstream }
+func (s *fakeSlot) Priority() int                  { return 1 }
+func (s *fakeSlot) FirstToken()                    {}
+func (s *fakeSlot) Progress(int)                   {}
+func (s *fakeSlot) Preempted() <-chan struct{}     { return nil }
+func (s *fakeSlot) Gone() <-chan struct{}          { return nil }
+func (s *fakeSlot) Hedged() <-chan dispatcher.Slot { return nil }
+func (s *fakeSlot) Release(o scheduler.Outcome, _ int) {
+	s.dispatcher.mu.Lock()
+	defer s.dispatcher.mu.Unlock()
+	s.dispatcher.outcomes = append(s.dispatcher.outcomes, o)
+}
+
+// script answers one request at an upstream with raw bytes.
+type script func(w io.Writer, q *http.Request)
+
+// rig is a relayer in front of scripted upstreams.
+type rig struct {
+	t          *testing.T
+	dispatcher *fakeDispatcher
+	address    string
+	relayer    *Relayer
+	fresh      bool
+
+	mu   sync.Mutex
+	seen []*http.Request
+	body []string
+}
+
+// document has one route for each repetition.
+func document() *validator.Document {
+	d := &validator.Document{
+		Classes:       []validator.Class{{Name: "plain", Total: validator.Duration(300 * time.Millisecond)}},
+		Organisations: []validator.Organisation{{Name: "coop", Share: 1, Keys: []string{validator.HashKey("secret")}}},
+		Services:      []validator.Service{{Name: "ledger", Class: "plain"}},
+	}
+	for path, repeat := range map[string]validator.Repetition{"/idempotent/": validator.Idempotent, "/once/": validator.Once, "/resumable/": validator.Resumable} {
+		d.Routes = append(d.Routes, validator.Route{
+			Name: validator.RouteName(repeat), Host: "shop.example", Path: path, Class: "plain", Repeat: repeat,
+			Timeout: validator.Duration(2 * time.Second), Attempts: 2, Pools: []validator.PoolShare{{Pool: "ledger", Weight: 1}},
+		})
+	}
+	return d
+}
+
+func newRig(t *testing.T, scripts ...script) *rig {
+	r := &rig{t: t, dispatcher: &fakeDispatcher{}, fresh: true}
+	for i, s := range scripts {
+		name := registrar.UpstreamID(fmt.Sprintf("upstream-%d", i+1))
+		r.dispatcher.upstreams = append(r.dispatcher.upstreams, registrar.Upstream{Name: name, Address: r.upstream(s)})
+	}
+	index := validator.Compile(document())
+	r.relayer = New(Options{
+		Protocol: testProtocol{}, Dispatcher: r.dispatcher,
+		Sender:        forwarder.NewSender(clockwork.NewRealClock(), nil),
+		Configuration: func() (*validator.Index, bool) { return index, r.fresh },
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := r.relayer.Server()
+	done := make(chan struct{})
+	go func() { _ = s.Serve(l); close(done) }()
+	t.Cleanup(func() { _ = r.relayer.Close(); <-done })
+	r.address = l.Addr().String()
+	return r
+}
+
+// upstream listens and answers each request with the script.
+func (r *rig) upstream(s script) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(r.t, err)
+	r.t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go r.converse(c, s)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func (r *rig) converse(c net.Conn, s script) {
+	defer func() { _ = c.Close() }()
+	q, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	body, _ := io.ReadAll(q.Body)
+	r.mu.Lock()
+	r.seen = append(r.seen, q)
+	r.body = append(r.body, string(body))
+	r.mu.Unlock()
+	s(c, q)
+}
+
+// runs counts the requests that reached upstreams.
+func (r *rig) runs() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.seen)
+}
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	// broken is the error of reading the body.
+	broken error
+}
+
+func (r *rig) call(path string, headers ...string) reply {
+	r.t.Helper()
+	q, err := http.NewRequest(http.MethodPost, "http://"+r.address+path, strings.NewReader("a request"))
+	assert.NilError(r.t, err)
+	q.Host = "shop.example"
+	q.Header.Set("X-Id", "id-1")
+	q.Header.Set("X-Key", "secret")
+	for i := 0; i < len(headers); i += 2 {
+		q.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(q)
+	if err != nil {
+		return reply{broken: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, header: response.Header, body: string(body), broken: err}
+}
+
+// says answers with a status, headers and a body with its length.
+func says(status int, body string, headers ...string) script {
+	return func(w io.Writer, _ *http.Request) {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 %d X\r\nX-Id: id-1\r\nX-Signed: yes\r\nContent-Length: %d\r\n", status, len(body))
+		for i := 0; i < len(headers); i += 2 {
+			_, _ = fmt.Fprintf(w, "%s: %s\r\n", headers[i], headers[i+1])
+		}
+		_, _ = fmt.Fprintf(w, "\r\n%s", body)
+	}
+}
+
+// writes answers with raw bytes and closes.
+func writes(text string) script {
+	return func(w io.Writer, _ *http.Request) { _, _ = io.WriteString(w, text) }
+}
+
+// vanishes closes the connection without an answer.
+func vanishes(io.Writer, *http.Request) {}
+
+// refuses says that the request has not run.
+func refuses(w io.Writer, _ *http.Request) {
+	_, _ = io.WriteString(w, "HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+}
+
+const streamHead = "HTTP/1.1 200 OK\r\nX-Id: id-1\r\nX-Signed: yes\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+// events sends numbered events; a stream that isn't whole breaks off in a
+// further event.
+func events(first, last int, whole bool) script {
+	return func(w io.Writer, _ *http.Request) {
+		_, _ = io.WriteString(w, streamHead)
+		for i := first; i <= last; i++ {
+			chunk(w, fmt.Sprintf("id: %d\ndata: part %d\n\n", i, i))
+		}
+		if whole {
+			_, _ = io.WriteString(w, "0\r\n\r\n")
+			return
+		}
+		chunk(w, fmt.Sprintf("id: %d\ndata: pa", last+1))
+	}
+}
+
+func chunk(w io.Writer, text string) {
+	_, _ = fmt.Fprintf(w, "%x\r\n%s\r\n", len(text), text)
+}
--- /dev/null
+++ b/internal/entry/relayer/relayer_test.go
@@ -0,0 +1,191 @@
+package relayer
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/amaranthcart/amaranthcart/internal/entry/dispatcher"
+	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
+)
+
+// Each case is a fault of an upstream; runs is how often upstreams may see the
+// request.
+func TestAnswers(t *testing.T) {
+	good := says(200, "sold")
+	cases := []struct {
+		name    string
+		path    string
+		scripts []script
+		status  int
+		body    string
+		runs    int
+	}{
+		{"success", "/once/x", []script{good}, 200, "sold", 1},
+		{"upstream's failure is passed on", "/once/x", []script{says(500, "no"), good}, 500, "no", 1},
+		{"idempotent failure is repeated", "/idempotent/x", []script{says(500, "no"), good}, 200, "sold", 2},
+		{"two failures pass the last on", "/idempotent/x", []script{says(500, "no"), says(502, "neither")}, 502, "neither", 2},
+		{"refusal goes elsewhere", "/once/x", []script{refuses, good}, 200, "sold", 2},
+		{"refusals by all upstreams", "/once/x", []script{refuses, refuses}, 503, "not_run\n", 2},
+		{"refusal by the only upstream", "/once/x", []script{refuses}, 503, "unavailable\n", 1},
+		{"lost answer runs once", "/once/x", []script{vanishes, good}, 502, "upstream_failed\n", 1},
+		{"lost answer is repeated", "/idempotent/x", []script{vanishes, good}, 200, "sold", 2},
+		{"lost answer, then a refusal", "/idempotent/x", []script{vanishes, refuses}, 502, "upstream_failed\n", 2},
+		{"answer cut short", "/idempotent/x", []script{writes("HTTP/1.1 200 OK\r\nX-Id: id-1\r\nX-Signed: y\r\nContent-Length: 9\r\n\r\nsol"), good}, 200, "sold", 2},
+		{"answer without signature", "/once/x", []script{writes("HTTP/1.1 200 OK\r\nX-Id: id-1\r\nContent-Length: 4\r\n\r\nsold"), good}, 502, "upstream_failed\n", 1},
+		{"bytes that are no answer", "/once/x", []script{writes("sold sold sold\r\n\r\n"), good}, 502, "upstream_failed\n", 1},
+		{"answer that ends with its connection", "/once/x", []script{writes("HTTP/1.1 200 OK\r\nX-Id: id-1\r\nX-Signed: y\r\n\r\nsold")}, 200, "sold", 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t, c.scripts...)
+			a := r.call(c.path)
+			assert.NilError(t, a.broken)
+			assert.Equal(t, a.status, c.status)
+			assert.Equal(t, a.body, c.body)
+			assert.Equal(t, r.runs(), c.runs)
+			signed := a.header.Get("X-Signed") != ""
+			assert.Equal(t, signed, a.status < 300 || !strings.HasSuffix(a.body, "\n"))
+		})
+	}
+}
+
+// Guards against answers of an earlier request on the same connection: the ID
+// tells them apart.
+func TestAnswerOfAnotherRequest(t *testing.T) {
+	r := newRig(t, writes("HTTP/1.1 200 OK\r\nX-Id: id-0\r\nX-Signed: y\r\nContent-Length: 4\r\n\r\nsold"))
+	assert.Equal(t, r.call("/once/x").status, 502)
+}
+
+func TestRefusals(t *testing.T) {
+	t.Run("unknown key", func(t *testing.T) {
+		r := newRig(t, says(200, ""))
+		assert.Equal(t, r.call("/once/x", "X-Key", "other").status, http.StatusUnauthorized)
+		assert.Equal(t, r.runs(), 0)
+	})
+	t.Run("no route", func(t *testing.T) {
+		r := newRig(t, says(200, ""))
+		assert.Equal(t, r.call("/nowhere/x").status, http.StatusNotFound)
+	})
+	t.Run("configuration not confirmed", func(t *testing.T) {
+		r := newRig(t, says(200, ""))
+		r.fresh = false
+		a := r.call("/nowhere/x")
+		assert.Equal(t, a.status, http.StatusServiceUnavailable)
+		assert.Assert(t, a.header.Get("Retry-After") != "")
+	})
+	t.Run("refused by the scheduler", func(t *testing.T) {
+		r := newRig(t, says(200, ""))
+		r.dispatcher.refusal = &dispatcher.RefusedError{Reason: scheduler.Overloaded, RetryAfter: 700 * time.Millisecond}
+		a := r.call("/once/x")
+		assert.Equal(t, a.status, http.StatusServiceUnavailable)
+		assert.Equal(t, a.header.Get("Retry-After"), "700ms")
+	})
+	t.Run("over the organisation's limit", func(t *testing.T) {
+		r := newRig(t, says(200, ""))
+		r.dispatcher.refusal = &dispatcher.RefusedError{Reason: scheduler.OverLimit, RetryAfter: time.Second}
+		assert.Equal(t, r.call("/once/x").status, http.StatusTooManyRequests)
+	})
+}
+
+// The request reaches the upstream as it was sent, but for what the system sets.
+func TestRequestIsPassedOnUnchanged(t *testing.T) {
+	r := newRig(t, says(200, ""))
+	assert.Equal(t, r.call("/once/a%2Fb//c?x=1&&y", "X-Own", "kept", "X-Upstream", "forged").status, 200)
+	q := r.seen[0]
+	assert.Equal(t, q.RequestURI, "/once/a%2Fb//c?x=1&&y")
+	assert.Equal(t, q.Host, "shop.example")
+	assert.Equal(t, r.body[0], "a request")
+	assert.Equal(t, q.Header.Get("X-Own"), "kept")
+	assert.Equal(t, q.Header.Get("X-Upstream"), "upstream-1")
+	assert.Equal(t, q.Header.Get("X-Organisation"), "coop")
+	assert.Equal(t, q.Header.Get("X-Key"), "")
+}
+
+func TestStreams(t *testing.T) {
+	parts := func(first, last int) string {
+		var b strings.Builder
+		for i := first; i <= last; i++ {
+			b.WriteString("id: " + string(rune('0'+i)) + "\ndata: part " + string(rune('0'+i)) + "\n\n")
+		}
+		return b.String()
+	}
+	t.Run("whole", func(t *testing.T) {
+		a := newRig(t, events(1, 4, true)).call("/once/x")
+		assert.NilError(t, a.broken)
+		assert.Equal(t, a.body, parts(1, 4))
+	})
+	t.Run("goes on elsewhere after the last whole event", func(t *testing.T) {
+		r := newRig(t, events(1, 3, false), events(4, 6, true))
+		a := r.call("/resumable/x")
+		assert.NilError(t, a.broken)
+		assert.Equal(t, a.body, parts(1, 6))
+		assert.Equal(t, r.seen[1].Header.Get("Last-Event-Id"), "3")
+	})
+	t.Run("events that come again are left out", func(t *testing.T) {
+		a := newRig(t, events(1, 3, false), events(2, 6, true)).call("/resumable/x")
+		assert.NilError(t, a.broken)
+		assert.Equal(t, a.body, parts(1, 6))
+	})
+	t.Run("a gap breaks the stream", func(t *testing.T) {
+		a := newRig(t, events(1, 3, false), events(5, 6, true)).call("/resumable/x")
+		assert.Assert(t, a.broken != nil)
+		assert.Equal(t, a.body, parts(1, 3))
+	})
+	t.Run("one that can't go on must not look whole", func(t *testing.T) {
+		r := newRig(t, events(1, 3, false), events(4, 6, true))
+		a := r.call("/once/x")
+		assert.Assert(t, a.broken != nil)
+		assert.Equal(t, a.body, parts(1, 3))
+		assert.Equal(t, r.runs(), 1)
+	})
+	t.Run("an answer that is no stream can't continue one", func(t *testing.T) {
+		a := newRig(t, events(1, 3, false), says(500, "no")).call("/resumable/x")
+		assert.Assert(t, a.broken != nil)
+	})
+	t.Run("nothing came and no retry is left", func(t *testing.T) {
+		a := newRig(t, vanishes, vanishes).call("/resumable/x")
+		assert.NilError(t, a.broken)
+		assert.Equal(t, a.status, 502)
+	})
+}
+
+// The upstream is told of a caller that has left at once.
+func TestCallerLeaves(t *testing.T) {
+	left := make(chan struct{})
+	r := newRig(t, func(w io.Writer, _ *http.Request) {
+		_, _ = io.WriteString(w, streamHead)
+		chunk(w, "id: 1\ndata: x\n\n")
+		buffer := make([]byte, 1)
+		_, _ = w.(io.Reader).Read(buffer)
+		close(left)
+	})
+	q, err := http.NewRequest(http.MethodPost, "http://"+r.address+"/once/x", strings.NewReader("x"))
+	assert.NilError(t, err)
+	q.Host = "shop.example"
+	q.Header.Set("X-Id", "id-1")
+	q.Header.Set("X-Key", "secret")
+	response, err := (&http.Transport{}).RoundTrip(q)
+	assert.NilError(t, err)
+	_, err = response.Body.Read(make([]byte, 1))
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	select {
+	case <-left:
+	case <-time.After(500 * time.Millisecond):
+		t.Fatal("the upstream still works for a caller that has left")
+	}
+}
+
+// A request ends at the timeout of its route, with the answer that is true.
+func TestTimeout(t *testing.T) {
+	hangs := func(w io.Writer, _ *http.Request) { _, _ = w.(io.Reader).Read(make([]byte, 1)) }
+	began := time.Now()
+	a := newRig(t, hangs).call("/once/x", "X-Patience", "200ms")
+	assert.Equal(t, a.status, http.StatusGatewayTimeout)
+	assert.Assert(t, time.Since(began) < 700*time.Millisecond)
+}
