--- a/internal/config/validator/route.go
+++ b/internal/config/validator/route.go
@@ -72,7 +72,7 @@
 // VariantName is the class that requests of the given class have for an
 // organisation with a tier of its own.
 func VariantName(c ClassName, t Tier) ClassName {
-	return ClassName(fmt.Sprintf("%s~%d", c, t))
+	return ClassName(fmt.Sprintf("%s.t%d", c, t))
 }
 
 // routeIndex finds routes by host.
--- a/internal/config/validator/route_test.go
+++ b/internal/config/validator/route_test.go
@@ -9,7 +9,7 @@
 	"github.com/amaranthcart/amaranthcart/internal/config/validator"
 )
 
-const routed = `{"classes": [{"name": "sale", "tier": 1, "wait": "1s"}, {"name": "sale~0", "tier": 0, "wait": "1s"}],
+const routed = `{"classes": [{"name": "sale", "tier": 1, "wait": "1s"}, {"name": "sale.t0", "tier": 0, "wait": "1s"}],
 "organisations": [{"name": "coop", "share": 1, "keys": [], "tier": 0}],
 "models": [], "services": [{"name": "ledger", "class": "sale"}, {"name": "archive", "class": "sale"}],
 "routes": [
