dispatcher: give the address of an upstream with each grant

Ruled out: empty addresses in announcements (the owner's view has them). Mend: grants carry the address inside a cell too, as between cells. Test: TestGrantOfUnknownUpstream.

--- a/internal/entry/dispatcher/cell.go
+++ b/internal/entry/dispatcher/cell.go
@@ -74,6 +74,8 @@
 	// lock so that none is missed by a hand-over.
 	mu    sync.RWMutex
 	route route
+	// linked is the link that gave the last grants, or nil.
+	linked atomic.Pointer[link]
 
 	stop  context.CancelFunc
 	group conc.WaitGroup
@@ -87,7 +89,8 @@
 // NewCell starts to follow the owner of the cell until Close.
 func NewCell(s Settings) *Cell {
 	ctx, stop := context.WithCancel(context.Background())
-	c := &Cell{settings: s, find: s.Membership.Upstream, route: s.Local, stop: stop}
+	c := &Cell{settings: s, route: s.Local, stop: stop}
+	c.find = c.upstream
 	c.ended = c.remove
 	for i := range c.shards {
 		c.shards[i].tickets = map[scheduler.RequestID]*ticket{}
@@ -171,6 +174,20 @@
 	return &c.shards[xxhash.Sum64String(string(id))%ticketShards]
 }
 
+// upstream returns an upstream that was granted. The owner may know it before this
+// host does, and longer.
+func (c *Cell) upstream(id registrar.UpstreamID) (registrar.Upstream, bool) {
+	if u, ok := c.settings.Membership.Upstream(id); ok {
+		return u, true
+	}
+	if l := c.linked.Load(); l != nil {
+		if u, ok := l.find(id); ok {
+			return u, true
+		}
+	}
+	return c.settings.Local.upstream(id)
+}
+
 // Lost tells the requests that run on an upstream that its lease has ended.
 func (c *Cell) Lost(id registrar.UpstreamID) {
 	for _, t := range c.tickets() {
@@ -321,6 +338,7 @@
 	}
 	c.route = to
 	if l, ok := to.(*link); ok {
+		c.linked.Store(l)
 		l.introduce()
 	}
 	for _, t := range c.tickets() {
--- a/internal/entry/dispatcher/cell_test.go
+++ b/internal/entry/dispatcher/cell_test.go
@@ -207,6 +207,23 @@
 	waitFor(t, "slots freed", func() bool { return all["a"].occupied() == 0 })
 }
 
+// TestGrantOfUnknownUpstream guards against a slot without an address: the owner may
+// know an upstream before this host does, and after it has left here.
+func TestGrantOfUnknownUpstream(t *testing.T) {
+	view, all := newMembers(t, "a", "b")
+	waitFor(t, "link", func() bool { return all["b"].linked() })
+	delete(view.upstreams, "engine")
+	all["b"].local.Forget("engine")
+	all["a"].local.Observe(registrar.Upstream{
+		Name: "engine", Address: "10.0.0.9:80", Models: []validator.PoolName{"m"}, Slots: slots, Incarnation: 1, Sequence: 1,
+	})
+	for n, m := range all {
+		s := acquire(t, m.cell, "from-"+string(n))
+		assert.Equal(t, s.Upstream().Address, "10.0.0.9:80", string(n))
+		s.Release(scheduler.Completed, 1)
+	}
+}
+
 func (m *member) full() bool {
 	m.local.mu.Lock()
 	defer m.local.mu.Unlock()
--- a/internal/entry/dispatcher/link.go
+++ b/internal/entry/dispatcher/link.go
@@ -49,7 +49,7 @@
 	// accepted is closed once the owner has answered.
 	accepted chan struct{}
 	// cell is the one of the owner when it is another cell than this host's;
-	// addresses are those of its upstreams, as the grants gave them.
+	// addresses are those of the upstreams, as the grants gave them.
 	cell      registrar.CellName
 	addresses sync.Map
 }
@@ -201,7 +201,7 @@
 		l.settings.Local.Learn(DecodeCrashes(m.Fingerprints))
 	}
 	for _, g := range m.Grants {
-		if l.cell != "" {
+		if g.Address != "" {
 			l.addresses.Store(registrar.UpstreamID(g.Upstream), g.Address)
 		}
 	}
@@ -226,7 +226,7 @@
 	}
 }
 
-// find returns an upstream of another cell that was granted.
+// find returns an upstream that was granted.
 func (l *link) find(id registrar.UpstreamID) (registrar.Upstream, bool) {
 	a, ok := l.addresses.Load(id)
 	if !ok {
--- a/internal/entry/dispatcher/local.go
+++ b/internal/entry/dispatcher/local.go
@@ -61,7 +61,9 @@
 	mu        sync.Mutex
 	scheduler *scheduler.Scheduler
 	upstreams map[registrar.UpstreamID]registrar.Upstream
-	requests  map[scheduler.RequestID]*open
+	// known holds the same for readers without the lock.
+	known    sync.Map
+	requests map[scheduler.RequestID]*open
 	// declined lists the slots that nobody took in the current step.
 	declined []scheduler.Finished
 	hosts    int
@@ -124,6 +126,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.upstreams[u.Name] = u
+	l.known.Store(u.Name, u)
 	l.step(scheduler.Observe{Upstream: l.divided(u)})
 }
 
@@ -132,9 +135,19 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.upstreams, id)
+	l.known.Delete(id)
 	l.step(scheduler.Forget{Upstream: id})
 }
 
+// upstream returns an upstream that the scheduler may grant.
+func (l *Local) upstream(id registrar.UpstreamID) (registrar.Upstream, bool) {
+	u, ok := l.known.Load(id)
+	if !ok {
+		return registrar.Upstream{}, false
+	}
+	return u.(registrar.Upstream), true
+}
+
 // Divide limits the scheduler to one host's part of each upstream's slots
 // while several hosts dispatch on their own.
 func (l *Local) Divide(hosts int) {
--- a/internal/entry/dispatcher/server.go
+++ b/internal/entry/dispatcher/server.go
@@ -365,9 +365,7 @@
 	}
 	n.queued++
 	appendAction(n.pending, a)
-	if n.foreign {
-		n.locate(n.pending)
-	}
+	n.locate(n.pending)
 	select {
 	case n.wake <- struct{}{}:
 	default:
@@ -375,13 +373,14 @@
 	return true
 }
 
-// locate adds the address to the last grant.
+// locate adds the address to the last grant: the asking host may not have heard of
+// the upstream yet, or hear already that it leaves.
 func (n *session) locate(m *wire.DispatchResponse) {
 	if len(m.Grants) == 0 {
 		return
 	}
 	g := m.Grants[len(m.Grants)-1]
-	if u, ok := n.server.settings.Membership.Upstream(registrar.UpstreamID(g.Upstream)); ok {
+	if u, ok := n.server.settings.Local.upstream(registrar.UpstreamID(g.Upstream)); ok {
 		g.Address = u.Address
 	}
 }
