scheduler: place prompts by cache and reading time, find silent engines at the owner

Change: the owner predicts each engine's cache and reading queue and places by time to first token; an engine is silent when none of its requests shows a sign of life for 1.2 s; late requests wait behind those in time; the retry budget follows the settings.

--- a/internal/config/validator/document.go
+++ b/internal/config/validator/document.go
@@ -88,6 +88,9 @@
 	// Floor is the share of grants, 0 to 1, kept for the class while it has
 	// work. It does not count against waiting work of tier 0.
 	Floor float64 `json:"floor,omitempty"`
+	// Late serves requests that have missed their target once those that can
+	// still meet theirs are served; without it they are refused.
+	Late bool `json:"late,omitempty"`
 }
 
 // Organisation shares the capacity with the others.
--- a/internal/daemon/runner/entry.go
+++ b/internal/daemon/runner/entry.go
@@ -158,7 +158,7 @@
 		tls:       d.tls(),
 		upstreams: d.upstreamTLS(),
 		client:    dialer.New(dialer.WithTLS(d.tls())),
-		local:     dispatcher.NewLocal(scheduler.New(scheduler.WithSeed(uint64(d.clock.Now().UnixNano()))), d.clock),
+		local:     dispatcher.NewLocal(scheduler.New(scheduler.WithSeed(uint64(d.clock.Now().UnixNano())), scheduler.WithRetryBudget(d.settings.Retries.Share, d.settings.Retries.Burst)), d.clock),
 	}
 	e.decode = d.decode
 	e.directory.set(e.settings.Control)
--- a/internal/entry/dispatcher/local.go
+++ b/internal/entry/dispatcher/local.go
@@ -157,6 +157,7 @@
 		return
 	}
 	l.hosts = hosts
+	l.step(scheduler.Divide{Hosts: hosts})
 	for _, u := range l.upstreams {
 		l.step(scheduler.Observe{Upstream: l.divided(u)})
 	}
--- a/internal/entry/dispatcher/message.go
+++ b/internal/entry/dispatcher/message.go
@@ -28,6 +28,7 @@
 		Held:         string(held),
 		Spilled:      string(r.Spilled),
 		Busy:         r.Busy,
+		Rescue:       r.Rescue,
 	}
 	for _, end := range r.Ends {
 		m.Ends = append(m.Ends, uint32(max(end, 0)))
@@ -56,6 +57,7 @@
 		Emitted:      int(m.Emitted),
 		Spilled:      registrar.CellName(m.Spilled),
 		Busy:         m.Busy,
+		Rescue:       m.Rescue,
 		Arrived:      now.Add(-time.Duration(max(m.Age, 0)) * time.Millisecond),
 	}
 	for _, end := range m.Ends {
--- a/internal/entry/relayer/attempt.go
+++ b/internal/entry/relayer/attempt.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/sourcegraph/conc"
 
 	"github.com/amaranthcart/amaranthcart/internal/config/validator"
 	"github.com/amaranthcart/amaranthcart/internal/entry/dispatcher"
@@ -29,8 +30,8 @@
 	// minSilence and silenceFactor bound how long the first upstream of a
 	// request that may be repeated may say nothing, against the target of the
 	// class.
-	minSilence    = 1500 * time.Millisecond
-	silenceFactor = 3
+	minSilence    = 2 * time.Second
+	silenceFactor = 4
 	// sendMargin is the least time left for which an attempt is started: less
 	// can't reach an upstream and come back.
 	sendMargin = 5 * time.Millisecond
@@ -40,6 +41,7 @@
 	errForeignAnswer = errors.New("the answer belongs to another request")
 	errUnsigned      = errors.New("the answer is not signed by an upstream")
 	errEncoded       = errors.New("the answer is encoded")
+	errPreempted     = errors.New("the scheduler asked to go on elsewhere")
 	errSilent        = errors.New("the upstream is silent")
 	errFailedAnswer  = errors.New("the upstream answered with a failure")
 	errEnded         = errors.New("the attempt has ended")
@@ -87,6 +89,7 @@
 	cancel   context.CancelCauseFunc
 	silence  clockwork.Timer
 	limit    time.Duration
+	group    conc.WaitGroup
 }
 
 func newAttempt(c *call, s dispatcher.Slot) *attempt {
@@ -96,9 +99,11 @@
 // run sends the request and passes the answer on.
 func (a *attempt) run(ctx context.Context) result {
 	ctx, a.cancel = context.WithCancelCause(ctx)
-	defer a.cancel(errEnded)
 	r := a.exchange(ctx)
-	a.slot.Release(a.outcome(ctx, r), a.call.stream.tokens())
+	outcome := a.outcome(ctx, r)
+	a.cancel(errEnded)
+	a.group.Wait()
+	a.slot.Release(outcome, a.call.stream.tokens())
 	a.returnHedge()
 	return r
 }
@@ -125,7 +130,7 @@
 		return notRun{cause: err}
 	}
 	a.send = forwarder.Attempt{Upstream: a.upstream, Request: request, Once: c.route.Repeat == validator.Once}
-	a.watch(left)
+	a.watch(ctx, left)
 	response, err := c.relayer.options.Sender.Send(ctx, &a.send)
 	if err != nil {
 		return a.lost(ctx, err)
@@ -134,15 +139,29 @@
 	return a.receive(ctx, response)
 }
 
-// watch gives a silent upstream up where the request may go on elsewhere.
-func (a *attempt) watch(left time.Duration) {
+// watch gives an upstream up that is silent, or that the scheduler has found to be,
+// where the request may go on elsewhere.
+func (a *attempt) watch(ctx context.Context, left time.Duration) {
 	c := a.call
 	if c.route.Repeat == validator.Once || c.attempts >= c.route.Attempts {
 		return
 	}
-	target := max(time.Duration(c.class.First), time.Duration(c.class.Total))
-	a.limit = min(max(minSilence, silenceFactor*target), left)
+	a.limit = min(c.silence(), left)
 	a.silence = c.relayer.clock.AfterFunc(a.limit, func() { a.cancel(errSilent) })
+	a.group.Go(func() {
+		select {
+		case <-a.slot.Preempted():
+			a.cancel(errPreempted)
+		case <-ctx.Done():
+		}
+	})
+}
+
+// silence is how long an upstream may say nothing. The scheduler, which sees the
+// requests of all hosts, notices a silent upstream earlier; this bound is for
+// single requests that an upstream forgets.
+func (c *call) silence() time.Duration {
+	return max(minSilence, silenceFactor*max(time.Duration(c.class.First), time.Duration(c.class.Total)))
 }
 
 // heard notes a sign of life of the upstream.
@@ -319,6 +338,8 @@
 	switch {
 	case errors.Is(cause, errSilent):
 		return scheduler.Silent
+	case errors.Is(cause, errPreempted):
+		return scheduler.Preempted
 	case errors.Is(context.Cause(ctx), errTimeout):
 		return scheduler.Abandoned
 	case errors.Is(cause, errForeignAnswer), errors.Is(cause, errUnsigned), errors.Is(cause, errEncoded), errors.Is(cause, errFailedAnswer):
--- a/internal/entry/relayer/call.go
+++ b/internal/entry/relayer/call.go
@@ -152,6 +152,7 @@
 		Prompt:      c.intent.Tokens,
 		Limit:       c.intent.Limit,
 		Whole:       !c.route.Stream,
+		Rescue:      c.route.Repeat != validator.Once && c.route.Attempts > 1,
 		Fingerprint: c.fingerprint(),
 		Arrived:     c.arrived,
 	}
--- a/internal/policy/scheduler/admission.go
+++ b/internal/policy/scheduler/admission.go
@@ -140,11 +140,23 @@
 			if yielding+p.preempting >= p.ahead(level) {
 				return
 			}
-			s.giveUp(now, r)
+			s.miss(now, r)
 		}
 	}
 }
 
+// miss handles a waiting request that cannot meet its target any more.
+func (s *Scheduler) miss(now time.Time, r *request) {
+	if !r.class.late {
+		s.giveUp(now, r)
+		return
+	}
+	// It goes behind the requests that can still meet theirs.
+	s.dequeue(r)
+	r.due = r.queued.Add(r.class.wait)
+	s.enqueue(r)
+}
+
 // hopeless lists the requests that cannot meet their target any more, least
 // slack first. One that has tokens already is worth continuing; it stays at the
 // head of its lane and must not hide those behind it, which would be granted
--- /dev/null
+++ b/internal/policy/scheduler/cache.go
@@ -0,0 +1,73 @@
+package scheduler
+
+import "container/list"
+
+// promptCache predicts which prompt blocks an engine keeps. Blocks that were not
+// used for longest are dropped first, as engines do. The zero value is empty.
+type promptCache struct {
+	blocks map[uint64]*list.Element
+	// order has the block that was used last in front.
+	order list.List
+	// tokens is the size of all blocks.
+	tokens int
+}
+
+// block is a part of a prompt, identified by the hash of the prompt up to its end.
+type block struct {
+	hash   uint64
+	tokens int
+}
+
+func (c *promptCache) clear() {
+	c.blocks = nil
+	c.order.Init()
+	c.tokens = 0
+}
+
+// held returns the tokens of a prompt, counted from its beginning, that the engine
+// keeps.
+func (c *promptCache) held(r *Request) int {
+	held := 0
+	for i, h := range r.Prefix {
+		if c.blocks[h] == nil || i >= len(r.Ends) {
+			break
+		}
+		held = r.Ends[i]
+	}
+	return min(held, r.Prompt)
+}
+
+// use notes that the engine has the blocks of a prompt, and drops the oldest ones
+// that exceed the room.
+func (c *promptCache) use(r *Request, room int) {
+	if c.blocks == nil {
+		c.blocks = map[uint64]*list.Element{}
+	}
+	start := 0
+	for i, h := range r.Prefix {
+		if i >= len(r.Ends) {
+			break
+		}
+		c.touch(h, r.Ends[i]-start)
+		start = r.Ends[i]
+	}
+	for c.tokens > room && c.order.Len() > 0 {
+		c.drop(c.order.Back())
+	}
+}
+
+func (c *promptCache) touch(hash uint64, tokens int) {
+	if e := c.blocks[hash]; e != nil {
+		c.order.MoveToFront(e)
+		return
+	}
+	c.blocks[hash] = c.order.PushFront(block{hash: hash, tokens: tokens})
+	c.tokens += tokens
+}
+
+func (c *promptCache) drop(e *list.Element) {
+	b := e.Value.(block)
+	c.order.Remove(e)
+	delete(c.blocks, b.hash)
+	c.tokens -= b.tokens
+}
--- a/internal/policy/scheduler/queue.go
+++ b/internal/policy/scheduler/queue.go
@@ -43,6 +43,8 @@
 	rates [validator.LowestTier + 1]meter
 	// hold is the mean time in seconds for which a request holds its slot.
 	hold float64
+	// reading is how fast the engines read prompts.
+	reading reading
 	// preempting counts the attempts that were asked to give way and still
 	// hold their slot; protected counts those that are never asked.
 	preempting, protected int
--- a/internal/policy/scheduler/request.go
+++ b/internal/policy/scheduler/request.go
@@ -87,6 +87,11 @@
 	// protected attempts were overdue and are not preempted.
 	protected bool
 	process   detector.Process
+	// unread is the part of the prompt that the engine had to read, and tokens
+	// of memory that the attempt takes.
+	unread, memory int
+	// ahead is what the engine had to read before it.
+	ahead time.Duration
 }
 
 // class is a request class with its targets as durations.
@@ -95,6 +100,8 @@
 	tier                    validator.Tier
 	first, gap, total, wait time.Duration
 	floor                   float64
+	// late requests are still served when there is room.
+	late bool
 }
 
 func newClass(c validator.Class) *class {
@@ -106,6 +113,7 @@
 		total: time.Duration(c.Total),
 		wait:  time.Duration(c.Wait),
 		floor: c.Floor,
+		late:  c.Late,
 	}
 	if k.wait <= 0 {
 		k.wait = defaultWait
@@ -173,6 +181,12 @@
 	for _, c := range d.Classes {
 		s.classes[c.Name] = newClass(c)
 	}
+	clear(s.memory)
+	for _, m := range d.Models {
+		if m.Memory > 0 {
+			s.memory[m.Name] = m.Memory
+		}
+	}
 	known := make(map[validator.OrganisationName]bool, len(d.Organisations))
 	for _, c := range d.Organisations {
 		known[c.Name] = true
--- a/internal/policy/scheduler/scheduler.go
+++ b/internal/policy/scheduler/scheduler.go
@@ -22,10 +22,16 @@
 	requests      map[RequestID]*request
 	interrupted   map[RequestID]interruption
 	unsettled     bool
-	detector      *detector.Detector
-	estimator     *estimator.Estimator
-	virtual       [validator.LowestTier + 1]float64
-	actions       []Action
+	// hosts is the number of schedulers that the cell is divided among.
+	hosts      int
+	retryShare float64
+	retryBurst float64
+	// memory is the number of tokens in an engine's memory, by model.
+	memory    map[validator.PoolName]int
+	detector  *detector.Detector
+	estimator *estimator.Estimator
+	virtual   [validator.LowestTier + 1]float64
+	actions   []Action
 }
 
 // Option changes a new Scheduler.
@@ -47,6 +53,10 @@
 		upstreams:     make(map[registrar.UpstreamID]*upstream),
 		requests:      make(map[RequestID]*request),
 		interrupted:   make(map[RequestID]interruption),
+		hosts:         1,
+		retryShare:    DefaultRetryShare,
+		retryBurst:    DefaultRetryBurst,
+		memory:        make(map[validator.PoolName]int),
 		detector:      detector.New(),
 		estimator:     estimator.New(),
 	}
@@ -84,12 +94,15 @@
 	case Settle:
 		s.unsettled = !e.Settled
 		s.refuseStranded(now)
+	case Divide:
+		s.hosts = max(e.Hosts, 1)
 	case Tick:
 		s.detector.Expire(now)
 		s.expire(now)
 		s.expireInterruptions(now)
 		s.refuseStranded(now)
 		s.compare(now)
+		s.watch(now)
 		for _, p := range s.pools {
 			s.dispatch(now, p)
 			s.preempt(now, p)
@@ -127,9 +140,9 @@
 	i, interrupted := s.interrupted[sent.origin()]
 	delete(s.interrupted, sent.origin())
 	if !resumed {
-		p.retries.fresh()
+		p.retries.fresh(s.retryShare)
 		p.hedges.fresh()
-	} else if !interrupted && !sent.Moved && !p.retries.take() {
+	} else if !interrupted && !sent.Moved && !p.retries.take(s.retryBurst/float64(s.hosts)) {
 		s.refuse(sent.ID, OutOfRetries, leaseTime)
 		return
 	}
@@ -207,6 +220,8 @@
 func (s *Scheduler) firstToken(now time.Time, e FirstToken) {
 	if a := s.attempt(e.ID, e.Upstream); a != nil && a.first.IsZero() {
 		a.first = now
+		a.upstream.sign(now)
+		s.observeReading(now, a)
 		a.upstream.firsts++
 		a.reported, a.tokens = now, max(a.tokens, 1)
 		if !a.request.Whole {
@@ -220,6 +235,7 @@
 	if a == nil {
 		return
 	}
+	a.upstream.sign(now)
 	if a.first.IsZero() && e.Tokens > 0 {
 		a.first, a.reported = now, now
 		a.upstream.firsts++
@@ -237,6 +253,9 @@
 		return
 	}
 	r, u := a.request, a.upstream
+	if e.Outcome == Completed || e.Outcome == Failed {
+		u.sign(now)
+	}
 	a.tokens = max(a.tokens, e.Tokens)
 	if e.Outcome == Completed {
 		s.estimator.Answered(r.Class, r.Request.Organisation, r.Emitted+a.tokens)
@@ -267,6 +286,7 @@
 	a := &attempt{request: r, upstream: u, granted: now, process: u.process()}
 	s.detector.Started(r.Fingerprint, a.process)
 	u.prefixes.add(r.Prefix)
+	s.read(now, a)
 	r.attempts = append(r.attempts, a)
 	u.attempts = append(u.attempts, a)
 	a.charge = r.cost(expectedTokens)
@@ -282,6 +302,7 @@
 	}
 	r.attempts = remove(r.attempts, a)
 	a.upstream.attempts = remove(a.upstream.attempts, a)
+	s.unread(now, a)
 	if a.preempted {
 		r.pool.preempting--
 	}
--- /dev/null
+++ b/internal/policy/scheduler/silence.go
@@ -0,0 +1,58 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// silentTime is how long an upstream that has work may show no sign of life.
+	// An engine that batches shows one every few dozen milliseconds, and at the
+	// latest when it has read the longest prompt.
+	silentTime = 1200 * time.Millisecond
+	// silentPause is how long a silent upstream gets no work while there are
+	// others.
+	silentPause = 2 * time.Second
+)
+
+// sign notes a sign of life.
+func (u *upstream) sign(now time.Time) {
+	u.heard = now
+	u.silent = time.Time{}
+}
+
+// isSilent reports whether the upstream is left alone because it showed no sign of
+// life.
+func (u *upstream) isSilent(now time.Time) bool { return now.Before(u.silent) }
+
+// watched reports whether the upstream runs requests that are expected to show
+// signs of life. Long answers in one piece show none.
+func (u *upstream) watched() bool {
+	return slices.ContainsFunc(u.attempts, func(a *attempt) bool { return a.request.Rescue })
+}
+
+// watch finds upstreams that went silent under work. Only the scheduler sees the
+// requests of all hosts: a single host can't tell a silent engine from a busy one.
+func (s *Scheduler) watch(now time.Time) {
+	for _, u := range s.upstreams {
+		if now.Sub(u.heard) < silentTime || u.isSilent(now) || !u.watched() {
+			continue
+		}
+		u.silent = now.Add(silentPause)
+		u.firsts = 0
+		for _, a := range u.attempts {
+			s.rescue(a)
+		}
+	}
+}
+
+// rescue asks for an attempt to go on at another upstream, if there is one.
+func (s *Scheduler) rescue(a *attempt) {
+	r := a.request
+	if !r.Rescue || a.preempted || r.pool.usable() < 2 {
+		return
+	}
+	a.preempted = true
+	r.pool.preempting++
+	s.actions = append(s.actions, Preempt{ID: r.ID, Upstream: a.upstream.Name})
+}
--- a/internal/policy/scheduler/types.go
+++ b/internal/policy/scheduler/types.go
@@ -48,6 +48,9 @@
 	// Ends holds the number of prompt tokens up to the end of each block; empty
 	// when the blocks have equal lengths.
 	Ends []int
+	// Rescue lets the request go on elsewhere when its upstream falls silent,
+	// also where it is not Repeatable.
+	Rescue bool
 	// Repeatable requests may be retried, hedged, preempted and resumed.
 	Repeatable bool
 	// Whole marks an answer that comes in one piece: its first token is its
@@ -180,6 +183,10 @@
 // does a request that no known upstream serves, for a short time.
 type Settle struct{ Settled bool }
 
+// Divide tells among how many hosts the cell is divided while each schedules on
+// its own; 1 while this scheduler has the whole cell.
+type Divide struct{ Hosts int }
+
 // Tick lets time pass.
 type Tick struct{}
 
@@ -194,6 +201,7 @@
 func (Finished) event()   {}
 func (Learn) event()      {}
 func (Settle) event()     {}
+func (Divide) event()     {}
 func (Tick) event()       {}
 
 // Action is an output of the scheduler.
--- a/internal/policy/scheduler/upstream.go
+++ b/internal/policy/scheduler/upstream.go
@@ -29,6 +29,18 @@
 	firsts   int
 	pace     pace
 	prefixes prefixes
+	// heard is the last sign of life, or when the upstream got work after it had
+	// none.
+	heard time.Time
+	// silent is until when the upstream gets no work because it showed no sign
+	// of life.
+	silent time.Time
+	// cache is what an engine keeps of prompts, as far as it is known.
+	cache promptCache
+	// reading is when the engine has read what it was given.
+	reading time.Time
+	// memory is the tokens of the attempts.
+	memory int
 }
 
 func newUpstream(u registrar.Upstream) *upstream { return &upstream{Upstream: u} }
@@ -49,6 +61,8 @@
 func (u *upstream) replace(news registrar.Upstream) {
 	if news.Incarnation != u.Incarnation {
 		u.prefixes, u.pace = prefixes{}, pace{}
+		u.cache.clear()
+		u.silent, u.reading = time.Time{}, time.Time{}
 	}
 	if news.Incarnation == u.Incarnation && !u.gone {
 		news.Leaving = news.Leaving || u.Leaving
@@ -206,19 +220,23 @@
 // so are those that are too slow for the class.
 func (s *Scheduler) choose(now time.Time, r *request) *upstream {
 	p := r.pool
+	if s.memory[p.name] > 0 {
+		return s.place(now, r)
+	}
 	open := s.detector.Unrestricted(now, r.Fingerprint)
 	if s.unsettled && s.detector.Verdict(now, r.Fingerprint) == detector.Suspect {
 		return nil
 	}
-	avoidable, fast := false, false
+	avoidable, fast, sound := false, false, false
 	for _, u := range p.upstreams {
+		sound = sound || u.takes() && !u.isSilent(now)
 		avoidable = avoidable || !u.Leaving && !r.avoids(u.Name)
 		fast = fast || !u.Leaving && !u.down && u.suits(now, r.class, p.typical)
 	}
 	var best *upstream
 	least, limits := 0.0, p.limits()
 	for _, u := range p.upstreams {
-		if !u.usable(limits) || avoidable && r.avoids(u.Name) || r.attempt(u.Name) != nil {
+		if !u.usable(limits) || avoidable && r.avoids(u.Name) || r.attempt(u.Name) != nil || sound && u.isSilent(now) {
 			continue
 		}
 		if !open && !s.detector.Permits(now, r.Fingerprint, u.process(), false) {
--- a/internal/settings/loader/load.go
+++ b/internal/settings/loader/load.go
@@ -31,6 +31,7 @@
 	// maxGroup bounds a group that grows by itself.
 	maxGroup = 9
 
+	maxBurst = 10_000
 	minLease = time.Second
 	maxLease = time.Minute
 )
@@ -110,6 +111,8 @@
 	p.Check(slices.Contains(rules, s.Stale), "$.stale", s.Stale, "refuse or serve")
 	lease := time.Duration(s.Lease)
 	p.Check(lease >= minLease && lease <= maxLease, "$.lease", s.Lease, fmt.Sprintf("a duration from %v to %v", minLease, maxLease))
+	p.Check(s.Retries.Share > 0 && s.Retries.Share <= 1, "$.retries.share", s.Retries.Share, "more than 0, up to 1")
+	p.Check(s.Retries.Burst >= 1 && s.Retries.Burst <= maxBurst, "$.retries.burst", s.Retries.Burst, fmt.Sprintf("1 to %d", maxBurst))
 	drain := s.DrainTime()
 	p.Check(drain >= MinDrain && drain <= MaxDrain, "$.drain", s.Drain, fmt.Sprintf("a duration from %v to %v", MinDrain, MaxDrain))
 	checkLimits(s.Limits, p)
--- a/internal/settings/loader/settings.go
+++ b/internal/settings/loader/settings.go
@@ -20,6 +20,7 @@
 	"github.com/amaranthcart/amaranthcart/internal/config/validator"
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
 	"github.com/amaranthcart/amaranthcart/internal/member/summarizer"
+	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
 )
 
 // Role is a part that a process plays.
@@ -84,7 +85,9 @@
 	// Lease is how long an upstream's announcement counts; the same on all
 	// hosts.
 	Lease validator.Duration `json:"lease,omitempty"`
-	Stale StaleRule          `json:"stale,omitempty"`
+	// Retries bound the further attempts of each model and service.
+	Retries Retries   `json:"retries,omitzero"`
+	Stale   StaleRule `json:"stale,omitempty"`
 	// Drain is how long a planned stop waits for open streams.
 	Drain  validator.Duration `json:"drain,omitempty"`
 	Limits Limits             `json:"limits,omitzero"`
@@ -112,6 +115,15 @@
 	Connections int `json:"connections,omitempty"`
 }
 
+// Retries bound the further attempts of each model and service, over all hosts of
+// a cell; the same on all of them.
+type Retries struct {
+	// Share is the part of the requests that may be tried again.
+	Share float64 `json:"share,omitempty"`
+	// Burst is the number of further attempts that may be saved up.
+	Burst int `json:"burst,omitempty"`
+}
+
 // Operator is a person or program with operator keys.
 type Operator struct {
 	Name string `json:"name"`
@@ -184,6 +196,8 @@
 	setDefault(&s.Cell, DefaultCell)
 	setDefault(&s.Stale, RefuseStale)
 	setDefault(&s.Scheduler, Entry)
+	setDefault(&s.Retries.Share, scheduler.DefaultRetryShare)
+	setDefault(&s.Retries.Burst, scheduler.DefaultRetryBurst)
 	setDefault(&s.Lease, validator.Duration(DefaultLease))
 	setDefault(&s.Drain, validator.Duration(DefaultDrain))
 	setDefault(&s.Limits.Body, DefaultBody)
