--- a/internal/policy/scheduler/admission.go
+++ b/internal/policy/scheduler/admission.go
@@ -105,10 +105,21 @@
 	return min(time.Duration(seconds*float64(time.Second)), time.Minute)
 }
 
+// drainTime is when a refused request should come back.
+func (s *Scheduler) drainTime(now time.Time, r *request) time.Duration {
+	if s.memory[r.pool.name] > 0 {
+		return s.predictedWait(now, r.pool, r)
+	}
+	return r.pool.drainTime(now, r.class.tier)
+}
+
 // crowded predicts that the request cannot be granted in time because of the
 // queue of its tier.
 func (s *Scheduler) crowded(now time.Time, r *request) bool {
 	p, level := r.pool, r.class.tier
+	if s.memory[p.name] > 0 {
+		return s.predictedWait(now, p, r) > time.Duration(crowdedPart*float64(r.class.wait))
+	}
 	n := p.ahead(level)
 	if n < crowdMinimum || p.hold == 0 {
 		return false
@@ -207,7 +218,7 @@
 func (s *Scheduler) giveUp(now time.Time, r *request) {
 	s.dequeue(r)
 	if r.pool.live() {
-		s.refuse(r.ID, Overloaded, r.pool.drainTime(now, r.class.tier))
+		s.refuse(r.ID, Overloaded, s.drainTime(now, r))
 	} else {
 		s.refuse(r.ID, NoUpstream, leaseTime)
 	}
--- a/internal/policy/scheduler/placement.go
+++ b/internal/policy/scheduler/placement.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"time"
 
 	"github.com/amaranthcart/amaranthcart/internal/policy/detector"
@@ -14,12 +15,29 @@
 	// contextWeight is how much longer reading takes on an engine whose whole
 	// memory is in use by running requests: each step goes over all of it.
 	contextWeight = 1.0
-	// harmWeight is the cost of reading beside one running stream, as a part of
-	// the reading time: each chunk delays the next token of every stream.
-	harmWeight = 0.06
+	// harmWeight is the cost of reading beside one running stream of the tightest
+	// class, as a part of the reading time: each chunk of a prompt delays the next
+	// token of every stream.
+	harmWeight = 0.4
+	// exposureTime is the cost for a stream of the tightest class to run on an
+	// engine that reads all the time.
+	exposureTime = 500 * time.Millisecond
+	// loadTime is the time constant of the measured share of time that an engine
+	// reads.
+	loadTime = 3 * time.Second
+	// crowdingWeight is the cost of reading into a full cache, as a part of the
+	// reading time: something that others use is dropped for it.
+	crowdingWeight = 0.5
 	// queueLimit bounds what an engine is given to read in advance. What waits
 	// longer waits here, where a more urgent request can pass it.
-	queueLimit = 600 * time.Millisecond
+	queueLimit = 500 * time.Millisecond
+	// readWeight is the weight of reading time against waiting time while the
+	// target can be met: what one engine reads again is lost to all requests,
+	// while waiting for the engine that keeps the prompt costs only this one.
+	readWeight = 2.5
+	// crowdedPart is the part of the wait of a class that the predicted wait has
+	// to exceed for a request to be refused on arrival.
+	crowdedPart = 0.8
 )
 
 // place returns the engine at which the request should have its first token
@@ -33,13 +51,16 @@
 	var best *upstream
 	var least time.Duration
 	for _, u := range s.eligible(now, r) {
-		if !s.fits(now, u, r) {
+		if !s.fits(u, r) {
 			continue
 		}
 		if cost := s.startCost(now, u, r); best == nil || cost < least {
 			best, least = u, cost
 		}
 	}
+	if best == nil || len(best.attempts) > 0 && best.backlog(now) > queueLimit {
+		return nil
+	}
 	return best
 }
 
@@ -83,14 +104,14 @@
 	return some
 }
 
-// fits reports whether the engine has memory for the request and little to read
-// before it. An engine without work takes any request.
-func (s *Scheduler) fits(now time.Time, u *upstream, r *request) bool {
+// fits reports whether the engine has memory for the request. An engine without
+// work takes any request.
+func (s *Scheduler) fits(u *upstream, r *request) bool {
 	if len(u.attempts) == 0 {
 		return true
 	}
 	limit := int(memoryShare * float64(s.memory[r.pool.name]) / float64(s.hosts))
-	return u.memory+r.memory() <= limit && u.backlog(now) <= queueLimit
+	return u.memory+r.memory() <= limit
 }
 
 // memory is the number of tokens that the request takes in an engine's memory.
@@ -103,9 +124,46 @@
 // streams on the engine suffer.
 func (s *Scheduler) startCost(now time.Time, u *upstream, r *request) time.Duration {
 	read := s.readTime(u, r, r.Prompt-u.cache.held(&r.Request))
-	harm := time.Duration(harmWeight * float64(len(u.attempts)) * float64(read))
+	full := float64(u.cache.tokens) / float64(s.memory[r.pool.name])
+	weight := 1.0
+	if now.Add(u.backlog(now) + read).Before(r.due) {
+		weight = readWeight
+	}
+	delay := float64(read) * (weight + harmWeight*s.exposed(u) + crowdingWeight*full)
+	delay += s.tightness(r.class) * u.readLoad(now) * float64(exposureTime)
 	ratio := u.pace.ratio(now, r.pool.typical)
-	return time.Duration(float64(u.backlog(now)+read+harm) * max(ratio, 1))
+	return time.Duration((float64(u.backlog(now)) + delay) * max(ratio, 1))
+}
+
+// tightness compares the target for the time between tokens with that of the
+// tightest class, which has 1. Streams of loose classes lose little by an engine
+// that reads beside them.
+func (s *Scheduler) tightness(c *class) float64 {
+	if c.gap == 0 || s.tightest == 0 {
+		return 0
+	}
+	part := float64(s.tightest) / float64(c.gap)
+	return part * part
+}
+
+// exposed adds up the tightness of the streams on the engine.
+func (s *Scheduler) exposed(u *upstream) float64 {
+	sum := 0.0
+	for _, a := range u.attempts {
+		sum += s.tightness(a.request.class)
+	}
+	return sum
+}
+
+// readLoad is the share of time that the engine reads, lately.
+func (u *upstream) readLoad(now time.Time) float64 {
+	return u.reads * math.Exp(-now.Sub(u.readAt).Seconds()/loadTime.Seconds())
+}
+
+// addRead counts a read in the share of time.
+func (u *upstream) addRead(now time.Time, d time.Duration) {
+	u.reads = u.readLoad(now) + d.Seconds()/loadTime.Seconds()
+	u.readAt = now
 }
 
 // readTime predicts how long the engine reads a number of prompt tokens.
@@ -127,7 +185,9 @@
 	a.unread = r.Prompt - u.cache.held(&r.Request)
 	a.ahead = u.backlog(now)
 	a.memory = r.memory()
-	u.reading = now.Add(a.ahead + s.readTime(u, r, a.unread))
+	read := s.readTime(u, r, a.unread)
+	u.reading = now.Add(a.ahead + read)
+	u.addRead(now, read)
 	u.memory += a.memory
 	u.cache.use(&r.Request, capacity)
 }
@@ -165,3 +225,32 @@
 		u.reading = end
 	}
 }
+
+// predictedWait is how long the engines need for what waits before a new request
+// of a tier, if each prompt is read at the engine that keeps most of it.
+func (s *Scheduler) predictedWait(now time.Time, p *pool, r *request) time.Duration {
+	engines := 0
+	var sum time.Duration
+	for _, u := range p.upstreams {
+		if u.takes() && !u.isSilent(now) {
+			engines++
+			sum += u.backlog(now)
+		}
+	}
+	if engines == 0 {
+		return 0
+	}
+	for i := range r.class.tier + 1 {
+		sum += p.toRead[i]
+	}
+	return sum / time.Duration(engines)
+}
+
+// leastRead is the shortest time that an engine needs to read the prompt.
+func (s *Scheduler) leastRead(r *request) time.Duration {
+	least := r.Prompt
+	for _, u := range r.pool.upstreams {
+		least = min(least, r.Prompt-u.cache.held(&r.Request))
+	}
+	return time.Duration(least) * r.pool.reading.perToken()
+}
--- a/internal/policy/scheduler/queue.go
+++ b/internal/policy/scheduler/queue.go
@@ -43,6 +43,9 @@
 	rates [validator.LowestTier + 1]meter
 	// hold is the mean time in seconds for which a request holds its slot.
 	hold float64
+	// toRead is what the engines have to read for the waiting requests of each
+	// tier.
+	toRead [validator.LowestTier + 1]time.Duration
 	// reading is how fast the engines read prompts.
 	reading reading
 	// preempting counts the attempts that were asked to give way and still
@@ -173,6 +176,10 @@
 	p.addAge(r)
 	p.waiting++
 	p.queued[level]++
+	if s.memory[p.name] > 0 {
+		r.toRead = s.leastRead(r)
+		p.toRead[level] += r.toRead
+	}
 	if r.suspect {
 		p.suspects[level]++
 	}
@@ -194,6 +201,8 @@
 	}
 	p.waiting--
 	p.queued[r.class.tier]--
+	p.toRead[r.class.tier] -= r.toRead
+	r.toRead = 0
 	if r.suspect {
 		p.suspects[r.class.tier]--
 	}
--- a/internal/policy/scheduler/request.go
+++ b/internal/policy/scheduler/request.go
@@ -39,6 +39,8 @@
 	due     time.Time
 	waiting bool
 	parked  bool
+	// toRead is what an engine has to read for the request, while it waits.
+	toRead time.Duration
 	// suspect is set when the request had met a crash at its submission.
 	suspect bool
 	index   int
@@ -181,6 +183,12 @@
 	for _, c := range d.Classes {
 		s.classes[c.Name] = newClass(c)
 	}
+	s.tightest = 0
+	for _, c := range s.classes {
+		if c.gap > 0 && (s.tightest == 0 || c.gap < s.tightest) {
+			s.tightest = c.gap
+		}
+	}
 	clear(s.memory)
 	for _, m := range d.Models {
 		if m.Memory > 0 {
--- a/internal/policy/scheduler/scheduler.go
+++ b/internal/policy/scheduler/scheduler.go
@@ -26,6 +26,8 @@
 	hosts      int
 	retryShare float64
 	retryBurst float64
+	// tightest is the smallest target for the time between tokens.
+	tightest time.Duration
 	// memory is the number of tokens in an engine's memory, by model.
 	memory    map[validator.PoolName]int
 	detector  *detector.Detector
@@ -157,7 +159,7 @@
 	}
 	r.due = s.due(r)
 	if !resumed && p.live() && s.crowded(now, r) {
-		s.refuse(r.ID, Overloaded, p.drainTime(now, r.class.tier))
+		s.refuse(r.ID, Overloaded, s.drainTime(now, r))
 		s.settle(r)
 		return
 	}
--- a/internal/policy/scheduler/upstream.go
+++ b/internal/policy/scheduler/upstream.go
@@ -39,6 +39,9 @@
 	cache promptCache
 	// reading is when the engine has read what it was given.
 	reading time.Time
+	// reads is the share of time that the engine read at readAt.
+	reads  float64
+	readAt time.Time
 	// memory is the tokens of the attempts.
 	memory int
 }
