--- a/internal/policy/scheduler/placement.go
+++ b/internal/policy/scheduler/placement.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/amaranthcart/amaranthcart/internal/config/validator"
 	"github.com/amaranthcart/amaranthcart/internal/policy/detector"
 )
 
@@ -35,6 +36,8 @@
 	// target can be met: what one engine reads again is lost to all requests,
 	// while waiting for the engine that keeps the prompt costs only this one.
 	readWeight = 2.5
+	// lowerWeight is the part of the reading for lower tiers that delays a request.
+	lowerWeight = 0.25
 	// crowdedPart is the part of the wait of a class that the predicted wait has
 	// to exceed for a request to be refused on arrival.
 	crowdedPart = 0.8
@@ -58,7 +61,7 @@
 			best, least = u, cost
 		}
 	}
-	if best == nil || len(best.attempts) > 0 && best.backlog(now) > queueLimit {
+	if best == nil || len(best.attempts) > 0 && best.backlogFor(now, r.class.tier) > queueLimit {
 		return nil
 	}
 	return best
@@ -120,19 +123,33 @@
 // backlog is how long the engine still reads what it was given.
 func (u *upstream) backlog(now time.Time) time.Duration { return max(u.reading.Sub(now), 0) }
 
+// backlogFor is the part of the backlog that a request of a tier has to wait for.
+// Engines begin the more urgent requests first, and only finish a chunk of the
+// others.
+func (u *upstream) backlogFor(now time.Time, level validator.Tier) time.Duration {
+	all := u.backlog(now)
+	var before time.Duration
+	for i := range level + 1 {
+		before += u.toRead[i]
+	}
+	before = min(before, all)
+	return before + time.Duration(lowerWeight*float64(all-before))
+}
+
 // startCost predicts the time to the first token, with the delay that the other
 // streams on the engine suffer.
 func (s *Scheduler) startCost(now time.Time, u *upstream, r *request) time.Duration {
 	read := s.readTime(u, r, r.Prompt-u.cache.held(&r.Request))
 	full := float64(u.cache.tokens) / float64(s.memory[r.pool.name])
 	weight := 1.0
-	if now.Add(u.backlog(now) + read).Before(r.due) {
+	backlog := u.backlogFor(now, r.class.tier)
+	if now.Add(backlog + read).Before(r.due) {
 		weight = readWeight
 	}
 	delay := float64(read) * (weight + harmWeight*s.exposed(u) + crowdingWeight*full)
 	delay += s.tightness(r.class) * u.readLoad(now) * float64(exposureTime)
 	ratio := u.pace.ratio(now, r.pool.typical)
-	return time.Duration((float64(u.backlog(now)) + delay) * max(ratio, 1))
+	return time.Duration((float64(backlog) + delay) * max(ratio, 1))
 }
 
 // tightness compares the target for the time between tokens with that of the
@@ -184,10 +201,12 @@
 	}
 	a.unread = r.Prompt - u.cache.held(&r.Request)
 	a.ahead = u.backlog(now)
-	a.memory = r.memory()
+	a.memory, a.tier = r.memory(), r.class.tier
 	read := s.readTime(u, r, a.unread)
 	u.reading = now.Add(a.ahead + read)
 	u.addRead(now, read)
+	a.reading = read
+	u.toRead[r.class.tier] += read
 	u.memory += a.memory
 	u.cache.use(&r.Request, capacity)
 }
@@ -196,6 +215,7 @@
 func (s *Scheduler) unread(now time.Time, a *attempt) {
 	u := a.upstream
 	u.memory -= a.memory
+	a.finishReading()
 	if s.memory[a.request.pool.name] > 0 {
 		s.reviewReading(now, u)
 	}
@@ -209,16 +229,23 @@
 	if a.ahead == 0 {
 		a.request.pool.reading.observe(a.unread, now.Sub(a.granted))
 	}
+	a.finishReading()
 	s.reviewReading(now, a.upstream)
 }
 
+// finishReading notes that the engine has nothing more to read for the attempt.
+func (a *attempt) finishReading() {
+	a.upstream.toRead[a.tier] -= a.reading
+	a.reading = 0
+}
+
 // reviewReading corrects when the engine has read what it was given: no later than
 // all that it has still to read would take from now on.
 func (s *Scheduler) reviewReading(now time.Time, u *upstream) {
 	var left time.Duration
 	for _, a := range u.attempts {
 		if a.first.IsZero() {
-			left += s.readTime(u, a.request, a.unread)
+			left += a.reading
 		}
 	}
 	if end := now.Add(left); end.Before(u.reading) {
@@ -234,7 +261,7 @@
 	for _, u := range p.upstreams {
 		if u.takes() && !u.isSilent(now) {
 			engines++
-			sum += u.backlog(now)
+			sum += u.backlogFor(now, r.class.tier)
 		}
 	}
 	if engines == 0 {
--- a/internal/policy/scheduler/request.go
+++ b/internal/policy/scheduler/request.go
@@ -92,8 +92,11 @@
 	// unread is the part of the prompt that the engine had to read, and tokens
 	// of memory that the attempt takes.
 	unread, memory int
-	// ahead is what the engine had to read before it.
-	ahead time.Duration
+	// ahead is what the engine had to read before it, and reading what it reads
+	// for the attempt until the first token.
+	ahead, reading time.Duration
+	// tier is the one of the request when the attempt began.
+	tier validator.Tier
 }
 
 // class is a request class with its targets as durations.
--- a/internal/policy/scheduler/upstream.go
+++ b/internal/policy/scheduler/upstream.go
@@ -39,6 +39,8 @@
 	cache promptCache
 	// reading is when the engine has read what it was given.
 	reading time.Time
+	// toRead is the part of it for each tier.
+	toRead [validator.LowestTier + 1]time.Duration
 	// reads is the share of time that the engine read at readAt.
 	reads  float64
 	readAt time.Time
