--- a/internal/entry/claimer/entry_test.go
+++ b/internal/entry/claimer/entry_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/sourcegraph/conc"
@@ -35,6 +36,7 @@
 	return registrar.Upstream{Name: "a", Address: d.address}
 }
 func (oneUpstream) Priority() int                  { return 0 }
+func (oneUpstream) Predicted() time.Duration       { return 0 }
 func (oneUpstream) FirstToken()                    {}
 func (oneUpstream) Progress(int)                   {}
 func (oneUpstream) Preempted() <-chan struct{}     { return nil }
--- a/internal/entry/dispatcher/message.go
+++ b/internal/entry/dispatcher/message.go
@@ -110,11 +110,11 @@
 func appendAction(m *wire.DispatchResponse, a scheduler.Action) {
 	switch a := a.(type) {
 	case scheduler.Grant:
-		m.Grants = append(m.Grants, &wire.SlotGrant{Id: string(a.ID), Upstream: string(a.Upstream), Priority: int32(a.Priority)})
+		m.Grants = append(m.Grants, &wire.SlotGrant{Id: string(a.ID), Upstream: string(a.Upstream), Priority: int32(a.Priority), Predicted: a.Predicted.Milliseconds()})
 	case scheduler.Hedge:
 		m.Grants = append(m.Grants, &wire.SlotGrant{Id: string(a.ID), Upstream: string(a.Upstream), Priority: int32(a.Priority), Hedge: true})
 	case scheduler.Refuse:
-		m.Refusals = append(m.Refusals, &wire.SlotRefusal{Id: string(a.ID), Reason: string(a.Reason), Retry: a.RetryAfter.Milliseconds(), Cell: string(a.Cell)})
+		m.Refusals = append(m.Refusals, &wire.SlotRefusal{Id: string(a.ID), Reason: string(a.Reason), Retry: a.RetryAfter.Milliseconds(), Cell: string(a.Cell), Predicted: a.Predicted.Milliseconds(), Ahead: uint32(max(a.Ahead, 0))})
 	case scheduler.Preempt:
 		m.Preempted = append(m.Preempted, &wire.SlotPreemption{Id: string(a.ID), Upstream: string(a.Upstream)})
 	}
@@ -129,11 +129,11 @@
 			all = append(all, addressed{id, scheduler.Hedge{ID: id, Upstream: u, Priority: int(g.Priority)}})
 			continue
 		}
-		all = append(all, addressed{id, scheduler.Grant{ID: id, Upstream: u, Priority: int(g.Priority)}})
+		all = append(all, addressed{id, scheduler.Grant{ID: id, Upstream: u, Priority: int(g.Priority), Predicted: time.Duration(g.Predicted) * time.Millisecond}})
 	}
 	for _, r := range m.Refusals {
 		id := scheduler.RequestID(r.Id)
-		all = append(all, addressed{id, scheduler.Refuse{ID: id, Reason: scheduler.Reason(r.Reason), RetryAfter: time.Duration(r.Retry) * time.Millisecond, Cell: registrar.CellName(r.Cell)}})
+		all = append(all, addressed{id, scheduler.Refuse{ID: id, Reason: scheduler.Reason(r.Reason), RetryAfter: time.Duration(r.Retry) * time.Millisecond, Cell: registrar.CellName(r.Cell), Predicted: time.Duration(r.Predicted) * time.Millisecond, Ahead: int(r.Ahead)}})
 	}
 	for _, p := range m.Preempted {
 		id := scheduler.RequestID(p.Id)
--- a/internal/entry/dispatcher/port.go
+++ b/internal/entry/dispatcher/port.go
@@ -32,6 +32,8 @@
 	Upstream() registrar.Upstream
 	// Priority is passed to the engine; lower is earlier.
 	Priority() int
+	// Predicted is the predicted time to the first token; 0 when unknown.
+	Predicted() time.Duration
 	// FirstToken reports the first token.
 	FirstToken()
 	// Progress reports the total number of tokens received so far.
@@ -53,9 +55,16 @@
 	RetryAfter time.Duration
 	// Cell is the one to ask when the reason is scheduler.Elsewhere.
 	Cell registrar.CellName
+	// Predicted is the wait that was predicted, and Ahead the number of requests
+	// that waited.
+	Predicted time.Duration
+	Ahead     int
 }
 
 // Error describes the refusal.
 func (e *RefusedError) Error() string {
+	if e.Predicted > 0 {
+		return fmt.Sprintf("request refused: %s (%d waiting, predicted wait %v)", e.Reason, e.Ahead, e.Predicted)
+	}
 	return fmt.Sprintf("request refused: %s", e.Reason)
 }
--- a/internal/entry/dispatcher/ticket.go
+++ b/internal/entry/dispatcher/ticket.go
@@ -137,7 +137,7 @@
 		return t.grant(a)
 	case scheduler.Refuse:
 		t.closed = true
-		t.result <- grant{refusal: &RefusedError{Reason: a.Reason, RetryAfter: a.RetryAfter, Cell: a.Cell}}
+		t.result <- grant{refusal: &RefusedError{Reason: a.Reason, RetryAfter: a.RetryAfter, Cell: a.Cell, Predicted: a.Predicted, Ahead: a.Ahead}}
 	case scheduler.Preempt:
 		if s := t.slot(a.Upstream); s != nil {
 			s.preempt()
@@ -153,7 +153,9 @@
 	if len(t.slots) > 0 {
 		return t.slot(g.Upstream) != nil
 	}
-	t.result <- grant{slot: t.open(g.Upstream, g.Priority)}
+	s := t.open(g.Upstream, g.Priority)
+	s.predicted = g.Predicted
+	t.result <- grant{slot: s}
 	return true
 }
 
@@ -243,6 +245,7 @@
 	ticket    *ticket
 	upstream  registrar.Upstream
 	priority  int
+	predicted time.Duration
 	preempted chan struct{}
 	gone      chan struct{}
 	hedged    chan Slot
@@ -256,8 +259,12 @@
 	reported time.Time
 }
 
-func (s *slot) Upstream() registrar.Upstream   { return s.upstream }
-func (s *slot) Priority() int                  { return s.priority }
+func (s *slot) Upstream() registrar.Upstream { return s.upstream }
+func (s *slot) Priority() int                { return s.priority }
+
+// Predicted implements Slot.
+func (s *slot) Predicted() time.Duration { return s.predicted }
+
 func (s *slot) Preempted() <-chan struct{}     { return s.preempted }
 func (s *slot) Gone() <-chan struct{}          { return s.gone }
 func (s *slot) Hedged() <-chan Slot            { return s.hedged }
--- a/internal/entry/receiver/harness_test.go
+++ b/internal/entry/receiver/harness_test.go
@@ -130,6 +130,7 @@
 
 func (s *fakeSlot) Upstream() registrar.Upstream   { return s.upstream }
 func (s *fakeSlot) Priority() int                  { return 0 }
+func (s *fakeSlot) Predicted() time.Duration       { return 0 }
 func (s *fakeSlot) FirstToken()                    { s.first.Store(true) }
 func (s *fakeSlot) Progress(n int)                 { s.progress.Store(int64(n)) }
 func (s *fakeSlot) Preempted() <-chan struct{}     { return s.preempted }
--- a/internal/entry/relayer/attempt.go
+++ b/internal/entry/relayer/attempt.go
@@ -251,14 +251,14 @@
 	if len(body) == maxBuffered {
 		return a.relayLong(ctx, whole)
 	}
-	a.first()
-	if response.StatusCode >= 500 && c.route.Repeat == validator.Idempotent && c.attempts < c.route.Attempts {
-		return whole
-	}
 	if c.stream.begun {
 		// A stream can't go on with an answer that is none.
 		return failed{cause: errFailedAnswer}
 	}
+	a.first()
+	if response.StatusCode >= 500 && c.route.Repeat != validator.Once && c.attempts < c.route.Attempts {
+		return whole
+	}
 	a.pass(whole)
 	return delivered{status: response.StatusCode}
 }
--- a/internal/entry/relayer/call.go
+++ b/internal/entry/relayer/call.go
@@ -66,8 +66,10 @@
 	upstream registrar.UpstreamID
 	granted  time.Time
 	first    time.Time
-	retry    time.Duration
-	whole    bool
+	// predicted is the time to the first token that the scheduler predicted.
+	predicted time.Duration
+	retry     time.Duration
+	whole     bool
 }
 
 func newCall(r *Relayer, w http.ResponseWriter, q *http.Request) *call {
@@ -195,7 +197,7 @@
 			c.granted = c.relayer.clock.Now()
 		}
 		c.attempts++
-		c.upstream = slot.Upstream().Name
+		c.upstream, c.predicted = slot.Upstream().Name, slot.Predicted()
 		a := newAttempt(c, slot)
 		result := a.run(ctx)
 		if c.settle(ctx, a, result) {
@@ -359,7 +361,7 @@
 	}
 	if c.attempts > 0 {
 		fields = append(fields, zap.String("upstream", string(c.upstream)), zap.Int("attempts", c.attempts),
-			zap.Duration("queued", c.granted.Sub(c.arrived)))
+			zap.Duration("queued", c.granted.Sub(c.arrived)), zap.Duration("predicted", c.predicted))
 	}
 	if !c.first.IsZero() {
 		fields = append(fields, zap.Duration("first", c.first.Sub(c.arrived)), zap.Int("events", c.stream.events))
--- a/internal/entry/relayer/harness_test.go
+++ b/internal/entry/relayer/harness_test.go
@@ -85,6 +85,7 @@
 
 func (s *fakeSlot) Upstream() registrar.Upstream   { return s.upstream }
 func (s *fakeSlot) Priority() int                  { return 1 }
+func (s *fakeSlot) Predicted() time.Duration       { return 0 }
 func (s *fakeSlot) FirstToken()                    {}
 func (s *fakeSlot) Progress(int)                   {}
 func (s *fakeSlot) Preempted() <-chan struct{}     { return nil }
--- a/internal/entry/relayer/relayer_test.go
+++ b/internal/entry/relayer/relayer_test.go
@@ -28,6 +28,7 @@
 		{"success", "/once/x", []script{good}, 200, "sold", 1},
 		{"upstream's failure is passed on", "/once/x", []script{says(500, "no"), good}, 500, "no", 1},
 		{"idempotent failure is repeated", "/idempotent/x", []script{says(500, "no"), good}, 200, "sold", 2},
+		{"failure of a stream that may be resumed is repeated", "/resumable/x", []script{says(500, "no"), good}, 200, "sold", 2},
 		{"two failures pass the last on", "/idempotent/x", []script{says(500, "no"), says(502, "neither")}, 502, "neither", 2},
 		{"refusal goes elsewhere", "/once/x", []script{refuses, good}, 200, "sold", 2},
 		{"refusals by all upstreams", "/once/x", []script{refuses, refuses}, 503, "not_run\n", 2},
--- a/internal/policy/scheduler/admission.go
+++ b/internal/policy/scheduler/admission.go
@@ -218,7 +218,7 @@
 func (s *Scheduler) giveUp(now time.Time, r *request) {
 	s.dequeue(r)
 	if r.pool.live() {
-		s.refuse(r.ID, Overloaded, s.drainTime(now, r))
+		s.refuseLoaded(now, r)
 	} else {
 		s.refuse(r.ID, NoUpstream, leaseTime)
 	}
--- a/internal/policy/scheduler/placement.go
+++ b/internal/policy/scheduler/placement.go
@@ -200,10 +200,10 @@
 		return
 	}
 	a.unread = r.Prompt - u.cache.held(&r.Request)
-	a.ahead = u.backlog(now)
+	a.ahead = u.backlogFor(now, r.class.tier)
 	a.memory, a.tier = r.memory(), r.class.tier
 	read := s.readTime(u, r, a.unread)
-	u.reading = now.Add(a.ahead + read)
+	u.reading = now.Add(u.backlog(now) + read)
 	u.addRead(now, read)
 	a.reading = read
 	u.toRead[r.class.tier] += read
@@ -211,6 +211,9 @@
 	u.cache.use(&r.Request, capacity)
 }
 
+// predicted is the predicted time to the first token; 0 when it is unknown.
+func (a *attempt) predicted() time.Duration { return a.ahead + a.reading }
+
 // unread notes the end of an attempt.
 func (s *Scheduler) unread(now time.Time, a *attempt) {
 	u := a.upstream
--- a/internal/policy/scheduler/queue.go
+++ b/internal/policy/scheduler/queue.go
@@ -367,6 +367,6 @@
 			p.protect(a)
 		}
 		p.rates[r.class.tier].add(now)
-		s.actions = append(s.actions, Grant{ID: r.ID, Upstream: u.Name, Priority: int(r.class.tier)})
+		s.actions = append(s.actions, Grant{ID: r.ID, Upstream: u.Name, Priority: int(r.class.tier), Predicted: a.predicted()})
 	}
 }
--- a/internal/policy/scheduler/scheduler.go
+++ b/internal/policy/scheduler/scheduler.go
@@ -159,7 +159,7 @@
 	}
 	r.due = s.due(r)
 	if !resumed && p.live() && s.crowded(now, r) {
-		s.refuse(r.ID, Overloaded, s.drainTime(now, r))
+		s.refuseLoaded(now, r)
 		s.settle(r)
 		return
 	}
@@ -325,6 +325,12 @@
 	s.actions = append(s.actions, Refuse{ID: id, Reason: reason, RetryAfter: s.spread(after)})
 }
 
+// refuseLoaded refuses a request that can't begin in time.
+func (s *Scheduler) refuseLoaded(now time.Time, r *request) {
+	wait := s.drainTime(now, r)
+	s.actions = append(s.actions, Refuse{ID: r.ID, Reason: Overloaded, RetryAfter: s.spread(wait), Predicted: wait, Ahead: r.pool.waiting})
+}
+
 // spread randomises a retry time between once and twice its value so that
 // refused callers do not come back at the same moment.
 func (s *Scheduler) spread(d time.Duration) time.Duration {
--- a/internal/policy/scheduler/types.go
+++ b/internal/policy/scheduler/types.go
@@ -213,6 +213,8 @@
 	Upstream registrar.UpstreamID
 	// Priority is passed to the engine; lower is earlier.
 	Priority int
+	// Predicted is the predicted time to the first token; 0 when unknown.
+	Predicted time.Duration
 }
 
 // Refuse is the final answer to a request that waits.
@@ -223,6 +225,10 @@
 	RetryAfter time.Duration
 	// Cell is the one to ask when the reason is Elsewhere.
 	Cell registrar.CellName
+	// Predicted is the wait that was predicted for the request, and Ahead the
+	// number of requests that waited.
+	Predicted time.Duration
+	Ahead     int
 }
 
 // Preempt asks for an attempt to be cancelled; the request is submitted again
