--- a/internal/policy/scheduler/placement.go
+++ b/internal/policy/scheduler/placement.go
@@ -36,6 +36,9 @@
 	// target can be met: what one engine reads again is lost to all requests,
 	// while waiting for the engine that keeps the prompt costs only this one.
 	readWeight = 2.5
+	// overrunPart is the part of a read that is expected to be left when it should
+	// have ended.
+	overrunPart = 0.5
 	// lowerWeight is the part of the reading for lower tiers that delays a request.
 	lowerWeight = 0.25
 	// crowdedPart is the part of the wait of a class that the predicted wait has
@@ -121,19 +124,31 @@
 func (r *request) memory() int { return r.Prompt + r.Limit }
 
 // backlog is how long the engine still reads what it was given.
-func (u *upstream) backlog(now time.Time) time.Duration { return max(u.reading.Sub(now), 0) }
+// What has brought no token counts for a part after its time too.
+func (u *upstream) backlog(now time.Time) time.Duration {
+	var unread time.Duration
+	for _, d := range u.toRead {
+		unread += d
+	}
+	return max(u.reading.Sub(now), time.Duration(overrunPart*float64(unread)), 0)
+}
 
 // backlogFor is the part of the backlog that a request of a tier has to wait for.
 // Engines begin the more urgent requests first, and only finish a chunk of the
 // others.
 func (u *upstream) backlogFor(now time.Time, level validator.Tier) time.Duration {
 	all := u.backlog(now)
-	var before time.Duration
+	before := u.backlogAbove(now, level)
+	return before + time.Duration(lowerWeight*float64(all-before))
+}
+
+// backlogAbove is the part of the backlog of a tier and those above it.
+func (u *upstream) backlogAbove(now time.Time, level validator.Tier) time.Duration {
+	var above time.Duration
 	for i := range level + 1 {
-		before += u.toRead[i]
+		above += u.toRead[i]
 	}
-	before = min(before, all)
-	return before + time.Duration(lowerWeight*float64(all-before))
+	return min(above, u.backlog(now))
 }
 
 // startCost predicts the time to the first token, with the delay that the other
@@ -229,8 +244,9 @@
 	if s.memory[a.request.pool.name] == 0 {
 		return
 	}
+	took := now.Sub(a.granted)
 	if a.ahead == 0 {
-		a.request.pool.reading.observe(a.unread, now.Sub(a.granted))
+		a.request.pool.reading.observe(a.unread, took)
 	}
 	a.finishReading()
 	s.reviewReading(now, a.upstream)
@@ -257,14 +273,15 @@
 }
 
 // predictedWait is how long the engines need for what waits before a new request
-// of a tier, if each prompt is read at the engine that keeps most of it.
+// of a tier, if each prompt is read at the engine that keeps most of it. Work of
+// lower tiers doesn't count: it must not be the reason for a refusal.
 func (s *Scheduler) predictedWait(now time.Time, p *pool, r *request) time.Duration {
 	engines := 0
 	var sum time.Duration
 	for _, u := range p.upstreams {
 		if u.takes() && !u.isSilent(now) {
 			engines++
-			sum += u.backlogFor(now, r.class.tier)
+			sum += u.backlogAbove(now, r.class.tier)
 		}
 	}
 	if engines == 0 {
--- /dev/null
+++ b/internal/policy/scheduler/placement_test.go
@@ -0,0 +1,218 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/amaranthcart/amaranthcart/internal/config/validator"
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+)
+
+// engineFleet drives a scheduler with engines whose memory is known.
+type engineFleet struct {
+	t   *testing.T
+	s   *Scheduler
+	now time.Time
+	// running lists the granted requests with their engines.
+	running map[RequestID]registrar.UpstreamID
+	refused map[RequestID]Refuse
+	asked   map[RequestID]int
+	next    int
+}
+
+const (
+	engineMemory = 400_000
+	sharedPart   = 13_000
+	ownPart      = 3_000
+)
+
+func newEngineFleet(t *testing.T, engines int) *engineFleet {
+	f := &engineFleet{
+		t: t, s: New(WithSeed(1)), now: time.Unix(1_700_000_000, 0),
+		running: map[RequestID]registrar.UpstreamID{}, refused: map[RequestID]Refuse{}, asked: map[RequestID]int{},
+	}
+	second := validator.Duration(time.Second)
+	f.step(Configure{&validator.Document{
+		Classes: []validator.Class{
+			{Name: "hint", Tier: 0, First: second / 3, Gap: second / 6, Wait: second, Late: true},
+			{Name: "summary", Tier: 2, First: 3 * second / 2, Gap: 3 * second / 5, Wait: 4 * second, Late: true},
+		},
+		Models: []validator.Model{{Name: "m", Class: "hint", Memory: engineMemory}},
+	}})
+	f.step(Settle{Settled: true})
+	for i := range engines {
+		f.step(Observe{registrar.Upstream{
+			Name: registrar.UpstreamID(fmt.Sprintf("engine-%d", i)), Models: []validator.PoolName{"m"},
+			Slots: 48, Incarnation: 1, Sequence: 1,
+		}})
+	}
+	return f
+}
+
+func (f *engineFleet) step(e Event) {
+	for _, a := range f.s.Step(f.now, e) {
+		switch a := a.(type) {
+		case Grant:
+			f.running[a.ID] = a.Upstream
+		case Refuse:
+			f.refused[a.ID] = a
+		case Preempt:
+			f.asked[a.ID]++
+		}
+	}
+}
+
+// pass lets time pass in ticks.
+func (f *engineFleet) pass(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.now = f.now.Add(TickInterval)
+		f.step(Tick{})
+	}
+}
+
+// summary submits a long prompt whose first part others share.
+func (f *engineFleet) summary(subject uint64) RequestID {
+	return f.submit(Request{
+		Class: "summary", Prompt: sharedPart + ownPart, Limit: 150,
+		Prefix: []uint64{subject, uint64(1_000_000 + f.next)}, Ends: []int{sharedPart, sharedPart + ownPart},
+	})
+}
+
+// hint submits a short prompt.
+func (f *engineFleet) hint() RequestID {
+	return f.submit(Request{Class: "hint", Prompt: 1_200, Limit: 200, Prefix: []uint64{7}, Ends: []int{300}})
+}
+
+func (f *engineFleet) submit(r Request) RequestID {
+	f.next++
+	r.ID = RequestID(fmt.Sprint("r", f.next))
+	r.Pool, r.Rescue, r.Arrived = "m", true, f.now
+	f.step(Submit{r})
+	return r.ID
+}
+
+func (f *engineFleet) first(id RequestID) { f.step(FirstToken{ID: id, Upstream: f.running[id]}) }
+func (f *engineFleet) finish(id RequestID) {
+	f.step(Finished{ID: id, Upstream: f.running[id], Outcome: Completed, Tokens: 10})
+}
+
+// Pattern: long prompts about a few subjects. Each subject has one engine that keeps
+// its shared part, so that it is read once and not by each engine.
+func TestSharedPartsAreReadOnce(t *testing.T) {
+	f := newEngineFleet(t, 4)
+	home := map[uint64]registrar.UpstreamID{}
+	used := map[registrar.UpstreamID]bool{}
+	for i := range 60 {
+		subject := uint64(i%6 + 1)
+		id := f.summary(subject)
+		assert.Assert(t, f.running[id] != "")
+		if home[subject] == "" {
+			home[subject] = f.running[id]
+		}
+		assert.Equal(t, f.running[id], home[subject], "subject %d", subject)
+		used[f.running[id]] = true
+		f.pass(100 * time.Millisecond)
+		f.first(id)
+		f.pass(100 * time.Millisecond)
+		f.finish(id)
+	}
+	assert.Equal(t, len(used), 4, "cold prompts go to engines with room")
+}
+
+// Pattern: streams with tight gaps beside long prompts. The long ones are read
+// where no tight stream runs.
+func TestLongPromptsAvoidTightStreams(t *testing.T) {
+	f := newEngineFleet(t, 2)
+	hint := f.hint()
+	f.pass(60 * time.Millisecond)
+	f.first(hint)
+	for subject := range uint64(4) {
+		id := f.summary(subject + 1)
+		assert.Assert(t, f.running[id] != f.running[hint], "a long prompt is read beside a tight stream")
+		f.pass(400 * time.Millisecond)
+		f.first(id)
+		f.finish(id)
+	}
+}
+
+// Pattern: a burst of summaries fills all engines. The top tier is neither refused
+// nor kept waiting by them.
+func TestBurstOfLowTierLeavesTopTierAlone(t *testing.T) {
+	f := newEngineFleet(t, 3)
+	for i := range 60 {
+		f.summary(uint64(i))
+	}
+	for range 20 {
+		id := f.hint()
+		assert.Assert(t, f.running[id] != "", "%v", f.refused[id])
+		f.pass(40 * time.Millisecond)
+		f.first(id)
+	}
+}
+
+// Pattern: more long prompts than can be read in time. Those that can't begin are
+// refused on arrival, with the time after which there is room, and not held.
+func TestOverloadIsRefusedOnArrival(t *testing.T) {
+	f := newEngineFleet(t, 2)
+	for i := range 200 {
+		f.summary(uint64(i))
+	}
+	assert.Assert(t, len(f.refused) > 100, "%d refused", len(f.refused))
+	for _, r := range f.refused {
+		assert.Equal(t, r.Reason, Overloaded)
+		assert.Assert(t, r.RetryAfter >= r.Predicted && r.Predicted > time.Second)
+	}
+}
+
+// Pattern: an engine's memory is full of running requests. It gets no more, since
+// it would preempt one of them.
+func TestMemoryIsNotOvercommitted(t *testing.T) {
+	f := newEngineFleet(t, 1)
+	for i := range 60 {
+		id := f.summary(uint64(i))
+		f.pass(300 * time.Millisecond)
+		if f.running[id] != "" {
+			f.first(id)
+		}
+	}
+	memory := 0
+	for range f.running {
+		memory += sharedPart + ownPart
+	}
+	assert.Assert(t, memory <= engineMemory, "%d tokens run", memory)
+	assert.Assert(t, memory > engineMemory/2)
+}
+
+// Pattern: an engine goes dark under work. Its streams go on elsewhere within the
+// pause that callers allow, and it gets no new work; one that is only busy is left
+// alone.
+func TestSilentEngine(t *testing.T) {
+	f := newEngineFleet(t, 2)
+	dark := f.hint()
+	f.pass(60 * time.Millisecond)
+	f.first(dark)
+	other := f.summary(1)
+	assert.Assert(t, f.running[other] != f.running[dark])
+	for range 15 {
+		f.pass(100 * time.Millisecond)
+		f.step(Progress{ID: other, Upstream: f.running[other], Tokens: 1 + f.next})
+		f.next++
+	}
+	assert.Equal(t, f.asked[dark], 1)
+	assert.Equal(t, f.asked[other], 0)
+	assert.Equal(t, f.running[f.hint()], f.running[other])
+}
+
+// Pattern: the owner of a cell changes under load. What runs already is not taken
+// for work that has to be read again.
+func TestAdoptedRequestsAddNoReading(t *testing.T) {
+	f := newEngineFleet(t, 1)
+	for i := range 20 {
+		f.step(Adopt{Request: Request{ID: RequestID(fmt.Sprint("a", i)), Pool: "m", Class: "hint", Prompt: 16_000}, Upstream: "engine-0"})
+	}
+	id := f.hint()
+	assert.Assert(t, f.running[id] != "", "%v", f.refused[id])
+}
--- a/internal/policy/scheduler/scheduler.go
+++ b/internal/policy/scheduler/scheduler.go
@@ -201,7 +201,9 @@
 		u.gone = true
 		s.upstreams[id] = u
 	}
-	s.start(now, r, u)
+	// What the engine has read of it already is not known here.
+	s.start(now, r, u).finishReading()
+	s.reviewReading(now, u)
 }
 
 func (s *Scheduler) cancel(now time.Time, id RequestID) {
