TestCells: wait until the other cell's service is known

The log of entry-1 shows that it knew the other cell 0.76 s before the call, by a summary made before the service had announced itself; summaries follow 2 s apart by design. The call and its checks stay; the test waits for the service first.

--- a/cmd/amaranthd/cells_test.go
+++ b/cmd/amaranthd/cells_test.go
@@ -71,7 +71,14 @@
 		d.order(s, `{"behaviour": {"gap": "5ms"}}`)
 	}
 
-	// The service has upstreams in the other cell only.
+	// The service has upstreams in the other cell only. That cell may be known by a
+	// summary that it made before its service came; the next one follows within
+	// seconds.
+	for _, e := range west {
+		d.waitFor(e+" to know the service of the other cell", func() bool {
+			return d.send(t.Context(), e, "GET", "/svc/shop/boxes", "").status == http.StatusOK
+		})
+	}
 	for i, e := range west {
 		a := d.send(t.Context(), e, "POST", "/svc/shop/renew", "{}", "Idempotency-Key", fmt.Sprint("renewal-", i))
 		assert.Equal(t, a.status, http.StatusOK, a.body)
