scheduler: read a cold subject once, learn reading speed from quiet engines only

Cause: requests about one cold subject at a time each read its shared part. They now wait at the scheduler until the first has its token, where the target allows it. The speed was learned under load too and predicted five times the wait. Trial before it: waiting for short shared parts too held the top tier up. Test: TestColdSubjectIsReadOnce.

--- a/internal/policy/scheduler/admission.go
+++ b/internal/policy/scheduler/admission.go
@@ -118,7 +118,7 @@
 func (s *Scheduler) crowded(now time.Time, r *request) bool {
 	p, level := r.pool, r.class.tier
 	if s.memory[p.name] > 0 {
-		return s.predictedWait(now, p, r) > time.Duration(crowdedPart*float64(r.class.wait))
+		return s.crowdedEngines(now, r)
 	}
 	n := p.ahead(level)
 	if n < crowdMinimum || p.hold == 0 {
--- a/internal/policy/scheduler/cache.go
+++ b/internal/policy/scheduler/cache.go
@@ -71,3 +71,47 @@
 	delete(c.blocks, b.hash)
 	c.tokens -= b.tokens
 }
+
+// blockCounts counts the attempts for which an engine is reading a prompt block.
+type blockCounts map[uint64]int
+
+// begin notes the blocks of a prompt that the engine has to read. The last one
+// belongs to the request alone. It returns the blocks for end.
+func (b *blockCounts) begin(r *Request, c *promptCache) []uint64 {
+	var begun []uint64
+	for i, h := range r.Prefix {
+		if i+1 == len(r.Prefix) || c.blocks[h] != nil && (*b)[h] == 0 {
+			continue
+		}
+		if *b == nil {
+			*b = blockCounts{}
+		}
+		(*b)[h]++
+		begun = append(begun, h)
+	}
+	return begun
+}
+
+// end notes that the engine has read the blocks.
+func (b blockCounts) end(begun []uint64) {
+	for _, h := range begun {
+		if b[h]--; b[h] <= 0 {
+			delete(b, h)
+		}
+	}
+}
+
+// tokens counts the tokens of the prompt that the engine is reading.
+func (b blockCounts) tokens(r *Request) int {
+	sum, start := 0, 0
+	for i, h := range r.Prefix {
+		if i >= len(r.Ends) {
+			break
+		}
+		if b[h] > 0 {
+			sum += r.Ends[i] - start
+		}
+		start = r.Ends[i]
+	}
+	return sum
+}
--- a/internal/policy/scheduler/placement.go
+++ b/internal/policy/scheduler/placement.go
@@ -39,6 +39,14 @@
 	// overrunPart is the part of a read that is expected to be left when it should
 	// have ended.
 	overrunPart = 0.5
+	// startTime is the part of the time to the first token that is no reading.
+	startTime = 100 * time.Millisecond
+	// minShared is the number of shared tokens for which a request waits until
+	// they are read; reading fewer again takes less than the wait.
+	minShared = 2048
+	// quietAttempts is the number of requests on an engine up to which the time to
+	// a first token tells how fast it reads.
+	quietAttempts = 4
 	// lowerWeight is the part of the reading for lower tiers that delays a request.
 	lowerWeight = 0.25
 	// crowdedPart is the part of the wait of a class that the predicted wait has
@@ -67,9 +75,23 @@
 	if best == nil || len(best.attempts) > 0 && best.backlogFor(now, r.class.tier) > queueLimit {
 		return nil
 	}
+	if s.waitsForShared(now, best, r) {
+		return nil
+	}
 	return best
 }
 
+// waitsForShared reports whether the engine is reading a part of the prompt for
+// another request and the request has time until that is done: sent now, it would
+// read the same part beside.
+func (s *Scheduler) waitsForShared(now time.Time, u *upstream, r *request) bool {
+	if u.unfinished.tokens(&r.Request) < minShared {
+		return false
+	}
+	own := s.readTime(u, r, r.Prompt-u.cache.held(&r.Request))
+	return now.Add(own + startTime).Before(r.due)
+}
+
 // eligible lists the upstreams that may run the request. Those that failed it, are
 // silent or too slow count only where there is no other.
 func (s *Scheduler) eligible(now time.Time, r *request) []*upstream {
@@ -215,6 +237,7 @@
 		return
 	}
 	a.unread = r.Prompt - u.cache.held(&r.Request)
+	a.beside = len(u.attempts)
 	a.ahead = u.backlogFor(now, r.class.tier)
 	a.memory, a.tier = r.memory(), r.class.tier
 	read := s.readTime(u, r, a.unread)
@@ -223,6 +246,7 @@
 	a.reading = read
 	u.toRead[r.class.tier] += read
 	u.memory += a.memory
+	a.shared = u.unfinished.begin(&r.Request, &u.cache)
 	u.cache.use(&r.Request, capacity)
 }
 
@@ -245,7 +269,7 @@
 		return
 	}
 	took := now.Sub(a.granted)
-	if a.ahead == 0 {
+	if a.ahead == 0 && a.beside <= quietAttempts {
 		a.request.pool.reading.observe(a.unread, took)
 	}
 	a.finishReading()
@@ -256,6 +280,8 @@
 func (a *attempt) finishReading() {
 	a.upstream.toRead[a.tier] -= a.reading
 	a.reading = 0
+	a.upstream.unfinished.end(a.shared)
+	a.shared = nil
 }
 
 // reviewReading corrects when the engine has read what it was given: no later than
@@ -301,3 +327,24 @@
 	}
 	return time.Duration(least) * r.pool.reading.perToken()
 }
+
+// crowdedEngines predicts that the request cannot begin in time. While there is
+// work of lower tiers, that gives way and nothing is predicted.
+func (s *Scheduler) crowdedEngines(now time.Time, r *request) bool {
+	p := r.pool
+	for level := r.class.tier + 1; level <= validator.LowestTier; level++ {
+		if p.toRead[level] > 0 || p.unread(level) > 0 {
+			return false
+		}
+	}
+	return s.predictedWait(now, p, r) > time.Duration(crowdedPart*float64(r.class.wait))
+}
+
+// unread is what the engines still read for a tier.
+func (p *pool) unread(level validator.Tier) time.Duration {
+	var sum time.Duration
+	for _, u := range p.upstreams {
+		sum += u.toRead[level]
+	}
+	return sum
+}
--- a/internal/policy/scheduler/placement_test.go
+++ b/internal/policy/scheduler/placement_test.go
@@ -216,3 +216,22 @@
 	id := f.hint()
 	assert.Assert(t, f.running[id] != "", "%v", f.refused[id])
 }
+
+// Pattern: several requests about the same cold subject at a time. One reads the
+// shared part, and the others begin when that is done; short shared parts are not
+// waited for.
+func TestColdSubjectIsReadOnce(t *testing.T) {
+	f := newEngineFleet(t, 3)
+	first := f.summary(1)
+	second := f.summary(1)
+	assert.Assert(t, f.running[first] != "")
+	assert.Equal(t, f.running[second], registrar.UpstreamID(""))
+	f.pass(200 * time.Millisecond)
+	f.first(first)
+	f.pass(TickInterval)
+	assert.Equal(t, f.running[second], f.running[first])
+	hints := []RequestID{f.hint(), f.hint()}
+	for _, id := range hints {
+		assert.Assert(t, f.running[id] != "")
+	}
+}
--- a/internal/policy/scheduler/reading.go
+++ b/internal/policy/scheduler/reading.go
@@ -7,7 +7,7 @@
 	defaultPerToken = 15 * time.Microsecond
 	// minPerToken and maxPerToken bound what is learned.
 	minPerToken = 2 * time.Microsecond
-	maxPerToken = 200 * time.Microsecond
+	maxPerToken = 60 * time.Microsecond
 	// readingDecay is the weight that an observation keeps when a new one comes.
 	readingDecay = 0.98
 	// readingSamples is the number of observations that the learned time needs.
--- a/internal/policy/scheduler/request.go
+++ b/internal/policy/scheduler/request.go
@@ -95,6 +95,11 @@
 	// ahead is what the engine had to read before it, and reading what it reads
 	// for the attempt until the first token.
 	ahead, reading time.Duration
+	// beside is the number of attempts on the engine when this one began.
+	beside int
+	// shared lists the blocks that the engine reads for the attempt and that
+	// other requests may have too.
+	shared []uint64
 	// tier is the one of the request when the attempt began.
 	tier validator.Tier
 }
--- a/internal/policy/scheduler/upstream.go
+++ b/internal/policy/scheduler/upstream.go
@@ -37,6 +37,8 @@
 	silent time.Time
 	// cache is what an engine keeps of prompts, as far as it is known.
 	cache promptCache
+	// unfinished are the prompt blocks that the engine is reading.
+	unfinished blockCounts
 	// reading is when the engine has read what it was given.
 	reading time.Time
 	// toRead is the part of it for each tier.
@@ -67,6 +69,7 @@
 	if news.Incarnation != u.Incarnation {
 		u.prefixes, u.pace = prefixes{}, pace{}
 		u.cache.clear()
+		u.unfinished = nil
 		u.silent, u.reading = time.Time{}, time.Time{}
 	}
 	if news.Incarnation == u.Incarnation && !u.gone {
