--- a/internal/config/validator/document.go
+++ b/internal/config/validator/document.go
@@ -104,8 +104,8 @@
 	Limit int `json:"limit,omitempty"`
 	// Rate bounds the organisation's requests a second; zero means none.
 	Rate float64 `json:"rate,omitempty"`
-	// Tier is the tier of all requests of the organisation that come by a route;
-	// without it the class of the route decides.
+	// Tier selects, for requests that come by a route, the class VariantName of the
+	// route's class where there is one.
 	Tier *Tier `json:"tier,omitempty"`
 }
 
--- a/internal/entry/relayer/call.go
+++ b/internal/entry/relayer/call.go
@@ -359,6 +359,9 @@
 	if c.organisation != nil {
 		fields = append(fields, zap.String("organisation", string(c.organisation.Name)))
 	}
+	if c.class != nil {
+		fields = append(fields, zap.String("class", string(c.class.Name)), zap.Int("tier", int(c.class.Tier)))
+	}
 	if c.attempts > 0 {
 		fields = append(fields, zap.String("upstream", string(c.upstream)), zap.Int("attempts", c.attempts),
 			zap.Duration("queued", c.granted.Sub(c.arrived)), zap.Duration("predicted", c.predicted))
