control: wait for room on a full disk

Ruled out: a sync that failed (still final, as it leaves open what is on disk). A write that changed nothing for want of room is made again; nothing is acknowledged meanwhile and the other hosts go on.

--- a/internal/control/coordinator/coordinator.go
+++ b/internal/control/coordinator/coordinator.go
@@ -111,6 +111,9 @@
 	// retryInterval is the wait before a call is tried again after the leader
 	// changed.
 	retryInterval = 20 * time.Millisecond
+	// fullInterval is the wait before a write that a full disk refused is tried
+	// again.
+	fullInterval = 100 * time.Millisecond
 	// handoverTimeout bounds the wait for another leader at Close.
 	handoverTimeout = 2 * time.Second
 )
@@ -318,7 +321,7 @@
 			c.clearRetired()
 			return
 		}
-		sends, saved, err := flush(c.journal, w)
+		sends, saved, err := c.flush(w)
 		if err != nil {
 			c.fail(err)
 			return
@@ -330,6 +333,28 @@
 	}
 }
 
+// flush makes the work durable. While the disk is full it waits: nothing that is
+// not on disk is acknowledged, and the other control hosts go on without this one.
+func (c *Coordinator) flush(w []work) ([]replicator.Send, []replicator.Event, error) {
+	for waiting := false; ; waiting = true {
+		sends, saved, err := flush(c.journal, w)
+		if !errors.Is(err, journaler.ErrFull) {
+			if waiting {
+				c.logger.Info("the disk has room again", zap.Error(err))
+			}
+			return sends, saved, err
+		}
+		if !waiting {
+			c.logger.Error("the disk is full; waiting for room", zap.Error(err))
+		}
+		select {
+		case <-c.stopped:
+			return nil, nil, err
+		case <-c.clock.After(fullInterval):
+		}
+	}
+}
+
 // fail stops the coordinator after a failure that can't be retried.
 func (c *Coordinator) fail(err error) {
 	c.failOnce.Do(func() {
--- a/internal/control/coordinator/fault_test.go
+++ b/internal/control/coordinator/fault_test.go
@@ -69,7 +69,7 @@
 		})
 	}
 	p.Wait()
-	calls, wipes, chased, retired := 0, 0, 0, 0
+	calls, wipes, chased, retired, full := 0, 0, 0, 0, 0
 	for seed, s := range results {
 		if s.failure != "" {
 			t.Errorf("seed %d: %s", seed, s.failure)
@@ -78,9 +78,11 @@
 		wipes += s.wipes
 		chased += s.chased
 		retired += s.retired
+		full += s.full
 	}
 	t.Logf("%d runs, %d calls, %d lost disks, %d repairs during faults", len(results), calls, wipes, chased)
 	assert.Assert(t, wipes > len(results)/10 && chased > len(results)/20, "too few lost disks to prove anything")
+	assert.Assert(t, full > len(results)/20, "too few full disks to prove anything")
 	return retired
 }
 
--- a/internal/control/coordinator/simulation_test.go
+++ b/internal/control/coordinator/simulation_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"crypto/sha256"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -60,6 +61,8 @@
 	faults   bool
 	failure  string
 	wipes    int
+	// full counts the writes that a full disk refused.
+	full int
 	// retired counts the hosts that were told that the group removed them.
 	retired int
 	// chased counts the repairs that ended while faults went on. Two of three
@@ -158,6 +161,7 @@
 	s.blocked, s.loss = map[[2]string]bool{}, 0
 	for _, n := range s.nodes {
 		n.disk.FailSync(false)
+		n.disk.Fill(false)
 		if !n.up {
 			n.start()
 		}
@@ -266,8 +270,11 @@
 		s.after(s.between(100, 500), func() { s.loss = 0 })
 	case x < 85:
 		s.wipe(n)
-	case x < 92:
+	case x < 90:
 		n.disk.FailSync(true)
+	case x < 94:
+		n.disk.Fill(true)
+		s.after(s.between(100, 1500), func() { n.disk.Fill(false) })
 	case n.up:
 		n.step(replicator.Transfer{})
 	}
@@ -282,6 +289,7 @@
 	s.after(down, func() {
 		if !n.up {
 			n.disk.FailSync(false)
+			n.disk.Fill(false)
 			n.start()
 		}
 	})
@@ -322,6 +330,7 @@
 	s.after(s.between(20, 300), func() {
 		if !n.up {
 			n.disk.FailSync(false)
+			n.disk.Fill(false)
 			n.start()
 		}
 	})
@@ -409,6 +418,7 @@
 	n.s.after(n.s.between(20, 100), func() {
 		if !n.up {
 			n.disk.FailSync(false)
+			n.disk.Fill(false)
 			n.start()
 		}
 	})
@@ -490,6 +500,13 @@
 	items := n.queue
 	n.queue = nil
 	sends, events, err := flush(n.journal, items)
+	if errors.Is(err, journaler.ErrFull) {
+		n.s.full++
+		n.queue = append(items, n.queue...)
+		n.writing = true
+		n.s.after(n.s.between(50, 150), func() { n.write(epoch) })
+		return
+	}
 	if err != nil {
 		// The process stops and comes back with a disk that works.
 		n.s.crash(n, n.s.between(50, 500))
--- a/internal/storage/journaler/journal.go
+++ b/internal/storage/journaler/journal.go
@@ -23,7 +23,8 @@
 //
 // A failed write or sync is final. The kernel may have dropped the dirty pages
 // and reports success for the next sync, so that a retry would acknowledge
-// lost data. Every later call returns the first error.
+// lost data. Every later call returns the first error. The exception is a full disk
+// that took nothing: Write returns ErrFull and may be called again.
 //
 // # Usage
 //
@@ -40,12 +41,17 @@
 	"slices"
 	"strconv"
 	"strings"
+	"syscall"
 
 	"google.golang.org/protobuf/proto"
 
 	"github.com/amaranthcart/amaranthcart/internal/rpc/record"
 )
 
+// ErrFull is returned by Write when the disk took nothing for want of room. The same
+// changes may be written again later.
+var ErrFull = errors.New("disk is full")
+
 // ErrDamaged is returned when acknowledged data can't be read back.
 var ErrDamaged = errors.New("data folder is damaged")
 
@@ -271,12 +277,26 @@
 	if j.failure != nil {
 		return j.failure
 	}
-	if err := j.write(saves); err != nil {
+	err := j.write(saves)
+	if errors.Is(err, ErrFull) {
+		return err
+	}
+	if err != nil {
 		j.failure = fmt.Errorf("write to data folder: %w", err)
 	}
 	return j.failure
 }
 
+// refused marks the error of a write that changed nothing because the disk is
+// full. It must not be used for a sync, whose failure leaves open what is on disk,
+// nor where a part of a log frame was written.
+func refused(err error) error {
+	if errors.Is(err, syscall.ENOSPC) {
+		return fmt.Errorf("%w: %w", ErrFull, err)
+	}
+	return err
+}
+
 // write writes the last vote first: a durable entry of a term must never be
 // found without that term.
 func (j *Journal) write(saves []Save) error {
@@ -317,7 +337,9 @@
 		return err
 	}
 	j.buffer = appendFrame(j.buffer[:0], payload)
-	if _, err := j.file.Write(j.buffer); err != nil {
+	if n, err := j.file.Write(j.buffer); err != nil && n == 0 {
+		return refused(err)
+	} else if err != nil {
 		return err
 	}
 	g := &j.segments[len(j.segments)-1]
@@ -378,7 +400,7 @@
 	g := segment{number: number}
 	f, err := j.folder.Create(g.name())
 	if err != nil {
-		return err
+		return refused(err)
 	}
 	if err := errors.Join(f.Sync(), j.folder.Sync()); err != nil {
 		return errors.Join(err, f.Close())
@@ -401,10 +423,10 @@
 	}
 	f, err := j.folder.Create(temporaryName)
 	if err != nil {
-		return err
+		return refused(err)
 	}
 	if _, err := f.Write(appendFrame(nil, payload)); err != nil {
-		return errors.Join(err, f.Close())
+		return errors.Join(refused(err), f.Close())
 	}
 	if err := errors.Join(f.Sync(), f.Close()); err != nil {
 		return err
--- a/internal/storage/journaler/journal_test.go
+++ b/internal/storage/journaler/journal_test.go
@@ -260,3 +260,26 @@
 	assert.ErrorContains(t, err, "belongs to host")
 	assert.NilError(t, d.Close())
 }
+
+// TestFullDisk guards against a replica that gives up, or loses or doubles entries,
+// because the disk had no room for a while.
+func TestFullDisk(t *testing.T) {
+	disk := NewMemory()
+	j, _, err := Open(disk, "control-1", func() uint64 { return 1 })
+	assert.NilError(t, err)
+	entry := func(index uint64) Save {
+		return Save{Entries: []*record.Entry{{Index: index, Term: 1}}}
+	}
+	assert.NilError(t, j.Write([]Save{entry(1)}))
+	disk.Fill(true)
+	again := []Save{{Vote: &record.Vote{Id: 1, Name: "control-1", Term: 2}}, entry(2)}
+	assert.ErrorIs(t, j.Write(again), ErrFull)
+	assert.ErrorIs(t, j.Write(again), ErrFull)
+	disk.Fill(false)
+	assert.NilError(t, j.Write(again))
+	disk.Crash(rand.New(rand.NewPCG(1, 1)))
+	_, stored, err := Open(disk, "control-1", func() uint64 { return 2 })
+	assert.NilError(t, err)
+	assert.Equal(t, stored.Vote.Term, uint64(2))
+	assert.Equal(t, len(stored.Entries), 2)
+}
--- a/internal/storage/journaler/memory.go
+++ b/internal/storage/journaler/memory.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"syscall"
 )
 
 // ErrInjected is returned by a Memory whose writes or syncs were told to fail.
@@ -21,6 +22,7 @@
 	durable map[string]*image
 	// epoch grades open files: those of an earlier epoch return errors.
 	epoch    int
+	full     bool
 	failing  bool
 	ignoring bool
 }
@@ -44,6 +46,13 @@
 	m.failing = on
 }
 
+// Fill makes every later write and new file fail for want of room.
+func (m *Memory) Fill(on bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.full = on
+}
+
 // IgnoreSync makes every later sync succeed without effect, like a disk that
 // lies. It exists to show that the fault tests notice lost writes.
 func (m *Memory) IgnoreSync(on bool) {
@@ -101,6 +110,9 @@
 func (m *Memory) Create(name string) (File, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.full {
+		return nil, syscall.ENOSPC
+	}
 	i := &image{}
 	m.current[name] = i
 	return &memoryFile{folder: m, image: i, epoch: m.epoch}, nil
@@ -195,6 +207,9 @@
 	if f.epoch != f.folder.epoch {
 		return 0, fs.ErrClosed
 	}
+	if f.folder.full {
+		return 0, syscall.ENOSPC
+	}
 	f.image.data = append(f.image.data, p...)
 	return len(p), nil
 }
