scheduler: prompts have a home that the next owner finds

Cause: after a change of owner the caches are unknown, and shared parts were read again wherever the queue was short. Each shared part now prefers an engine by its hash, as a part of the cost. Hosts without requests tick less often.

--- a/internal/entry/dispatcher/local.go
+++ b/internal/entry/dispatcher/local.go
@@ -14,6 +14,9 @@
 	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
 )
 
+// idleTicks is one in how many ticks a scheduler without requests takes.
+const idleTicks = 10
+
 // sink receives the actions for one request and reports whether somebody takes
 // the slot of a grant or hedge; otherwise the slot is freed. It is called with
 // the lock of its route held, so it must neither block nor call back.
@@ -67,6 +70,7 @@
 	// declined lists the slots that nobody took in the current step.
 	declined []scheduler.Finished
 	hosts    int
+	ticks    int
 	settled  bool
 	disown   func()
 	// elsewhere is nil on a host that works with no other cell.
@@ -107,13 +111,22 @@
 			return
 		case <-t.Chan():
 			l.mu.Lock()
-			l.step(scheduler.Tick{})
-			l.evacuate()
+			if l.due() {
+				l.step(scheduler.Tick{})
+				l.evacuate()
+			}
 			l.mu.Unlock()
 		}
 	}
 }
 
+// due reports whether the scheduler has to see the time pass. Without requests,
+// which most hosts are most of the time, little depends on it.
+func (l *Local) due() bool {
+	l.ticks++
+	return len(l.requests) > 0 || l.ticks%idleTicks == 0
+}
+
 // Configure puts a configuration in force.
 func (l *Local) Configure(d *validator.Document) {
 	l.mu.Lock()
--- a/internal/entry/relayer/call.go
+++ b/internal/entry/relayer/call.go
@@ -370,7 +370,7 @@
 		fields = append(fields, zap.Duration("first", c.first.Sub(c.arrived)), zap.Int("events", c.stream.events))
 	}
 	if c.code == "" {
-		r.logger.Info("request served", fields...)
+		r.served.Info("request served", fields...)
 		return
 	}
 	fields = append(fields, zap.String("code", c.code), zap.Bool("ran", c.mayHaveRun))
--- a/internal/entry/relayer/relayer.go
+++ b/internal/entry/relayer/relayer.go
@@ -40,6 +40,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 	"golang.org/x/net/netutil"
 
 	"github.com/amaranthcart/amaranthcart/internal/config/validator"
@@ -58,6 +59,10 @@
 	idleTimeout = 60 * time.Second
 	// closeTimeout bounds the wait for requests whose connections were closed.
 	closeTimeout = time.Second
+	// servedLines is the number of served requests a second that are all logged,
+	// and servedPart is the one in so many that is logged beyond.
+	servedLines = 200
+	servedPart  = 10
 	// drainPoll is how often a planned stop looks for open requests.
 	drainPoll = 20 * time.Millisecond
 )
@@ -88,9 +93,11 @@
 
 // Relayer serves routed requests.
 type Relayer struct {
-	options  Options
-	clock    clockwork.Clock
-	logger   *zap.Logger
+	options Options
+	clock   clockwork.Clock
+	logger  *zap.Logger
+	// served logs served requests, of which a part is enough.
+	served   *zap.Logger
 	requests metrics.Counter
 	refusals metrics.Counter
 	failures metrics.Counter
@@ -119,6 +126,7 @@
 		options:  o,
 		clock:    o.Clock,
 		logger:   o.Logger.Named("relayer"),
+		served:   o.Logger.Named("relayer").WithOptions(zap.WrapCore(sample)),
 		requests: metrics.GetOrRegisterCounter("relayer.requests", o.Metrics),
 		refusals: metrics.GetOrRegisterCounter("relayer.refusals", o.Metrics),
 		failures: metrics.GetOrRegisterCounter("relayer.failures", o.Metrics),
@@ -129,6 +137,11 @@
 	return r
 }
 
+// sample keeps the first lines of each second and a part of the others.
+func sample(c zapcore.Core) zapcore.Core {
+	return zapcore.NewSamplerWithOptions(c, time.Second, servedLines, servedPart)
+}
+
 // Server returns a server for callers.
 func (r *Relayer) Server() *http.Server {
 	s := &http.Server{
@@ -214,5 +227,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	return r.wait(ctx)
+	err := r.wait(ctx)
+	r.options.Sender.Close()
+	return err
 }
--- a/internal/policy/scheduler/placement.go
+++ b/internal/policy/scheduler/placement.go
@@ -4,6 +4,8 @@
 	"math"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/amaranthcart/amaranthcart/internal/config/validator"
 	"github.com/amaranthcart/amaranthcart/internal/policy/detector"
 )
@@ -19,16 +21,20 @@
 	// harmWeight is the cost of reading beside one running stream of the tightest
 	// class, as a part of the reading time: each chunk of a prompt delays the next
 	// token of every stream.
-	harmWeight = 0.4
+	harmWeight = 0.5
 	// exposureTime is the cost for a stream of the tightest class to run on an
 	// engine that reads all the time.
 	exposureTime = 500 * time.Millisecond
 	// loadTime is the time constant of the measured share of time that an engine
 	// reads.
 	loadTime = 3 * time.Second
+	// homeWeight is the cost of reading a shared part at another engine than the
+	// one that its hash prefers, as a part of the reading time. The next owner of
+	// the cell, which doesn't know the caches, looks for it there.
+	homeWeight = 0.45
 	// crowdingWeight is the cost of reading into a full cache, as a part of the
 	// reading time: something that others use is dropped for it.
-	crowdingWeight = 0.5
+	crowdingWeight = 0.3
 	// queueLimit bounds what an engine is given to read in advance. What waits
 	// longer waits here, where a more urgent request can pass it.
 	queueLimit = 500 * time.Millisecond
@@ -183,12 +189,32 @@
 	if now.Add(backlog + read).Before(r.due) {
 		weight = readWeight
 	}
-	delay := float64(read) * (weight + harmWeight*s.exposed(u) + crowdingWeight*full)
+	delay := float64(read) * (weight + harmWeight*s.exposed(u) + crowdingWeight*full + homeWeight*(1-u.affinity(r)))
 	delay += s.tightness(r.class) * u.readLoad(now) * float64(exposureTime)
 	ratio := u.pace.ratio(now, r.pool.typical)
 	return time.Duration((float64(backlog) + delay) * max(ratio, 1))
 }
 
+// affinity is a number from 0 to 1 that is the same at every scheduler for the
+// shared part of a prompt and an engine, and random otherwise.
+func (u *upstream) affinity(r *request) float64 {
+	n := len(r.Prefix)
+	if n < 2 {
+		return 0
+	}
+	if u.hash == 0 {
+		u.hash = xxhash.Sum64String(string(u.Name))
+	}
+	return float64(mix(mix(r.Prefix[n-2])^u.hash)>>11) / (1 << 53)
+}
+
+// mix spreads the bits of a number as the last steps of splitmix64 do.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
 // tightness compares the target for the time between tokens with that of the
 // tightest class, which has 1. Streams of loose classes lose little by an engine
 // that reads beside them.
--- a/internal/policy/scheduler/upstream.go
+++ b/internal/policy/scheduler/upstream.go
@@ -43,6 +43,8 @@
 	reading time.Time
 	// toRead is the part of it for each tier.
 	toRead [validator.LowestTier + 1]time.Duration
+	// hash is the one of the name, once it is needed.
+	hash uint64
 	// reads is the share of time that the engine read at readAt.
 	reads  float64
 	readAt time.Time
