relayer: hold a request while the configuration is being confirmed

Ruled out: the election and the log (both done 0.9 s after the last start). A request now waits up to 1.2 s on a host that starts, and 0.3 s on one whose confirmation ran out; later refusals say 0.5 s. Test: TestHeldWhileTheConfigurationIsConfirmed.

--- a/internal/entry/relayer/call.go
+++ b/internal/entry/relayer/call.go
@@ -23,7 +23,16 @@
 	defaultBody = 8 << 20
 	// staleRetry is when a caller should come back to a host that can't confirm
 	// its configuration; the next attempt usually meets another host.
-	staleRetry = 200 * time.Millisecond
+	staleRetry = 500 * time.Millisecond
+	// startHold is how long a request waits on a host that starts and has not
+	// confirmed its configuration yet: other hosts may start with it, and a
+	// refused caller would find none.
+	startHold = 1200 * time.Millisecond
+	// staleHold is the same on a host whose confirmation has run out, as after a
+	// freeze.
+	staleHold = 300 * time.Millisecond
+	// holdPoll is how often a request that waits looks again.
+	holdPoll = 20 * time.Millisecond
 	// statusClientGone is for logs only; nobody reads the answer.
 	statusClientGone = 499
 	// drawBits is the resolution of the draw among the pools of a route.
@@ -81,7 +90,7 @@
 	if c.relayer.unready.Load() {
 		c.writer.Header().Set("Connection", "close")
 	}
-	if !c.resolve() || !c.read() {
+	if !c.read() || !c.resolve() {
 		return
 	}
 	ctx, cancel := context.WithDeadlineCause(c.request.Context(), c.deadline, errTimeout)
@@ -92,7 +101,7 @@
 
 // resolve finds route and organisation, and answers requests that have none.
 func (c *call) resolve() bool {
-	x, fresh := c.relayer.options.Configuration()
+	x, fresh := c.relayer.awaitConfiguration(c.request.Context())
 	if !fresh || x == nil {
 		c.refuse(http.StatusServiceUnavailable, "stale_configuration", staleRetry)
 		return false
@@ -121,6 +130,29 @@
 	return true
 }
 
+// awaitConfiguration returns the configuration in force. While it is not confirmed
+// a request waits for a short time.
+func (r *Relayer) awaitConfiguration(ctx context.Context) (*validator.Index, bool) {
+	x, fresh := r.options.Configuration()
+	if fresh {
+		r.confirmed.Store(true)
+		return x, true
+	}
+	hold := startHold
+	if r.confirmed.Load() {
+		hold = staleHold
+	}
+	for end := r.clock.Now().Add(hold); !fresh && r.clock.Now().Before(end); {
+		select {
+		case <-ctx.Done():
+			return nil, false
+		case <-r.clock.After(holdPoll):
+		}
+		x, fresh = r.options.Configuration()
+	}
+	return x, fresh
+}
+
 // read reads the whole body, so that nothing of a broken one is passed on.
 func (c *call) read() bool {
 	limit := c.relayer.options.Body
--- a/internal/entry/relayer/harness_test.go
+++ b/internal/entry/relayer/harness_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -106,7 +107,7 @@
 	dispatcher *fakeDispatcher
 	address    string
 	relayer    *Relayer
-	fresh      bool
+	fresh      atomic.Bool
 
 	mu   sync.Mutex
 	seen []*http.Request
@@ -130,7 +131,8 @@
 }
 
 func newRig(t *testing.T, scripts ...script) *rig {
-	r := &rig{t: t, dispatcher: &fakeDispatcher{}, fresh: true}
+	r := &rig{t: t, dispatcher: &fakeDispatcher{}}
+	r.fresh.Store(true)
 	for i, s := range scripts {
 		name := registrar.UpstreamID(fmt.Sprintf("upstream-%d", i+1))
 		r.dispatcher.upstreams = append(r.dispatcher.upstreams, registrar.Upstream{Name: name, Address: r.upstream(s)})
@@ -139,7 +141,7 @@
 	r.relayer = New(Options{
 		Protocol: testProtocol{}, Dispatcher: r.dispatcher,
 		Sender:        forwarder.NewSender(clockwork.NewRealClock(), nil),
-		Configuration: func() (*validator.Index, bool) { return index, r.fresh },
+		Configuration: func() (*validator.Index, bool) { return index, r.fresh.Load() },
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
--- a/internal/entry/relayer/relayer.go
+++ b/internal/entry/relayer/relayer.go
@@ -105,7 +105,9 @@
 	latency  metrics.Timer
 	open     atomic.Int64
 	unready  atomic.Bool
-	draining atomic.Bool
+	// confirmed is set once the configuration has been confirmed.
+	confirmed atomic.Bool
+	draining  atomic.Bool
 
 	mu      sync.Mutex
 	servers []*http.Server
--- a/internal/entry/relayer/relayer_test.go
+++ b/internal/entry/relayer/relayer_test.go
@@ -74,7 +74,7 @@
 	})
 	t.Run("configuration not confirmed", func(t *testing.T) {
 		r := newRig(t, says(200, ""))
-		r.fresh = false
+		r.fresh.Store(false)
 		a := r.call("/nowhere/x")
 		assert.Equal(t, a.status, http.StatusServiceUnavailable)
 		assert.Assert(t, a.header.Get("Retry-After") != "")
@@ -190,3 +190,29 @@
 	assert.Equal(t, a.status, http.StatusGatewayTimeout)
 	assert.Assert(t, time.Since(began) < 700*time.Millisecond)
 }
+
+// Guards against callers who are refused by all hosts while these start: a request
+// waits until the configuration is confirmed, and for less on a host that was
+// confirmed before.
+func TestHeldWhileTheConfigurationIsConfirmed(t *testing.T) {
+	for name, c := range map[string]struct {
+		before bool
+		after  time.Duration
+		status int
+	}{
+		"starting":             {false, 600 * time.Millisecond, 200},
+		"confirmation ran out": {true, 100 * time.Millisecond, 200},
+		"for too long":         {true, time.Second, 503},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, says(200, "sold"))
+			r.relayer.confirmed.Store(c.before)
+			r.fresh.Store(false)
+			timer := time.AfterFunc(c.after, func() { r.fresh.Store(true) })
+			defer timer.Stop()
+			began := time.Now()
+			assert.Equal(t, r.call("/once/x").status, c.status)
+			assert.Assert(t, time.Since(began) < startHold)
+		})
+	}
+}
