--- a/internal/entry/relayer/harness_test.go
+++ b/internal/entry/relayer/harness_test.go
@@ -196,6 +196,8 @@
 	status int
 	header http.Header
 	body   string
+	// closes is set when the connection ends after the answer.
+	closes bool
 	// broken is the error of reading the body.
 	broken error
 }
@@ -210,13 +212,15 @@
 	for i := 0; i < len(headers); i += 2 {
 		q.Header.Set(headers[i], headers[i+1])
 	}
-	response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(q)
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	response, err := transport.RoundTrip(q)
 	if err != nil {
 		return reply{broken: err}
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
-	return reply{status: response.StatusCode, header: response.Header, body: string(body), broken: err}
+	return reply{status: response.StatusCode, header: response.Header, body: string(body), closes: response.Close, broken: err}
 }
 
 // says answers with a status, headers and a body with its length.
--- a/internal/entry/relayer/relayer_test.go
+++ b/internal/entry/relayer/relayer_test.go
@@ -216,3 +216,34 @@
 		})
 	}
 }
+
+// A planned stop cuts no request off: what is open runs to its end, connections
+// close after their answer, and only then the host is gone.
+func TestPlannedStop(t *testing.T) {
+	release := make(chan struct{})
+	r := newRig(t, func(w io.Writer, q *http.Request) {
+		<-release
+		says(200, "sold")(w, q)
+	})
+	r.relayer.Unready()
+	assert.Assert(t, r.relayer.Draining())
+	answers := make(chan reply, 1)
+	go func() { answers <- r.call("/once/x") }()
+	for r.relayer.Open() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	drained := make(chan error, 1)
+	go func() { drained <- r.relayer.Drain(t.Context()) }()
+	select {
+	case <-drained:
+		t.Fatal("the stop did not wait for an open request")
+	case <-time.After(100 * time.Millisecond):
+	}
+	close(release)
+	a := <-answers
+	assert.NilError(t, a.broken)
+	assert.Equal(t, a.body, "sold")
+	assert.Assert(t, a.closes)
+	assert.NilError(t, <-drained)
+	assert.Assert(t, r.call("/once/x").broken != nil, "the listener is still open")
+}
