--- a/internal/daemon/runner/admin.go
+++ b/internal/daemon/runner/admin.go
@@ -51,7 +51,7 @@
 // Upstreams lists what this host knows of the upstreams.
 func (s source) Upstreams(context.Context) (inspector.Upstreams, error) {
 	e := s.daemon.entry
-	now := e.clock.Now()
+	now := e.awake.Now()
 	list := inspector.Upstreams{Host: e.settings.Name, Upstreams: []inspector.Upstream{}}
 	for _, n := range e.gossiper.Snapshot().Entries(now) {
 		u := inspector.Upstream{
--- a/internal/daemon/runner/entry.go
+++ b/internal/daemon/runner/entry.go
@@ -53,8 +53,10 @@
 
 // entry holds the parts of the entry role.
 type entry struct {
-	settings  *loader.Settings
-	clock     clockwork.Clock
+	settings *loader.Settings
+	clock    clockwork.Clock
+	// awake counts the time for which the machine was suspended, for leases.
+	awake     clockwork.Clock
 	logger    *zap.Logger
 	notice    time.Duration
 	started   time.Time
@@ -151,6 +153,7 @@
 	e := &entry{
 		settings:  d.settings,
 		clock:     d.clock,
+		awake:     newSuspendClock(d.clock, suspendedTime),
 		logger:    d.logger.Named("entry"),
 		notice:    d.notice,
 		started:   d.clock.Now(),
@@ -190,7 +193,7 @@
 		follower.WithHost(string(s.Name), string(s.Centre)),
 		follower.WithDirectory(e.controls),
 		follower.WithStale(follower.Stale(s.Stale)),
-		follower.WithClock(e.clock),
+		follower.WithClock(e.awake),
 		follower.WithLogger(e.logger),
 		follower.WithRank(e.rank),
 		follower.WithOthers(e.others),
@@ -292,7 +295,7 @@
 	}
 	options := []gossiper.Option{
 		gossiper.WithSeeds(s.Seeds...),
-		gossiper.WithClock(e.clock),
+		gossiper.WithClock(e.awake),
 		gossiper.WithLogger(e.logger),
 		gossiper.WithFingerprints(crashes{e.local}),
 		gossiper.WithRevisions(e.follower),
@@ -325,7 +328,7 @@
 	s := dispatcher.Settings{
 		Host:       e.settings.Name,
 		Cell:       e.settings.Cell,
-		Membership: membership{e.gossiper, e.clock, e.settings.Name},
+		Membership: membership{e.gossiper, e.awake, e.settings.Name},
 		Local:      e.local,
 		Client:     e.client,
 		Roams:      e.courier != nil,
--- a/internal/daemon/runner/orders.go
+++ b/internal/daemon/runner/orders.go
@@ -109,7 +109,7 @@
 	v := e.gossiper.Snapshot()
 	cell := e.settings.Cell
 	seen := issuer.Observe{Owner: v.Owner(cell) == e.settings.Name && e.joined()}
-	for _, u := range v.Upstreams(e.clock.Now()) {
+	for _, u := range v.Upstreams(e.awake.Now()) {
 		if orderingCell(u) == cell {
 			seen.Upstreams = append(seen.Upstreams, u)
 		}
