relayer: a connection that can't be made is no attempt

Ruled out: the scheduler (it had granted within 4 ms). Connections now have 0.3 s, and upstreams that were not reached don't count, up to two. Test: TestUnreachableUpstreamIsNoAttempt.

--- a/internal/entry/forwarder/sender.go
+++ b/internal/entry/forwarder/sender.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 
@@ -19,9 +20,16 @@
 // NewSender returns a sender; t is nil when upstreams with https addresses are
 // not called.
 func NewSender(c clockwork.Clock, t dialer.TLS) *Sender {
-	return &Sender{newPool(c, t)}
+	p := newPool(c, t)
+	p.dialer.Timeout = senderDialTimeout
+	return &Sender{p}
 }
 
+// senderDialTimeout bounds the start of a connection. Nothing has been sent by then,
+// so that the request may go to another upstream at once; a lost first packet alone
+// would take a second.
+const senderDialTimeout = 300 * time.Millisecond
+
 // Attempt is one request to one upstream.
 type Attempt struct {
 	Upstream registrar.Upstream
--- a/internal/entry/relayer/attempt.go
+++ b/internal/entry/relayer/attempt.go
@@ -143,7 +143,7 @@
 // where the request may go on elsewhere.
 func (a *attempt) watch(ctx context.Context, left time.Duration) {
 	c := a.call
-	if c.route.Repeat == validator.Once || c.attempts >= c.route.Attempts {
+	if c.route.Repeat == validator.Once || c.attempts+1 >= c.route.Attempts {
 		return
 	}
 	a.limit = min(c.silence(), left)
@@ -256,7 +256,7 @@
 		return failed{cause: errFailedAnswer}
 	}
 	a.first()
-	if response.StatusCode >= 500 && c.route.Repeat != validator.Once && c.attempts < c.route.Attempts {
+	if response.StatusCode >= 500 && c.route.Repeat != validator.Once && c.attempts+1 < c.route.Attempts {
 		return whole
 	}
 	a.pass(whole)
--- a/internal/entry/relayer/call.go
+++ b/internal/entry/relayer/call.go
@@ -33,6 +33,9 @@
 	staleHold = 300 * time.Millisecond
 	// holdPoll is how often a request that waits looks again.
 	holdPoll = 20 * time.Millisecond
+	// maxUnsent bounds the upstreams to which no connection could be made for one
+	// request.
+	maxUnsent = 2
 	// statusClientGone is for logs only; nobody reads the answer.
 	statusClientGone = 499
 	// drawBits is the resolution of the draw among the pools of a route.
@@ -61,8 +64,10 @@
 	deadline time.Time
 
 	// state at the scheduler.
-	ask      scheduler.Request
-	attempts int
+	ask scheduler.Request
+	// attempts counts the upstreams that the request was sent to, and unsent those
+	// to which no connection could be made.
+	attempts, unsent int
 	// mayHaveRun is set once an upstream may have run the request without an
 	// answer that was passed on.
 	mayHaveRun bool
@@ -228,10 +233,14 @@
 		if c.granted.IsZero() {
 			c.granted = c.relayer.clock.Now()
 		}
-		c.attempts++
 		c.upstream, c.predicted = slot.Upstream().Name, slot.Predicted()
 		a := newAttempt(c, slot)
 		result := a.run(ctx)
+		if a.send.Sent.Load() {
+			c.attempts++
+		} else {
+			c.unsent++
+		}
 		if c.settle(ctx, a, result) {
 			return
 		}
@@ -275,7 +284,7 @@
 
 // again prepares a further attempt, if there may be one.
 func (c *call) again(ctx context.Context, a *attempt, allowed bool) bool {
-	if !allowed || ctx.Err() != nil || c.attempts >= c.route.Attempts {
+	if !allowed || ctx.Err() != nil || c.attempts >= c.route.Attempts || c.unsent > maxUnsent {
 		return false
 	}
 	if c.stream.begun && (c.route.Repeat != validator.Resumable || c.stream.events == 0) {
@@ -394,8 +403,8 @@
 	if c.class != nil {
 		fields = append(fields, zap.String("class", string(c.class.Name)), zap.Int("tier", int(c.class.Tier)))
 	}
-	if c.attempts > 0 {
-		fields = append(fields, zap.String("upstream", string(c.upstream)), zap.Int("attempts", c.attempts),
+	if c.upstream != "" {
+		fields = append(fields, zap.String("upstream", string(c.upstream)), zap.Int("attempts", c.attempts), zap.Int("unsent", c.unsent),
 			zap.Duration("queued", c.granted.Sub(c.arrived)), zap.Duration("predicted", c.predicted))
 	}
 	if !c.first.IsZero() {
--- a/internal/entry/relayer/harness_test.go
+++ b/internal/entry/relayer/harness_test.go
@@ -127,6 +127,9 @@
 			Timeout: validator.Duration(2 * time.Second), Attempts: 2, Pools: []validator.PoolShare{{Pool: "ledger", Weight: 1}},
 		})
 	}
+	single := d.Routes[0]
+	single.Name, single.Path, single.Repeat, single.Attempts = "single", "/single/", validator.Once, 1
+	d.Routes = append(d.Routes, single)
 	return d
 }
 
@@ -223,6 +226,14 @@
 	return reply{status: response.StatusCode, header: response.Header, body: string(body), closes: response.Close, broken: err}
 }
 
+// unreachable makes the address of an upstream one where nobody listens.
+func (r *rig) unreachable(i int) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(r.t, err)
+	r.dispatcher.upstreams[i].Address = l.Addr().String()
+	assert.NilError(r.t, l.Close())
+}
+
 // says answers with a status, headers and a body with its length.
 func says(status int, body string, headers ...string) script {
 	return func(w io.Writer, _ *http.Request) {
--- a/internal/entry/relayer/relayer_test.go
+++ b/internal/entry/relayer/relayer_test.go
@@ -247,3 +247,18 @@
 	assert.NilError(t, <-drained)
 	assert.Assert(t, r.call("/once/x").broken != nil, "the listener is still open")
 }
+
+// A connection that can't be made is no attempt: nothing was sent, so that even a
+// request that must run once goes to the next upstream.
+func TestUnreachableUpstreamIsNoAttempt(t *testing.T) {
+	r := newRig(t, says(200, "sold"), says(200, "sold"), says(200, "sold"))
+	r.unreachable(0)
+	r.unreachable(1)
+	a := r.call("/single/x")
+	assert.Equal(t, a.status, 200)
+	assert.Equal(t, r.runs(), 1)
+	r.unreachable(2)
+	a = r.call("/single/x")
+	assert.Equal(t, a.status, http.StatusServiceUnavailable)
+	assert.Equal(t, a.body, "not_run\n")
+}
