--- a/internal/policy/scheduler/placement.go
+++ b/internal/policy/scheduler/placement.go
@@ -21,10 +21,13 @@
 	// harmWeight is the cost of reading beside one running stream of the tightest
 	// class, as a part of the reading time: each chunk of a prompt delays the next
 	// token of every stream.
-	harmWeight = 0.5
+	harmWeight = 1.5
 	// exposureTime is the cost for a stream of the tightest class to run on an
 	// engine that reads all the time.
-	exposureTime = 500 * time.Millisecond
+	exposureTime = time.Second
+	// looseClass is the part that the tightest target for the time between tokens
+	// is of a class's own below which its streams don't mind reading beside them.
+	looseClass = 0.4
 	// loadTime is the time constant of the measured share of time that an engine
 	// reads.
 	loadTime = 3 * time.Second
@@ -223,6 +226,9 @@
 		return 0
 	}
 	part := float64(s.tightest) / float64(c.gap)
+	if part < looseClass {
+		return 0
+	}
 	return part * part
 }
 
@@ -252,8 +258,8 @@
 	return time.Duration(float64(tokens) * (1 + contextWeight*context) * float64(r.pool.reading.perToken()))
 }
 
-// read notes what the engine of a new attempt has to read for it.
-func (s *Scheduler) read(now time.Time, a *attempt) {
+// beginReading notes what the engine of a new attempt has to read for it.
+func (s *Scheduler) beginReading(now time.Time, a *attempt) {
 	r, u := a.request, a.upstream
 	if len(u.attempts) == 0 {
 		u.heard = now
@@ -279,8 +285,8 @@
 // predicted is the predicted time to the first token; 0 when it is unknown.
 func (a *attempt) predicted() time.Duration { return a.ahead + a.reading }
 
-// unread notes the end of an attempt.
-func (s *Scheduler) unread(now time.Time, a *attempt) {
+// endReading notes the end of an attempt.
+func (s *Scheduler) endReading(now time.Time, a *attempt) {
 	u := a.upstream
 	u.memory -= a.memory
 	a.finishReading()
@@ -359,15 +365,15 @@
 func (s *Scheduler) crowdedEngines(now time.Time, r *request) bool {
 	p := r.pool
 	for level := r.class.tier + 1; level <= validator.LowestTier; level++ {
-		if p.toRead[level] > 0 || p.unread(level) > 0 {
+		if p.toRead[level] > 0 || p.unreadTime(level) > 0 {
 			return false
 		}
 	}
 	return s.predictedWait(now, p, r) > time.Duration(crowdedPart*float64(r.class.wait))
 }
 
-// unread is what the engines still read for a tier.
-func (p *pool) unread(level validator.Tier) time.Duration {
+// unreadTime is what the engines still read for a tier.
+func (p *pool) unreadTime(level validator.Tier) time.Duration {
 	var sum time.Duration
 	for _, u := range p.upstreams {
 		sum += u.toRead[level]
--- a/internal/policy/scheduler/scheduler.go
+++ b/internal/policy/scheduler/scheduler.go
@@ -290,7 +290,7 @@
 	a := &attempt{request: r, upstream: u, granted: now, process: u.process()}
 	s.detector.Started(r.Fingerprint, a.process)
 	u.prefixes.add(r.Prefix)
-	s.read(now, a)
+	s.beginReading(now, a)
 	r.attempts = append(r.attempts, a)
 	u.attempts = append(u.attempts, a)
 	a.charge = r.cost(expectedTokens)
@@ -306,7 +306,7 @@
 	}
 	r.attempts = remove(r.attempts, a)
 	a.upstream.attempts = remove(a.upstream.attempts, a)
-	s.unread(now, a)
+	s.endReading(now, a)
 	if a.preempted {
 		r.pool.preempting--
 	}
