dispatcher: keep slots counted while the owner of the cell changes

Cause: the hosts look the owner up 50 ms apart. The one that noticed first took its requests to the new owner and sent their cancellation over the link that it was about to close; the last owner, which had not noticed yet, took their slots for free and granted one to a request that waited. Five requests ran in four slots, and the fifth waited inside the engine behind work of a lower tier, where nothing can give way. An owner that has noticed did the same when it freed the slots kept for others before its own requests had left.

Ruled out: preemption itself (no attempt was asked to give way: the scheduler had granted at once), the pace of the engine, the lease of the host.

Now requests with slots move first, the last route frees them last or not at all (a link), the slots of others are freed once the link to the next owner stands, and a session grants nothing at a host that owns the cell no more.

Before: TestHandOverOfFullEngine red in the first hand-over. After: green in 3 runs of the package with -race. Conclusion: a real fault, on every hand-over with full engines and requests that wait; not the load of the machine.

--- a/internal/entry/dispatcher/cell.go
+++ b/internal/entry/dispatcher/cell.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sort"
 	"strconv"
 	"strings"
 	"sync"
@@ -253,15 +254,27 @@
 	}
 	f.divide()
 	f.settle()
-	if !owning {
-		s.Local.disowned()
-	}
 	if owning || !ok {
 		f.drop()
 		f.cell.reroute(s.Local)
+	} else {
+		f.connect(ctx, owner)
+	}
+	f.disown()
+}
+
+// disown frees the slots that the last owner kept for other hosts, once no request
+// of this host waits for them, or the others have had time to report them to the
+// next owner.
+func (f *follower) disown() {
+	s := f.cell.settings
+	if f.owning {
 		return
 	}
-	f.connect(ctx, owner)
+	linked := f.link != nil && f.link.ready()
+	if linked || s.Clock.Since(f.since) >= collectTime {
+		s.Local.disowned()
+	}
 }
 
 // divide sets the part of the slots that this host's scheduler may use: all
@@ -329,11 +342,14 @@
 	f.link = nil
 }
 
-// reroute hands every open request over to another route.
+// reroute hands every open request over to another route. Those that hold slots go
+// first, so that the new route doesn't grant these slots again, and the old route
+// frees them last, so that it grants them to none that is about to leave.
 func (c *Cell) reroute(to route) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.route == to {
+	from := c.route
+	if from == to {
 		return
 	}
 	c.route = to
@@ -341,10 +357,18 @@
 		c.linked.Store(l)
 		l.introduce()
 	}
-	for _, t := range c.tickets() {
-		t.move(to)
+	all := c.tickets()
+	sort.SliceStable(all, func(i, j int) bool { return all[i].holds() && !all[j].holds() })
+	var left []scheduler.RequestID
+	for _, t := range all {
+		if t.move(to) {
+			left = append(left, t.request.ID)
+		}
 	}
 	if l, ok := to.(*link); ok {
 		l.complete()
 	}
+	for _, id := range left {
+		from.leave(id)
+	}
 }
--- a/internal/entry/dispatcher/link.go
+++ b/internal/entry/dispatcher/link.go
@@ -304,6 +304,14 @@
 	l.post(e)
 }
 
+// leave implements route. The owner, who may be about to hand the cell over, keeps
+// the slots until this host reports again or is gone.
+func (l *link) leave(id scheduler.RequestID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.sinks, id)
+}
+
 func (l *link) finish(f scheduler.Finished, last bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/entry/dispatcher/local.go
+++ b/internal/entry/dispatcher/local.go
@@ -246,6 +246,9 @@
 	l.step(e)
 }
 
+// leave implements route.
+func (l *Local) leave(id scheduler.RequestID) { l.report(scheduler.Cancel{ID: id}) }
+
 func (l *Local) finish(f scheduler.Finished, last bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/entry/dispatcher/server.go
+++ b/internal/entry/dispatcher/server.go
@@ -352,8 +352,12 @@
 	return n.overflowed
 }
 
-// notify is the sink of the host's requests.
+// notify is the sink of the host's requests. A host that owns the cell no more grants
+// nothing: its hosts report their requests to the next owner.
 func (n *session) notify(a scheduler.Action) bool {
+	if !n.server.owns() {
+		return false
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if r, ok := a.(scheduler.Refuse); ok {
--- a/internal/entry/dispatcher/ticket.go
+++ b/internal/entry/dispatcher/ticket.go
@@ -21,6 +21,9 @@
 	submit(r scheduler.Request, n sink)
 	adopt(r scheduler.Request, id registrar.UpstreamID, n sink)
 	report(e scheduler.Event)
+	// leave ends the part of the route in a request whose slots another route has
+	// adopted.
+	leave(id scheduler.RequestID)
 	// finish reports the end of a slot; with the last one the request ends.
 	finish(f scheduler.Finished, last bool)
 }
@@ -84,19 +87,17 @@
 }
 
 // move hands the request over to another route: held slots are adopted there
-// and a request that still waits is queued again.
-func (t *ticket) move(to route) {
+// and a request that still waits is queued again. It reports whether the last route
+// still counts slots of the request; it has to leave them once no request waits
+// there that could be granted them.
+func (t *ticket) move(to route) bool {
 	t.order.Lock()
 	defer t.order.Unlock()
 	t.mu.Lock()
-	if t.closed {
-		t.mu.Unlock()
-		return
-	}
 	from := t.route
-	if from == to {
+	if t.closed || from == to {
 		t.mu.Unlock()
-		return
+		return false
 	}
 	t.route = to
 	t.epoch++
@@ -106,18 +107,27 @@
 		held = append(held, s.location())
 	}
 	t.mu.Unlock()
-	if from != nil {
-		from.report(scheduler.Cancel{ID: t.request.ID})
-	}
-	if len(held) == 0 {
-		r := t.request
-		// The request has passed the limits for new ones at the last route.
-		r.Moved = r.Moved || from != nil
-		to.submit(r, notify)
-	}
 	for _, id := range held {
 		to.adopt(t.request, id, notify)
 	}
+	if len(held) > 0 {
+		return from != nil
+	}
+	if from != nil {
+		from.report(scheduler.Cancel{ID: t.request.ID})
+	}
+	r := t.request
+	// The request has passed the limits for new ones at the last route.
+	r.Moved = r.Moved || from != nil
+	to.submit(r, notify)
+	return false
+}
+
+// holds reports whether the request has a slot.
+func (t *ticket) holds() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.slots) > 0
 }
 
 func (t *ticket) sink(epoch int) sink {
