scheduler: the next owner of a cell knows which prompts are still read

Cause: after a change of the owner the new one counted adopted requests as read, since it could not know.

Ruled out: a wrong time per token (0.03 ms predicted and observed on idle engines); silence of the engines.

Hosts now tell with each slot whether its first token has come.

--- a/internal/entry/dispatcher/fault_test.go
+++ b/internal/entry/dispatcher/fault_test.go
@@ -57,7 +57,7 @@
 			_, all := newMembers(t, "a")
 			m := all["a"]
 			m.local.Observe(registrar.Upstream{Name: "other", Incarnation: 1, Slots: 0})
-			sent := encodeRequest(request("r"), "", time.Now())
+			sent := encodeRequest(request("r"), holding{}, time.Now())
 			n := m.server.begin("b")
 			n.take(&wire.DispatchRequest{Submits: []*wire.SlotRequest{sent}, Complete: true})
 			assert.Equal(t, len(n.inbox().Grants), 1)
@@ -99,12 +99,13 @@
 // recorder is a route that stands for an owner: it records the reports and
 // those that concern a request which it does not know.
 type recorder struct {
-	mu     sync.Mutex
-	enter  func()
-	known  map[scheduler.RequestID]bool
-	events []scheduler.Event
-	lost   []scheduler.Event
-	notify sink
+	mu      sync.Mutex
+	enter   func()
+	known   map[scheduler.RequestID]bool
+	events  []scheduler.Event
+	lost    []scheduler.Event
+	notify  sink
+	adopted holding
 }
 
 func newRecorder(enter func()) *recorder {
@@ -117,7 +118,8 @@
 	r.known[q.ID], r.notify = true, n
 }
 
-func (r *recorder) adopt(q scheduler.Request, _ registrar.UpstreamID, n sink) {
+func (r *recorder) adopt(q scheduler.Request, h holding, n sink) {
+	r.adopted = h
 	r.enter()
 	r.submit(q, n)
 }
@@ -222,7 +224,7 @@
 		m.local.step(scheduler.Tick{})
 	}
 	n := m.server.begin("b")
-	n.take(&wire.DispatchRequest{Submits: []*wire.SlotRequest{encodeRequest(request("far"), "", time.Now())}})
+	n.take(&wire.DispatchRequest{Submits: []*wire.SlotRequest{encodeRequest(request("far"), holding{}, time.Now())}})
 	n.end()
 	hedge("far", "second")
 	assert.Equal(t, m.local.Used("second"), 0)
@@ -291,7 +293,7 @@
 	_, all := newMembers(t, "a")
 	m := all["a"]
 	n := m.server.begin("b")
-	sent := encodeRequest(request("r"), "", time.Now())
+	sent := encodeRequest(request("r"), holding{}, time.Now())
 	n.take(&wire.DispatchRequest{Submits: []*wire.SlotRequest{sent}})
 	n.end()
 	m.local.mu.Lock()
--- a/internal/entry/dispatcher/handover_test.go
+++ b/internal/entry/dispatcher/handover_test.go
@@ -73,3 +73,23 @@
 	view.setOwner("b")
 	assert.Assert(t, !n.notify(grant))
 }
+
+// TestHandOverTellsWhatIsUnread guards against a new owner that takes the engines for
+// idle while they read the prompts that the last one sent there.
+func TestHandOverTellsWhatIsUnread(t *testing.T) {
+	for _, begun := range []bool{false, true} {
+		from, to := newRecorder(func() {}), newRecorder(func() {})
+		k := testTicket()
+		k.move(from)
+		from.notify(scheduler.Grant{ID: "r", Upstream: "engine"})
+		s := (<-k.result).slot
+		if begun {
+			s.FirstToken()
+		}
+		k.move(to)
+		assert.Equal(t, to.adopted.unread, !begun)
+		sent := encodeRequest(request("r"), to.adopted, k.clock.Now())
+		assert.Equal(t, sent.Unread, !begun)
+		assert.Equal(t, sent.Held, "engine")
+	}
+}
--- a/internal/entry/dispatcher/link.go
+++ b/internal/entry/dispatcher/link.go
@@ -270,14 +270,14 @@
 }
 
 func (l *link) submit(r scheduler.Request, n sink) {
-	l.enqueue(r, "", n)
+	l.enqueue(r, holding{}, n)
 }
 
-func (l *link) adopt(r scheduler.Request, id registrar.UpstreamID, n sink) {
-	l.enqueue(r, id, n)
+func (l *link) adopt(r scheduler.Request, h holding, n sink) {
+	l.enqueue(r, h, n)
 }
 
-func (l *link) enqueue(r scheduler.Request, held registrar.UpstreamID, n sink) {
+func (l *link) enqueue(r scheduler.Request, held holding, n sink) {
 	m := encodeRequest(r, held, l.settings.Clock.Now())
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/entry/dispatcher/local.go
+++ b/internal/entry/dispatcher/local.go
@@ -214,7 +214,8 @@
 }
 
 // adopt records a slot that another owner granted.
-func (l *Local) adopt(r scheduler.Request, id registrar.UpstreamID, n sink) {
+func (l *Local) adopt(r scheduler.Request, h holding, n sink) {
+	id := h.upstream
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	o, ok := l.requests[r.ID]
@@ -230,7 +231,7 @@
 		return
 	}
 	o.hold(id)
-	l.step(scheduler.Adopt{Request: r, Upstream: id})
+	l.step(scheduler.Adopt{Request: r, Upstream: id, Unread: h.unread})
 }
 
 // report passes on news of an attempt.
--- a/internal/entry/dispatcher/message.go
+++ b/internal/entry/dispatcher/message.go
@@ -9,7 +9,7 @@
 	"github.com/amaranthcart/amaranthcart/internal/rpc/wire"
 )
 
-func encodeRequest(r scheduler.Request, held registrar.UpstreamID, now time.Time) *wire.SlotRequest {
+func encodeRequest(r scheduler.Request, held holding, now time.Time) *wire.SlotRequest {
 	m := &wire.SlotRequest{
 		Id:           string(r.ID),
 		Pool:         string(r.Pool),
@@ -25,7 +25,8 @@
 		Fingerprint:  r.Fingerprint,
 		Emitted:      uint32(max(r.Emitted, 0)),
 		Age:          now.Sub(r.Arrived).Milliseconds(),
-		Held:         string(held),
+		Held:         string(held.upstream),
+		Unread:       held.unread,
 		Spilled:      string(r.Spilled),
 		Busy:         r.Busy,
 		Rescue:       r.Rescue,
--- a/internal/entry/dispatcher/outbox_test.go
+++ b/internal/entry/dispatcher/outbox_test.go
@@ -54,7 +54,7 @@
 	for i := range requests {
 		r := request(fmt.Sprint(i))
 		r.Prefix = make([]uint64, 100)
-		l.adopt(r, "engine", unattended)
+		l.adopt(r, holding{upstream: "engine"}, unattended)
 	}
 	l.complete()
 	for i := range requests {
@@ -88,7 +88,7 @@
 	for range maxQueued {
 		assert.Assert(t, n.notify(scheduler.Preempt{ID: "other", Upstream: "engine"}))
 	}
-	submit := &wire.DispatchRequest{Submits: []*wire.SlotRequest{encodeRequest(request("r"), "", time.Now())}}
+	submit := &wire.DispatchRequest{Submits: []*wire.SlotRequest{encodeRequest(request("r"), holding{}, time.Now())}}
 	n.take(submit)
 	assert.Equal(t, m.local.Used("engine"), 0, "a slot whose grant was dropped stays in use")
 	n.batch()
--- a/internal/entry/dispatcher/server.go
+++ b/internal/entry/dispatcher/server.go
@@ -286,7 +286,7 @@
 		return
 	}
 	n.confirm(r.ID, registrar.UpstreamID(m.Held))
-	l.adopt(r, registrar.UpstreamID(m.Held), n.notify)
+	l.adopt(r, holding{upstream: registrar.UpstreamID(m.Held), unread: m.Unread}, n.notify)
 }
 
 // forgo frees the slots of a request that waits at its host: their grants were
--- a/internal/entry/dispatcher/ticket.go
+++ b/internal/entry/dispatcher/ticket.go
@@ -19,7 +19,7 @@
 // route is the place where a request is scheduled: this host or the owner.
 type route interface {
 	submit(r scheduler.Request, n sink)
-	adopt(r scheduler.Request, id registrar.UpstreamID, n sink)
+	adopt(r scheduler.Request, h holding, n sink)
 	report(e scheduler.Event)
 	// leave ends the part of the route in a request whose slots another route has
 	// adopted.
@@ -28,6 +28,13 @@
 	finish(f scheduler.Finished, last bool)
 }
 
+// holding is a slot in use, as another route is told of it.
+type holding struct {
+	upstream registrar.UpstreamID
+	// unread is set while the upstream has brought no token.
+	unread bool
+}
+
 // finder looks an upstream up in this host's view.
 type finder func(registrar.UpstreamID) (registrar.Upstream, bool)
 
@@ -102,13 +109,13 @@
 	t.route = to
 	t.epoch++
 	notify := t.sink(t.epoch)
-	held := make([]registrar.UpstreamID, 0, len(t.slots))
+	held := make([]holding, 0, len(t.slots))
 	for _, s := range t.slots {
-		held = append(held, s.location())
+		held = append(held, holding{upstream: s.location(), unread: !s.begun})
 	}
 	t.mu.Unlock()
-	for _, id := range held {
-		to.adopt(t.request, id, notify)
+	for _, h := range held {
+		to.adopt(t.request, h, notify)
 	}
 	if len(held) > 0 {
 		return from != nil
@@ -263,6 +270,8 @@
 	// Guarded by the ticket's lock.
 	yielded bool
 	left    bool
+	// begun is set from the first token on.
+	begun bool
 
 	mu       sync.Mutex
 	released bool
@@ -290,6 +299,9 @@
 
 // FirstToken reports the first token.
 func (s *slot) FirstToken() {
+	s.ticket.mu.Lock()
+	s.begun = true
+	s.ticket.mu.Unlock()
 	s.ticket.report(scheduler.FirstToken{ID: s.identity(), Upstream: s.location()})
 }
 
--- a/internal/policy/scheduler/hedge_test.go
+++ b/internal/policy/scheduler/hedge_test.go
@@ -52,7 +52,7 @@
 		"in one piece":   {func(r *Request) { r.Whole = true }, nil, late, ""},
 		"lower tier":     {func(r *Request) { r.Class = "low" }, nil, late, ""},
 		"suspect": {func(r *Request) { r.Fingerprint = "f" }, func(s *Scheduler, now time.Time) {
-			s.Step(now, Adopt{Request{ID: "x", Pool: "m", Fingerprint: "f"}, "c"})
+			s.Step(now, Adopt{Request: Request{ID: "x", Pool: "m", Fingerprint: "f"}, Upstream: "c"})
 			s.Step(now, done("x", "c", Crashed))
 		}, late, ""},
 		"has a token": {nil, func(s *Scheduler, now time.Time) {
@@ -64,24 +64,24 @@
 		}, late, ""},
 		"another pool needs the slot": {nil, func(s *Scheduler, now time.Time) {
 			o := Request{ID: "o", Pool: "n", Class: "top", Fingerprint: "f"}
-			s.Step(now, Adopt{Request{ID: "x", Pool: "n", Fingerprint: "f"}, "gone"})
+			s.Step(now, Adopt{Request: Request{ID: "x", Pool: "n", Fingerprint: "f"}, Upstream: "gone"})
 			s.Step(now, Submit{o})
 		}, late, "r+c"},
 		"many prompts in process": {nil, func(s *Scheduler, now time.Time) {
-			s.Step(now, Adopt{Request{ID: "x", Pool: "m", Whole: true}, "b"})
-			s.Step(now, Adopt{Request{ID: "y", Pool: "m", Whole: true}, "c"})
+			s.Step(now, Adopt{Request: Request{ID: "x", Pool: "m", Whole: true}, Upstream: "b"})
+			s.Step(now, Adopt{Request: Request{ID: "y", Pool: "m", Whole: true}, Upstream: "c"})
 		}, late, ""},
 		"several stuck on one upstream": {nil, func(s *Scheduler, now time.Time) {
 			for i := range 5 {
 				x := Request{ID: RequestID(fmt.Sprint("x", i)), Pool: "m", Class: "top"}
-				s.Step(now, Adopt{x, "a"})
+				s.Step(now, Adopt{Request: x, Upstream: "a"})
 			}
 		}, late, "r+b"},
 		"slots needed": {nil, func(s *Scheduler, now time.Time) {
 			for i := range 3 {
 				for _, u := range []string{"b", "c"} {
 					id := RequestID(fmt.Sprint(u, i))
-					s.Step(now, Adopt{Request{ID: id, Pool: "m"}, registrar.UpstreamID(u)})
+					s.Step(now, Adopt{Request: Request{ID: id, Pool: "m"}, Upstream: registrar.UpstreamID(u)})
 					s.Step(now, FirstToken{ID: id, Upstream: registrar.UpstreamID(u)})
 				}
 			}
--- a/internal/policy/scheduler/move_test.go
+++ b/internal/policy/scheduler/move_test.go
@@ -36,7 +36,7 @@
 				for i := range 2 {
 					if i == 0 || c.full {
 						x := Request{ID: RequestID(id + string(rune('0'+i))), Pool: "m", Class: "low"}
-						s.Step(now, Adopt{x, s.upstreams[engine(id, 2).Name].Name})
+						s.Step(now, Adopt{Request: x, Upstream: s.upstreams[engine(id, 2).Name].Name})
 						s.Step(now, FirstToken{ID: x.ID, Upstream: engine(id, 2).Name})
 					}
 				}
--- a/internal/policy/scheduler/placement_test.go
+++ b/internal/policy/scheduler/placement_test.go
@@ -262,3 +262,24 @@
 	}
 	assert.Assert(t, same > subjects*3/4, "%d of %d subjects are found", same, subjects)
 }
+
+// Pattern: the owner of a cell changes at the height of a burst. The next one knows
+// which prompts the engines still read, and sends no more to those that have a long
+// queue than the last owner would have.
+func TestNextOwnerKnowsTheQueues(t *testing.T) {
+	f := newEngineFleet(t, 2)
+	for i := range 8 {
+		f.step(Adopt{Request: Request{
+			ID: RequestID(fmt.Sprint("a", i)), Pool: "m", Class: "summary", Prompt: sharedPart + ownPart, Limit: 150, Rescue: true,
+			Prefix: []uint64{uint64(i + 1), uint64(1_000_000 + i)}, Ends: []int{sharedPart, sharedPart + ownPart},
+		}, Upstream: "engine-0", Unread: true})
+	}
+	for range 3 {
+		id := f.summary(uint64(100 + f.next))
+		assert.Equal(t, f.running[id], registrar.UpstreamID("engine-1"))
+	}
+	for i := range 8 {
+		f.step(FirstToken{ID: RequestID(fmt.Sprint("a", i)), Upstream: "engine-0"})
+	}
+	assert.Equal(t, f.s.upstreams["engine-0"].backlog(f.now), time.Duration(0))
+}
--- a/internal/policy/scheduler/scheduler.go
+++ b/internal/policy/scheduler/scheduler.go
@@ -82,7 +82,7 @@
 	case Submit:
 		s.submit(now, e.Request)
 	case Adopt:
-		s.adopt(now, e.Request, e.Upstream)
+		s.adopt(now, e)
 	case Cancel:
 		s.cancel(now, e.ID)
 	case FirstToken:
@@ -187,7 +187,8 @@
 	r.organisation.open--
 }
 
-func (s *Scheduler) adopt(now time.Time, sent Request, id registrar.UpstreamID) {
+func (s *Scheduler) adopt(now time.Time, e Adopt) {
+	sent, id := e.Request, e.Upstream
 	r := s.requests[sent.ID]
 	if r == nil {
 		r = s.open(now, sent, s.pool(sent.Pool), s.organisation(sent.Organisation))
@@ -201,9 +202,11 @@
 		u.gone = true
 		s.upstreams[id] = u
 	}
-	// What the engine has read of it already is not known here.
-	s.start(now, r, u).finishReading()
-	s.reviewReading(now, u)
+	a := s.start(now, r, u)
+	if !e.Unread {
+		a.finishReading()
+		s.reviewReading(now, u)
+	}
 }
 
 func (s *Scheduler) cancel(now time.Time, id RequestID) {
--- a/internal/policy/scheduler/scheduler_test.go
+++ b/internal/policy/scheduler/scheduler_test.go
@@ -107,7 +107,7 @@
 		"connection lost but announces on": {one, {0, ask("r", "top", "small"), "r>a"},
 			{0, done("r", "a", Crashed), ""}, {0, ask("s", "top", "small"), ""},
 			{0, Observe{back}, ""}, {0, Observe{alive}, "s>a"}},
-		"adopted slots count": {{0, Adopt{ask("r", "top", "small").Request, "a"}, ""}, one,
+		"adopted slots count": {{0, Adopt{Request: ask("r", "top", "small").Request, Upstream: "a"}, ""}, one,
 			{0, ask("s", "top", "small"), ""}, {0, done("r", "a", Completed), "s>a"}},
 		"cancel frees the slot": {one, {0, ask("r", "top", "small"), "r>a"},
 			{0, ask("s", "top", "small"), ""}, {0, ask("t", "top", "small"), ""},
--- a/internal/policy/scheduler/types.go
+++ b/internal/policy/scheduler/types.go
@@ -147,6 +147,9 @@
 type Adopt struct {
 	Request  Request
 	Upstream registrar.UpstreamID
+	// Unread is set when the upstream has brought no token yet: it still reads the
+	// prompt.
+	Unread bool
 }
 
 // Cancel withdraws a request that waits or runs.
