scheduler: a busy engine isn't taken for a silent one

Two reasons: an engine that reads one very long prompt (predicted 2.3 s) generates nothing meanwhile and counted as silent after 1.2 s; and hosts told of progress with each eighth event only, which takes longer than 1.2 s where events come every 150 to 200 ms.

Ruled out: engines that were really silent (the streams' own upstreams answered other requests), restarts, the links between the hosts.

An engine that generates nothing now has until its prompts should have been read, and 1.2 s more; each event counts as a sign of life (reports stay bounded to two a second for each stream).

--- a/internal/entry/relayer/harness_test.go
+++ b/internal/entry/relayer/harness_test.go
@@ -57,6 +57,7 @@
 	upstreams []registrar.Upstream
 	refusal   *dispatcher.RefusedError
 	asked     []scheduler.Request
+	progress  []int
 	outcomes  []scheduler.Outcome
 }
 
@@ -88,10 +89,15 @@
 func (s *fakeSlot) Priority() int                  { return 1 }
 func (s *fakeSlot) Predicted() time.Duration       { return 0 }
 func (s *fakeSlot) FirstToken()                    {}
-func (s *fakeSlot) Progress(int)                   {}
 func (s *fakeSlot) Preempted() <-chan struct{}     { return nil }
 func (s *fakeSlot) Gone() <-chan struct{}          { return nil }
 func (s *fakeSlot) Hedged() <-chan dispatcher.Slot { return nil }
+func (s *fakeSlot) Progress(tokens int) {
+	s.dispatcher.mu.Lock()
+	defer s.dispatcher.mu.Unlock()
+	s.dispatcher.progress = append(s.dispatcher.progress, tokens)
+}
+
 func (s *fakeSlot) Release(o scheduler.Outcome, _ int) {
 	s.dispatcher.mu.Lock()
 	defer s.dispatcher.mu.Unlock()
--- a/internal/entry/relayer/relayer_test.go
+++ b/internal/entry/relayer/relayer_test.go
@@ -120,6 +120,11 @@
 		assert.NilError(t, a.broken)
 		assert.Equal(t, a.body, parts(1, 4))
 	})
+	t.Run("each event is a sign of life", func(t *testing.T) {
+		r := newRig(t, events(1, 4, true))
+		r.call("/once/x")
+		assert.DeepEqual(t, r.dispatcher.progress, []int{1, 2, 3, 4})
+	})
 	t.Run("goes on elsewhere after the last whole event", func(t *testing.T) {
 		r := newRig(t, events(1, 3, false), events(4, 6, true))
 		a := r.call("/resumable/x")
--- a/internal/entry/relayer/stream.go
+++ b/internal/entry/relayer/stream.go
@@ -16,9 +16,6 @@
 	readBuffer = 4 << 10
 	// maxEvent bounds one event in bytes.
 	maxEvent = 1 << 20
-	// progressEvents is the number of events after which the scheduler is told
-	// of the progress.
-	progressEvents = 8
 )
 
 var (
@@ -90,9 +87,7 @@
 	if c.stream.events == 1 {
 		a.first()
 	}
-	if c.stream.events%progressEvents == 0 {
-		a.slot.Progress(c.stream.events)
-	}
+	a.slot.Progress(c.stream.events)
 	return nil
 }
 
--- a/internal/policy/scheduler/placement_test.go
+++ b/internal/policy/scheduler/placement_test.go
@@ -206,6 +206,19 @@
 	assert.Equal(t, f.running[f.hint()], f.running[other])
 }
 
+// Pattern: an engine reads one very long prompt and generates nothing meanwhile. It is
+// left alone until the prompt should long have been read.
+func TestLongPromptIsNotSilence(t *testing.T) {
+	f := newEngineFleet(t, 2)
+	id := f.submit(Request{Class: "summary", Prompt: 150_000, Limit: 150, Prefix: []uint64{5}, Ends: []int{150_000}})
+	assert.Assert(t, f.running[id] != "")
+	read := 150_000 * defaultPerToken
+	f.pass(read + silentTime - 2*TickInterval)
+	assert.Equal(t, f.asked[id], 0)
+	f.pass(4 * TickInterval)
+	assert.Equal(t, f.asked[id], 1)
+}
+
 // Pattern: the owner of a cell changes under load. What runs already is not taken
 // for work that has to be read again.
 func TestAdoptedRequestsAddNoReading(t *testing.T) {
--- a/internal/policy/scheduler/silence.go
+++ b/internal/policy/scheduler/silence.go
@@ -7,8 +7,8 @@
 
 const (
 	// silentTime is how long an upstream that has work may show no sign of life.
-	// An engine that batches shows one every few dozen milliseconds, and at the
-	// latest when it has read the longest prompt.
+	// An engine that batches shows one every few dozen milliseconds while it
+	// generates, and hosts report them twice a second.
 	silentTime = 1200 * time.Millisecond
 	// silentPause is how long a silent upstream gets no work while there are
 	// others.
@@ -25,6 +25,16 @@
 // life.
 func (u *upstream) isSilent(now time.Time) bool { return now.Before(u.silent) }
 
+// deadline is when the upstream counts as silent. One that generates nothing shows no
+// sign of life until it has read a prompt, and prompts may be long.
+func (u *upstream) deadline() time.Time {
+	generates := slices.ContainsFunc(u.attempts, func(a *attempt) bool { return !a.first.IsZero() })
+	if generates || u.reading.Before(u.heard) {
+		return u.heard.Add(silentTime)
+	}
+	return u.reading.Add(silentTime)
+}
+
 // watched reports whether the upstream runs requests that are expected to show
 // signs of life. Long answers in one piece show none.
 func (u *upstream) watched() bool {
@@ -35,7 +45,7 @@
 // requests of all hosts: a single host can't tell a silent engine from a busy one.
 func (s *Scheduler) watch(now time.Time) {
 	for _, u := range s.upstreams {
-		if now.Sub(u.heard) < silentTime || u.isSilent(now) || !u.watched() {
+		if now.Before(u.deadline()) || u.isSilent(now) || !u.watched() {
 			continue
 		}
 		u.silent = now.Add(silentPause)
