scheduler: count the rest of the prompt that an engine is reading for urgent requests

Cause: the predicted time to the first token counts a quarter of what an engine reads for lower tiers.

Ruled out: the speed that was learned (0.0327 ms a token, 0.0323 fitted).

--- a/internal/policy/scheduler/placement.go
+++ b/internal/policy/scheduler/placement.go
@@ -165,12 +165,28 @@
 }
 
 // backlogFor is the part of the backlog that a request of a tier has to wait for.
-// Engines begin the more urgent requests first, and only finish a chunk of the
-// others.
+// Engines begin the more urgent requests first, but finish the prompt that they are
+// reading.
 func (u *upstream) backlogFor(now time.Time, level validator.Tier) time.Duration {
 	all := u.backlog(now)
 	before := u.backlogAbove(now, level)
-	return before + time.Duration(lowerWeight*float64(all-before))
+	begun := min(u.unfinishedRead(now, level), all-before)
+	return before + begun + time.Duration(lowerWeight*float64(all-before-begun))
+}
+
+// unfinishedRead is what is left of the prompt that the engine is reading, if that is
+// for a tier below the level.
+func (u *upstream) unfinishedRead(now time.Time, level validator.Tier) time.Duration {
+	var oldest *attempt
+	for _, a := range u.attempts {
+		if a.reading > 0 && (oldest == nil || a.granted.Before(oldest.granted)) {
+			oldest = a
+		}
+	}
+	if oldest == nil || oldest.tier <= level {
+		return 0
+	}
+	return max(oldest.reading-now.Sub(oldest.granted), time.Duration(overrunPart*float64(oldest.reading)))
 }
 
 // backlogAbove is the part of the backlog of a tier and those above it.
--- a/internal/policy/scheduler/placement_test.go
+++ b/internal/policy/scheduler/placement_test.go
@@ -206,6 +206,18 @@
 	assert.Equal(t, f.running[f.hint()], f.running[other])
 }
 
+// Pattern: very long prompts of a low tier on some engines. Urgent requests with a
+// short prompt go to the others, also where these have more requests: an engine
+// finishes the prompt that it has begun.
+func TestUrgentRequestsAvoidLongReads(t *testing.T) {
+	f := newEngineFleet(t, 2)
+	long := f.submit(Request{Class: "summary", Prompt: 40_000, Limit: 150, Prefix: []uint64{5}, Ends: []int{40_000}})
+	for range 18 {
+		id := f.hint()
+		assert.Assert(t, f.running[id] != f.running[long])
+	}
+}
+
 // Pattern: an engine reads one very long prompt and generates nothing meanwhile. It is
 // left alone until the prompt should long have been read.
 func TestLongPromptIsNotSilence(t *testing.T) {
