--- a/cmd/amaranthd/cut_test.go
+++ b/cmd/amaranthd/cut_test.go
@@ -1,13 +1,10 @@
 package main_test
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -18,7 +15,6 @@
 	"github.com/sourcegraph/conc"
 	"gotest.tools/v3/assert"
 
-	"github.com/amaranthcart/amaranthcart/builder"
 	"github.com/amaranthcart/amaranthcart/internal/ops/inspector"
 	"github.com/amaranthcart/amaranthcart/internal/order/issuer"
 	"github.com/amaranthcart/amaranthcart/internal/settings/loader"
@@ -85,24 +81,6 @@
 	d.start("reference", "amaranthstub", "--name", "reference", "--listen", d.stubs["reference"], "--model", "lucka")
 }
 
-// patientDocument has targets that a busy machine meets; more parts are added.
-func patientDocument(t testing.TB, note string, first, gap, total time.Duration, more ...builder.Part) string {
-	t.Helper()
-	chat := builder.Class("chat", builder.Tier(0), builder.First(first), builder.Gap(gap), builder.Wait(time.Minute))
-	plain := builder.Class("plain", builder.Tier(1), builder.Total(total), builder.Wait(10*time.Second))
-	extra := builder.Class("extra-"+note, builder.Tier(3), builder.Total(time.Minute), builder.Wait(time.Minute))
-	var b bytes.Buffer
-	assert.NilError(t, builder.New(append([]builder.Part{
-		chat, plain, extra,
-		builder.Organisation("home", builder.Share(1), builder.Key(key)),
-		builder.Model("lucka", chat, builder.Also(extra)),
-		builder.Service("shop", plain, builder.Once("POST", "/renew"), builder.Repeatable("GET", "/check")),
-	}, more...)...).Print(&b))
-	file := filepath.Join(t.TempDir(), "document.json")
-	assert.NilError(t, os.WriteFile(file, b.Bytes(), 0o600))
-	return file
-}
-
 // view is what an entry host tells about the class of a model.
 func (d *deployment) view(entry string) inspector.Explanation {
 	var x inspector.Explanation
--- a/cmd/amaranthd/process_test.go
+++ b/cmd/amaranthd/process_test.go
@@ -253,19 +253,33 @@
 	}
 }
 
+// targets are the times of the classes of a document.
+type targets struct{ first, gap, total, wait time.Duration }
+
 // document is a configuration of the test's own with a known key.
 func document(t testing.TB, note string) string {
 	t.Helper()
-	var b bytes.Buffer
-	chat := builder.Class("chat", builder.Tier(0), builder.First(2*time.Second), builder.Gap(time.Second), builder.Wait(10*time.Second))
-	plain := builder.Class("plain", builder.Tier(1), builder.Total(2*time.Second), builder.Wait(10*time.Second))
+	return targeted(t, note, targets{first: 2 * time.Second, gap: time.Second, total: 2 * time.Second, wait: 10 * time.Second})
+}
+
+// patientDocument has targets that a busy machine meets; more parts are added.
+func patientDocument(t testing.TB, note string, first, gap, total time.Duration, more ...builder.Part) string {
+	t.Helper()
+	return targeted(t, note, targets{first: first, gap: gap, total: total, wait: time.Minute}, more...)
+}
+
+func targeted(t testing.TB, note string, a targets, more ...builder.Part) string {
+	t.Helper()
+	chat := builder.Class("chat", builder.Tier(0), builder.First(a.first), builder.Gap(a.gap), builder.Wait(a.wait))
+	plain := builder.Class("plain", builder.Tier(1), builder.Total(a.total), builder.Wait(10*time.Second))
 	extra := builder.Class("extra-"+note, builder.Tier(3), builder.Total(time.Minute), builder.Wait(time.Minute))
-	assert.NilError(t, builder.New(
+	var b bytes.Buffer
+	assert.NilError(t, builder.New(append([]builder.Part{
 		chat, plain, extra,
 		builder.Organisation("home", builder.Share(1), builder.Key(key)),
 		builder.Model("lucka", chat, builder.Also(extra)),
 		builder.Service("shop", plain, builder.Once("POST", "/renew"), builder.Repeatable("GET", "/check")),
-	).Print(&b))
+	}, more...)...).Print(&b))
 	file := filepath.Join(t.TempDir(), "document.json")
 	assert.NilError(t, os.WriteFile(file, b.Bytes(), 0o600))
 	return file
--- a/internal/config/follower/network.go
+++ b/internal/config/follower/network.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -25,30 +24,21 @@
 	Close()
 }
 
+// maxClients bounds the hosts to which connections are kept.
+const maxClients = 1000
+
 type network struct {
 	tls     dialer.TLS
-	mu      sync.Mutex
-	clients map[string]*dialer.Client
+	clients *dialer.Pool
 }
 
 func newNetwork(t dialer.TLS) *network {
-	return &network{tls: t, clients: map[string]*dialer.Client{}}
-}
-
-func (n *network) client(key string) *dialer.Client {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	c := n.clients[key]
-	if c == nil {
-		c = dialer.New(dialer.WithTLS(n.tls))
-		n.clients[key] = c
-	}
-	return c
+	return &network{tls: t, clients: dialer.NewPool(maxClients, dialer.WithTLS(t))}
 }
 
 // Confirm asks a control host.
 func (n *network) Confirm(ctx context.Context, address string, q *wire.ConfirmRequest) (*wire.ConfirmResponse, error) {
-	c := n.client(address)
+	c := n.clients.Client(address)
 	a, err := wireconnect.NewControlClient(c, dialer.URL(address), dialer.Options()...).Confirm(ctx, connect.NewRequest(q))
 	if err != nil {
 		c.Renew()
@@ -78,7 +68,7 @@
 
 // Fetch gets a revision from a peer or a control host.
 func (n *network) Fetch(ctx context.Context, source Source, number uint64) (*wire.Revision, error) {
-	c := n.client(source.Address)
+	c := n.clients.Client(source.Address)
 	var r *wire.Revision
 	var err error
 	if source.Peer {
@@ -105,13 +95,7 @@
 }
 
 // Close closes the connections.
-func (n *network) Close() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for _, c := range n.clients {
-		c.Close()
-	}
-}
+func (n *network) Close() { n.clients.Close() }
 
 func decodeRevision(r *wire.Revision) Revision {
 	return Revision{Number: r.GetNumber(), Document: r.GetDocument(), Digest: r.GetDigest(), Accepted: time.Unix(0, r.GetAccepted())}
--- a/internal/entry/forwarder/distrust.go
+++ b/internal/entry/forwarder/distrust.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -53,7 +54,7 @@
 			delete(d.until, u)
 			continue
 		}
-		if !contains(list, u) {
+		if !slices.Contains(list, u) {
 			list = append(list, u)
 		}
 	}
--- a/internal/entry/forwarder/session.go
+++ b/internal/entry/forwarder/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strings"
 	"time"
 
@@ -252,7 +253,7 @@
 	for {
 		select {
 		case c := <-results:
-			running = without(running, c)
+			running = slices.DeleteFunc(running, func(o *candidate) bool { return o == c })
 			if c.err == nil {
 				s.run = DidRun
 				s.lose(running, results)
@@ -330,13 +331,13 @@
 	}
 	name := c.slot.Upstream().Name
 	switch {
-	case o == scheduler.Silent && !contains(s.silent, name):
+	case o == scheduler.Silent && !slices.Contains(s.silent, name):
 		// Only this connection may be dead: a new one is tried first.
 		s.silent = append(s.silent, name)
 		s.forwarder.pool.discard(c.slot.Upstream().Address, c.transport)
 	case c.stale(err):
 		s.forwarder.pool.discard(c.slot.Upstream().Address, c.transport)
-	case o != scheduler.Preempted && o != scheduler.Abandoned && !contains(s.request.Avoid, name):
+	case o != scheduler.Preempted && o != scheduler.Abandoned && !slices.Contains(s.request.Avoid, name):
 		s.request.Avoid = append(s.request.Avoid[:len(s.request.Avoid):len(s.request.Avoid)], name)
 	}
 	c.close(o, tokens)
@@ -375,22 +376,3 @@
 		c.cancel(cause)
 	}
 }
-
-func without(list []*candidate, c *candidate) []*candidate {
-	var rest []*candidate
-	for _, o := range list {
-		if o != c {
-			rest = append(rest, o)
-		}
-	}
-	return rest
-}
-
-func contains(list []registrar.UpstreamID, name registrar.UpstreamID) bool {
-	for _, n := range list {
-		if n == name {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/member/gossiper/peer.go
+++ b/internal/member/gossiper/peer.go
@@ -308,38 +308,17 @@
 }
 
 // caller makes exchanges over the network.
-type caller struct {
-	tls     dialer.TLS
-	mu      sync.Mutex
-	clients map[string]*dialer.Client
-}
+type caller struct{ clients *dialer.Pool }
 
 func newCaller(t dialer.TLS) *caller {
-	return &caller{tls: t, clients: map[string]*dialer.Client{}}
-}
-
-func (c *caller) client(address string) *dialer.Client {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	d := c.clients[address]
-	if d == nil {
-		if len(c.clients) > MaxAddresses {
-			for a, old := range c.clients {
-				old.Close()
-				delete(c.clients, a)
-			}
-		}
-		d = dialer.New(dialer.WithTLS(c.tls))
-		c.clients[address] = d
-	}
-	return d
+	return &caller{clients: dialer.NewPool(MaxAddresses, dialer.WithTLS(t))}
 }
 
 // Exchange makes a call. When half of the time passes without an answer the
 // connection may be silent for good, so the call is made once more on a new
 // connection; an exchange may be repeated without harm.
 func (c *caller) Exchange(ctx context.Context, address string, q *wire.GossipRequest) (*wire.GossipResponse, error) {
-	d := c.client(address)
+	d := c.clients.Client(address)
 	client := wireconnect.NewPeerClient(d, dialer.URL(address), dialer.Options()...)
 	first, cancel := context.WithTimeout(ctx, Timeout/2)
 	defer cancel()
@@ -358,13 +337,7 @@
 }
 
 // Close closes the connections.
-func (c *caller) Close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, d := range c.clients {
-		d.Close()
-	}
-}
+func (c *caller) Close() { c.clients.Close() }
 
 // Traffic counts what the exchanges that this host started have carried.
 type Traffic struct {
