runner: founders are kept in the data folder until the group has formed

One that ended before it had formed was told at its next start that the system runs already, and the group never formed.

Ruled out: forming with fewer founders, since two groups could form.

A founder now keeps the list in its data folder; a host that lost its disk has none and waits for a group, as before. Writing a small file whole moved from the follower to the journaler, for both. Before: TestControlLostBeforeItForms red after 30 s. After: green.

--- a/internal/config/follower/file.go
+++ b/internal/config/follower/file.go
@@ -10,6 +10,8 @@
 	"os"
 	"path/filepath"
 	"time"
+
+	"github.com/amaranthcart/amaranthcart/internal/storage/journaler"
 )
 
 // FileName is the file in the data folder that holds the last revision.
@@ -55,51 +57,13 @@
 }
 
 // save replaces the file so that after a crash it holds either revision whole.
-func save(folder string, r Revision) (err error) {
-	defer func() {
-		if err != nil {
-			err = fmt.Errorf("store revision %d: %w", r.Number, err)
-		}
-	}()
+func save(folder string, r Revision) error {
 	data, err := json.Marshal(record{Number: r.Number, Digest: r.Digest, Accepted: r.Accepted, Document: string(r.Document)})
-	if err != nil {
-		return err
-	}
-	f, err := os.CreateTemp(folder, FileName+".*.tmp")
-	if err != nil {
-		return err
-	}
-	defer func() {
-		if err != nil {
-			err = errors.Join(err, ignoreMissing(os.Remove(f.Name())))
-		}
-	}()
-	if _, err = f.Write(data); err != nil {
-		return errors.Join(err, f.Close())
-	}
-	if err = f.Sync(); err != nil {
-		return errors.Join(err, f.Close())
+	if err == nil {
+		err = journaler.ReplaceFile(folder, FileName, data)
 	}
-	if err = f.Close(); err != nil {
-		return err
-	}
-	if err = os.Rename(f.Name(), filepath.Join(folder, FileName)); err != nil {
-		return err
-	}
-	return syncFolder(folder)
-}
-
-func ignoreMissing(err error) error {
-	if errors.Is(err, fs.ErrNotExist) {
-		return nil
-	}
-	return err
-}
-
-func syncFolder(folder string) error {
-	d, err := os.Open(folder)
 	if err != nil {
-		return err
+		return fmt.Errorf("store revision %d: %w", r.Number, err)
 	}
-	return errors.Join(d.Sync(), d.Close())
+	return nil
 }
--- a/internal/daemon/runner/control.go
+++ b/internal/daemon/runner/control.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"path/filepath"
-	"slices"
 	"strings"
 
 	"connectrpc.com/connect"
@@ -23,7 +22,7 @@
 		Address:  s.Advertise,
 		Folder:   filepath.Join(s.Data, "control"),
 		Centre:   string(s.Centre),
-		Peers:    founders(s),
+		Peers:    d.founders(),
 		Contacts: contacts(s),
 		Voters:   s.Voters,
 		TLS:      d.tls(),
@@ -40,16 +39,6 @@
 	return nil
 }
 
-// founders are the hosts that form the group when there is none yet.
-func founders(s *loader.Settings) []coordinator.Peer {
-	if s.Voters > 0 && len(s.Bootstrap) == 0 {
-		return nil
-	}
-	return peersAmong(s.Control, func(m loader.Member) bool {
-		return len(s.Bootstrap) == 0 || slices.Contains(s.Bootstrap, m.Name)
-	})
-}
-
 // contacts are the hosts that know the group.
 func contacts(s *loader.Settings) []coordinator.Peer {
 	return peersAmong(s.Control, func(m loader.Member) bool { return m.Name != s.Name })
