scheduler: a new owner of a cell asks the engines what they keep of prompts

Cause: the next owner knows nothing of the caches but which engine a hash prefers.

Blocks of a prompt are now identified by their own IDs and no longer by chained hashes, as engines list them; a block counts only if all before it are kept. What the engine was sent since it was asked stays counted.

--- a/internal/daemon/runner/entry.go
+++ b/internal/daemon/runner/entry.go
@@ -65,6 +65,7 @@
 	tls       dialer.TLS
 	upstreams dialer.TLS
 	client    *dialer.Client
+	inventory dispatcher.Inventory
 	local     *dispatcher.Local
 	gossiper  *gossiper.Gossiper
 	follower  *follower.Follower
@@ -160,6 +161,7 @@
 		reporter:  d.reporter,
 		tls:       d.tls(),
 		upstreams: d.upstreamTLS(),
+		inventory: d.inventory,
 		client:    dialer.New(dialer.WithTLS(d.tls())),
 		local:     dispatcher.NewLocal(scheduler.New(scheduler.WithSeed(uint64(d.clock.Now().UnixNano())), scheduler.WithRetryBudget(d.settings.Retries.Share, d.settings.Retries.Burst)), d.clock),
 	}
@@ -332,6 +334,7 @@
 		Local:      e.local,
 		Client:     e.client,
 		Roams:      e.courier != nil,
+		Inventory:  e.inventory,
 		Clock:      e.clock,
 		Logger:     logger.Named("dispatcher"),
 	}
--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -26,6 +26,7 @@
 
 	"github.com/amaranthcart/amaranthcart/internal/config/follower"
 	"github.com/amaranthcart/amaranthcart/internal/control/coordinator"
+	"github.com/amaranthcart/amaranthcart/internal/entry/dispatcher"
 	"github.com/amaranthcart/amaranthcart/internal/entry/relayer"
 	"github.com/amaranthcart/amaranthcart/internal/member/gossiper"
 	"github.com/amaranthcart/amaranthcart/internal/ops/guardian"
@@ -40,23 +41,24 @@
 
 // Daemon is a running amaranthd.
 type Daemon struct {
-	settings *loader.Settings
-	logger   *zap.Logger
-	clock    clockwork.Clock
-	notice   time.Duration
-	decode   follower.Decode
-	protocol relayer.Protocol
-	trusting bool
-	security *authenticator.Authenticator
-	guardian *guardian.Guardian
-	reporter *reporter.Reporter
-	entry    *entry
-	control  *control
-	servers  []*http.Server
-	group    conc.WaitGroup
-	fatal    chan error
-	stop     chan struct{}
-	stopping sync.Once
+	settings  *loader.Settings
+	logger    *zap.Logger
+	clock     clockwork.Clock
+	notice    time.Duration
+	decode    follower.Decode
+	protocol  relayer.Protocol
+	inventory dispatcher.Inventory
+	trusting  bool
+	security  *authenticator.Authenticator
+	guardian  *guardian.Guardian
+	reporter  *reporter.Reporter
+	entry     *entry
+	control   *control
+	servers   []*http.Server
+	group     conc.WaitGroup
+	fatal     chan error
+	stop      chan struct{}
+	stopping  sync.Once
 
 	callers string
 	admin   string
@@ -90,6 +92,9 @@
 // the given protocol, in place of the OpenAI protocol and /svc.
 func WithRoutes(p relayer.Protocol) Option { return func(d *Daemon) { d.protocol = p } }
 
+// WithInventory lets the scheduler ask upstreams what they keep of prompts.
+func WithInventory(i dispatcher.Inventory) Option { return func(d *Daemon) { d.inventory = i } }
+
 // DefaultNotice covers a balancer that checks readiness once a second and
 // takes a host out after two failed checks.
 const DefaultNotice = 3 * time.Second
--- a/internal/entry/dispatcher/cell.go
+++ b/internal/entry/dispatcher/cell.go
@@ -55,9 +55,11 @@
 	Local      *Local
 	Client     connect.HTTPClient
 	// Roams is set when requests of this host may be sent to other cells.
-	Roams  bool
-	Clock  clockwork.Clock
-	Logger *zap.Logger
+	Roams bool
+	// Inventory tells what upstreams keep of prompts; nil where they don't tell.
+	Inventory Inventory
+	Clock     clockwork.Clock
+	Logger    *zap.Logger
 }
 
 // Cell implements Dispatcher for the upstreams of one cell. It schedules
@@ -211,7 +213,8 @@
 
 // follow keeps the route pointed at the owner of the cell.
 func (c *Cell) follow(ctx context.Context) {
-	f := follower{cell: c, since: c.settings.Clock.Now()}
+	f := follower{cell: c, since: c.settings.Clock.Now(), surveyor: newSurveyor(c.settings)}
+	defer f.surveyor.close()
 	t := c.settings.Clock.NewTicker(reviewInterval)
 	defer t.Stop()
 	defer f.drop()
@@ -239,6 +242,8 @@
 	hosts   int
 	changed time.Time
 	link    *link
+	// surveyor learns the caches once this host owns the cell.
+	surveyor *surveyor
 	// retry is the earliest time for a new link after one has failed.
 	retry time.Time
 }
@@ -261,6 +266,7 @@
 		f.connect(ctx, owner)
 	}
 	f.disown()
+	f.surveyor.review(ctx, owning)
 }
 
 // disown frees the slots that the last owner kept for other hosts, once no request
--- a/internal/entry/dispatcher/local.go
+++ b/internal/entry/dispatcher/local.go
@@ -161,6 +161,20 @@
 	return u.(registrar.Upstream), true
 }
 
+// engines lists the upstreams that keep parts of prompts.
+func (l *Local) engines() []registrar.Upstream {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.scheduler.Engines()
+}
+
+// keep passes on what an upstream keeps of prompts.
+func (l *Local) keep(k scheduler.Kept) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.step(k)
+}
+
 // Divide limits the scheduler to one host's part of each upstream's slots
 // while several hosts dispatch on their own.
 func (l *Local) Divide(hosts int) {
--- /dev/null
+++ b/internal/entry/dispatcher/survey_test.go
@@ -0,0 +1,74 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/amaranthcart/amaranthcart/internal/config/validator"
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
+)
+
+// fakeInventory counts the questions to each engine; one of them fails.
+type fakeInventory struct {
+	mu    sync.Mutex
+	asked map[registrar.UpstreamID]int
+}
+
+func (f *fakeInventory) Kept(_ context.Context, u registrar.Upstream) ([]scheduler.Block, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.asked[u.Name]++
+	if u.Name == "deaf" {
+		return nil, errors.New("no answer")
+	}
+	return []scheduler.Block{{Hash: 1, Tokens: 100}}, nil
+}
+
+// TestSurvey guards against questions to engines that nobody needs: only the owner of
+// the cell asks, each engine once, and again after a restart of the engine or when
+// the host has become the owner anew.
+func TestSurvey(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	inventory := &fakeInventory{asked: map[registrar.UpstreamID]int{}}
+	local := NewLocal(scheduler.New(), clock)
+	defer local.Close()
+	d := document()
+	d.Models[0].Memory = 100_000
+	local.Configure(d)
+	engine := registrar.Upstream{Name: "engine", Models: []validator.PoolName{"m"}, Slots: 4, Incarnation: 1}
+	deaf := registrar.Upstream{Name: "deaf", Models: []validator.PoolName{"m"}, Slots: 4, Incarnation: 1}
+	plain := registrar.Upstream{Name: "plain", Slots: 4, Incarnation: 1}
+	for _, u := range []registrar.Upstream{engine, deaf, plain} {
+		local.Observe(u)
+	}
+	v := newSurveyor(Settings{Local: local, Clock: clock, Logger: zap.NewNop(), Inventory: inventory})
+	check := func(what string, owning bool, want map[registrar.UpstreamID]int) {
+		t.Helper()
+		t.Log(what)
+		for range 3 {
+			clock.Advance(surveyInterval)
+			v.review(t.Context(), owning)
+			v.close()
+		}
+		inventory.mu.Lock()
+		defer inventory.mu.Unlock()
+		assert.DeepEqual(t, inventory.asked, want)
+	}
+	check("another host is the owner", false, map[registrar.UpstreamID]int{})
+	check("owner", true, map[registrar.UpstreamID]int{"engine": 1, "deaf": 1})
+	engine.Incarnation = 2
+	local.Observe(engine)
+	check("the engine has restarted", true, map[registrar.UpstreamID]int{"engine": 2, "deaf": 1})
+	check("no owner any more", false, map[registrar.UpstreamID]int{"engine": 2, "deaf": 1})
+	check("owner again", true, map[registrar.UpstreamID]int{"engine": 3, "deaf": 2})
+	none := newSurveyor(Settings{Local: local, Clock: clock, Logger: zap.NewNop()})
+	none.review(t.Context(), true)
+	none.close()
+}
--- a/internal/entry/relayer/call.go
+++ b/internal/entry/relayer/call.go
@@ -199,20 +199,14 @@
 		c.ask.Organisation = c.organisation.Name
 	}
 	c.stream.last = c.intent.After
-	chain, end := uint64(0), 0
+	end := 0
 	for _, p := range c.intent.Prompt {
-		chain = chained(chain, p.ID)
 		end += p.Tokens
-		c.ask.Prefix = append(c.ask.Prefix, chain)
+		c.ask.Prefix = append(c.ask.Prefix, p.ID)
 		c.ask.Ends = append(c.ask.Ends, end)
 	}
 }
 
-// chained is the hash of a prompt that ends with the part.
-func chained(before, part uint64) uint64 {
-	return xxhash.Sum64String(strconv.FormatUint(before, 16) + "/" + strconv.FormatUint(part, 16))
-}
-
 // fingerprint identifies the content: a request that crashes upstreams comes
 // back under other IDs.
 func (c *call) fingerprint() string {
--- a/internal/policy/scheduler/cache.go
+++ b/internal/policy/scheduler/cache.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "container/list"
+import (
+	"container/list"
+
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+)
 
 // promptCache predicts which prompt blocks an engine keeps. Blocks that were not
 // used for longest are dropped first, as engines do. The zero value is empty.
@@ -12,12 +16,6 @@
 	tokens int
 }
 
-// block is a part of a prompt, identified by the hash of the prompt up to its end.
-type block struct {
-	hash   uint64
-	tokens int
-}
-
 func (c *promptCache) clear() {
 	c.blocks = nil
 	c.order.Init()
@@ -56,20 +54,58 @@
 	}
 }
 
+// learn replaces what was predicted by what the engine told.
+func (c *promptCache) learn(blocks []Block) {
+	c.clear()
+	c.blocks = make(map[uint64]*list.Element, len(blocks))
+	for _, b := range blocks {
+		c.touch(b.Hash, b.Tokens)
+	}
+}
+
+// Engines lists the upstreams of the pools whose engines have a known memory.
+func (s *Scheduler) Engines() []registrar.Upstream {
+	var all []registrar.Upstream
+	for name, p := range s.pools {
+		if s.memory[name] == 0 {
+			continue
+		}
+		for _, u := range p.upstreams {
+			all = append(all, u.Upstream)
+		}
+	}
+	return all
+}
+
+// keep takes over what an upstream tells of its cache. The prompts of the requests
+// that run there may have come since it was asked.
+func (s *Scheduler) keep(e Kept) {
+	u := s.upstreams[e.Upstream]
+	if u == nil || u.Incarnation != e.Incarnation {
+		return
+	}
+	u.cache.learn(e.Blocks)
+	for _, a := range u.attempts {
+		if capacity := s.memory[a.request.pool.name]; capacity > 0 {
+			u.cache.use(&a.request.Request, capacity)
+		}
+	}
+}
+
 func (c *promptCache) touch(hash uint64, tokens int) {
 	if e := c.blocks[hash]; e != nil {
 		c.order.MoveToFront(e)
 		return
 	}
-	c.blocks[hash] = c.order.PushFront(block{hash: hash, tokens: tokens})
+	c.blocks[hash] = c.order.PushFront(Block{Hash: hash, Tokens: tokens})
 	c.tokens += tokens
 }
 
 func (c *promptCache) drop(e *list.Element) {
-	b := e.Value.(block)
+	b := e.Value.(Block)
 	c.order.Remove(e)
-	delete(c.blocks, b.hash)
-	c.tokens -= b.tokens
+	delete(c.blocks, b.Hash)
+	c.tokens -= b.Tokens
 }
 
 // blockCounts counts the attempts for which an engine is reading a prompt block.
--- a/internal/policy/scheduler/placement_test.go
+++ b/internal/policy/scheduler/placement_test.go
@@ -308,3 +308,40 @@
 	}
 	assert.Equal(t, f.s.upstreams["engine-0"].backlog(f.now), time.Duration(0))
 }
+
+// Pattern: the owner of the cell is lost, and the next one is told what the engines
+// keep. Long prompts go where their shared part is, whatever the engine's name.
+func TestNextOwnerIsToldOfTheCaches(t *testing.T) {
+	const subjects = 12
+	f := newEngineFleet(t, 4)
+	for i := range subjects {
+		engine := registrar.UpstreamID(fmt.Sprintf("engine-%d", i%4))
+		f.step(Kept{Upstream: engine, Incarnation: 1, Blocks: append(blocksOf(f.s, engine), Block{Hash: uint64(i) + 1, Tokens: sharedPart})})
+	}
+	f.step(Kept{Upstream: "engine-0", Incarnation: 7, Blocks: []Block{{Hash: 2, Tokens: sharedPart}}})
+	f.step(Kept{Upstream: "unknown", Incarnation: 1, Blocks: []Block{{Hash: 3, Tokens: sharedPart}}})
+	for i := range subjects {
+		id := f.summary(uint64(i) + 1)
+		assert.Equal(t, f.running[id], registrar.UpstreamID(fmt.Sprintf("engine-%d", i%4)), "subject %d", i)
+		f.pass(150 * time.Millisecond)
+		f.first(id)
+	}
+}
+
+func blocksOf(s *Scheduler, id registrar.UpstreamID) []Block {
+	var list []Block
+	for e := s.upstreams[id].cache.order.Back(); e != nil; e = e.Prev() {
+		list = append(list, e.Value.(Block))
+	}
+	return list
+}
+
+// What an engine told is older than what was sent to it since it was asked.
+func TestToldCacheKeepsRunningPrompts(t *testing.T) {
+	f := newEngineFleet(t, 1)
+	f.summary(1)
+	f.step(Kept{Upstream: "engine-0", Incarnation: 1, Blocks: []Block{{Hash: 9, Tokens: 500}}})
+	c := &f.s.upstreams["engine-0"].cache
+	assert.Equal(t, c.held(&Request{Prompt: sharedPart, Prefix: []uint64{1}, Ends: []int{sharedPart}}), sharedPart)
+	assert.Equal(t, c.held(&Request{Prompt: 500, Prefix: []uint64{9}, Ends: []int{500}}), 500)
+}
--- a/internal/policy/scheduler/scheduler.go
+++ b/internal/policy/scheduler/scheduler.go
@@ -91,6 +91,8 @@
 		s.progress(now, e)
 	case Finished:
 		s.finished(now, e)
+	case Kept:
+		s.keep(e)
 	case Learn:
 		s.learn(now, e.Records)
 	case Settle:
--- a/internal/policy/scheduler/types.go
+++ b/internal/policy/scheduler/types.go
@@ -43,7 +43,8 @@
 	Prompt int
 	// Limit is the largest number of tokens to generate; zero means unknown.
 	Limit int
-	// Prefix holds the chained hashes of the prompt's blocks.
+	// Prefix identifies the prompt's blocks, in order. An engine reads a block again
+	// unless it keeps this one and all before it.
 	Prefix []uint64
 	// Ends holds the number of prompt tokens up to the end of each block; empty
 	// when the blocks have equal lengths.
@@ -176,6 +177,21 @@
 	Tokens   int
 }
 
+// Block is a part of a prompt that engines may keep.
+type Block struct {
+	// Hash is the one that prompts with the part have in their prefix.
+	Hash uint64
+	// Tokens is its size.
+	Tokens int
+}
+
+// Kept reports which parts of prompts an upstream keeps.
+type Kept struct {
+	Upstream    registrar.UpstreamID
+	Incarnation registrar.Incarnation
+	Blocks      []Block
+}
+
 // Learn reports what other hosts know about requests that crash upstreams.
 type Learn struct{ Records []detector.Record }
 
@@ -202,6 +218,7 @@
 func (FirstToken) event() {}
 func (Progress) event()   {}
 func (Finished) event()   {}
+func (Kept) event()       {}
 func (Learn) event()      {}
 func (Settle) event()     {}
 func (Divide) event()     {}
