--- a/internal/entry/dispatcher/cell.go
+++ b/internal/entry/dispatcher/cell.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sort"
 	"strconv"
 	"strings"
 	"sync"
@@ -363,10 +362,9 @@
 		c.linked.Store(l)
 		l.introduce()
 	}
-	all := c.tickets()
-	sort.SliceStable(all, func(i, j int) bool { return all[i].holds() && !all[j].holds() })
+	held, waiting := c.byHolding()
 	var left []scheduler.RequestID
-	for _, t := range all {
+	for _, t := range append(held, waiting...) {
 		if t.move(to) {
 			left = append(left, t.request.ID)
 		}
@@ -378,3 +376,15 @@
 		from.leave(id)
 	}
 }
+
+// byHolding returns the tickets that hold slots and those that don't.
+func (c *Cell) byHolding() (held, waiting []*ticket) {
+	for _, t := range c.tickets() {
+		if t.holds() {
+			held = append(held, t)
+			continue
+		}
+		waiting = append(waiting, t)
+	}
+	return held, waiting
+}
