--- a/internal/daemon/runner/entry.go
+++ b/internal/daemon/runner/entry.go
@@ -163,8 +163,11 @@
 		upstreams: d.upstreamTLS(),
 		inventory: d.inventory,
 		client:    dialer.New(dialer.WithTLS(d.tls())),
-		local:     dispatcher.NewLocal(scheduler.New(scheduler.WithSeed(uint64(d.clock.Now().UnixNano())), scheduler.WithRetryBudget(d.settings.Retries.Share, d.settings.Retries.Burst)), d.clock),
 	}
+	policy := scheduler.New(
+		scheduler.WithSeed(uint64(d.clock.Now().UnixNano())),
+		scheduler.WithRetryBudget(d.settings.Retries.Share, d.settings.Retries.Burst))
+	e.local = dispatcher.NewLocal(policy, d.clock, dispatcher.WithLogger(d.logger.Named("dispatcher")))
 	e.decode = d.decode
 	e.directory.set(e.settings.Control)
 	d.entry = e
--- a/internal/entry/dispatcher/local.go
+++ b/internal/entry/dispatcher/local.go
@@ -7,6 +7,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
 
 	"github.com/amaranthcart/amaranthcart/internal/config/validator"
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
@@ -59,7 +60,8 @@
 // Local runs the scheduler of a cell on this host. The cell is the unit of
 // sharding, so one lock guards it.
 type Local struct {
-	clock clockwork.Clock
+	clock  clockwork.Clock
+	logger *zap.Logger
 
 	mu        sync.Mutex
 	scheduler *scheduler.Scheduler
@@ -80,10 +82,18 @@
 	group conc.WaitGroup
 }
 
+// LocalOption changes a new Local.
+type LocalOption func(*Local)
+
+// WithLogger logs the decisions of the scheduler that no host of a request can
+// explain from what it sees itself.
+func WithLogger(z *zap.Logger) LocalOption { return func(l *Local) { l.logger = z } }
+
 // NewLocal starts a scheduler that ticks until Close.
-func NewLocal(s *scheduler.Scheduler, c clockwork.Clock) *Local {
+func NewLocal(s *scheduler.Scheduler, c clockwork.Clock, options ...LocalOption) *Local {
 	l := &Local{
 		clock:     c,
+		logger:    zap.NewNop(),
 		scheduler: s,
 		upstreams: map[registrar.UpstreamID]registrar.Upstream{},
 		requests:  map[scheduler.RequestID]*open{},
@@ -91,6 +101,9 @@
 		disown:    func() {},
 		stop:      make(chan struct{}),
 	}
+	for _, o := range options {
+		o(l)
+	}
 	l.step(scheduler.Settle{})
 	l.group.Go(l.tick)
 	return l
@@ -334,7 +347,13 @@
 			delete(l.requests, e.ID)
 			o.notify(l.reconsider(o, e))
 		}
+	case scheduler.Silence:
+		l.logger.Warn("an upstream with work shows no sign of life; it gets no more for a time",
+			zap.String("upstream", string(e.Upstream)), zap.Duration("quiet", e.Quiet), zap.Duration("pause", e.Pause))
 	case scheduler.Preempt:
+		l.logger.Info("a request is asked to go on elsewhere",
+			zap.String("request", string(e.ID)), zap.String("upstream", string(e.Upstream)),
+			zap.String("cause", string(e.Cause)), zap.String("urgent", string(e.Urgent)))
 		if o, ok := l.requests[e.ID]; ok {
 			if !slices.Contains(o.preempted, e.Upstream) {
 				o.preempted = append(o.preempted, e.Upstream)
--- a/internal/policy/scheduler/move.go
+++ b/internal/policy/scheduler/move.go
@@ -38,7 +38,7 @@
 		for _, a := range u.attempts {
 			if a.request.pool == p && s.movable(now, a) {
 				a.moving = true
-				s.actions = append(s.actions, Preempt{ID: a.request.ID, Upstream: u.Name})
+				s.actions = append(s.actions, Preempt{ID: a.request.ID, Upstream: u.Name, Cause: SlowUpstream})
 				return
 			}
 		}
--- a/internal/policy/scheduler/placement_test.go
+++ b/internal/policy/scheduler/placement_test.go
@@ -20,7 +20,9 @@
 	running map[RequestID]registrar.UpstreamID
 	refused map[RequestID]Refuse
 	asked   map[RequestID]int
-	next    int
+	// silences counts the reports of upstreams without a sign of life.
+	silences map[registrar.UpstreamID]int
+	next     int
 }
 
 const (
@@ -33,6 +35,7 @@
 	f := &engineFleet{
 		t: t, s: New(WithSeed(1)), now: time.Unix(1_700_000_000, 0),
 		running: map[RequestID]registrar.UpstreamID{}, refused: map[RequestID]Refuse{}, asked: map[RequestID]int{},
+		silences: map[registrar.UpstreamID]int{},
 	}
 	second := validator.Duration(time.Second)
 	f.step(Configure{&validator.Document{
@@ -61,6 +64,8 @@
 			f.refused[a.ID] = a
 		case Preempt:
 			f.asked[a.ID]++
+		case Silence:
+			f.silences[a.Upstream]++
 		}
 	}
 }
@@ -203,6 +208,7 @@
 	}
 	assert.Equal(t, f.asked[dark], 1)
 	assert.Equal(t, f.asked[other], 0)
+	assert.Equal(t, f.silences[f.running[dark]], 1)
 	assert.Equal(t, f.running[f.hint()], f.running[other])
 }
 
--- a/internal/policy/scheduler/preemption.go
+++ b/internal/policy/scheduler/preemption.go
@@ -34,7 +34,7 @@
 			}
 			a.preempted = true
 			p.preempting++
-			s.actions = append(s.actions, Preempt{ID: a.request.ID, Upstream: a.upstream.Name})
+			s.actions = append(s.actions, Preempt{ID: a.request.ID, Upstream: a.upstream.Name, Cause: Precedence, Urgent: r.ID})
 		}
 	}
 }
--- a/internal/policy/scheduler/silence.go
+++ b/internal/policy/scheduler/silence.go
@@ -50,6 +50,7 @@
 		}
 		u.silent = now.Add(silentPause)
 		u.firsts = 0
+		s.actions = append(s.actions, Silence{Upstream: u.Name, Quiet: now.Sub(u.heard), Pause: silentPause})
 		for _, a := range u.attempts {
 			s.rescue(a)
 		}
@@ -64,5 +65,5 @@
 	}
 	a.preempted = true
 	r.pool.preempting++
-	s.actions = append(s.actions, Preempt{ID: r.ID, Upstream: a.upstream.Name})
+	s.actions = append(s.actions, Preempt{ID: r.ID, Upstream: a.upstream.Name, Cause: SilentUpstream})
 }
--- a/internal/policy/scheduler/types.go
+++ b/internal/policy/scheduler/types.go
@@ -256,6 +256,32 @@
 type Preempt struct {
 	ID       RequestID
 	Upstream registrar.UpstreamID
+	Cause    Cause
+	// Urgent is the request that it gives way to, when the cause is that.
+	Urgent RequestID
+}
+
+// Cause tells why an attempt is cancelled.
+type Cause string
+
+// Causes of a Preempt.
+const (
+	// Precedence means that a higher tier would miss its target otherwise.
+	Precedence Cause = "precedence"
+	// SilentUpstream means that the upstream shows no sign of life.
+	SilentUpstream Cause = "silent"
+	// SlowUpstream means that the rest takes less time elsewhere.
+	SlowUpstream Cause = "slow"
+)
+
+// Silence reports that an upstream with work shows no sign of life and gets no more
+// for a time.
+type Silence struct {
+	Upstream registrar.UpstreamID
+	// Quiet is the time since its last sign of life.
+	Quiet time.Duration
+	// Pause is how long it gets no work while there are others.
+	Pause time.Duration
 }
 
 // Hedge starts a second attempt of a request that runs.
@@ -268,4 +294,5 @@
 func (Grant) action()   {}
 func (Refuse) action()  {}
 func (Preempt) action() {}
+func (Silence) action() {}
 func (Hedge) action()   {}
