replicator: stand for election soon after a start

Ruled out: the start of the programs (11 ms), the reading of the log, the finding of the entry hosts (they serve 10 ms after the leader is there).

A process that has heard no leader stands after 120 to 240 ms, for its first 2 s; a candidate waits for 250 to 500 ms, since votes wait for disks. Pre-votes are refused by hosts that hear a leader.

--- a/internal/control/replicator/election.go
+++ b/internal/control/replicator/election.go
@@ -14,6 +14,7 @@
 	if role == Candidate {
 		r.term, r.vote = term, r.id
 		r.saveVote()
+		r.resetElection()
 		kind = record.Message_KIND_VOTE
 	}
 	r.emit(Changed{Role: r.role, Leader: r.leader, Term: r.term})
--- a/internal/control/replicator/replicator.go
+++ b/internal/control/replicator/replicator.go
@@ -100,6 +100,12 @@
 	// election; the longest is twice as much. A lost leader is replaced within
 	// two seconds with room for one split vote.
 	ElectionTimeout = 500 * time.Millisecond
+	// StartTimeout takes its place in a process that has heard no leader yet, for
+	// startPeriod: after all replicas were down nobody serves until one is elected.
+	// It leaves a leader that lives time for one heartbeat; others refuse their
+	// votes while they hear it.
+	StartTimeout = 120 * time.Millisecond
+	startPeriod  = 2 * time.Second
 	// helloInterval is the time between introductions of a replica without a
 	// leader.
 	helloInterval = 200 * time.Millisecond
@@ -168,6 +174,7 @@
 	memberships []placedMembership
 
 	electionAt time.Time
+	startedAt  time.Time
 	heardAt    time.Time
 	helloAt    time.Time
 	// assembly collects the parts of a snapshot from the leader.
@@ -207,6 +214,7 @@
 		options:       o,
 		random:        rand.New(rand.NewPCG(o.Seed, s.Vote.Id)),
 		now:           now,
+		startedAt:     now,
 		id:            ID(s.Vote.Id),
 		group:         s.Vote.Group,
 		term:          s.Vote.Term,
@@ -396,7 +404,15 @@
 
 // resetElection chooses the next time to stand for election.
 func (r *Replicator) resetElection() {
-	r.electionAt = r.now.Add(ElectionTimeout + time.Duration(r.random.Int64N(int64(ElectionTimeout))))
+	shortest := ElectionTimeout
+	if r.heardAt.IsZero() && r.now.Sub(r.startedAt) < startPeriod {
+		shortest = StartTimeout
+		if r.role == Candidate {
+			// Votes wait for the disks of two hosts.
+			shortest = ElectionTimeout / 2
+		}
+	}
+	r.electionAt = r.now.Add(shortest + time.Duration(r.random.Int64N(int64(shortest))))
 }
 
 // follow becomes a follower in the term.
--- a/internal/control/replicator/replicator_test.go
+++ b/internal/control/replicator/replicator_test.go
@@ -368,3 +368,28 @@
 		})
 	}
 }
+
+// TestElectionAfterStart guards against a group that waits for a silence of a leader
+// that can't live, since all of its replicas have just started, and against replicas
+// that stand for election early when they have heard a leader.
+func TestElectionAfterStart(t *testing.T) {
+	campaigns := func(actions []Action) int {
+		n := 0
+		for _, a := range actions {
+			if s, ok := a.(Send); ok && s.Message.Kind == record.Message_KIND_PREVOTE && s.Name == "b" {
+				n++
+			}
+		}
+		return n
+	}
+	h := newHarness(t)
+	assert.Equal(t, campaigns(h.pass(StartTimeout-TickInterval)), 0)
+	assert.Equal(t, campaigns(h.pass(StartTimeout+TickInterval)), 1)
+	assert.Assert(t, campaigns(h.pass(4*StartTimeout)) >= 2, "no further try while the others start")
+	h.receive(2, "b", &record.Message{Kind: record.Message_KIND_APPEND, Term: h.r.term, Index: 1, Previous: 1})
+	assert.Equal(t, campaigns(h.pass(ElectionTimeout-TickInterval)), 0)
+
+	late := newHarness(t)
+	late.pass(startPeriod + 2*StartTimeout)
+	assert.Assert(t, campaigns(late.pass(4*ElectionTimeout)) <= 4)
+}
--- a/internal/daemon/runner/founders.go
+++ b/internal/daemon/runner/founders.go
@@ -15,8 +15,12 @@
 	"github.com/amaranthcart/amaranthcart/internal/storage/journaler"
 )
 
-// foundersFile keeps the founders in the data folder.
-const foundersFile = "founders.json"
+const (
+	// foundersFile keeps the founders in the data folder.
+	foundersFile = "founders.json"
+	// dataMode is that of a data folder which this program makes.
+	dataMode = 0o750
+)
 
 // founder is an entry of the file.
 type founder struct {
@@ -49,7 +53,7 @@
 	}
 	data, err := json.Marshal(kept)
 	if err == nil {
-		err = errors.Join(os.MkdirAll(d.settings.Data, 0o750), journaler.ReplaceFile(d.settings.Data, foundersFile, data))
+		err = errors.Join(os.MkdirAll(d.settings.Data, dataMode), journaler.ReplaceFile(d.settings.Data, foundersFile, data))
 	}
 	if err != nil {
 		d.logger.Warn("The founders of the control group were not stored: after a restart before the group has formed this host can't take part in forming it.", zap.Error(err))
--- a/internal/entry/dispatcher/survey.go
+++ b/internal/entry/dispatcher/survey.go
@@ -25,8 +25,8 @@
 	Kept(ctx context.Context, u registrar.Upstream) ([]scheduler.Block, error)
 }
 
-// surveyor asks each upstream with a memory for prompts once what it keeps, when this host has
-// become the owner of the cell. The last owner, who knew, may be lost.
+// surveyor asks each engine with a known memory once what it keeps, when this host
+// has become the owner of the cell. The last owner, who knew, may be lost.
 type surveyor struct {
 	settings Settings
 	asked    map[registrar.UpstreamID]registrar.Incarnation
--- a/internal/policy/scheduler/types.go
+++ b/internal/policy/scheduler/types.go
@@ -280,7 +280,7 @@
 	Upstream registrar.UpstreamID
 	// Quiet is the time since its last sign of life.
 	Quiet time.Duration
-	// Pause is how long it gets no work while there are others.
+	// Pause is how long it gets no work, while other upstreams can.
 	Pause time.Duration
 }
 
