scheduler, forwarder: avoid upstreams to which connections time out

Cause: a connection that timed out ended an attempt as failed, which the scheduler took for a sign of life, and nothing kept the next requests away from the upstream. An engine that went dark while idle looked free. Ruled out: a bound on one host alone. With 86 hosts each would try; the owner counts connections that time out in a row. Also: such an attempt spends nothing of the retry budget, since no upstream was called. The line about silence is written once a pause.

--- a/internal/entry/forwarder/candidate.go
+++ b/internal/entry/forwarder/candidate.go
@@ -263,8 +263,11 @@
 
 // unsent classifies the error of an attempt that got no connection.
 func unsent(err error) scheduler.Outcome {
-	if errors.Is(err, syscall.ECONNREFUSED) {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
 		return scheduler.Unreachable
+	case connectTimedOut(err):
+		return scheduler.Unconnected
 	}
 	return scheduler.Failed
 }
--- a/internal/entry/forwarder/distrust.go
+++ b/internal/entry/forwarder/distrust.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -11,14 +12,20 @@
 	"github.com/amaranthcart/amaranthcart/internal/rpc/dialer"
 )
 
-// distrustTime is how long requests avoid an upstream after a failed handshake.
-// Without it an upstream with a bad certificate, being idle, gets the first
-// attempt of every request, and the retries spend the budget of the pool.
-const distrustTime = 5 * time.Second
+const (
+	// handshakePause is how long requests avoid an upstream after a failed
+	// handshake. Without it an upstream with a bad certificate, being idle, gets
+	// the first attempt of every request, and the retries spend the budget of the
+	// pool.
+	handshakePause = 5 * time.Second
+	// connectPause is the same after a connection that timed out. Paths come back
+	// within seconds, and each further try costs one request the time of a dial.
+	connectPause = 2 * time.Second
+)
 
-// distrust lists upstreams whose handshake has failed. It is this host's own
-// view, because the fault may be in this host's files; the scheduler still
-// grants an avoided upstream when there is no other one.
+// distrust lists upstreams to which no connection could be made. It is this host's
+// own view, because the fault may be in this host's files or on its path; the
+// scheduler still grants an avoided upstream when there is no other one.
 type distrust struct {
 	// count spares requests the lock in the usual case.
 	count atomic.Int64
@@ -26,10 +33,30 @@
 	until map[registrar.UpstreamID]time.Time
 }
 
-// note records an upstream when the error is that of a handshake.
-func (d *distrust) note(now time.Time, u registrar.UpstreamID, err error) {
+// pauseAfter is how long an upstream is avoided after an error; 0 for one that doesn't
+// tell of a connection.
+func pauseAfter(err error) time.Duration {
 	var failed *dialer.HandshakeError
-	if !errors.As(err, &failed) {
+	switch {
+	case errors.As(err, &failed):
+		return handshakePause
+	case connectTimedOut(err):
+		return connectPause
+	}
+	return 0
+}
+
+// connectTimedOut reports whether the error is that of a connection that could not be
+// made in time.
+func connectTimedOut(err error) bool {
+	var failed *net.OpError
+	return errors.As(err, &failed) && failed.Op == "dial" && failed.Timeout()
+}
+
+// note records an upstream when the error is one of making a connection.
+func (d *distrust) note(now time.Time, u registrar.UpstreamID, err error) {
+	pause := pauseAfter(err)
+	if pause == 0 {
 		return
 	}
 	d.mu.Lock()
@@ -37,7 +64,7 @@
 	if d.until == nil {
 		d.until = map[registrar.UpstreamID]time.Time{}
 	}
-	d.until[u] = now.Add(distrustTime)
+	d.until[u] = now.Add(pause)
 	d.count.Store(int64(len(d.until)))
 }
 
--- a/internal/entry/forwarder/sender.go
+++ b/internal/entry/forwarder/sender.go
@@ -15,14 +15,17 @@
 
 // Sender makes single attempts at upstreams for callers that decide themselves
 // what an answer means.
-type Sender struct{ pool *pool }
+type Sender struct {
+	pool     *pool
+	distrust distrust
+}
 
 // NewSender returns a sender; t is nil when upstreams with https addresses are
 // not called.
 func NewSender(c clockwork.Clock, t dialer.TLS) *Sender {
 	p := newPool(c, t)
 	p.dialer.Timeout = senderDialTimeout
-	return &Sender{p}
+	return &Sender{pool: p}
 }
 
 // senderDialTimeout bounds the start of a connection. Nothing has been sent by then,
@@ -44,10 +47,21 @@
 // Send makes the attempt. Nothing repeats it below.
 func (s *Sender) Send(ctx context.Context, a *Attempt) (*http.Response, error) {
 	a.Request.GetBody = nil
+	send := s.pool.pooled
 	if a.Once {
-		return s.pool.once(ctx, a.Upstream, a.Request, &a.Sent)
+		send = s.pool.once
+	}
+	response, err := send(ctx, a.Upstream, a.Request, &a.Sent)
+	if err != nil && ctx.Err() == nil {
+		s.distrust.note(s.pool.clock.Now(), a.Upstream.Name, err)
 	}
-	return s.pool.pooled(ctx, a.Upstream, a.Request, &a.Sent)
+	return response, err
+}
+
+// Avoid returns the list with the upstreams to which this host could make no
+// connection lately.
+func (s *Sender) Avoid(list []registrar.UpstreamID) []registrar.UpstreamID {
+	return s.distrust.extend(s.pool.clock.Now(), list)
 }
 
 // Discard makes later attempts use new connections to the upstream, after one
@@ -56,9 +70,8 @@
 	s.pool.discard(u.Address, s.pool.transport(u.Address))
 }
 
-// Refused reports whether the attempt failed because no process listens at the
-// upstream's address.
-func Refused(err error) bool { return unsent(err) == scheduler.Unreachable }
+// Unsent classifies the error of an attempt that got no connection.
+func Unsent(err error) scheduler.Outcome { return unsent(err) }
 
 // Close closes the idle connections.
 func (s *Sender) Close() { s.pool.close() }
--- a/internal/entry/relayer/attempt.go
+++ b/internal/entry/relayer/attempt.go
@@ -322,10 +322,7 @@
 	case cutOff:
 		return scheduler.Abandoned
 	case notRun:
-		if r.refused && forwarder.Refused(r.cause) {
-			return scheduler.Unreachable
-		}
-		return scheduler.Failed
+		return forwarder.Unsent(r.cause)
 	case answered:
 		return scheduler.Failed
 	case failed:
--- a/internal/entry/relayer/call.go
+++ b/internal/entry/relayer/call.go
@@ -219,7 +219,9 @@
 // run makes attempts until the request has its answer.
 func (c *call) run(ctx context.Context) {
 	for {
-		slot, err := c.relayer.options.Dispatcher.Acquire(ctx, c.ask)
+		ask := c.ask
+		ask.Avoid = c.relayer.options.Sender.Avoid(ask.Avoid)
+		slot, err := c.relayer.options.Dispatcher.Acquire(ctx, ask)
 		if err != nil {
 			c.unserved(ctx, err)
 			return
--- a/internal/policy/scheduler/crash.go
+++ b/internal/policy/scheduler/crash.go
@@ -44,7 +44,7 @@
 	switch o {
 	case Completed:
 		return detector.Answered
-	case Failed, Preempted, Unreachable:
+	case Failed, Preempted, Unreachable, Unconnected:
 		return detector.Stopped
 	default:
 		return detector.Withdrawn
--- a/internal/policy/scheduler/preemption.go
+++ b/internal/policy/scheduler/preemption.go
@@ -59,8 +59,12 @@
 // interrupt keeps the start of the wait of a request without a token, so that
 // preemption does not prolong its wait beyond the bound.
 func (s *Scheduler) interrupt(now time.Time, a *attempt, o Outcome) {
-	if o != Preempted && o != Crashed && o != Unreachable && !a.preempted {
-		return
+	switch o {
+	case Preempted, Crashed, Unreachable, Unconnected:
+	default:
+		if !a.preempted {
+			return
+		}
 	}
 	r := a.request
 	i := interruption{until: now.Add(leaseTime)}
--- a/internal/policy/scheduler/scheduler.go
+++ b/internal/policy/scheduler/scheduler.go
@@ -279,6 +279,9 @@
 	if e.Outcome == Crashed {
 		s.lose(now, a.process)
 	}
+	if e.Outcome == Unconnected {
+		s.missConnection(now, u)
+	}
 	s.dispatch(now, r.pool)
 	s.dispatchAll(now, u)
 }
--- a/internal/policy/scheduler/silence.go
+++ b/internal/policy/scheduler/silence.go
@@ -13,17 +13,41 @@
 	// silentPause is how long a silent upstream gets no work while there are
 	// others.
 	silentPause = 2 * time.Second
+	// unconnectedLimit is the number of connections that may time out without a
+	// sign of life between them before an upstream counts as silent. One may tell
+	// of a single host that is cut off: each host leaves the upstream alone after
+	// its own.
+	unconnectedLimit = 2
 )
 
 // sign notes a sign of life.
 func (u *upstream) sign(now time.Time) {
 	u.heard = now
 	u.silent = time.Time{}
+	u.unconnected = 0
 }
 
 // isSilent reports whether the upstream is left alone because it showed no sign of
-// life.
-func (u *upstream) isSilent(now time.Time) bool { return now.Before(u.silent) }
+// life. After connections that timed out it gets one request at a time.
+func (u *upstream) isSilent(now time.Time) bool {
+	return now.Before(u.silent) || u.unconnected >= unconnectedLimit && len(u.attempts) > 0
+}
+
+// missConnection notes a connection that timed out.
+func (s *Scheduler) missConnection(now time.Time, u *upstream) {
+	u.unconnected++
+	if u.unconnected < unconnectedLimit || now.Before(u.silent) {
+		return
+	}
+	s.silence(now, u)
+}
+
+// silence leaves an upstream alone for a time.
+func (s *Scheduler) silence(now time.Time, u *upstream) {
+	u.silent = now.Add(silentPause)
+	u.firsts = 0
+	s.actions = append(s.actions, Silence{Upstream: u.Name, Quiet: now.Sub(u.heard), Pause: silentPause})
+}
 
 // deadline is when the upstream counts as silent. One that generates nothing shows no
 // sign of life until it has read a prompt, and prompts may be long.
@@ -48,9 +72,7 @@
 		if now.Before(u.deadline()) || u.isSilent(now) || !u.watched() {
 			continue
 		}
-		u.silent = now.Add(silentPause)
-		u.firsts = 0
-		s.actions = append(s.actions, Silence{Upstream: u.Name, Quiet: now.Sub(u.heard), Pause: silentPause})
+		s.silence(now, u)
 		for _, a := range u.attempts {
 			s.rescue(a)
 		}
--- /dev/null
+++ b/internal/policy/scheduler/silence_test.go
@@ -0,0 +1,81 @@
+package scheduler
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+)
+
+// timeOut ends an attempt whose connection could not be made.
+func (f *engineFleet) timeOut(id RequestID) {
+	u := f.running[id]
+	delete(f.running, id)
+	f.step(Finished{ID: id, Upstream: u, Outcome: Unconnected})
+}
+
+// Pattern: an engine goes dark while it has nothing to do. It looks free, so that
+// without a note of the connections that timed out it gets one request after another.
+func TestDarkIdleEngineIsLeftAlone(t *testing.T) {
+	f := newEngineFleet(t, 3)
+	const dark registrar.UpstreamID = "engine-1"
+	send := func() (atDark int) {
+		for range 60 {
+			id := f.hint()
+			if f.running[id] == dark {
+				atDark++
+				continue
+			}
+			f.first(id)
+			f.finish(id)
+		}
+		return atDark
+	}
+	f.timeOut(f.hintAt(dark))
+	f.timeOut(f.hintAt(dark))
+	assert.Equal(t, f.silences[dark], 1)
+	assert.Equal(t, send(), 0)
+
+	f.pass(silentPause)
+	assert.Equal(t, send(), 1, "one request at a time tells whether it is back")
+}
+
+// hintAt sends hints until one is granted at the engine.
+func (f *engineFleet) hintAt(u registrar.UpstreamID) RequestID {
+	for range 100 {
+		id := f.hint()
+		if f.running[id] == u {
+			return id
+		}
+		f.first(id)
+		f.finish(id)
+	}
+	f.t.Fatalf("no request at %s", u)
+	return ""
+}
+
+// Guards against an engine that is given up because one host can't reach it.
+func TestOneHostCutOffFromAnEngine(t *testing.T) {
+	f := newEngineFleet(t, 1)
+	for range 3 {
+		f.timeOut(f.hint())
+		f.first(f.hint())
+	}
+	assert.Equal(t, f.silences["engine-0"], 0)
+}
+
+// Guards against connections that time out and use up the retry budget although no
+// upstream was called.
+func TestUnconnectedIsNoRetry(t *testing.T) {
+	f := newEngineFleet(t, 3)
+	for range 200 {
+		id := f.hint()
+		f.timeOut(id)
+		f.step(Submit{Request{ID: id, Pool: "m", Class: "hint", Prompt: 1_200, Limit: 200, Retry: true, Arrived: f.now}})
+		_, refused := f.refused[id]
+		assert.Assert(t, !refused)
+		f.first(id)
+		f.finish(id)
+	}
+}
--- a/internal/policy/scheduler/types.go
+++ b/internal/policy/scheduler/types.go
@@ -108,6 +108,9 @@
 	// Unreachable means that the upstream's host refused the connection:
 	// nothing was sent, and no process listens there any more.
 	Unreachable
+	// Unconnected means that no connection could be made in time: nothing was
+	// sent, and the upstream or the way to it may be lost.
+	Unconnected
 )
 
 // Reason tells why a request was refused.
--- a/internal/policy/scheduler/upstream.go
+++ b/internal/policy/scheduler/upstream.go
@@ -35,6 +35,9 @@
 	// silent is until when the upstream gets no work because it showed no sign
 	// of life.
 	silent time.Time
+	// unconnected counts the connections that timed out since the last sign of
+	// life.
+	unconnected int
 	// cache is what an engine keeps of prompts, as far as it is known.
 	cache promptCache
 	// unfinished are the prompt blocks that the engine is reading.
@@ -73,6 +76,7 @@
 		u.cache.clear()
 		u.unfinished = nil
 		u.silent, u.reading = time.Time{}, time.Time{}
+		u.unconnected = 0
 	}
 	if news.Incarnation == u.Incarnation && !u.gone {
 		news.Leaving = news.Leaving || u.Leaving
