--- /dev/null
+++ b/internal/policy/scheduler/crest_test.go
@@ -0,0 +1,76 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/amaranthcart/amaranthcart/internal/config/validator"
+)
+
+// Pattern: a crest of long prompts at many engines, with more waiting than the engines
+// have room for. Placing all that waits again at each event took the owner of the cell
+// 26 ms a request with 90 engines, many times the time between two requests.
+func TestCrestCostsOnePlacementAnEvent(t *testing.T) {
+	f, _ := crestFleet(90, 25, 100)
+	p := f.s.pools["m"]
+	assert.Assert(t, f.s.busy(p))
+	waiting := p.waiting
+
+	// The engines have read everything: only the tick gives the room away, to those
+	// that wait.
+	for _, u := range p.upstreams {
+		u.reading, u.toRead, u.readingFor = f.now, [validator.LowestTier + 1]time.Duration{}, nil
+	}
+	id := RequestID("late")
+	f.step(Submit{longPrompt(id, 7_000_000, 8_000_000, f.now)})
+	_, granted := f.running[id]
+	assert.Assert(t, !granted, "a new request goes before those that wait")
+	assert.Equal(t, p.waiting, waiting+1)
+
+	f.now = f.now.Add(TickInterval)
+	f.step(Tick{})
+	assert.Assert(t, p.waiting < waiting, "%d still wait", p.waiting)
+}
+
+// Pattern: chats that arrive while long prompts wait in a crest. They don't wait for
+// the tick.
+func TestCrestLetsUrgentRequestsPass(t *testing.T) {
+	f := newEngineFleet(t, 90)
+	for i := 0; !f.s.busy(f.s.pool("m")); i++ {
+		f.submit(longPrompt("", uint64(i+1), uint64(i+1_000_000), f.now))
+	}
+	for range 20 {
+		id := f.hint()
+		assert.Assert(t, f.running[id] != "", "a chat waits behind long prompts")
+	}
+}
+
+// Guards against an exposure of an engine that drifts away from its requests.
+func TestExposureFollowsAttempts(t *testing.T) {
+	f := newEngineFleet(t, 1)
+	var ids []RequestID
+	for range 30 {
+		ids = append(ids, f.hint(), f.summary(uint64(len(ids)+1)))
+	}
+	u := f.s.upstreams["engine-0"]
+	want := 0.0
+	for _, a := range u.attempts {
+		want += a.request.class.tightness
+	}
+	assert.Assert(t, u.exposure-want < 1e-9 && want-u.exposure < 1e-9, "%v, want %v", u.exposure, want)
+	for len(f.running) > 0 {
+		for _, id := range ids {
+			if f.running[id] != "" {
+				f.first(id)
+				f.finish(id)
+				delete(f.running, id)
+			}
+		}
+	}
+	assert.Equal(t, u.exposure, 0.0)
+	assert.Equal(t, len(u.readingFor), 0)
+	assert.Equal(t, fmt.Sprint(u.toRead), "[0s 0s 0s 0s]")
+}
--- a/internal/policy/scheduler/placement.go
+++ b/internal/policy/scheduler/placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -71,16 +72,7 @@
 	if s.unsettled && s.detector.Verdict(now, r.Fingerprint) == detector.Suspect {
 		return nil
 	}
-	var best *upstream
-	var least time.Duration
-	for _, u := range s.eligible(now, r) {
-		if !s.fits(u, r) {
-			continue
-		}
-		if cost := s.startCost(now, u, r); best == nil || cost < least {
-			best, least = u, cost
-		}
-	}
+	best := s.cheapest(now, r)
 	if best == nil || len(best.attempts) > 0 && best.backlogFor(now, r.class.tier) > queueLimit {
 		return nil
 	}
@@ -101,44 +93,71 @@
 	return now.Add(own + startTime).Before(r.due)
 }
 
-// eligible lists the upstreams that may run the request. Those that failed it, are
-// silent or too slow count only where there is no other.
-func (s *Scheduler) eligible(now time.Time, r *request) []*upstream {
+// cheapest returns the engine with the least startCost among the best that may run
+// the request, or nil when none of those has room.
+func (s *Scheduler) cheapest(now time.Time, r *request) *upstream {
 	p := r.pool
 	open := s.detector.Unrestricted(now, r.Fingerprint)
 	limits := p.limits()
-	var all []*upstream
+	grade := s.bestGrade(now, r, open)
+	var best *upstream
+	var least time.Duration
 	for _, u := range p.upstreams {
-		if !u.takes() || r.attempt(u.Name) != nil {
+		if !s.mayRun(now, u, r, open) || u.grade(now, r) != grade || !u.usable(limits) || !s.fits(u, r) {
 			continue
 		}
-		if !open && !s.detector.Permits(now, r.Fingerprint, u.process(), false) {
-			continue
+		if cost := s.startCost(now, u, r); best == nil || cost < least {
+			best, least = u, cost
 		}
-		all = append(all, u)
 	}
-	all = prefer(all, func(u *upstream) bool { return !r.avoids(u.Name) })
-	all = prefer(all, func(u *upstream) bool { return !u.isSilent(now) })
-	all = prefer(all, func(u *upstream) bool { return u.suits(now, r.class, p.typical) })
-	return only(all, func(u *upstream) bool { return u.usable(limits) })
+	return best
 }
 
-// prefer returns the upstreams with a property, or all when none has it.
-func prefer(all []*upstream, has func(*upstream) bool) []*upstream {
-	if some := only(all, has); len(some) > 0 {
-		return some
+// mayRun reports whether the upstream may run the request; open tells that nothing is
+// known against the request.
+func (s *Scheduler) mayRun(now time.Time, u *upstream, r *request, open bool) bool {
+	if !u.takes() || len(r.attempts) > 0 && r.attempt(u.Name) != nil {
+		return false
 	}
-	return all
+	return open || s.detector.Permits(now, r.Fingerprint, u.process(), false)
 }
 
-func only(all []*upstream, has func(*upstream) bool) []*upstream {
-	var some []*upstream
-	for _, u := range all {
-		if has(u) {
-			some = append(some, u)
+// Parts of the grade of an upstream for a request; each outweighs those below it.
+const (
+	gradeUnsuited = 1 << iota
+	gradeSilent
+	gradeAvoided
+)
+
+// grade tells what speaks against an upstream for a request, 0 for nothing. One with
+// a higher grade counts only where there is none with a lower one, although that may
+// be full.
+func (u *upstream) grade(now time.Time, r *request) int {
+	grade := 0
+	if len(r.Avoid) > 0 && r.avoids(u.Name) {
+		grade |= gradeAvoided
+	}
+	if u.isSilent(now) {
+		grade |= gradeSilent
+	}
+	if !u.suits(now, r.class, r.pool.typical) {
+		grade |= gradeUnsuited
+	}
+	return grade
+}
+
+// bestGrade is the lowest grade among the upstreams that may run the request.
+func (s *Scheduler) bestGrade(now time.Time, r *request, open bool) int {
+	best := gradeAvoided << 1
+	for _, u := range r.pool.upstreams {
+		if s.mayRun(now, u, r, open) {
+			best = min(best, u.grade(now, r))
+		}
+		if best == 0 {
+			break
 		}
 	}
-	return some
+	return best
 }
 
 // fits reports whether the engine has memory for the request. An engine without
@@ -177,15 +196,10 @@
 // unfinishedRead is what is left of the prompt that the engine is reading, if that is
 // for a tier below the level.
 func (u *upstream) unfinishedRead(now time.Time, level validator.Tier) time.Duration {
-	var oldest *attempt
-	for _, a := range u.attempts {
-		if a.reading > 0 && (oldest == nil || a.granted.Before(oldest.granted)) {
-			oldest = a
-		}
-	}
-	if oldest == nil || oldest.tier <= level {
+	if len(u.readingFor) == 0 || u.readingFor[0].tier <= level {
 		return 0
 	}
+	oldest := u.readingFor[0]
 	return max(oldest.reading-now.Sub(oldest.granted), time.Duration(overrunPart*float64(oldest.reading)))
 }
 
@@ -208,8 +222,10 @@
 	if now.Add(backlog + read).Before(r.due) {
 		weight = readWeight
 	}
-	delay := float64(read) * (weight + harmWeight*s.exposed(u) + crowdingWeight*full + homeWeight*(1-u.affinity(r)))
-	delay += s.tightness(r.class) * u.readLoad(now) * float64(exposureTime)
+	delay := float64(read) * (weight + harmWeight*u.exposure + crowdingWeight*full + homeWeight*(1-u.affinity(r)))
+	if r.class.tightness > 0 {
+		delay += r.class.tightness * u.readLoad(now) * float64(exposureTime)
+	}
 	ratio := u.pace.ratio(now, r.pool.typical)
 	return time.Duration((float64(backlog) + delay) * max(ratio, 1))
 }
@@ -234,27 +250,32 @@
 	return x ^ x>>31
 }
 
-// tightness compares the target for the time between tokens with that of the
-// tightest class, which has 1. Streams of loose classes lose little by an engine
-// that reads beside them.
-func (s *Scheduler) tightness(c *class) float64 {
-	if c.gap == 0 || s.tightest == 0 {
-		return 0
+// compareGaps sets the tightness of the classes.
+func (s *Scheduler) compareGaps() {
+	var tightest time.Duration
+	for _, c := range s.classes {
+		if c.gap > 0 && (tightest == 0 || c.gap < tightest) {
+			tightest = c.gap
+		}
 	}
-	part := float64(s.tightest) / float64(c.gap)
-	if part < looseClass {
-		return 0
+	for _, c := range s.classes {
+		c.tightness = 0
+		if c.gap == 0 {
+			continue
+		}
+		if part := float64(tightest) / float64(c.gap); part >= looseClass {
+			c.tightness = part * part
+		}
 	}
-	return part * part
 }
 
-// exposed adds up the tightness of the streams on the engine.
-func (s *Scheduler) exposed(u *upstream) float64 {
-	sum := 0.0
-	for _, a := range u.attempts {
-		sum += s.tightness(a.request.class)
+// unexpose takes an attempt that ended out of the exposure. Without attempts it is
+// exactly 0, whatever was rounded.
+func (u *upstream) unexpose(a *attempt) {
+	u.exposure -= a.tightness
+	if len(u.attempts) == 0 {
+		u.exposure = 0
 	}
-	return sum
 }
 
 // readLoad is the share of time that the engine reads, lately.
@@ -292,6 +313,9 @@
 	u.reading = now.Add(u.backlog(now) + read)
 	u.addRead(now, read)
 	a.reading = read
+	if read > 0 {
+		u.readingFor = append(u.readingFor, a)
+	}
 	u.toRead[r.class.tier] += read
 	u.memory += a.memory
 	a.shared = u.unfinished.begin(&r.Request, &u.cache)
@@ -326,9 +350,13 @@
 
 // finishReading notes that the engine has nothing more to read for the attempt.
 func (a *attempt) finishReading() {
-	a.upstream.toRead[a.tier] -= a.reading
+	u := a.upstream
+	if i := slices.Index(u.readingFor, a); i >= 0 {
+		u.readingFor = slices.Delete(u.readingFor, i, i+1)
+	}
+	u.toRead[a.tier] -= a.reading
 	a.reading = 0
-	a.upstream.unfinished.end(a.shared)
+	u.unfinished.end(a.shared)
 	a.shared = nil
 }
 
@@ -336,10 +364,8 @@
 // all that it has still to read would take from now on.
 func (s *Scheduler) reviewReading(now time.Time, u *upstream) {
 	var left time.Duration
-	for _, a := range u.attempts {
-		if a.first.IsZero() {
-			left += a.reading
-		}
+	for _, a := range u.readingFor {
+		left += a.reading
 	}
 	if end := now.Add(left); end.Before(u.reading) {
 		u.reading = end
--- a/internal/policy/scheduler/placement_bench_test.go
+++ b/internal/policy/scheduler/placement_bench_test.go
@@ -58,3 +58,51 @@
 	}
 	return f
 }
+
+// BenchmarkCrest is a crest: 90 engines that run 25 requests each, of which some are
+// still read, and a number of requests that no engine has room for yet. Each step
+// submits a request, reports a first token and ends a request.
+func BenchmarkCrest(b *testing.B) {
+	for _, waiting := range []int{0, 20, 100} {
+		b.Run(fmt.Sprint("waiting=", waiting), func(b *testing.B) {
+			f, running := crestFleet(90, 25, waiting)
+			if n := f.s.pools["m"].waiting; n < waiting {
+				b.Fatalf("%d requests wait", n)
+			}
+			b.ReportAllocs()
+			for i := range b.N {
+				id := RequestID(fmt.Sprint("c", i))
+				f.step(Submit{longPrompt(id, uint64(i%900), uint64(i+1_000_000), f.now)})
+				if f.running[id] != "" {
+					f.first(id)
+					f.finish(id)
+				} else {
+					f.step(Cancel{id})
+				}
+				old := running[i%len(running)]
+				f.step(Progress{ID: old, Upstream: f.running[old], Tokens: i})
+			}
+		})
+	}
+}
+
+// crestFleet has engines that run some requests each, most of them generating, and
+// requests that wait because each engine has enough to read.
+func crestFleet(engines, each, waiting int) (*engineFleet, []RequestID) {
+	f := benchFleet(engines)
+	var running []RequestID
+	n := 0
+	for i := 0; i < engines*each; i++ {
+		id := RequestID(fmt.Sprint("run", i))
+		f.step(Submit{Request{ID: id, Pool: "m", Class: "summary", Prompt: 100, Limit: 50, Arrived: f.now, Prefix: []uint64{uint64(i + 5_000_000)}, Ends: []int{100}}})
+		if f.running[id] != "" {
+			f.first(id)
+			running = append(running, id)
+		}
+	}
+	for f.s.pools["m"].waiting < waiting && n < 10_000 {
+		n++
+		f.step(Submit{longPrompt(RequestID(fmt.Sprint("wait", n)), uint64(n+10_000), uint64(n+20_000_000), f.now)})
+	}
+	return f, running
+}
--- a/internal/policy/scheduler/preemption.go
+++ b/internal/policy/scheduler/preemption.go
@@ -23,7 +23,7 @@
 // otherwise miss their target, at most one for each of them.
 func (s *Scheduler) preempt(now time.Time, p *pool) {
 	for level := range validator.LowestTier {
-		if p.queued[level] == 0 {
+		if p.queued[level] == 0 || p.repeatable == 0 {
 			continue
 		}
 		urgent := p.urgent(now, level)
@@ -115,6 +115,9 @@
 
 // yielding counts the attempts that may be preempted for a tier.
 func (p *pool) yielding(now time.Time, c *class) int {
+	if p.repeatable == 0 {
+		return 0
+	}
 	n := 0
 	for _, u := range p.upstreams {
 		if !u.replaceable(now, p, c) {
--- a/internal/policy/scheduler/queue.go
+++ b/internal/policy/scheduler/queue.go
@@ -51,6 +51,9 @@
 	// preempting counts the attempts that were asked to give way and still
 	// hold their slot; protected counts those that are never asked.
 	preempting, protected int
+	// repeatable counts the attempts of requests that may be repeated; only those
+	// can give way.
+	repeatable int
 	// typical is the median time between tokens of the upstreams.
 	typical  time.Duration
 	compared time.Time
@@ -347,6 +350,48 @@
 	}
 }
 
+// eventBudget is the number of pairs of a waiting request and an engine that may be
+// compared at each event, about 0.1 ms. With more only a tick places the waiting
+// requests: in a crest there are as many events as requests.
+const eventBudget = 1000
+
+// busy reports whether only ticks place what waits for the engines of the pool.
+func (s *Scheduler) busy(p *pool) bool {
+	return s.memory[p.name] > 0 && p.waiting*len(p.upstreams) > eventBudget
+}
+
+// dispatchNew grants a slot to a request that has just begun to wait, if there is one.
+// In a busy pool it goes before what waits in lower tiers only: the others have
+// waited for longer.
+func (s *Scheduler) dispatchNew(now time.Time, r *request) {
+	p := r.pool
+	switch {
+	case !s.busy(p):
+		s.dispatch(now, p)
+	case p.waitingUpTo(r.class.tier) > 1:
+	default:
+		if u := s.choose(now, r); u != nil {
+			s.grant(now, r, u, false)
+		}
+	}
+}
+
+// waitingUpTo counts what waits in a tier and those above it.
+func (p *pool) waitingUpTo(level validator.Tier) int {
+	n := 0
+	for i := range level + 1 {
+		n += p.queued[i]
+	}
+	return n
+}
+
+// dispatchSoon grants free slots after an event, or leaves that to the next tick.
+func (s *Scheduler) dispatchSoon(now time.Time, p *pool) {
+	if !s.busy(p) {
+		s.dispatch(now, p)
+	}
+}
+
 // dispatch grants free slots to waiting requests in order.
 func (s *Scheduler) dispatch(now time.Time, p *pool) {
 	s.unpark(p)
@@ -357,16 +402,22 @@
 			p.park(r)
 			continue
 		}
-		s.virtual[r.class.tier] = max(s.virtual[r.class.tier], r.organisation.debt[r.class.tier])
-		p.credit(r.class)
-		s.dequeue(r)
-		a := s.start(now, r, u)
-		p.sinceOverdue++
-		if overdue {
-			p.sinceOverdue = 0
-			p.protect(a)
-		}
-		p.rates[r.class.tier].add(now)
-		s.actions = append(s.actions, Grant{ID: r.ID, Upstream: u.Name, Priority: int(r.class.tier), Predicted: a.predicted()})
+		s.grant(now, r, u, overdue)
+	}
+}
+
+// grant gives a waiting request a slot.
+func (s *Scheduler) grant(now time.Time, r *request, u *upstream, overdue bool) {
+	p := r.pool
+	s.virtual[r.class.tier] = max(s.virtual[r.class.tier], r.organisation.debt[r.class.tier])
+	p.credit(r.class)
+	s.dequeue(r)
+	a := s.start(now, r, u)
+	p.sinceOverdue++
+	if overdue {
+		p.sinceOverdue = 0
+		p.protect(a)
 	}
+	p.rates[r.class.tier].add(now)
+	s.actions = append(s.actions, Grant{ID: r.ID, Upstream: u.Name, Priority: int(r.class.tier), Predicted: a.predicted()})
 }
--- a/internal/policy/scheduler/request.go
+++ b/internal/policy/scheduler/request.go
@@ -100,8 +100,11 @@
 	// shared lists the blocks that the engine reads for the attempt and that
 	// other requests may have too.
 	shared []uint64
-	// tier is the one of the request when the attempt began.
-	tier validator.Tier
+	// tier is the one of the request when the attempt began, tightness that of its
+	// class, and repeatable tells whether it could give way.
+	tier       validator.Tier
+	tightness  float64
+	repeatable bool
 }
 
 // class is a request class with its targets as durations.
@@ -110,6 +113,10 @@
 	tier                    validator.Tier
 	first, gap, total, wait time.Duration
 	floor                   float64
+	// tightness compares the target for the time between tokens with that of the
+	// tightest class, which has 1. Streams of loose classes have 0: they lose
+	// little by an engine that reads beside them.
+	tightness float64
 	// late requests are still served when there is room.
 	late bool
 }
@@ -191,12 +198,7 @@
 	for _, c := range d.Classes {
 		s.classes[c.Name] = newClass(c)
 	}
-	s.tightest = 0
-	for _, c := range s.classes {
-		if c.gap > 0 && (s.tightest == 0 || c.gap < s.tightest) {
-			s.tightest = c.gap
-		}
-	}
+	s.compareGaps()
 	clear(s.memory)
 	for _, m := range d.Models {
 		if m.Memory > 0 {
--- a/internal/policy/scheduler/scheduler.go
+++ b/internal/policy/scheduler/scheduler.go
@@ -26,8 +26,6 @@
 	hosts      int
 	retryShare float64
 	retryBurst float64
-	// tightest is the smallest target for the time between tokens.
-	tightest time.Duration
 	// memory is the number of tokens in an engine's memory, by model.
 	memory    map[validator.PoolName]int
 	detector  *detector.Detector
@@ -166,7 +164,7 @@
 		return
 	}
 	s.enqueue(r)
-	s.dispatch(now, p)
+	s.dispatchNew(now, r)
 }
 
 // open records a request that is about to wait or run.
@@ -223,7 +221,7 @@
 		s.release(now, r.attempts[0], Abandoned)
 	}
 	s.settle(r)
-	s.dispatch(now, r.pool)
+	s.dispatchSoon(now, r.pool)
 }
 
 func (s *Scheduler) firstToken(now time.Time, e FirstToken) {
@@ -248,6 +246,8 @@
 	if a.first.IsZero() && e.Tokens > 0 {
 		a.first, a.reported = now, now
 		a.upstream.firsts++
+		a.finishReading()
+		s.reviewReading(now, a.upstream)
 	}
 	if n := e.Tokens - a.tokens; n > 0 && now.After(a.reported) {
 		a.upstream.pace.observe(now, now.Sub(a.reported)/time.Duration(n), n)
@@ -282,7 +282,9 @@
 	if e.Outcome == Unconnected {
 		s.missConnection(now, u)
 	}
-	s.dispatch(now, r.pool)
+	if !u.Serves(r.pool.name) {
+		s.dispatchSoon(now, r.pool)
+	}
 	s.dispatchAll(now, u)
 }
 
@@ -301,6 +303,12 @@
 	s.beginReading(now, a)
 	r.attempts = append(r.attempts, a)
 	u.attempts = append(u.attempts, a)
+	a.tightness = r.class.tightness
+	u.exposure += a.tightness
+	a.repeatable = r.Repeatable
+	if a.repeatable {
+		r.pool.repeatable++
+	}
 	a.charge = r.cost(expectedTokens)
 	s.charge(r, a.charge)
 	return a
@@ -315,6 +323,10 @@
 	r.attempts = remove(r.attempts, a)
 	a.upstream.attempts = remove(a.upstream.attempts, a)
 	s.endReading(now, a)
+	a.upstream.unexpose(a)
+	if a.repeatable {
+		r.pool.repeatable--
+	}
 	if a.preempted {
 		r.pool.preempting--
 	}
--- a/internal/policy/scheduler/upstream.go
+++ b/internal/policy/scheduler/upstream.go
@@ -53,6 +53,11 @@
 	readAt time.Time
 	// memory is the tokens of the attempts.
 	memory int
+	// readingFor lists the attempts that the engine still has to read for, oldest
+	// first.
+	readingFor []*attempt
+	// exposure adds up the tightness of the attempts.
+	exposure float64
 }
 
 func newUpstream(u registrar.Upstream) *upstream { return &upstream{Upstream: u} }
@@ -193,7 +198,7 @@
 	serve := func(names []validator.PoolName) {
 		for _, name := range names {
 			if p := s.pools[name]; p != nil {
-				s.dispatch(now, p)
+				s.dispatchSoon(now, p)
 			}
 		}
 	}
