--- a/cmd/amaranthd/cut_test.go
+++ b/cmd/amaranthd/cut_test.go
@@ -18,6 +18,7 @@
 	"github.com/amaranthcart/amaranthcart/internal/ops/inspector"
 	"github.com/amaranthcart/amaranthcart/internal/order/issuer"
 	"github.com/amaranthcart/amaranthcart/internal/settings/loader"
+	"github.com/amaranthcart/amaranthcart/internal/stub/interposer"
 )
 
 // Tests with relays run beside each other, at most three at a time: TestTwoIssuers
@@ -36,16 +37,25 @@
 	t.Cleanup(lane.Unlock)
 }
 
+// relay opens a relay of a process and returns its address.
+func relay(t testing.TB, n *interposer.Network, name, target string) string {
+	t.Helper()
+	address, err := n.Relay(name, "127.0.0.1:0", target)
+	assert.NilError(t, err)
+	return address
+}
+
 // deployRelayed starts a deployment whose processes reach each other only
 // through relays. The test itself and its operators reach them directly.
-func deployRelayed(t *testing.T, controls, entries int, changes ...func(*loader.Settings)) (*deployment, *network) {
+func deployRelayed(t *testing.T, controls, entries int, changes ...func(*loader.Settings)) (*deployment, *interposer.Network) {
 	t.Helper()
-	n := newNetwork(t)
+	n := interposer.New()
+	t.Cleanup(n.Close)
 	d := newDeployment(t)
 	deploySettings(t, d, controls, entries)
 	relays := map[string]string{}
 	for name, s := range d.settings {
-		s.Advertise = n.relay(name, s.Peers)
+		s.Advertise = relay(t, n, name, s.Peers)
 		relays[s.Peers] = s.Advertise
 	}
 	for name, s := range d.settings {
@@ -66,9 +76,9 @@
 }
 
 // startBehind starts a stand-in upstream behind a relay.
-func (d *deployment) startBehind(n *network, name string, args ...string) {
+func (d *deployment) startBehind(n *interposer.Network, name string, args ...string) {
 	d.stubs[name] = freePort(d.t)
-	base := []string{"--name", name, "--listen", d.stubs[name], "--address", n.relay(name, d.stubs[name])}
+	base := []string{"--name", name, "--listen", d.stubs[name], "--address", relay(d.t, n, name, d.stubs[name])}
 	for _, e := range d.entries {
 		base = append(base, "--entry", d.settings[e].Advertise)
 	}
@@ -137,7 +147,7 @@
 	old := d.leader()
 	rest := others(d.control, old)
 	began := time.Now()
-	n.part([]string{old}, rest)
+	n.Part([]string{old}, rest)
 	var group conc.WaitGroup
 	defer group.Wait()
 	stale, lost := document(t, "stale"), document(t, "lost")
@@ -172,7 +182,7 @@
 	for _, e := range d.entries {
 		assert.Assert(t, d.ready(e), "%s is unready although two control hosts work", e)
 	}
-	n.heal()
+	n.Heal()
 	d.waitFor("the host to catch up", func() bool {
 		code, out := d.ctlAt(d.at(old), "--output", "json", "status")
 		return code == 0 && strings.Contains(out, `"revision": 2`)
@@ -195,8 +205,8 @@
 	}
 	// entry-1 loses control only, with refused connections; entry-3 loses
 	// control and its peers, silently.
-	n.cut("entry-1", "control-1")
-	n.part([]string{"entry-3"}, []string{"control-1", "entry-1", "entry-2"})
+	n.Cut("entry-1", "control-1")
+	n.Part([]string{"entry-3"}, []string{"control-1", "entry-1", "entry-2"})
 	began := time.Now()
 	served, refused := map[string]bool{}, map[string]bool{}
 	for i := 0; time.Since(began) < bound+2*time.Second; i++ {
@@ -239,7 +249,7 @@
 	d.waitFor("entry-1 to enforce revision 2", func() bool { return d.view("entry-1").Revision == 2 })
 	assert.Assert(t, time.Since(accepted) < bound || !d.ready("entry-1"), "entry-1 took %v", time.Since(accepted))
 	assert.Equal(t, d.view("entry-3").Revision, uint64(1))
-	n.heal()
+	n.Heal()
 	d.waitFor("entry-3 to become ready", func() bool { return d.ready("entry-3") })
 	assert.Equal(t, d.view("entry-3").Revision, uint64(2), "ready under the old revision")
 }
@@ -263,7 +273,7 @@
 	}
 	d.order("shop-1", `{"behaviour": {"first": "10ms"}}`)
 	left, right := d.entries[:2], d.entries[2:]
-	n.part(left, right)
+	n.Part(left, right)
 	d.waitFor("two owners", func() bool {
 		a, b := d.view(left[0]).Owner, d.view(right[0]).Owner
 		return a != "" && b != "" && a != b && a == d.view(left[1]).Owner && b == d.view(right[1]).Owner
@@ -323,7 +333,7 @@
 		})
 	}
 	d.waitFor("answers while parted", func() bool { return chats.Load() > 60 })
-	n.heal()
+	n.Heal()
 	d.waitFor("one owner", func() bool {
 		return d.view(left[0]).Owner == d.view(right[0]).Owner
 	})
--- a/cmd/amaranthd/order_test.go
+++ b/cmd/amaranthd/order_test.go
@@ -75,10 +75,10 @@
 	next := others(d.entries, old)[0]
 	// The orders of the holder are held on their way.
 	for _, e := range engines {
-		n.hold(old, e)
+		n.Hold(old, e)
 	}
 	d.apply(placedDocument(t, "b", "spring", "autumn"), 1)
-	d.waitFor("orders on their way", func() bool { return n.open(old, "fenced") > 0 && n.open(old, "trusting") > 0 })
+	d.waitFor("orders on their way", func() bool { return n.Open(old, "fenced") > 0 && n.Open(old, "trusting") > 0 })
 	d.signal(old, syscall.SIGSTOP)
 	t.Logf("%v: %s is frozen", time.Since(began), old)
 	d.apply(placedDocument(t, "c", "autumn"), 2)
@@ -91,7 +91,7 @@
 	// are live were made after it.
 	time.Sleep(registrar.Lease + time.Second)
 	ordered := d.runs("trusting")["orders"]
-	n.heal()
+	n.Heal()
 	d.waitFor("the late orders to arrive", func() bool {
 		assert.Assert(t, have("fenced", "autumn")(), "an old order changed the engine that checks numbers: %v", d.loaded("fenced"))
 		return d.runs("fenced")["rejected"] > 0 && d.runs("trusting")["orders"] > ordered
--- a/cmd/amaranthd/silent_test.go
+++ b/cmd/amaranthd/silent_test.go
@@ -50,10 +50,10 @@
 		runs := d.runs("engine-1", "shop-1")
 		return runs["generations"] == streams && runs["keyed"] == 1 && runs["bare"] == 1
 	})
-	assert.Assert(t, n.silence("entry-1", "shop-1") >= 2)
+	assert.Assert(t, n.Silence("entry-1", "shop-1") >= 2)
 	// Some tokens have passed, and many are still to come.
 	time.Sleep(500 * time.Millisecond)
-	assert.Assert(t, n.silence("entry-1", "engine-1") >= streams)
+	assert.Assert(t, n.Silence("entry-1", "engine-1") >= streams)
 	began := time.Now()
 	a := d.send(t.Context(), "entry-1", "GET", "/svc/shop/check", "")
 	assert.Equal(t, a.status, http.StatusOK, "a new connection works: %v %s", a.err, a.body)
@@ -98,8 +98,8 @@
 	d.apply(document(t, "a"), 0)
 	old := d.leader()
 	rest := others(d.control, old)
-	n.delay(rest[0], rest[1], 30*time.Millisecond)
-	n.delay(rest[1], rest[0], 30*time.Millisecond)
+	n.Delay(rest[0], rest[1], 30*time.Millisecond)
+	n.Delay(rest[1], rest[0], 30*time.Millisecond)
 	const operators = 6
 	files := make([]string, operators)
 	for i := range files {
@@ -122,7 +122,7 @@
 			})
 		})
 	}
-	n.part([]string{old}, rest)
+	n.Part([]string{old}, rest)
 	group.Wait()
 	winners := 0
 	for i, c := range codes {
@@ -142,7 +142,7 @@
 		}
 	}
 	check(d.at(rest...))
-	n.heal()
+	n.Heal()
 	d.waitFor("the old leader to catch up", func() bool {
 		code, out := d.ctlAt(d.at(old), "--output", "json", "status")
 		return code == 0 && strings.Contains(out, `"revision": 2`)
--- a/cmd/amaranthd/relay_test.go
+++ b/internal/stub/interposer/interposer.go
@@ -1,4 +1,20 @@
-package main_test
+// Package interposer puts TCP relays between the processes of a deployment and
+// disturbs what passes: bytes are delayed or held in one direction, connections are
+// reset, refused or go silent for good.
+//
+// Each process announces the address of its relay. The relay finds out which child
+// process has opened a connection, so that a fault can hit any pair. Bytes that are
+// held arrive when the fault heals, as after lost packets have been sent again; the
+// end of a connection is held like its bytes.
+//
+// # Usage
+//
+//	n := interposer.New()
+//	defer n.Close()
+//	address, err := n.Relay("control-1", "127.0.0.1:0", "127.0.0.1:7101")
+//	n.Part([]string{"control-1"}, []string{"entry-1"})
+//	n.Heal()
+package interposer
 
 import (
 	"errors"
@@ -9,24 +25,19 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"testing"
 	"time"
 
 	"github.com/sourcegraph/conc"
-	"gotest.tools/v3/assert"
 )
 
+// NameVariable is the environment variable that names a child process to the relays.
+const NameVariable = "INTERPOSER_NAME"
+
 // link is one direction between two processes, whoever opened the connection.
 type link struct{ from, to string }
 
-// network is a set of TCP relays in front of the processes of a deployment.
-// Each process announces the address of its relay, and the relay finds out
-// which process has opened a connection, so that a fault can hit any pair.
-//
-// Bytes that are held arrive when the fault heals, as after lost packets have
-// been sent again. The end of a connection is held like its bytes.
-type network struct {
-	t     testing.TB
+// Network is a set of relays in front of the processes of a deployment.
+type Network struct {
 	group conc.WaitGroup
 
 	mu          sync.Mutex
@@ -47,21 +58,24 @@
 	silent bool
 }
 
-func newNetwork(t testing.TB) *network {
-	n := &network{
-		t: t, changed: make(chan struct{}), held: map[link]bool{}, refused: map[link]bool{},
+// New returns a Network without relays.
+func New() *Network {
+	return &Network{
+		changed: make(chan struct{}), held: map[link]bool{}, refused: map[link]bool{},
 		delays: map[link]time.Duration{}, connections: map[*connection]struct{}{},
 	}
-	t.Cleanup(n.close)
-	return n
 }
 
-// relay opens the relay of a process and returns its address.
-func (n *network) relay(name, target string) string {
-	n.t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(n.t, err)
+// Relay opens a relay of a process and returns its address. The relay listens on the
+// address, whose port may be 0, and connects to the target.
+func (n *Network) Relay(name, listen, target string) (string, error) {
+	l, err := net.Listen("tcp", listen)
+	if err != nil {
+		return "", fmt.Errorf("relay of %s: %w", name, err)
+	}
+	n.mu.Lock()
 	n.listeners = append(n.listeners, l)
+	n.mu.Unlock()
 	n.group.Go(func() {
 		for {
 			c, err := l.Accept()
@@ -71,10 +85,10 @@
 			n.group.Go(func() { n.connect(c.(*net.TCPConn), name, target) })
 		}
 	})
-	return l.Addr().String()
+	return l.Addr().String(), nil
 }
 
-func (n *network) connect(in *net.TCPConn, name, target string) {
+func (n *Network) connect(in *net.TCPConn, name, target string) {
 	c := &connection{from: opener(in), to: name, in: in}
 	n.mu.Lock()
 	refused := n.closed || n.refused[link{c.from, name}]
@@ -111,7 +125,7 @@
 }
 
 // pass copies one direction of a connection.
-func (n *network) pass(c *connection, from, to *net.TCPConn, l link) {
+func (n *Network) pass(c *connection, from, to *net.TCPConn, l link) {
 	buffer := make([]byte, 32<<10)
 	for {
 		count, err := from.Read(buffer)
@@ -138,7 +152,7 @@
 
 // await waits until the direction carries bytes. It reports false once the
 // network is closed.
-func (n *network) await(c *connection, l link) bool {
+func (n *Network) await(c *connection, l link) bool {
 	for {
 		n.mu.Lock()
 		closed, held, delay, changed := n.closed, n.held[l] || c.silent, n.delays[l], n.changed
@@ -155,7 +169,7 @@
 }
 
 // change makes a change and wakes the relays.
-func (n *network) change(f func()) {
+func (n *Network) change(f func()) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	f()
@@ -163,12 +177,12 @@
 	n.changed = make(chan struct{})
 }
 
-// hold holds the bytes from one process to another, on old connections and on
+// Hold holds the bytes from one process to another, on old connections and on
 // new ones.
-func (n *network) hold(from, to string) { n.change(func() { n.held[link{from, to}] = true }) }
+func (n *Network) Hold(from, to string) { n.change(func() { n.held[link{from, to}] = true }) }
 
-// part holds both directions between two groups of processes.
-func (n *network) part(a, b []string) {
+// Part holds both directions between two groups of processes.
+func (n *Network) Part(a, b []string) {
 	n.change(func() {
 		for _, x := range a {
 			for _, y := range b {
@@ -178,9 +192,9 @@
 	})
 }
 
-// cut closes the connections that one process has opened to another, and
+// Cut closes the connections that one process has opened to another, and
 // refuses new ones.
-func (n *network) cut(from, to string) {
+func (n *Network) Cut(from, to string) {
 	n.change(func() {
 		n.refused[link{from, to}] = true
 		for c := range n.connections {
@@ -191,9 +205,9 @@
 	})
 }
 
-// silence makes the connections that are open between two processes go silent
+// Silence makes the connections that are open between two processes go silent
 // for good; new ones work. It returns their number.
-func (n *network) silence(from, to string) int {
+func (n *Network) Silence(from, to string) int {
 	count := 0
 	n.change(func() {
 		for c := range n.connections {
@@ -206,8 +220,8 @@
 	return count
 }
 
-// open counts the connections that one process has open to another.
-func (n *network) open(from, to string) int {
+// Open counts the connections that one process has open to another.
+func (n *Network) Open(from, to string) int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	count := 0
@@ -219,13 +233,34 @@
 	return count
 }
 
-// delay delays the bytes from one process to another.
-func (n *network) delay(from, to string, d time.Duration) {
+// Delay delays the bytes from one process to another.
+func (n *Network) Delay(from, to string, d time.Duration) {
 	n.change(func() { n.delays[link{from, to}] = d })
 }
 
-// heal ends all faults but the silent connections.
-func (n *network) heal() {
+// Pass ends what was done to the direction from one process to another.
+func (n *Network) Pass(from, to string) {
+	n.change(func() {
+		l := link{from, to}
+		delete(n.held, l)
+		delete(n.refused, l)
+		delete(n.delays, l)
+	})
+}
+
+// Reset closes the connections that one process has opened to another.
+func (n *Network) Reset(from, to string) {
+	n.change(func() {
+		for c := range n.connections {
+			if c.from == from && c.to == to {
+				c.reset()
+			}
+		}
+	})
+}
+
+// Heal ends all faults but the silent connections.
+func (n *Network) Heal() {
 	n.change(func() {
 		clear(n.held)
 		clear(n.refused)
@@ -233,7 +268,8 @@
 	})
 }
 
-func (n *network) close() {
+// Close ends all relays and waits for them.
+func (n *Network) Close() {
 	n.change(func() {
 		n.closed = true
 		for _, l := range n.listeners {
@@ -256,8 +292,8 @@
 	pids  map[string]string
 }
 
-// opener names the child process that holds the other end of a connection: by
-// its settings file or by its flag --name. It is empty for the test itself.
+// opener names the child process that holds the other end of a connection. It is
+// empty for this process itself.
 func opener(c net.Conn) string {
 	accepted := time.Now()
 	openers.mu.Lock()
@@ -269,7 +305,12 @@
 	return openers.names[[2]string{hexAddress(c.RemoteAddr()), hexAddress(c.LocalAddr())}]
 }
 
-func hexAddress(a net.Addr) string { return fmt.Sprintf("0100007F:%04X", a.(*net.TCPAddr).Port) }
+// hexAddress is an IPv4 address as the kernel's table of sockets has it.
+func hexAddress(a net.Addr) string {
+	t := a.(*net.TCPAddr)
+	ip := t.IP.To4()
+	return fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], t.Port)
+}
 
 // lookAtProcesses returns the child processes by the inodes of their sockets.
 func lookAtProcesses() map[string]string {
@@ -282,7 +323,7 @@
 			if !known {
 				name = processName(pid)
 			}
-			// Until it runs its program, a child has the test's command line.
+			// Until it runs its program, a child has this process's command line.
 			if name != filepath.Base(os.Args[0]) {
 				pids[pid] = name
 			}
@@ -312,7 +353,15 @@
 	return names
 }
 
+// processName names a process by the settings file that its environment or its
+// arguments name, by its flag --name, or else by its program.
 func processName(pid string) string {
+	environment, _ := os.ReadFile("/proc/" + pid + "/environ")
+	for v := range strings.SplitSeq(string(environment), "\x00") {
+		if name, ok := strings.CutPrefix(v, NameVariable+"="); ok {
+			return name
+		}
+	}
 	data, _ := os.ReadFile("/proc/" + pid + "/cmdline")
 	args := strings.Split(string(data), "\x00")
 	for i, a := range args[:len(args)-1] {
