gossiper: each fingerprint goes to each host once

Change: fingerprints are numbered as they become known or change; a host is sent those above the last number, 64 in a message, and all again after a minute.

--- a/internal/member/gossiper/gossiper.go
+++ b/internal/member/gossiper/gossiper.go
@@ -100,6 +100,7 @@
 	secure    bool
 	exchanger Exchanger
 	prints    Fingerprints
+	printLog  *printLog
 	revisions Revisions
 	onAction  func(registrar.Action)
 	options   []registrar.Option
@@ -194,6 +195,7 @@
 	now := g.clock.Now()
 	g.registrar = registrar.New(now, self, g.options...)
 	g.repaired = now
+	g.printLog = newPrintLog()
 	g.peers = newPeers(self.Address, g.seeds)
 	g.context, g.cancel = context.WithCancel(context.Background())
 	return g
@@ -267,6 +269,9 @@
 			g.log.Error("Another process uses the name of this host.", zap.Uint64("incarnation", uint64(o.Incarnation)))
 		}
 		g.peers.observe(a)
+		if d, ok := a.(registrar.HostDown); ok {
+			g.printLog.forget(d.Host.Address, string(d.Host.Name))
+		}
 		if g.onAction != nil {
 			g.onAction(a)
 		}
--- a/internal/member/gossiper/peer.go
+++ b/internal/member/gossiper/peer.go
@@ -8,10 +8,8 @@
 	"slices"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"connectrpc.com/connect"
-	"github.com/cespare/xxhash/v2"
 	"github.com/sourcegraph/conc/pool"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
@@ -23,10 +21,6 @@
 	"github.com/amaranthcart/amaranthcart/internal/rpc/wire/wireconnect"
 )
 
-// printsInterval is how often unchanged fingerprints are sent to the same host
-// again, in case they were lost.
-const printsInterval = 5 * time.Second
-
 // Announcements returns the handler of upstream announcements.
 func (g *Gossiper) Announcements() http.Handler { return announcer{g} }
 
@@ -113,19 +107,7 @@
 	if g.prints == nil {
 		return nil
 	}
-	list := g.prints.Fingerprints()
-	if len(list) == 0 || !g.peers.lacks(peer, fold(list), g.clock.Now()) {
-		return nil
-	}
-	return list
-}
-
-func fold(list []*wire.Fingerprint) uint64 {
-	var sum uint64
-	for _, p := range list {
-		sum += xxhash.Sum64String(p.GetDigest()) * uint64(1+p.GetCrashes()+uint32(len(p.GetUpstreams()))<<16)
-	}
-	return sum
+	return g.printLog.lacks(peer, g.prints.Fingerprints(), g.clock.Now())
 }
 
 // sayGoodbye tells the live hosts that this one stops, and waits until one of
@@ -174,7 +156,6 @@
 	lost   []string
 	busy   map[string]bool
 	known  map[string]acquaintance
-	sent   map[string]sent
 	rounds int
 	// living and absent choose among the live hosts and the others.
 	living, absent registrar.Rotation
@@ -186,13 +167,8 @@
 	list      uint64
 }
 
-type sent struct {
-	fold uint64
-	at   time.Time
-}
-
 func newPeers(self string, seeds []string) *peers {
-	return &peers{self: self, seeds: seeds, busy: map[string]bool{}, known: map[string]acquaintance{}, sent: map[string]sent{}}
+	return &peers{self: self, seeds: seeds, busy: map[string]bool{}, known: map[string]acquaintance{}}
 }
 
 // seed replaces the seeds.
@@ -257,8 +233,6 @@
 	switch a := a.(type) {
 	case registrar.HostDown:
 		delete(p.known, a.Host.Address)
-		delete(p.sent, a.Host.Address)
-		delete(p.sent, string(a.Host.Name))
 		if !a.Host.Left && !slices.Contains(p.lost, a.Host.Address) {
 			p.lost = append(p.lost, a.Host.Address)
 			p.lost = p.lost[max(0, len(p.lost)-MaxAddresses):]
@@ -297,16 +271,6 @@
 	p.known[address] = known
 }
 
-func (p *peers) lacks(peer string, fold uint64, now time.Time) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if s := p.sent[peer]; s.fold == fold && now.Sub(s.at) < printsInterval {
-		return false
-	}
-	p.sent[peer] = sent{fold: fold, at: now}
-	return true
-}
-
 // caller makes exchanges over the network.
 type caller struct{ clients *dialer.Pool }
 
