--- a/cmd/amaranthd/dev.go
+++ b/cmd/amaranthd/dev.go
@@ -34,6 +34,8 @@
 		logger.Error("cannot resolve the data folder", zap.Error(err))
 		return exitFailed
 	}
+	signals, stop := stopSignals()
+	defer stop()
 	d, err := runner.StartDev(folder, callers, logger)
 	if errors.Is(err, syscall.EADDRINUSE) {
 		logger.Error("start failed; choose another address for callers with --callers, such as 127.0.0.1:0", zap.Error(err))
@@ -44,7 +46,7 @@
 		return exitFailed
 	}
 	printHint(d)
-	return wait(d.Daemon, d, logger, closeMargin)
+	return wait(signals, stop, d.Daemon, d, logger, closeMargin)
 }
 
 func printHint(d *runner.Dev) {
--- a/cmd/amaranthd/main.go
+++ b/cmd/amaranthd/main.go
@@ -101,7 +101,15 @@
 	}
 }
 
+// stopSignals ends the context at a signal for a planned stop. It is made before
+// anything is started: a signal in the meantime would end the process as a kill does.
+func stopSignals() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+}
+
 func runDaemon(path string) int {
+	signals, stop := stopSignals()
+	defer stop()
 	tuneCollector()
 	s, ok := load(path)
 	if !ok {
@@ -117,7 +125,7 @@
 		logger.Error("start failed", zap.Error(err))
 		return exitFailed
 	}
-	return wait(d, d, logger, time.Duration(s.Drain)+closeMargin)
+	return wait(signals, stop, d, d, logger, time.Duration(s.Drain)+closeMargin)
 }
 
 // closer is what a planned stop closes.
@@ -125,10 +133,9 @@
 	Close(ctx context.Context) error
 }
 
-// wait runs until a signal, an operator or a failure stops the process.
-func wait(d *runner.Daemon, all closer, logger *zap.Logger, limit time.Duration) int {
-	signals, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
+// wait runs until a signal, an operator or a failure stops the process; stop ends the
+// handling of signals.
+func wait(signals context.Context, stop context.CancelFunc, d *runner.Daemon, all closer, logger *zap.Logger, limit time.Duration) int {
 	select {
 	case <-signals.Done():
 	case <-d.Stop():
