--- a/internal/daemon/runner/adapter.go
+++ b/internal/daemon/runner/adapter.go
@@ -25,6 +25,14 @@
 	return h, h != ""
 }
 
+// Successor returns the entry host that would own the cell without its owner.
+func (m membership) Successor(c registrar.CellName) (registrar.HostName, bool) {
+	if next := m.gossiper.Snapshot().Successors(c); len(next) > 0 {
+		return next[0].Name, true
+	}
+	return "", false
+}
+
 // Address returns where other hosts reach the entry host.
 func (m membership) Address(h registrar.HostName) (string, bool) {
 	found, ok := m.gossiper.Snapshot().Host(h)
--- a/internal/entry/dispatcher/cell.go
+++ b/internal/entry/dispatcher/cell.go
@@ -23,7 +23,7 @@
 	// broken link is noticed at once.
 	reviewInterval = 50 * time.Millisecond
 	// collectTime is how long a new owner dispatches only its own part of the
-	// slots while the other hosts report the slots that they hold.
+	// slots, unless all other hosts have reported the slots that they hold before.
 	collectTime = time.Second
 	// retryInterval is the shortest time between two attempts to open a link.
 	retryInterval = 100 * time.Millisecond
@@ -38,6 +38,8 @@
 type Membership interface {
 	// Owner names the host that runs the scheduler of the cell.
 	Owner(c registrar.CellName) (registrar.HostName, bool)
+	// Successor names the host that would own the cell without its owner.
+	Successor(c registrar.CellName) (registrar.HostName, bool)
 	// Address is where the host serves other hosts.
 	Address(h registrar.HostName) (string, bool)
 	// Hosts counts the live entry hosts.
@@ -243,13 +245,15 @@
 	link    *link
 	// surveyor learns the caches once this host owns the cell.
 	surveyor *surveyor
+	// opened is when the link was opened.
+	opened time.Time
 	// retry is the earliest time for a new link after one has failed.
 	retry time.Time
 }
 
 func (f *follower) review(ctx context.Context) {
 	s := f.cell.settings
-	owner, ok := s.Membership.Owner(s.Cell)
+	owner, ok := s.owner()
 	owning := ok && owner == s.Host
 	if owning != f.owning {
 		f.owning = owning
@@ -276,6 +280,7 @@
 	if f.owning {
 		return
 	}
+	s.Local.ownership.forget()
 	linked := f.link != nil && f.link.ready()
 	if linked || s.Clock.Since(f.since) >= collectTime {
 		s.Local.disowned()
@@ -288,7 +293,8 @@
 	s := f.cell.settings
 	hosts := s.Membership.Hosts()
 	alone := hosts <= 1
-	collected := f.owning && s.Clock.Since(f.since) >= collectTime
+	reported := s.Local.ownership.reports() >= hosts-1
+	collected := f.owning && (reported || s.Clock.Since(f.since) >= collectTime)
 	if alone || collected {
 		hosts = 1
 	}
@@ -314,9 +320,13 @@
 		f.open(ctx, owner)
 	}
 	if f.link != nil && f.link.ready() {
+		s.Local.ownership.agree(s.Clock.Now())
 		f.cell.reroute(f.link)
 		return
 	}
+	if f.link != nil && s.Clock.Since(f.opened) > turnTime && s.Local.ownership.insist(s.Clock.Now(), owner) {
+		f.drop()
+	}
 	f.cell.reroute(s.Local)
 }
 
@@ -327,7 +337,7 @@
 	if !ok {
 		return
 	}
-	f.link = openLink(ctx, s, owner, address)
+	f.link, f.opened = openLink(ctx, s, owner, address), s.Clock.Now()
 }
 
 func (f *follower) broken() <-chan struct{} {
@@ -337,13 +347,31 @@
 	return f.link.broken
 }
 
+// conclude draws conclusions from the end of the link.
+func (f *follower) conclude() {
+	s := f.cell.settings
+	owner, ok := s.Membership.Owner(s.Cell)
+	switch {
+	case !ok:
+	case f.link.owner == owner && f.link.lostOwner():
+		s.Local.ownership.doubt(s.Clock.Now(), owner)
+	case f.link.owner != owner && f.link.relinquished():
+		s.Local.ownership.relent(s.Clock.Now())
+	}
+}
+
 // drop leaves the link; its requests go back to this host's scheduler.
 func (f *follower) drop() {
 	if f.link == nil {
 		return
 	}
-	f.cell.reroute(f.cell.settings.Local)
-	f.link.close()
+	s := f.cell.settings
+	f.conclude()
+	f.cell.reroute(s.Local)
+	// The end of a call on a connection that went silent takes until a probe of the
+	// connection fails, which is too long to go without an owner.
+	f.link.stop()
+	f.cell.group.Go(f.link.close)
 	f.link = nil
 }
 
--- a/internal/entry/dispatcher/cell_test.go
+++ b/internal/entry/dispatcher/cell_test.go
@@ -29,6 +29,7 @@
 type fakeMembership struct {
 	mu        sync.Mutex
 	owner     registrar.HostName
+	successor registrar.HostName
 	addresses map[registrar.HostName]string
 	upstreams map[registrar.UpstreamID]registrar.Upstream
 }
@@ -39,6 +40,12 @@
 	return f.owner, f.owner != ""
 }
 
+func (f *fakeMembership) Successor(registrar.CellName) (registrar.HostName, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.successor, f.successor != ""
+}
+
 func (f *fakeMembership) Address(h registrar.HostName) (string, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/entry/dispatcher/link.go
+++ b/internal/entry/dispatcher/link.go
@@ -23,6 +23,9 @@
 	// under the smallest first-token target, so that waiting requests still
 	// have time on this host's own part of the slots.
 	silenceLimit = 400 * time.Millisecond
+	// stallTime is the pause between two looks at a link from which this host itself
+	// must have stood still.
+	stallTime = 3 * beatInterval
 	// foreignSilence is the same for a link to another cell. It leaves time for
 	// the two round trips of a new connection between regions and one packet
 	// that is sent again.
@@ -37,9 +40,13 @@
 	cancel   context.CancelFunc
 	group    conc.WaitGroup
 
-	mu      sync.Mutex
-	up      bool
-	failed  bool
+	mu     sync.Mutex
+	up     bool
+	failed bool
+	// quiet is set when the link failed because the owner was silent, and moved when
+	// it said that it is not the owner.
+	quiet   bool
+	moved   bool
 	heard   time.Time
 	pending outbox
 	wake    chan struct{}
@@ -87,9 +94,15 @@
 	l.group.Go(func() { l.watch(ctx) })
 }
 
-func (l *link) close() {
+// stop ends the link without waiting for its calls to end.
+func (l *link) stop() {
 	l.fail("closed")
 	l.cancel()
+}
+
+// close stops the link and waits.
+func (l *link) close() {
+	l.stop()
 	l.group.Wait()
 }
 
@@ -121,13 +134,20 @@
 func (l *link) watch(ctx context.Context) {
 	t := l.settings.Clock.NewTicker(beatInterval)
 	defer t.Stop()
+	last := l.settings.Clock.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.Chan():
+			now := l.settings.Clock.Now()
+			if now.Sub(last) > stallTime {
+				// This host itself stood still and has not read what came.
+				l.pardon(now)
+			}
+			last = now
 			if l.silent() {
-				l.fail("no message from owner")
+				l.give()
 				l.renew()
 				return
 			}
@@ -135,6 +155,45 @@
 	}
 }
 
+// give gives the link up after a silence of the owner.
+func (l *link) give() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.quiet = !l.failed
+	l.abandon("no message from owner")
+}
+
+// relinquish notes that the other host is not the owner.
+func (l *link) relinquish() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.moved = true
+	l.abandon("host is not the owner")
+}
+
+// relinquished reports whether the other host said that it is not the owner.
+func (l *link) relinquished() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.moved
+}
+
+// lostOwner reports whether the link failed because the owner was silent or could not
+// be reached at all. A link that broke while it was in use tells nothing: the next
+// one mostly succeeds.
+func (l *link) lostOwner() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.quiet || l.failed && !l.up && !l.moved
+}
+
+// pardon lets a silence begin now.
+func (l *link) pardon(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.heard = now
+}
+
 // renew lets the next link use a new connection where the client can do that:
 // the old one may stay silent until a probe of it fails, 1.7 s later.
 func (l *link) renew() {
@@ -189,7 +248,7 @@
 			return
 		}
 		if m.Moved {
-			l.fail("host is not the owner")
+			l.relinquish()
 			return
 		}
 		l.take(m)
--- a/internal/entry/dispatcher/local.go
+++ b/internal/entry/dispatcher/local.go
@@ -75,6 +75,8 @@
 	ticks    int
 	settled  bool
 	disown   func()
+	// ownership is shared by the two sides of the cell on this host.
+	ownership ownership
 	// elsewhere is nil on a host that works with no other cell.
 	elsewhere Elsewhere
 
--- /dev/null
+++ b/internal/entry/dispatcher/ownership_test.go
@@ -0,0 +1,87 @@
+package dispatcher
+
+import (
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
+)
+
+// noticeTime is less than the membership takes to notice a lost host.
+const noticeTime = 1500 * time.Millisecond
+
+// newGatedMembers makes members whose hosts can be made silent.
+func newGatedMembers(t *testing.T, names ...registrar.HostName) (*fakeMembership, map[registrar.HostName]*member, map[registrar.HostName]*gate) {
+	t.Helper()
+	gates := map[registrar.HostName]*gate{}
+	next := 0
+	view, all := startMembers(t, slots, func(l net.Listener) net.Listener {
+		g := &gate{Listener: l, open: map[net.Conn]bool{}}
+		gates[names[next]] = g
+		next++
+		return g
+	}, names...)
+	view.mu.Lock()
+	view.successor = names[1]
+	view.mu.Unlock()
+	return view, all, gates
+}
+
+// Pattern: the host that owns the cell freezes in a crest. Until the membership
+// noticed, all others placed prompts on their own and had each engine read again what
+// another one kept.
+func TestSuccessorTakesOverFromSilentOwner(t *testing.T) {
+	_, all, gates := newGatedMembers(t, "a", "b", "c", "d")
+	waitFor(t, "links", func() bool { return all["b"].linked() && all["c"].linked() && all["d"].linked() })
+	waitFor(t, "collected", func() bool { return all["a"].full() })
+	var held []Slot
+	for i := range slots {
+		held = append(held, acquire(t, all["c"].cell, fmt.Sprint("held", i)))
+	}
+	began := time.Now()
+	gates["a"].silent.Store(true)
+	waitFor(t, "the successor to have the whole cell", func() bool {
+		return all["c"].linked() && all["d"].linked() && all["b"].full() && all["b"].occupied() == slots
+	})
+	assert.Assert(t, time.Since(began) < noticeTime, "took %v", time.Since(began))
+	for _, s := range held {
+		s.Release(scheduler.Completed, 5)
+	}
+	waitFor(t, "slots freed", func() bool { return all["b"].occupied() == 0 })
+	s := acquire(t, all["d"].cell, "next")
+	s.Release(scheduler.Completed, 5)
+	// a is alone with its view once it speaks again.
+	gates["a"].silent.Store(false)
+}
+
+// Guards against a host that leaves the owner to the successor although only its own
+// way there is cut, and against one that stays without an owner.
+func TestDoubtOfOneHost(t *testing.T) {
+	_, all, gates := newGatedMembers(t, "a", "b", "c")
+	waitFor(t, "links", func() bool { return all["b"].linked() && all["c"].linked() })
+	began := time.Now()
+	all["c"].local.ownership.doubt(began, "a")
+	waitFor(t, "c to leave a", func() bool { return !all["c"].linked() })
+	waitFor(t, "c to go back to a", func() bool { return all["c"].linked() })
+	assert.Assert(t, time.Since(began) < doubtTime/2, "took %v", time.Since(began))
+	assert.Assert(t, !all["b"].server.owns(), "b never lost a")
+	gates["a"].cut()
+	waitFor(t, "links again", func() bool { return all["b"].linked() && all["c"].linked() })
+	assert.Assert(t, all["a"].server.owns())
+}
+
+// Guards against a new owner that leaves most slots unused for a second although all
+// hosts have reported what they hold.
+func TestCollectedEarly(t *testing.T) {
+	view, all := newMembers(t, "a", "b", "c")
+	waitFor(t, "links", func() bool { return all["b"].linked() && all["c"].linked() })
+	began := time.Now()
+	view.setOwner("b")
+	waitFor(t, "collected", func() bool { return all["b"].full() })
+	assert.Assert(t, time.Since(began) < collectTime/2, "took %v", time.Since(began))
+}
--- a/internal/entry/dispatcher/server.go
+++ b/internal/entry/dispatcher/server.go
@@ -89,10 +89,7 @@
 	s.orphans[h][id] = held
 }
 
-func (s *Server) owns() bool {
-	owner, ok := s.settings.Membership.Owner(s.settings.Cell)
-	return ok && owner == s.settings.Host
-}
+func (s *Server) owns() bool { return s.settings.owns() }
 
 // Dispatch serves one link.
 func (s *Server) Dispatch(ctx context.Context, stream *connect.BidiStream[wire.DispatchRequest, wire.DispatchResponse]) error {
@@ -110,6 +107,7 @@
 		return stream.Send(&wire.DispatchResponse{Moved: true})
 	}
 	n := s.begin(registrar.HostName(hello.Host))
+	s.settings.Local.ownership.agree(s.settings.Clock.Now())
 	n.foreign = hello.Cell != "" && registrar.CellName(hello.Cell) != s.settings.Cell
 	n.roams = hello.Roams && !n.foreign
 	defer s.finish(n)
@@ -267,6 +265,7 @@
 	}
 	if m.Complete {
 		n.settle()
+		n.server.settings.Local.ownership.report(n.host)
 	}
 	for _, p := range m.Progress {
 		n.progress(p)
--- a/internal/entry/dispatcher/tls_test.go
+++ b/internal/entry/dispatcher/tls_test.go
@@ -22,7 +22,8 @@
 // nobody owns no cell.
 type nobody struct{ Membership }
 
-func (nobody) Owner(registrar.CellName) (registrar.HostName, bool) { return "", false }
+func (nobody) Owner(registrar.CellName) (registrar.HostName, bool)     { return "", false }
+func (nobody) Successor(registrar.CellName) (registrar.HostName, bool) { return "", false }
 
 // dispatchOnly serves one method of the Peer service.
 type dispatchOnly struct {
--- a/internal/entry/receiver/hedge_test.go
+++ b/internal/entry/receiver/hedge_test.go
@@ -24,6 +24,8 @@
 // alone is the membership of a cell with one host.
 type alone []registrar.Upstream
 
+func (alone) Successor(registrar.CellName) (registrar.HostName, bool) { return "", false }
+
 func (alone) Owner(registrar.CellName) (registrar.HostName, bool) { return "host", true }
 func (alone) Address(registrar.HostName) (string, bool)           { return "", false }
 func (alone) Hosts() int                                          { return 1 }
