--- a/internal/daemon/runner/entry.go
+++ b/internal/daemon/runner/entry.go
@@ -36,18 +36,6 @@
 	"github.com/amaranthcart/amaranthcart/internal/settings/loader"
 )
 
-// joinTime is how long a starting host waits for an answer from another one.
-// It covers several exchanges with each seed.
-const joinTime = 3 * time.Second
-
-// joinPoll is how often a starting host looks whether it has met another one.
-const joinPoll = 50 * time.Millisecond
-
-// viewTime is how long a starting host leaves the cell to the others after it has
-// met one of them. It covers an exchange of news, so that a host which takes the
-// cell over knows its upstreams.
-const viewTime = time.Second
-
 // folderMode keeps other users out of the data folder.
 const folderMode = 0o700
 
@@ -420,21 +408,6 @@
 	return e.front.Open()
 }
 
-// joined reports whether this host has met another entry host, or has tried for
-// long enough. Before that it would take itself for the owner of the cell and
-// dispatch beside the real one, without knowing which requests crash upstreams.
-func (e *entry) joined() bool {
-	if len(e.gossiper.Snapshot().Hosts()) > 1 || e.clock.Since(e.started) > joinTime {
-		return true
-	}
-	return e.alone()
-}
-
-// alone reports whether the settings name no other entry host.
-func (e *entry) alone() bool {
-	return !slices.ContainsFunc(e.settings.Seeds, func(address string) bool { return address != e.settings.Advertise })
-}
-
 // start begins to exchange news. The host takes no cell over before it has heard
 // of the upstreams: the other hosts send their requests to a new owner as soon
 // as they know it, and it would refuse them.
@@ -448,41 +421,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e.standby = cancel
 	if !e.alone() && e.settings.Schedules() {
-		e.group.Go(func() { e.offer(ctx) })
-	}
-}
-
-// offer offers this host as owner of its cell once it knows the cell, or at once
-// if it has met another host and the cell has no owner.
-func (e *entry) offer(ctx context.Context) {
-	t := e.clock.NewTicker(joinPoll)
-	defer t.Stop()
-	var met time.Time
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.Chan():
-		}
-		if !e.joined() {
-			continue
-		}
-		if met.IsZero() {
-			met = e.clock.Now()
-		}
-		if e.clock.Since(met) >= viewTime || e.gossiper.Snapshot().Owner(e.settings.Cell) == "" {
-			e.gossiper.Drain(false)
-			return
-		}
-	}
-}
-
-// withdraw ends the standby, so that it can't offer a host that is stopping.
-func (e *entry) withdraw() {
-	if e.standby != nil {
-		e.standby()
+		e.group.Go(func() { e.stand(ctx) })
 	}
-	e.group.Wait()
 }
 
 // drain is the planned stop: unready at once, then no new work, then the open
