--- a/internal/entry/dispatcher/link.go
+++ b/internal/entry/dispatcher/link.go
@@ -147,7 +147,7 @@
 			}
 			last = now
 			if l.silent() {
-				l.give()
+				l.giveUp()
 				l.renew()
 				return
 			}
@@ -155,8 +155,8 @@
 	}
 }
 
-// give gives the link up after a silence of the owner.
-func (l *link) give() {
+// giveUp gives the link up after a silence of the owner.
+func (l *link) giveUp() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.quiet = !l.failed
--- a/internal/entry/dispatcher/server.go
+++ b/internal/entry/dispatcher/server.go
@@ -265,7 +265,9 @@
 	}
 	if m.Complete {
 		n.settle()
-		n.server.settings.Local.ownership.report(n.host)
+		if !n.foreign {
+			n.server.settings.Local.ownership.report(n.host)
+		}
 	}
 	for _, p := range m.Progress {
 		n.progress(p)
