scheduler: an upstream that starts again while it reads a prompt ends nothing

Change: attempts from before have nothing to read any more, and ends are safe without the map. First failing: TestRestartWhileReading (the same panic before).

--- a/internal/policy/scheduler/cache.go
+++ b/internal/policy/scheduler/cache.go
@@ -131,9 +131,11 @@
 // end notes that the engine has read the blocks.
 func (b blockCounts) end(begun []uint64) {
 	for _, h := range begun {
-		if b[h]--; b[h] <= 0 {
+		if b[h] <= 1 {
 			delete(b, h)
+			continue
 		}
+		b[h]--
 	}
 }
 
--- a/internal/policy/scheduler/crash_test.go
+++ b/internal/policy/scheduler/crash_test.go
@@ -248,3 +248,25 @@
 		})
 	}
 }
+
+// Guards against an upstream that starts again while it is reading a prompt that others
+// share: the end of the attempt from before ended the owner of the cell with a panic
+// (seed 306 of the soak).
+func TestRestartWhileReading(t *testing.T) {
+	f := newEngineFleet(t, 1)
+	id := f.summary(1)
+	again := registrar.Upstream{Name: "engine-0", Models: []validator.PoolName{"m"}, Slots: 48, Incarnation: 2, Sequence: 1}
+	f.step(Observe{again})
+	next := f.summary(1)
+	f.step(Finished{ID: id, Upstream: "engine-0", Outcome: Crashed})
+	u := f.s.upstreams["engine-0"]
+	assert.Equal(t, len(u.readingFor), 1, "the new one is still read")
+	f.step(Cancel{next})
+	assert.Equal(t, len(u.readingFor), 0)
+	assert.Equal(t, u.toRead[2], time.Duration(0))
+
+	f.step(Observe{registrar.Upstream{Name: "engine-0", Models: []validator.PoolName{"m"}, Slots: 48, Incarnation: 3, Sequence: 1}})
+	f.step(Adopt{Request: Request{ID: "adopted", Pool: "m", Class: "summary", Prompt: 100, Prefix: []uint64{5, 6}, Ends: []int{50, 100}}, Upstream: "unknown", Unread: true})
+	f.step(Observe{registrar.Upstream{Name: "unknown", Models: []validator.PoolName{"m"}, Slots: 48, Incarnation: 1, Sequence: 1}})
+	f.step(Cancel{"adopted"})
+}
--- a/internal/policy/scheduler/upstream.go
+++ b/internal/policy/scheduler/upstream.go
@@ -80,6 +80,9 @@
 // incarnation.
 func (u *upstream) replace(news registrar.Upstream) {
 	if news.Incarnation != u.Incarnation {
+		for _, a := range u.attempts {
+			a.finishReading()
+		}
 		u.prefixes, u.pace = prefixes{}, pace{}
 		u.cache.clear()
 		u.unfinished = nil
