dispatcher, scheduler: stay away from upstreams that say so in an answer

Ruled out: a list in each request of upstreams to leave out. A request that waits keeps the list of its submission, so that a later notice doesn't reach it and an ended pause still keeps it away.

Change: hosts keep such notices by upstream and incarnation, decline slots there, and tell each owner of the cell, which keeps that host (pause) or all hosts (leaving) away. Requests for which every upstream is closed longer than they may wait are refused at once with the time. Grants carry the incarnation.

--- a/internal/daemon/runner/entry.go
+++ b/internal/daemon/runner/entry.go
@@ -381,6 +381,7 @@
 		Clock:         e.clock,
 		Logger:        logger,
 		Metrics:       e.reporter.Registry(),
+		Notice:        e.cell.Notice,
 		Report:        e.reporter.ReportRequest,
 	})
 	e.front = e.relayer
--- /dev/null
+++ b/internal/entry/dispatcher/bar.go
@@ -0,0 +1,155 @@
+package dispatcher
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/wire"
+)
+
+const (
+	// maxBar bounds how long an upstream can keep a host away. One that asks for
+	// more is asked again after it.
+	maxBar = 10 * time.Minute
+	// maxDeclined bounds the slots at barred upstreams that one request declines: an
+	// owner grants such a slot only until it has heard of the bar.
+	maxDeclined = 3
+)
+
+// Notice is what an upstream said about new work in an answer.
+type Notice struct {
+	Upstream registrar.Upstream
+	// Leaving means that the process takes no new work from any host.
+	Leaving bool
+	// Pause is how long this host is to stay away.
+	Pause time.Duration
+}
+
+// bars lists the upstreams that this host stays away from, whatever the owner of
+// the cell grants. The owner is told, so that it grants none of their slots.
+type bars struct {
+	// count spares requests the lock in the usual case.
+	count atomic.Int64
+	mu    sync.Mutex
+	list  map[registrar.UpstreamID]barEntry
+}
+
+type barEntry struct {
+	incarnation registrar.Incarnation
+	leaving     bool
+	until       time.Time
+}
+
+// left is how long the bar holds for a process of the upstream. A process of which
+// this host knows no incarnation counts as the barred one.
+func (b barEntry) left(now time.Time, i registrar.Incarnation) time.Duration {
+	if i > b.incarnation && b.incarnation != 0 {
+		return 0
+	}
+	return max(b.until.Sub(now), 0)
+}
+
+// add notes a bar and reports whether it tells anything new.
+func (b *bars) add(now time.Time, n Notice) bool {
+	e := barEntry{incarnation: n.Upstream.Incarnation, leaving: n.Leaving, until: now.Add(min(n.Pause, maxBar))}
+	if n.Leaving {
+		e.until = now.Add(maxBar)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	known, ok := b.list[n.Upstream.Name]
+	same := ok && known.incarnation == e.incarnation && now.Before(known.until)
+	if same && (known.leaving || !e.leaving && !e.until.After(known.until)) {
+		return false
+	}
+	if b.list == nil {
+		b.list = map[registrar.UpstreamID]barEntry{}
+	}
+	b.list[n.Upstream.Name] = e
+	b.count.Store(int64(len(b.list)))
+	return true
+}
+
+// left is how long this host has to stay away from the upstream.
+func (b *bars) left(now time.Time, u registrar.Upstream) time.Duration {
+	if b.count.Load() == 0 {
+		return 0
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e, ok := b.list[u.Name]
+	if !ok {
+		return 0
+	}
+	return e.left(now, u.Incarnation)
+}
+
+// all returns the bars in force as the scheduler takes them and drops the others.
+func (b *bars) all(now time.Time) []scheduler.Bar {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var list []scheduler.Bar
+	for id, e := range b.list {
+		if !now.Before(e.until) {
+			delete(b.list, id)
+			continue
+		}
+		list = append(list, scheduler.Bar{Upstream: id, Incarnation: e.incarnation, Leaving: e.leaving, For: e.until.Sub(now)})
+	}
+	b.count.Store(int64(len(b.list)))
+	return list
+}
+
+// Notice takes what an upstream said about new work. This host sends it nothing
+// more, and the scheduler is told.
+func (c *Cell) Notice(n Notice) {
+	now := c.settings.Clock.Now()
+	if !n.Leaving && n.Pause <= 0 || !c.bars.add(now, n) {
+		return
+	}
+	c.settings.Logger.Info("an upstream asks for no new work",
+		zap.String("upstream", string(n.Upstream.Name)), zap.Uint64("incarnation", uint64(n.Upstream.Incarnation)),
+		zap.Bool("leaving", n.Leaving), zap.Duration("pause", n.Pause))
+	c.retellBars()
+}
+
+// retellBars reports the bars in force to the present route.
+func (c *Cell) retellBars() {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	c.tellBars(c.route)
+}
+
+// tellBars reports the bars in force to a route. They are few, so that none is told
+// by itself.
+func (c *Cell) tellBars(to route) {
+	if list := c.bars.all(c.settings.Clock.Now()); len(list) > 0 {
+		to.bar(list)
+	}
+}
+
+func encodeBars(list []scheduler.Bar) []*wire.SlotBar {
+	var all []*wire.SlotBar
+	for _, b := range list {
+		all = append(all, &wire.SlotBar{Upstream: string(b.Upstream), Incarnation: uint64(b.Incarnation), Leaving: b.Leaving, Remaining: b.For.Milliseconds()})
+	}
+	return all
+}
+
+// decodeBars returns the bars of another host.
+func decodeBars(h registrar.HostName, list []*wire.SlotBar) []scheduler.Bar {
+	var all []scheduler.Bar
+	for _, m := range list {
+		remaining := min(max(m.Remaining, 0), maxBar.Milliseconds())
+		all = append(all, scheduler.Bar{
+			Host: h, Upstream: registrar.UpstreamID(m.Upstream), Incarnation: registrar.Incarnation(m.Incarnation),
+			Leaving: m.Leaving, For: time.Duration(remaining) * time.Millisecond,
+		})
+	}
+	return all
+}
--- a/internal/entry/dispatcher/cell.go
+++ b/internal/entry/dispatcher/cell.go
@@ -73,6 +73,7 @@
 	settings Settings
 	shards   [ticketShards]ticketShard
 	serial   atomic.Uint64
+	bars     bars
 	// find and ended are the same for all tickets.
 	find  finder
 	ended func(scheduler.RequestID)
@@ -112,8 +113,26 @@
 	c.group.Wait()
 }
 
-// Acquire implements Dispatcher.
+// Acquire implements Dispatcher. A slot at an upstream that this host stays away
+// from is declined: the owner may not have heard of it yet, or may have forgotten.
 func (c *Cell) Acquire(ctx context.Context, r scheduler.Request) (Slot, error) {
+	var left time.Duration
+	for range maxDeclined {
+		s, err := c.acquire(ctx, r)
+		if err != nil {
+			return nil, err
+		}
+		left = c.bars.left(c.settings.Clock.Now(), s.Upstream())
+		if left == 0 {
+			return s, nil
+		}
+		s.Release(scheduler.Abandoned, 0)
+		c.retellBars()
+	}
+	return nil, &RefusedError{Reason: scheduler.NoUpstream, RetryAfter: left}
+}
+
+func (c *Cell) acquire(ctx context.Context, r scheduler.Request) (Slot, error) {
 	// Each call has an ID of its own: a late end of the last attempt must not
 	// withdraw the next one of the same request.
 	r.Origin = r.ID
@@ -397,6 +416,7 @@
 		c.linked.Store(l)
 		l.introduce()
 	}
+	c.tellBars(to)
 	held, waiting := c.byHolding()
 	var left []scheduler.RequestID
 	for _, t := range append(held, waiting...) {
--- a/internal/entry/dispatcher/fault_test.go
+++ b/internal/entry/dispatcher/fault_test.go
@@ -138,6 +138,8 @@
 	}
 }
 
+func (r *recorder) bar([]scheduler.Bar) {}
+
 func (r *recorder) leave(id scheduler.RequestID) { r.report(scheduler.Cancel{ID: id}) }
 
 func (r *recorder) finish(f scheduler.Finished, last bool) {
--- a/internal/entry/dispatcher/link.go
+++ b/internal/entry/dispatcher/link.go
@@ -55,10 +55,16 @@
 	hello *wire.DispatchRequest
 	// accepted is closed once the owner has answered.
 	accepted chan struct{}
-	// cell is the one of the owner when it is another cell than this host's;
-	// addresses are those of the upstreams, as the grants gave them.
-	cell      registrar.CellName
-	addresses sync.Map
+	// cell is the one of the owner when it is another cell than this host's.
+	cell registrar.CellName
+	// granted holds the location of each upstream, as the grants gave it.
+	granted sync.Map
+}
+
+// location is where a process of an upstream listens.
+type location struct {
+	address     string
+	incarnation registrar.Incarnation
 }
 
 // openLink opens a link to the owner of this host's cell.
@@ -261,7 +267,7 @@
 	}
 	for _, g := range m.Grants {
 		if g.Address != "" {
-			l.addresses.Store(registrar.UpstreamID(g.Upstream), g.Address)
+			l.granted.Store(registrar.UpstreamID(g.Upstream), location{g.Address, registrar.Incarnation(g.Incarnation)})
 		}
 	}
 	l.mu.Lock()
@@ -287,11 +293,12 @@
 
 // find returns an upstream that was granted.
 func (l *link) find(id registrar.UpstreamID) (registrar.Upstream, bool) {
-	a, ok := l.addresses.Load(id)
+	v, ok := l.granted.Load(id)
 	if !ok {
 		return registrar.Upstream{}, false
 	}
-	return registrar.Upstream{Name: id, Address: a.(string), Cell: l.cell}, true
+	at := v.(location)
+	return registrar.Upstream{Name: id, Address: at.address, Incarnation: at.incarnation, Cell: l.cell}, true
 }
 
 // idle reports whether no request uses the link.
@@ -320,6 +327,14 @@
 	l.pending.crashes = known
 }
 
+// bar implements route.
+func (l *link) bar(list []scheduler.Bar) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pending.bars = encodeBars(list)
+	l.signal()
+}
+
 // complete tells the owner that every slot held by this host is reported.
 func (l *link) complete() {
 	l.mu.Lock()
--- a/internal/entry/dispatcher/local.go
+++ b/internal/entry/dispatcher/local.go
@@ -276,6 +276,15 @@
 	l.step(e)
 }
 
+// bar implements route.
+func (l *Local) bar(list []scheduler.Bar) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, b := range list {
+		l.step(b)
+	}
+}
+
 // leave implements route.
 func (l *Local) leave(id scheduler.RequestID) { l.report(scheduler.Cancel{ID: id}) }
 
--- a/internal/entry/dispatcher/outbox.go
+++ b/internal/entry/dispatcher/outbox.go
@@ -45,6 +45,8 @@
 	latest map[attemptKey]*wire.SlotProgress
 	// crashes go before everything else.
 	crashes []*wire.Fingerprint
+	// bars replace those that were told before; they go with the crashes.
+	bars []*wire.SlotBar
 	// complete is sent once the number of entries before it is zero.
 	complete bool
 	before   int
@@ -81,8 +83,8 @@
 // before its reports. An ID is submitted once on a link, so only the next
 // attempt of a request must wait for the message after the end of its last one.
 func (o *outbox) batch() *wire.DispatchRequest {
-	m := &wire.DispatchRequest{Fingerprints: o.crashes}
-	o.crashes = nil
+	m := &wire.DispatchRequest{Fingerprints: o.crashes, Bars: o.bars}
+	o.crashes, o.bars = nil, nil
 	size, n := 0, 0
 	for n < len(o.entries) && size < maxBatch {
 		e := o.entries[n]
@@ -128,4 +130,6 @@
 	o.entries = o.entries[n:]
 }
 
-func (o *outbox) empty() bool { return len(o.entries) == 0 && !o.complete && len(o.crashes) == 0 }
+func (o *outbox) empty() bool {
+	return len(o.entries) == 0 && !o.complete && len(o.crashes) == 0 && len(o.bars) == 0
+}
--- a/internal/entry/dispatcher/server.go
+++ b/internal/entry/dispatcher/server.go
@@ -260,6 +260,7 @@
 	if len(m.Fingerprints) > 0 {
 		n.server.settings.Local.Learn(DecodeCrashes(m.Fingerprints))
 	}
+	n.server.settings.Local.bar(decodeBars(n.host, m.Bars))
 	for _, r := range m.Submits {
 		n.submit(r, now)
 	}
@@ -276,6 +277,7 @@
 
 func (n *session) submit(m *wire.SlotRequest, now time.Time) {
 	r := decodeRequest(m, now)
+	r.Host = n.host
 	if !n.roams && r.Spilled == "" {
 		r.Spilled = n.server.settings.Cell
 	}
@@ -378,7 +380,7 @@
 	return true
 }
 
-// locate adds the address to the last grant: the asking host may not have heard of
+// locate adds address and incarnation to the last grant: the asking host may not have heard of
 // the upstream yet, or hear already that it leaves.
 func (n *session) locate(m *wire.DispatchResponse) {
 	if len(m.Grants) == 0 {
@@ -386,7 +388,7 @@
 	}
 	g := m.Grants[len(m.Grants)-1]
 	if u, ok := n.server.settings.Local.upstream(registrar.UpstreamID(g.Upstream)); ok {
-		g.Address = u.Address
+		g.Address, g.Incarnation = u.Address, uint64(u.Incarnation)
 	}
 }
 
--- a/internal/entry/dispatcher/ticket.go
+++ b/internal/entry/dispatcher/ticket.go
@@ -26,6 +26,8 @@
 	leave(id scheduler.RequestID)
 	// finish reports the end of a slot; with the last one the request ends.
 	finish(f scheduler.Finished, last bool)
+	// bar tells which upstreams this host stays away from.
+	bar(list []scheduler.Bar)
 }
 
 // holding is a slot in use, as another route is told of it.
--- a/internal/entry/relayer/attempt.go
+++ b/internal/entry/relayer/attempt.go
@@ -221,6 +221,7 @@
 func (a *attempt) receive(ctx context.Context, response *http.Response) result {
 	c := a.call
 	reply := c.relayer.options.Protocol.Reply(response)
+	a.notice(reply)
 	success := response.StatusCode >= 200 && response.StatusCode < 300
 	switch {
 	case reply.ID != "" && reply.ID != c.intent.ID:
@@ -240,6 +241,15 @@
 	return a.relayWhole(ctx, response)
 }
 
+// notice passes on what the upstream says about new work. It counts whatever becomes
+// of the answer.
+func (a *attempt) notice(r Reply) {
+	take := a.call.relayer.options.Notice
+	if take != nil && (r.Leaving || r.Pause > 0) {
+		take(dispatcher.Notice{Upstream: a.upstream, Leaving: r.Leaving, Pause: r.Pause})
+	}
+}
+
 // relayWhole reads a short answer to its end before it is passed on.
 func (a *attempt) relayWhole(ctx context.Context, response *http.Response) result {
 	c := a.call
--- a/internal/entry/relayer/harness_test.go
+++ b/internal/entry/relayer/harness_test.go
@@ -42,7 +42,11 @@
 }
 
 func (testProtocol) Reply(r *http.Response) Reply {
-	return Reply{ID: r.Header.Get("X-Id"), Signed: r.Header.Get("X-Signed") != "", NotRun: r.Header.Get("X-Not-Run") != ""}
+	pause, _ := time.ParseDuration(r.Header.Get("X-Pause"))
+	return Reply{
+		ID: r.Header.Get("X-Id"), Signed: r.Header.Get("X-Signed") != "", NotRun: r.Header.Get("X-Not-Run") != "",
+		Leaving: r.Header.Get("X-Leaving") != "", Pause: pause,
+	}
 }
 
 func (testProtocol) Refuse(h http.Header, r Refusal) {
--- /dev/null
+++ b/internal/entry/relayer/notice_test.go
@@ -0,0 +1,65 @@
+package relayer
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/amaranthcart/amaranthcart/internal/entry/dispatcher"
+)
+
+// notices collects what upstreams said about new work.
+type notices struct {
+	mu   sync.Mutex
+	list []dispatcher.Notice
+}
+
+func (n *notices) take(e dispatcher.Notice) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.list = append(n.list, e)
+}
+
+// Guards against a notice that is lost because of what its answer was: what an
+// upstream says about new work counts on each answer that it gave.
+func TestNotices(t *testing.T) {
+	head := func(more string) script {
+		return writes("HTTP/1.1 503 X\r\nX-Id: id-1\r\nX-Signed: yes\r\n" + more + "Content-Length: 0\r\n\r\n")
+	}
+	cases := []struct {
+		name    string
+		path    string
+		script  script
+		leaving bool
+		pause   time.Duration
+	}{
+		{"success", "/once/x", says(200, "sold", "X-Leaving", "yes"), true, 0},
+		{"failure", "/once/x", says(500, "no", "X-Leaving", "yes"), true, 0},
+		{"refusal", "/once/x", head("X-Not-Run: 1\r\nX-Leaving: yes\r\n"), true, 0},
+		{"refusal with a pause", "/once/x", head("X-Not-Run: 1\r\nX-Pause: 2s\r\n"), false, 2 * time.Second},
+		{"answer of another request", "/once/x", writes("HTTP/1.1 200 OK\r\nX-Id: id-0\r\nX-Signed: y\r\nX-Leaving: yes\r\nContent-Length: 0\r\n\r\n"), true, 0},
+		{"answer that is cut short", "/once/x", writes("HTTP/1.1 200 OK\r\nX-Id: id-1\r\nX-Signed: y\r\nX-Leaving: yes\r\nContent-Length: 9\r\n\r\nsol"), true, 0},
+		{"stream", "/once/x", writes("HTTP/1.1 200 OK\r\nX-Id: id-1\r\nX-Signed: y\r\nX-Leaving: yes\r\nContent-Type: text/event-stream\r\n\r\nid: 1\n\n"), true, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t, c.script)
+			var n notices
+			r.relayer.options.Notice = n.take
+			r.call(c.path)
+			assert.Equal(t, len(n.list), 1)
+			assert.Equal(t, n.list[0].Upstream.Name, r.dispatcher.upstreams[0].Name)
+			assert.Equal(t, n.list[0].Leaving, c.leaving)
+			assert.Equal(t, n.list[0].Pause, c.pause)
+		})
+	}
+	t.Run("an answer without one", func(t *testing.T) {
+		r := newRig(t, says(200, "sold"))
+		var n notices
+		r.relayer.options.Notice = n.take
+		r.call("/once/x")
+		assert.Equal(t, len(n.list), 0)
+	})
+}
--- a/internal/entry/relayer/protocol.go
+++ b/internal/entry/relayer/protocol.go
@@ -69,6 +69,11 @@
 	Signed bool
 	// NotRun says that the request has not run and never will.
 	NotRun bool
+	// Leaving says that the upstream takes no new work.
+	Leaving bool
+	// Pause is how long the upstream wants nothing from this host; 0 when it didn't
+	// say.
+	Pause time.Duration
 }
 
 // Refusal is an answer of the system's own.
--- a/internal/entry/relayer/relayer.go
+++ b/internal/entry/relayer/relayer.go
@@ -87,6 +87,8 @@
 	Clock   clockwork.Clock
 	Logger  *zap.Logger
 	Metrics metrics.Registry
+	// Notice takes what upstreams say about new work; it may be nil.
+	Notice func(dispatcher.Notice)
 	// Report takes the end of each request of a class; it may be nil.
 	Report func(reporter.Result)
 }
--- a/internal/policy/scheduler/hedge.go
+++ b/internal/policy/scheduler/hedge.go
@@ -128,7 +128,7 @@
 			continue
 		}
 		free += u.Slots - len(u.attempts)
-		if r.attempt(u.Name) != nil || r.avoids(u.Name) || u.starting() > 0 || s.topWaits(u) ||
+		if r.attempt(u.Name) != nil || r.avoids(u.Name) || s.barred(now, u, r) || u.starting() > 0 || s.topWaits(u) ||
 			!s.detector.Permits(now, r.Fingerprint, u.process(), true) {
 			continue
 		}
--- a/internal/policy/scheduler/placement.go
+++ b/internal/policy/scheduler/placement.go
@@ -116,7 +116,7 @@
 // mayRun reports whether the upstream may run the request; open tells that nothing is
 // known against the request.
 func (s *Scheduler) mayRun(now time.Time, u *upstream, r *request, open bool) bool {
-	if !u.takes() || len(r.attempts) > 0 && r.attempt(u.Name) != nil {
+	if !u.takes() || len(r.attempts) > 0 && r.attempt(u.Name) != nil || s.barred(now, u, r) {
 		return false
 	}
 	return open || s.detector.Permits(now, r.Fingerprint, u.process(), false)
--- a/internal/policy/scheduler/scheduler.go
+++ b/internal/policy/scheduler/scheduler.go
@@ -21,6 +21,7 @@
 	upstreams     map[registrar.UpstreamID]*upstream
 	requests      map[RequestID]*request
 	interrupted   map[RequestID]interruption
+	bars          map[barKey]bar
 	unsettled     bool
 	// hosts is the number of schedulers that the cell is divided among.
 	hosts      int
@@ -53,6 +54,7 @@
 		upstreams:     make(map[registrar.UpstreamID]*upstream),
 		requests:      make(map[RequestID]*request),
 		interrupted:   make(map[RequestID]interruption),
+		bars:          make(map[barKey]bar),
 		hosts:         1,
 		retryShare:    DefaultRetryShare,
 		retryBurst:    DefaultRetryBurst,
@@ -91,6 +93,8 @@
 		s.finished(now, e)
 	case Kept:
 		s.keep(e)
+	case Bar:
+		s.bar(now, e)
 	case Learn:
 		s.learn(now, e.Records)
 	case Settle:
@@ -102,6 +106,7 @@
 		s.detector.Expire(now)
 		s.expire(now)
 		s.expireInterruptions(now)
+		s.expireBars(now)
 		s.refuseStranded(now)
 		s.compare(now)
 		s.watch(now)
@@ -158,6 +163,11 @@
 		r.queued = i.queued
 	}
 	r.due = s.due(r)
+	if left := s.allBarred(now, r); r.outlasts(now, left) {
+		s.refuse(r.ID, NoUpstream, left)
+		s.settle(r)
+		return
+	}
 	if !resumed && p.live() && s.crowded(now, r) {
 		s.refuseLoaded(now, r)
 		s.settle(r)
--- a/internal/policy/scheduler/types.go
+++ b/internal/policy/scheduler/types.go
@@ -73,6 +73,9 @@
 	Emitted int
 	// Avoid lists upstreams that already failed the request.
 	Avoid []registrar.UpstreamID
+	// Host is the entry host that sends the request to its upstream; empty means
+	// that of the scheduler.
+	Host registrar.HostName
 	// Fingerprint identifies the content; empty when it is not tracked.
 	Fingerprint string
 	// Arrived is when the entry host received the request.
--- a/internal/policy/scheduler/upstream.go
+++ b/internal/policy/scheduler/upstream.go
@@ -254,6 +254,9 @@
 	}
 	avoidable, fast, sound := false, false, false
 	for _, u := range p.upstreams {
+		if s.barred(now, u, r) {
+			continue
+		}
 		sound = sound || u.takes() && !u.isSilent(now)
 		avoidable = avoidable || !u.Leaving && !r.avoids(u.Name)
 		fast = fast || !u.Leaving && !u.down && u.suits(now, r.class, p.typical)
@@ -261,7 +264,7 @@
 	var best *upstream
 	least, limits := 0.0, p.limits()
 	for _, u := range p.upstreams {
-		if !u.usable(limits) || avoidable && r.avoids(u.Name) || r.attempt(u.Name) != nil || sound && u.isSilent(now) {
+		if !u.usable(limits) || avoidable && r.avoids(u.Name) || r.attempt(u.Name) != nil || sound && u.isSilent(now) || s.barred(now, u, r) {
 			continue
 		}
 		if !open && !s.detector.Permits(now, r.Fingerprint, u.process(), false) {
