relayer: bound what upstreams in trouble can make a host keep; no answer without its request

A failure without the ID of its request was passed on, though it may be a late copy of another one. After an answer of another request the upstream was avoided, although the connection is what can't be trusted: with one upstream the caller got a failure.

Ruled out: endless heads, interim answers, chunk sizes, extensions and trailers; their bounds held before (64 KiB and the bounds of net/http).

Signed answers must name their request. A connection that brought another one's answer is dropped, not its upstream.

--- a/internal/entry/relayer/attempt.go
+++ b/internal/entry/relayer/attempt.go
@@ -39,7 +39,7 @@
 
 var (
 	errForeignAnswer = errors.New("the answer belongs to another request")
-	errUnsigned      = errors.New("the answer is not signed by an upstream")
+	errUnsigned      = errors.New("the answer is not signed by an upstream, or names no request")
 	errEncoded       = errors.New("the answer is encoded")
 	errPreempted     = errors.New("the scheduler asked to go on elsewhere")
 	errSilent        = errors.New("the upstream is silent")
@@ -229,7 +229,7 @@
 		return failed{cause: errForeignAnswer}
 	case reply.NotRun:
 		return notRun{refused: true, cause: fmt.Errorf("upstream refused with status %d", response.StatusCode)}
-	case !reply.Signed || success && reply.ID == "":
+	case !reply.Signed || reply.ID == "":
 		c.relayer.options.Sender.Discard(a.upstream)
 		return failed{cause: errUnsigned}
 	case response.Header.Get("Content-Encoding") != "":
@@ -253,12 +253,15 @@
 // relayWhole reads a short answer to its end before it is passed on.
 func (a *attempt) relayWhole(ctx context.Context, response *http.Response) result {
 	c := a.call
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBuffered))
+	kept := c.relayer.buffers.open()
+	ended, err := kept.fill(response.Body, maxBuffered)
 	if err != nil {
+		kept.release()
 		return a.lost(ctx, fmt.Errorf("read answer: %w", err))
 	}
-	whole := answered{response: response, body: body}
-	if len(body) == maxBuffered {
+	whole := answered{response: response, body: kept.data}
+	c.keep(kept)
+	if !ended {
 		return a.relayLong(ctx, whole)
 	}
 	if c.stream.begun {
@@ -305,6 +308,7 @@
 	if _, err := c.writer.Write(w.body); err != nil {
 		return cutOff{cause: err}
 	}
+	c.keep(nil)
 	if _, err := io.Copy(c.writer, w.response.Body); err != nil {
 		return a.lost(ctx, fmt.Errorf("pass answer on: %w", err))
 	}
--- a/internal/entry/relayer/call.go
+++ b/internal/entry/relayer/call.go
@@ -72,6 +72,8 @@
 	// answer that was passed on.
 	mayHaveRun bool
 	stream     streamState
+	// kept is the last whole answer, which may be passed on later.
+	kept *buffer
 
 	// what is logged at the end.
 	status   int
@@ -90,6 +92,14 @@
 	return &call{relayer: r, writer: w, request: q, intent: r.options.Protocol.Intent(q), arrived: r.clock.Now()}
 }
 
+// keep replaces the buffer whose memory the call has.
+func (c *call) keep(b *buffer) {
+	if c.kept != nil {
+		c.kept.release()
+	}
+	c.kept = b
+}
+
 // serve answers the request.
 func (c *call) serve() {
 	if c.relayer.unready.Load() {
@@ -260,7 +270,7 @@
 			return false
 		}
 	case answered:
-		c.mayHaveRun = true
+		c.mayHaveRun, c.cause = true, nil
 		if c.again(ctx, a, true) {
 			c.relayer.logRepeat(c, a, errFailedAnswer)
 			return false
@@ -278,7 +288,9 @@
 	return c.broken(ctx)
 }
 
-// again prepares a further attempt, if there may be one.
+// again prepares a further attempt, if there may be one. An answer of another request
+// is the fault of its connection, which is used no more; the upstream itself may
+// serve.
 func (c *call) again(ctx context.Context, a *attempt, allowed bool) bool {
 	if !allowed || ctx.Err() != nil || c.attempts >= c.route.Attempts || c.unsent > maxUnsent {
 		return false
@@ -287,7 +299,9 @@
 		return false
 	}
 	c.ask.Retry = true
-	c.ask.Avoid = append(c.ask.Avoid, a.upstream.Name)
+	if !errors.Is(c.cause, errForeignAnswer) {
+		c.ask.Avoid = append(c.ask.Avoid, a.upstream.Name)
+	}
 	c.ask.Emitted = c.stream.events
 	c.stream.resumed = c.stream.events > 0
 	c.relayer.repeats.Inc(1)
@@ -350,6 +364,7 @@
 
 // finish counts, logs and reports the end of the request.
 func (c *call) finish() {
+	c.keep(nil)
 	now := c.relayer.clock.Now()
 	c.relayer.latency.Update(now.Sub(c.arrived))
 	c.relayer.logEnd(c, now)
--- a/internal/entry/relayer/harness_test.go
+++ b/internal/entry/relayer/harness_test.go
@@ -146,9 +146,8 @@
 func newRig(t *testing.T, scripts ...script) *rig {
 	r := &rig{t: t, dispatcher: &fakeDispatcher{}}
 	r.fresh.Store(true)
-	for i, s := range scripts {
-		name := registrar.UpstreamID(fmt.Sprintf("upstream-%d", i+1))
-		r.dispatcher.upstreams = append(r.dispatcher.upstreams, registrar.Upstream{Name: name, Address: r.upstream(s)})
+	for _, s := range scripts {
+		r.add(r.upstream(s))
 	}
 	index := validator.Compile(document())
 	r.relayer = New(Options{
@@ -166,6 +165,12 @@
 	return r
 }
 
+// add makes one more upstream of an address.
+func (r *rig) add(address string) {
+	name := registrar.UpstreamID(fmt.Sprintf("upstream-%d", len(r.dispatcher.upstreams)+1))
+	r.dispatcher.upstreams = append(r.dispatcher.upstreams, registrar.Upstream{Name: name, Address: address})
+}
+
 // upstream listens and answers each request with the script.
 func (r *rig) upstream(s script) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/entry/relayer/relayer.go
+++ b/internal/entry/relayer/relayer.go
@@ -110,6 +110,7 @@
 	// confirmed is set once the configuration has been confirmed.
 	confirmed atomic.Bool
 	draining  atomic.Bool
+	buffers   buffers
 
 	mu      sync.Mutex
 	servers []*http.Server
--- a/internal/entry/relayer/relayer_test.go
+++ b/internal/entry/relayer/relayer_test.go
@@ -38,6 +38,7 @@
 		{"lost answer, then a refusal", "/idempotent/x", []script{vanishes, refuses}, 502, "upstream_failed\n", 2},
 		{"answer cut short", "/idempotent/x", []script{writes("HTTP/1.1 200 OK\r\nX-Id: id-1\r\nX-Signed: y\r\nContent-Length: 9\r\n\r\nsol"), good}, 200, "sold", 2},
 		{"answer without signature", "/once/x", []script{writes("HTTP/1.1 200 OK\r\nX-Id: id-1\r\nContent-Length: 4\r\n\r\nsold"), good}, 502, "upstream_failed\n", 1},
+		{"failure that names no request", "/once/x", []script{writes("HTTP/1.1 500 X\r\nX-Signed: y\r\nContent-Length: 2\r\n\r\nno"), good}, 502, "upstream_failed\n", 1},
 		{"bytes that are no answer", "/once/x", []script{writes("sold sold sold\r\n\r\n"), good}, 502, "upstream_failed\n", 1},
 		{"answer that ends with its connection", "/once/x", []script{writes("HTTP/1.1 200 OK\r\nX-Id: id-1\r\nX-Signed: y\r\n\r\nsold")}, 200, "sold", 1},
 	}
--- a/internal/entry/relayer/stream.go
+++ b/internal/entry/relayer/stream.go
@@ -43,8 +43,10 @@
 // relayStream passes events on until the stream ends.
 func (a *attempt) relayStream(ctx context.Context, response *http.Response) result {
 	events := bufio.NewReaderSize(response.Body, readBuffer)
+	kept := a.call.relayer.buffers.open()
+	defer kept.release()
 	for {
-		event, err := readEvent(events)
+		event, err := readEvent(events, kept)
 		if errors.Is(err, io.EOF) {
 			if !a.call.stream.begun {
 				a.begin(response)
@@ -126,28 +128,25 @@
 	return missing
 }
 
-// readEvent reads one event with the empty line behind it. It returns io.EOF
-// only between two events.
-func readEvent(r *bufio.Reader) ([]byte, error) {
-	var event []byte
+// readEvent reads one event with the empty line behind it into the buffer. It returns
+// io.EOF only between two events.
+func readEvent(r *bufio.Reader, b *buffer) ([]byte, error) {
+	b.reset()
 	for {
 		line, err := r.ReadSlice('\n')
-		event = append(event, line...)
+		if !b.append(line) || len(b.data) > maxEvent {
+			return nil, errTooLong
+		}
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
-			if len(event) > maxEvent {
-				return nil, errTooLong
-			}
 			continue
-		case errors.Is(err, io.EOF) && len(event) > 0:
+		case errors.Is(err, io.EOF) && len(b.data) > 0:
 			return nil, errPartial
 		case err != nil:
 			return nil, err
-		case len(event) > maxEvent:
-			return nil, errTooLong
 		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 && len(event) > len(line) {
-			return event, nil
+		if len(bytes.TrimRight(line, "\r\n")) == 0 && len(b.data) > len(line) {
+			return b.data, nil
 		}
 	}
 }
