scheduler, relayer: streams that may pause for long aren't taken for silent ones

Cause: an engine that generates counted as silent after 1.2 s, and an upstream was given up after four times the target for the start, whatever pauses the class allows. Where those are a second, a slow but sound stream was asked to go on elsewhere in the middle of an allowed pause.

Ruled out: longer limits for all. The scheduler has to notice dark engines early; a stream with short pauses on the same engine still tells.

Change: the limit at the owner is twice the tightest target for the time between tokens among what the engine generates, 1.2 s at least; that at the host eight times it, as long as callers wait.

--- a/internal/entry/relayer/attempt.go
+++ b/internal/entry/relayer/attempt.go
@@ -27,11 +27,12 @@
 	// maxBuffered is the part of an answer that is read before any of it is
 	// passed on, so that a broken one can be repeated or reported.
 	maxBuffered = 1 << 20
-	// minSilence and silenceFactor bound how long the first upstream of a
-	// request that may be repeated may say nothing, against the target of the
-	// class.
+	// minSilence, silenceFactor and gapFactor bound how long the first upstream of a
+	// request that may be repeated may say nothing, against the targets of the class
+	// for its start and for the time between events. Callers wait as long.
 	minSilence    = 2 * time.Second
 	silenceFactor = 4
+	gapFactor     = 8
 	// sendMargin is the least time left for which an attempt is started: less
 	// can't reach an upstream and come back.
 	sendMargin = 5 * time.Millisecond
@@ -161,7 +162,8 @@
 // requests of all hosts, notices a silent upstream earlier; this bound is for
 // single requests that an upstream forgets.
 func (c *call) silence() time.Duration {
-	return max(minSilence, silenceFactor*max(time.Duration(c.class.First), time.Duration(c.class.Total)))
+	begin := max(time.Duration(c.class.First), time.Duration(c.class.Total))
+	return max(minSilence, silenceFactor*begin, gapFactor*time.Duration(c.class.Gap))
 }
 
 // heard notes a sign of life of the upstream.
--- a/internal/policy/scheduler/silence.go
+++ b/internal/policy/scheduler/silence.go
@@ -10,6 +10,9 @@
 	// An engine that batches shows one every few dozen milliseconds while it
 	// generates, and hosts report them twice a second.
 	silentTime = 1200 * time.Millisecond
+	// silentGaps is the same in target times between tokens, for engines that run
+	// only streams which may pause for longer.
+	silentGaps = 2
 	// silentPause is how long a silent upstream gets no work while there are
 	// others.
 	silentPause = 2 * time.Second
@@ -53,13 +56,30 @@
 // deadline is when the upstream counts as silent. One that generates nothing shows no
 // sign of life until it has read a prompt, and prompts may be long.
 func (u *upstream) deadline() time.Time {
-	generates := slices.ContainsFunc(u.attempts, func(a *attempt) bool { return !a.first.IsZero() })
-	if generates || u.reading.Before(u.heard) {
+	if gap, generates := u.leastGap(); generates {
+		return u.heard.Add(max(silentTime, silentGaps*gap))
+	}
+	if u.reading.Before(u.heard) {
 		return u.heard.Add(silentTime)
 	}
 	return u.reading.Add(silentTime)
 }
 
+// leastGap is the tightest target for the time between tokens among the answers that
+// the upstream generates, and whether there are any.
+func (u *upstream) leastGap() (gap time.Duration, generates bool) {
+	for _, a := range u.attempts {
+		if a.first.IsZero() {
+			continue
+		}
+		if !generates || a.request.class.gap < gap {
+			gap = a.request.class.gap
+		}
+		generates = true
+	}
+	return gap, generates
+}
+
 // watched reports whether the upstream runs requests that are expected to show
 // signs of life. Long answers in one piece show none.
 func (u *upstream) watched() bool {
--- a/internal/policy/scheduler/silence_test.go
+++ b/internal/policy/scheduler/silence_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/amaranthcart/amaranthcart/internal/config/validator"
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
 )
 
@@ -79,3 +81,33 @@
 		f.finish(id)
 	}
 }
+
+// Guards against a slow but sound stream that is taken off its engine: its class allows
+// pauses that are longer than the usual sign of life.
+func TestSlowStreamIsNoSilence(t *testing.T) {
+	f := newEngineFleet(t, 2)
+	second := validator.Duration(time.Second)
+	f.step(Configure{&validator.Document{
+		Classes: []validator.Class{
+			{Name: "hint", Tier: 0, First: second / 3, Gap: second / 6, Wait: second, Late: true},
+			{Name: "summary", Tier: 2, First: 3 * second / 2, Gap: second, Wait: 4 * second, Late: true},
+		},
+		Models: []validator.Model{{Name: "m", Class: "hint", Memory: engineMemory}},
+	}})
+	id := f.summary(1)
+	f.first(id)
+	f.pass(1900 * time.Millisecond)
+	assert.Equal(t, f.asked[id], 0, "asked to go on elsewhere within the pause that its class allows")
+	f.pass(200 * time.Millisecond)
+	assert.Equal(t, f.asked[id], 1, "an engine that says nothing at all has to be noticed")
+}
+
+// A stream with short pauses on the same engine tells earlier that it went silent.
+func TestSilenceIsNoticedByTheTightestStream(t *testing.T) {
+	f := newEngineFleet(t, 1)
+	slow, quick := f.summary(1), f.hint()
+	f.first(slow)
+	f.first(quick)
+	f.pass(silentTime + 2*TickInterval)
+	assert.Equal(t, f.silences["engine-0"], 1)
+}
