--- a/internal/config/follower/follower.go
+++ b/internal/config/follower/follower.go
@@ -406,7 +406,9 @@
 	}
 }
 
-const tickInterval = 100 * time.Millisecond
+// tickInterval is how often the time is looked at, for fetches to repeat and questions
+// to ask.
+const tickInterval = 200 * time.Millisecond
 
 func (f *Follower) float() float64 {
 	f.randomMu.Lock()
--- a/internal/config/follower/network_test.go
+++ b/internal/config/follower/network_test.go
@@ -37,6 +37,14 @@
 
 type peerStub struct{ *gossiper.Gossiper }
 
+func (peerStub) Announce(context.Context, *connect.Request[wire.AnnounceRequest]) (*connect.Response[wire.AnnounceResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("not served here"))
+}
+
+func (peerStub) Members(context.Context, *connect.Request[wire.MembersRequest]) (*connect.Response[wire.MembersResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("not served here"))
+}
+
 func (peerStub) Dispatch(context.Context, *connect.BidiStream[wire.DispatchRequest, wire.DispatchResponse]) error {
 	return connect.NewError(connect.CodeUnimplemented, errors.New("not served here"))
 }
--- a/internal/daemon/runner/adapter.go
+++ b/internal/daemon/runner/adapter.go
@@ -6,28 +6,26 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/amaranthcart/amaranthcart/internal/entry/dispatcher"
-	"github.com/amaranthcart/amaranthcart/internal/member/gossiper"
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
 	"github.com/amaranthcart/amaranthcart/internal/policy/detector"
 	"github.com/amaranthcart/amaranthcart/internal/rpc/wire"
 )
 
-// membership adapts the gossiper to dispatcher.Membership.
+// membership adapts the members to dispatcher.Membership.
 type membership struct {
-	gossiper *gossiper.Gossiper
-	clock    clockwork.Clock
-	self     registrar.HostName
+	members members
+	clock   clockwork.Clock
 }
 
 // Owner returns the entry host that owns the cell, if any is alive.
 func (m membership) Owner(c registrar.CellName) (registrar.HostName, bool) {
-	h := m.gossiper.Snapshot().Owner(c)
+	h := m.members.Snapshot().Owner(c)
 	return h, h != ""
 }
 
 // Successor returns the entry host that would own the cell without its owner.
 func (m membership) Successor(c registrar.CellName) (registrar.HostName, bool) {
-	if next := m.gossiper.Snapshot().Successors(c); len(next) > 0 {
+	if next := m.members.Snapshot().Successors(c); len(next) > 0 {
 		return next[0].Name, true
 	}
 	return "", false
@@ -35,16 +33,19 @@
 
 // Address returns where other hosts reach the entry host.
 func (m membership) Address(h registrar.HostName) (string, bool) {
-	found, ok := m.gossiper.Snapshot().Host(h)
+	found, ok := m.members.Snapshot().Host(h)
 	return found.Address, ok
 }
 
-// Hosts counts the live entry hosts of this host's view.
-func (m membership) Hosts() int { return len(m.gossiper.Snapshot().Hosts()) }
+// Hosts counts the live entry hosts.
+func (m membership) Hosts() int { return m.members.Snapshot().Fleet() }
+
+// Schedulers counts the live hosts that exchange all news.
+func (m membership) Schedulers() int { return len(m.members.Snapshot().Hosts()) }
 
 // Upstream looks the upstream up as of now.
 func (m membership) Upstream(id registrar.UpstreamID) (registrar.Upstream, bool) {
-	return m.gossiper.Snapshot().Upstream(m.clock.Now(), id)
+	return m.members.Snapshot().Upstream(m.clock.Now(), id)
 }
 
 // crashes adapts the scheduler's crash records to gossiper.Fingerprints.
--- a/internal/daemon/runner/admin.go
+++ b/internal/daemon/runner/admin.go
@@ -53,7 +53,7 @@
 	e := s.daemon.entry
 	now := e.awake.Now()
 	list := inspector.Upstreams{Host: e.settings.Name, Upstreams: []inspector.Upstream{}}
-	for _, n := range e.gossiper.Snapshot().Entries(now) {
+	for _, n := range e.members.Snapshot().Entries(now) {
 		u := inspector.Upstream{
 			Upstream:  n.Upstream,
 			Remaining: validator.Duration(n.Until.Sub(now).Truncate(time.Millisecond)),
@@ -97,7 +97,7 @@
 		Organisation: q.Organisation,
 		Pool:         q.Pool,
 		Cell:         e.settings.Cell,
-		Owner:        e.gossiper.Snapshot().Owner(e.settings.Cell),
+		Owner:        e.members.Snapshot().Owner(e.settings.Cell),
 		Candidates:   []inspector.Candidate{},
 	}
 	if !fresh {
--- a/internal/daemon/runner/cells.go
+++ b/internal/daemon/runner/cells.go
@@ -21,7 +21,7 @@
 		Region:  s.Region,
 		Address: s.Advertise,
 		Seeds:   s.Cells,
-		Members: e.members,
+		Members: e.standing,
 		Loads:   e.local.Loads,
 		Clock:   e.clock,
 		Logger:  logger.Named("courier"),
@@ -32,9 +32,9 @@
 	e.local.Consult(dispatcher.NewDecider(s.Cell, s.Region, e.courier, decisions, e.clock))
 }
 
-// members describes the own cell to the courier.
-func (e *entry) members() courier.Membership {
-	view := e.gossiper.Snapshot()
+// standing describes the own cell to the courier.
+func (e *entry) standing() courier.Membership {
+	view := e.members.Snapshot()
 	owner := view.Owner(e.settings.Cell)
 	m := courier.Membership{Owns: owner == e.settings.Name, Owned: owner != ""}
 	for _, h := range view.Successors(e.settings.Cell) {
--- a/internal/daemon/runner/dev.go
+++ b/internal/daemon/runner/dev.go
@@ -172,7 +172,7 @@
 func (v *Dev) waitReady(ctx context.Context) error {
 	for {
 		ready, reason := v.readiness()
-		if ready && len(v.entry.gossiper.Snapshot().Upstreams(v.clock.Now())) == len(v.stubs) {
+		if ready && len(v.entry.members.Snapshot().Upstreams(v.clock.Now())) == len(v.stubs) {
 			return nil
 		}
 		select {
--- a/internal/daemon/runner/entry.go
+++ b/internal/daemon/runner/entry.go
@@ -12,7 +12,6 @@
 	"sync/atomic"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/jonboulle/clockwork"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
@@ -27,6 +26,7 @@
 	"github.com/amaranthcart/amaranthcart/internal/entry/relayer"
 	"github.com/amaranthcart/amaranthcart/internal/member/courier"
 	"github.com/amaranthcart/amaranthcart/internal/member/gossiper"
+	"github.com/amaranthcart/amaranthcart/internal/member/publisher"
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
 	"github.com/amaranthcart/amaranthcart/internal/ops/reporter"
 	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
@@ -55,7 +55,12 @@
 	client    *dialer.Client
 	inventory dispatcher.Inventory
 	local     *dispatcher.Local
+	// members is this host's part in the exchange of news about upstreams and hosts.
+	// On hosts that may own a cell it is gossiper, and publisher tells the others; both
+	// are nil elsewhere.
+	members   members
 	gossiper  *gossiper.Gossiper
+	publisher *publisher.Publisher
 	follower  *follower.Follower
 	cell      *dispatcher.Cell
 	server    *dispatcher.Server
@@ -127,17 +132,6 @@
 	return all
 }
 
-// peer serves the Peer service from its two halves.
-type peer struct {
-	*gossiper.Gossiper
-	dispatcher *dispatcher.Server
-}
-
-// Dispatch implements wireconnect.PeerHandler.
-func (p peer) Dispatch(ctx context.Context, s *connect.BidiStream[wire.DispatchRequest, wire.DispatchResponse]) error {
-	return p.dispatcher.Dispatch(ctx, s)
-}
-
 func (d *Daemon) startEntry(mux *http.ServeMux) error {
 	e := &entry{
 		settings:  d.settings,
@@ -162,7 +156,7 @@
 	if err := e.startFollower(); err != nil {
 		return err
 	}
-	e.startGossiper()
+	e.startMembers()
 	if len(e.settings.Cells) > 0 {
 		e.startCourier(d.logger, mux)
 	}
@@ -174,9 +168,11 @@
 	default:
 		e.startReceiver(d.logger)
 	}
-	e.orders = newOrders(e)
-	mux.Handle(wireconnect.NewPeerHandler(peer{e.gossiper, e.server}))
-	mux.Handle(gossiper.AnnouncePath, e.gossiper.Announcements())
+	if e.settings.Schedules() {
+		e.orders = newOrders(e)
+	}
+	mux.Handle(wireconnect.NewPeerHandler(e.peer()))
+	mux.Handle(gossiper.AnnouncePath, e.members.Announcements())
 	return nil
 }
 
@@ -214,9 +210,13 @@
 	e.reporter.Configure(c.Document)
 }
 
-// rank is the place of this host among the live ones of its cell by name.
+// rank is the place of this host among the live ones of its cell by name. A host that
+// watches comes after all others: those confirm the configuration to it.
 func (e *entry) rank() follower.Rank {
-	hosts := e.gossiper.Snapshot().Hosts()
+	hosts := e.members.Snapshot().Hosts()
+	if e.gossiper == nil {
+		return follower.Rank{Place: follower.Askers, Hosts: e.members.Snapshot().Fleet()}
+	}
 	place := slices.IndexFunc(hosts, func(h registrar.Host) bool { return h.Name == e.settings.Name })
 	return follower.Rank{Place: max(place, 0), Hosts: len(hosts)}
 }
@@ -224,11 +224,14 @@
 // others lists the revisions in force on the other entry hosts, for operators.
 func (e *entry) others() []*wire.Follower {
 	var all []*wire.Follower
-	for _, h := range e.gossiper.Snapshot().Hosts() {
+	for _, h := range e.members.Snapshot().Hosts() {
 		if h.Name != e.settings.Name {
 			all = append(all, &wire.Follower{Host: string(h.Name), Centre: string(h.Centre), Revision: h.Revision})
 		}
 	}
+	if e.publisher != nil {
+		all = append(all, e.publisher.Watchers()...)
+	}
 	return all
 }
 
@@ -236,10 +239,10 @@
 // have told of.
 func (e *entry) controls() []string {
 	all := e.directory.addresses()
-	if e.gossiper == nil {
+	if e.members == nil {
 		return all
 	}
-	for _, h := range e.gossiper.Snapshot().Hosts() {
+	for _, h := range e.members.Snapshot().Hosts() {
 		if h.Control && !slices.Contains(all, h.Address) {
 			all = append(all, h.Address)
 		}
@@ -250,7 +253,7 @@
 // meet replaces the hosts of the settings.
 func (e *entry) meet(control []loader.Member, seeds []string) {
 	e.directory.set(control)
-	e.gossiper.Seed(seeds...)
+	e.members.Seed(seeds...)
 }
 
 func decodeDocument(data []byte) (*validator.Document, error) {
@@ -275,56 +278,15 @@
 	return all
 }
 
-func (e *entry) startGossiper() {
-	s := e.settings
-	self := registrar.Host{
-		Draining:    !e.alone() || !s.Schedules(),
-		Control:     s.Plays(loader.Control),
-		Name:        s.Name,
-		Address:     s.Advertise,
-		Centre:      s.Centre,
-		Cell:        s.Cell,
-		Incarnation: registrar.Incarnation(e.clock.Now().UnixNano()),
-	}
-	options := []gossiper.Option{
-		gossiper.WithSeeds(s.Seeds...),
-		gossiper.WithClock(e.awake),
-		gossiper.WithLogger(e.logger),
-		gossiper.WithFingerprints(crashes{e.local}),
-		gossiper.WithRevisions(e.follower),
-		gossiper.WithOnAction(e.apply),
-		gossiper.WithRegistrarOptions(registrar.WithScope(), registrar.WithLease(time.Duration(s.Lease))),
-		gossiper.WithTLS(e.tls),
-	}
-	if e.upstreams != nil {
-		options = append(options, gossiper.WithSecureUpstreams())
-	}
-	e.gossiper = gossiper.New(self, options...)
-}
-
-// apply passes membership news on to the scheduler.
-func (e *entry) apply(a registrar.Action) {
-	switch a := a.(type) {
-	case registrar.Changed:
-		e.local.Observe(a.Upstream)
-	case registrar.Removed:
-		e.local.Forget(a.UpstreamID)
-		if !a.Leaving {
-			e.cell.Lost(a.UpstreamID)
-		}
-	case registrar.HostDown:
-		e.server.HostDown(a.Host.Name)
-	}
-}
-
 func (e *entry) startDispatcher(logger *zap.Logger) {
 	s := dispatcher.Settings{
 		Host:       e.settings.Name,
 		Cell:       e.settings.Cell,
-		Membership: membership{e.gossiper, e.awake, e.settings.Name},
+		Membership: membership{e.members, e.awake},
 		Local:      e.local,
 		Client:     e.client,
 		Roams:      e.courier != nil,
+		Standby:    e.settings.Schedules(),
 		Inventory:  e.inventory,
 		Clock:      e.clock,
 		Logger:     logger.Named("dispatcher"),
@@ -413,12 +375,17 @@
 // of the upstreams: the other hosts send their requests to a new owner as soon
 // as they know it, and it would refuse them.
 func (e *entry) start() {
-	e.gossiper.Start()
+	e.members.Start()
+	if e.publisher != nil {
+		e.publisher.Start()
+	}
 	e.follower.Start()
 	if e.courier != nil {
 		e.courier.Start()
 	}
-	e.orders.Start()
+	if e.orders != nil {
+		e.orders.Start()
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	e.standby = cancel
 	if !e.alone() && e.settings.Schedules() {
@@ -433,7 +400,7 @@
 		e.front.Unready()
 	}
 	e.withdraw()
-	e.gossiper.Drain(true)
+	e.members.Drain(true)
 	if e.front == nil {
 		return nil
 	}
@@ -471,8 +438,11 @@
 		e.courier.Close()
 		e.foreign.Close()
 	}
-	if e.gossiper != nil {
-		e.gossiper.Close()
+	if e.publisher != nil {
+		e.publisher.Close()
+	}
+	if e.members != nil {
+		e.members.Close()
 	}
 	if e.follower != nil {
 		e.follower.Close()
--- a/internal/daemon/runner/orders.go
+++ b/internal/daemon/runner/orders.go
@@ -106,7 +106,7 @@
 		}
 		o.step(wanted)
 	}
-	v := e.gossiper.Snapshot()
+	v := e.members.Snapshot()
 	cell := e.settings.Cell
 	seen := issuer.Observe{Owner: v.Owner(cell) == e.settings.Name && e.joined()}
 	for _, u := range v.Upstreams(e.awake.Now()) {
--- a/internal/daemon/runner/standby.go
+++ b/internal/daemon/runner/standby.go
@@ -61,7 +61,7 @@
 // long enough. Before that it would take itself for the owner of the cell and
 // dispatch beside the real one, without knowing which requests crash upstreams.
 func (e *entry) joined() bool {
-	if len(e.gossiper.Snapshot().Hosts()) > 1 || e.clock.Since(e.started) > joinTime {
+	if len(e.members.Snapshot().Hosts()) > 1 || e.clock.Since(e.started) > joinTime {
 		return true
 	}
 	return e.alone()
@@ -86,12 +86,12 @@
 		case <-t.Chan():
 		}
 		stood := c.stands
-		owned := e.gossiper.Snapshot().Owner(e.settings.Cell) != ""
+		owned := e.members.Snapshot().Owner(e.settings.Cell) != ""
 		if c.review(e.awake.Now(), e.joined(), owned) {
 			e.logger.Info("this host stood still; it leaves the cell to the others", zap.Duration("rest", restTime))
 		}
 		if c.stands != stood {
-			e.gossiper.Drain(!c.stands)
+			e.members.Drain(!c.stands)
 		}
 	}
 }
--- a/internal/entry/dispatcher/cell.go
+++ b/internal/entry/dispatcher/cell.go
@@ -22,6 +22,9 @@
 	// reviewInterval is how often the owner of the cell is looked up; a
 	// broken link is noticed at once.
 	reviewInterval = 50 * time.Millisecond
+	// steadyInterval is the same on a host that may not own the cell, while its link
+	// to the owner is in use. Changes of the membership are looked at at once.
+	steadyInterval = time.Second
 	// collectTime is how long a new owner dispatches only its own part of the
 	// slots, unless all other hosts have reported the slots that they hold before.
 	collectTime = time.Second
@@ -47,6 +50,8 @@
 	Address(h registrar.HostName) (string, bool)
 	// Hosts counts the live entry hosts.
 	Hosts() int
+	// Schedulers counts those that may own a cell, and so know of crashes.
+	Schedulers() int
 	// Upstream looks an upstream up.
 	Upstream(id registrar.UpstreamID) (registrar.Upstream, bool)
 }
@@ -60,6 +65,8 @@
 	Client     connect.HTTPClient
 	// Roams is set when requests of this host may be sent to other cells.
 	Roams bool
+	// Standby is set when this host may own the cell.
+	Standby bool
 	// Inventory tells what upstreams keep of prompts; nil where they don't tell.
 	Inventory Inventory
 	Clock     clockwork.Clock
@@ -85,8 +92,10 @@
 	// linked is the link that gave the last grants, or nil.
 	linked atomic.Pointer[link]
 
-	stop  context.CancelFunc
-	group conc.WaitGroup
+	// reviews wakes the goroutine that chooses the route.
+	reviews chan struct{}
+	stop    context.CancelFunc
+	group   conc.WaitGroup
 }
 
 type ticketShard struct {
@@ -97,7 +106,7 @@
 // NewCell starts to follow the owner of the cell until Close.
 func NewCell(s Settings) *Cell {
 	ctx, stop := context.WithCancel(context.Background())
-	c := &Cell{settings: s, route: s.Local, stop: stop}
+	c := &Cell{settings: s, route: s.Local, reviews: make(chan struct{}, 1), stop: stop}
 	c.find = c.upstream
 	c.ended = c.remove
 	for i := range c.shards {
@@ -238,21 +247,32 @@
 func (c *Cell) follow(ctx context.Context) {
 	f := follower{cell: c, since: c.settings.Clock.Now(), surveyor: newSurveyor(c.settings)}
 	defer f.surveyor.close()
-	t := c.settings.Clock.NewTicker(reviewInterval)
+	t := c.settings.Clock.NewTimer(reviewInterval)
 	defer t.Stop()
 	defer f.drop()
 	for {
 		f.review(ctx)
+		t.Reset(f.interval())
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.Chan():
+		case <-c.reviews:
 		case <-f.broken():
 			f.drop()
 		}
 	}
 }
 
+// Review looks at once whether the cell has another owner, after a change of the
+// membership.
+func (c *Cell) Review() {
+	select {
+	case c.reviews <- struct{}{}:
+	default:
+	}
+}
+
 // follower is the state of the goroutine that chooses the route.
 type follower struct {
 	cell *Cell
@@ -260,8 +280,8 @@
 	// does not.
 	owning bool
 	since  time.Time
-	// hosts is the number of live hosts, and changed is when it or the owner
-	// last changed.
+	// hosts is the number of live hosts that may own a cell, and changed is when it or
+	// the owner last changed.
 	hosts   int
 	changed time.Time
 	link    *link
@@ -275,6 +295,15 @@
 	pause time.Duration
 }
 
+// interval is the time to the next review.
+func (f *follower) interval() time.Duration {
+	s := f.cell.settings
+	if s.Standby || f.link == nil || !f.link.ready() || s.Clock.Since(f.since) < collectTime {
+		return reviewInterval
+	}
+	return steadyInterval
+}
+
 func (f *follower) review(ctx context.Context) {
 	s := f.cell.settings
 	owner, ok := s.owner()
@@ -329,7 +358,7 @@
 // the cell, with the same hosts, for long enough to know of their crashes.
 func (f *follower) settle() {
 	s := f.cell.settings
-	if n := s.Membership.Hosts(); n != f.hosts || f.changed.Before(f.since) {
+	if n := s.Membership.Schedulers(); n != f.hosts || f.changed.Before(f.since) {
 		f.hosts, f.changed = n, s.Clock.Now()
 	}
 	s.Local.Settle(f.owning && s.Clock.Since(f.changed) >= settleTime)
--- a/internal/entry/dispatcher/cell_test.go
+++ b/internal/entry/dispatcher/cell_test.go
@@ -53,6 +53,8 @@
 	return a, ok
 }
 
+func (f *fakeMembership) Schedulers() int { return f.Hosts() }
+
 func (f *fakeMembership) Hosts() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -130,7 +132,7 @@
 	t.Helper()
 	clock := clockwork.NewRealClock()
 	m := &member{local: NewLocal(scheduler.New(), clock)}
-	s := Settings{Host: n, Cell: "main", Membership: view, Local: m.local, Client: dialer.New(), Clock: clock, Logger: zap.NewNop()}
+	s := Settings{Host: n, Cell: "main", Standby: true, Membership: view, Local: m.local, Client: dialer.New(), Clock: clock, Logger: zap.NewNop()}
 	m.local.Configure(document())
 	m.local.Observe(u)
 	m.server = NewServer(s)
--- a/internal/entry/dispatcher/fleet_test.go
+++ b/internal/entry/dispatcher/fleet_test.go
@@ -71,7 +71,7 @@
 	}
 	c.local = NewLocal(scheduler.New(), clock)
 	c.local.Configure(document())
-	s := Settings{Host: host, Cell: name, Membership: c.view, Local: c.local, Client: dialer.New(), Clock: clock, Logger: zap.NewNop(), Roams: true}
+	s := Settings{Host: host, Cell: name, Standby: true, Membership: c.view, Local: c.local, Client: dialer.New(), Clock: clock, Logger: zap.NewNop(), Roams: true}
 	c.server = NewServer(s)
 	c.local.Consult(NewDecider(name, "", c.cells, spiller.New(), clock))
 	mux := http.NewServeMux()
--- a/internal/entry/dispatcher/link.go
+++ b/internal/entry/dispatcher/link.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/jonboulle/clockwork"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
@@ -17,15 +18,24 @@
 )
 
 const (
-	// beatInterval is how often the owner sends on an idle link.
+	// beatInterval is how often the owner sends on a link whose host waits for a grant
+	// or may own the cell.
 	beatInterval = 100 * time.Millisecond
+	// heldBeat is the same while the host only holds slots, and heldSilence the silence
+	// after which such a link is given up: the next owner must hear of the slots before
+	// it uses all of them.
+	heldBeat    = 250 * time.Millisecond
+	heldSilence = 800 * time.Millisecond
+	// idleBeat and idleSilence are for hosts with no request at the owner.
+	idleBeat    = time.Second
+	idleSilence = 2500 * time.Millisecond
 	// silenceLimit is the silence after which a link is given up. It is well
 	// under the smallest first-token target, so that waiting requests still
 	// have time on this host's own part of the slots.
 	silenceLimit = 400 * time.Millisecond
-	// stallTime is the pause between two looks at a link from which this host itself
-	// must have stood still.
-	stallTime = 3 * beatInterval
+	// stallBeats is the pause between two looks at a link, in their usual time, from
+	// which this host itself must have stood still.
+	stallBeats = 3
 	// foreignSilence is the same for a link to another cell. It leaves time for
 	// the two round trips of a new connection between regions and one packet
 	// that is sent again.
@@ -51,6 +61,12 @@
 	pending outbox
 	wake    chan struct{}
 	sinks   map[scheduler.RequestID]sink
+	// waiting lists the requests that wait for an answer. The owner sends more often
+	// since there are any, and alarm looks whether it does.
+	waiting map[scheduler.RequestID]bool
+	since   time.Time
+	alarm   clockwork.Timer
+	due     time.Time
 
 	hello *wire.DispatchRequest
 	// accepted is closed once the owner has answered.
@@ -69,7 +85,7 @@
 
 // openLink opens a link to the owner of this host's cell.
 func openLink(ctx context.Context, s Settings, owner registrar.HostName, address string) *link {
-	l := &link{owner: owner, hello: &wire.DispatchRequest{Host: string(s.Host), Roams: s.Roams}}
+	l := &link{owner: owner, hello: &wire.DispatchRequest{Host: string(s.Host), Roams: s.Roams, Standby: s.Standby}}
 	l.open(ctx, s, address)
 	return l
 }
@@ -93,6 +109,8 @@
 	l.heard = s.Clock.Now()
 	l.wake = make(chan struct{}, 1)
 	l.sinks = map[scheduler.RequestID]sink{}
+	l.waiting = map[scheduler.RequestID]bool{}
+	l.alarm = s.Clock.AfterFunc(idleSilence, l.look)
 	client := wireconnect.NewPeerClient(s.Client, dialer.URL(address))
 	stream := client.Dispatch(ctx)
 	l.group.Go(func() { l.write(ctx, stream) })
@@ -131,6 +149,7 @@
 	}
 	l.failed = true
 	l.pending = outbox{}
+	l.alarm.Stop()
 	close(l.broken)
 	l.settings.Logger.Info("link to cell owner ended", zap.String("owner", string(l.owner)), zap.String("cause", cause))
 }
@@ -138,7 +157,11 @@
 // watch gives the link up after a silence: a frozen owner keeps its
 // connections open.
 func (l *link) watch(ctx context.Context) {
-	t := l.settings.Clock.NewTicker(beatInterval)
+	period := beatInterval
+	if !l.watchful() {
+		period = idleBeat
+	}
+	t := l.settings.Clock.NewTicker(period)
 	defer t.Stop()
 	last := l.settings.Clock.Now()
 	for {
@@ -147,7 +170,7 @@
 			return
 		case <-t.Chan():
 			now := l.settings.Clock.Now()
-			if now.Sub(last) > stallTime {
+			if now.Sub(last) > stallBeats*period {
 				// This host itself stood still and has not read what came.
 				l.pardon(now)
 			}
@@ -211,11 +234,71 @@
 func (l *link) silent() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	limit := silenceLimit
-	if l.cell != "" {
-		limit = foreignSilence
+	return l.left(l.settings.Clock.Now()) < 0
+}
+
+// left is how long the owner may still be silent.
+func (l *link) left(now time.Time) time.Duration {
+	quiet := now.Sub(l.heard)
+	switch {
+	case l.cell != "":
+		return foreignSilence - quiet
+	case l.watchful():
+		return silenceLimit - quiet
+	case len(l.waiting) > 0:
+		return silenceLimit - min(quiet, now.Sub(l.since))
+	case len(l.sinks) > 0:
+		return heldSilence - min(quiet, now.Sub(l.since))
+	}
+	return idleSilence - quiet
+}
+
+// watchful reports whether the owner sends often on this link, whether or not anything
+// waits.
+func (l *link) watchful() bool { return l.settings.Standby || l.cell != "" }
+
+// wait notes a request that waits for an answer.
+func (l *link) wait(id scheduler.RequestID) {
+	if len(l.waiting) == 0 {
+		l.since = l.settings.Clock.Now()
+		l.arm(silenceLimit)
+	}
+	l.waiting[id] = true
+}
+
+// arm sets the alarm. Links on which the owner always sends often have a ticker.
+func (l *link) arm(d time.Duration) {
+	if !l.watchful() && !l.failed {
+		l.due = l.settings.Clock.Now().Add(d)
+		l.alarm.Reset(d)
+	}
+}
+
+// look gives the link up when its owner is silent although requests wait there or
+// hold slots. One that comes late tells that this host itself stood still, and that
+// it has not read what came.
+func (l *link) look() {
+	if l.overdue() {
+		l.giveUp()
+		l.renew()
+	}
+}
+
+func (l *link) overdue() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.failed || l.watchful() || len(l.sinks) == 0 {
+		return false
+	}
+	now := l.settings.Clock.Now()
+	if now.Sub(l.due) > stallBeats*beatInterval {
+		l.heard = now
+	}
+	left := l.left(now)
+	if left > 0 {
+		l.arm(left)
 	}
-	return l.settings.Clock.Since(l.heard) > limit
+	return left <= 0
 }
 
 func (l *link) write(ctx context.Context, stream *connect.BidiStreamForClient[wire.DispatchRequest, wire.DispatchResponse]) {
@@ -282,6 +365,7 @@
 		if !ok {
 			continue
 		}
+		delete(l.waiting, a.id)
 		if _, refused := a.action.(scheduler.Refuse); refused {
 			delete(l.sinks, a.id)
 		}
@@ -355,7 +439,14 @@
 	m := encodeRequest(r, held, l.settings.Clock.Now())
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if len(l.sinks) == 0 {
+		l.since = l.settings.Clock.Now()
+		l.arm(silenceLimit)
+	}
 	l.sinks[r.ID] = n
+	if held.upstream == "" {
+		l.wait(r.ID)
+	}
 	if l.admits() {
 		l.pending.submit(m)
 		l.signal()
@@ -383,6 +474,7 @@
 func (l *link) leave(id scheduler.RequestID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	delete(l.waiting, id)
 	delete(l.sinks, id)
 }
 
@@ -401,6 +493,7 @@
 		return
 	}
 	if m.Kind == wire.SlotProgress_KIND_CANCELLED {
+		delete(l.waiting, scheduler.RequestID(m.Id))
 		delete(l.sinks, scheduler.RequestID(m.Id))
 	}
 	if l.admits() {
--- a/internal/entry/dispatcher/local.go
+++ b/internal/entry/dispatcher/local.go
@@ -15,8 +15,9 @@
 	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
 )
 
-// idleTicks is one in how many ticks a scheduler without requests takes.
-const idleTicks = 10
+// idleInterval is the time between two ticks of a scheduler without requests, which
+// most hosts have at most times. Little depends on it then.
+const idleInterval = 500 * time.Millisecond
 
 // sink receives the actions for one request and reports whether somebody takes
 // the slot of a grant or hedge; otherwise the slot is freed. It is called with
@@ -72,7 +73,6 @@
 	// declined lists the slots that nobody took in the current step.
 	declined []scheduler.Finished
 	hosts    int
-	ticks    int
 	settled  bool
 	disown   func()
 	// ownership is shared by the two sides of the cell on this host.
@@ -80,6 +80,8 @@
 	// elsewhere is nil on a host that works with no other cell.
 	elsewhere Elsewhere
 
+	// busy wakes the ticks when the first request comes.
+	busy  chan struct{}
 	stop  chan struct{}
 	group conc.WaitGroup
 }
@@ -101,6 +103,7 @@
 		requests:  map[scheduler.RequestID]*open{},
 		hosts:     1,
 		disown:    func() {},
+		busy:      make(chan struct{}, 1),
 		stop:      make(chan struct{}),
 	}
 	for _, o := range options {
@@ -118,28 +121,39 @@
 }
 
 func (l *Local) tick() {
-	t := l.clock.NewTicker(scheduler.TickInterval)
+	t := l.clock.NewTimer(scheduler.TickInterval)
 	defer t.Stop()
 	for {
 		select {
 		case <-l.stop:
 			return
+		case <-l.busy:
+			t.Reset(scheduler.TickInterval)
+			continue
 		case <-t.Chan():
-			l.mu.Lock()
-			if l.due() {
-				l.step(scheduler.Tick{})
-				l.evacuate()
-			}
-			l.mu.Unlock()
 		}
+		l.mu.Lock()
+		l.step(scheduler.Tick{})
+		l.evacuate()
+		interval := idleInterval
+		if len(l.requests) > 0 {
+			interval = scheduler.TickInterval
+		}
+		l.mu.Unlock()
+		t.Reset(interval)
 	}
 }
 
-// due reports whether the scheduler has to see the time pass. Without requests,
-// which most hosts are most of the time, little depends on it.
-func (l *Local) due() bool {
-	l.ticks++
-	return len(l.requests) > 0 || l.ticks%idleTicks == 0
+// begin records a request of this host or another one.
+func (l *Local) begin(id scheduler.RequestID, o *open) {
+	l.requests[id] = o
+	if len(l.requests) > 1 {
+		return
+	}
+	select {
+	case l.busy <- struct{}{}:
+	default:
+	}
 }
 
 // Configure puts a configuration in force.
@@ -238,7 +252,7 @@
 		kept := r
 		o.request = &kept
 	}
-	l.requests[r.ID] = o
+	l.begin(r.ID, o)
 	l.step(scheduler.Submit{Request: r})
 }
 
@@ -250,7 +264,7 @@
 	o, ok := l.requests[r.ID]
 	if !ok {
 		o = newOpen(n)
-		l.requests[r.ID] = o
+		l.begin(r.ID, o)
 	}
 	o.notify = n
 	if o.holds(id) {
--- a/internal/entry/dispatcher/outbox_test.go
+++ b/internal/entry/dispatcher/outbox_test.go
@@ -13,13 +13,17 @@
 	"github.com/amaranthcart/amaranthcart/internal/rpc/wire"
 )
 
+// idleLink is a link to an owner that never reads.
 func idleLink() *link {
-	return &link{
+	l := &link{
 		settings: Settings{Clock: clockwork.NewRealClock(), Logger: zap.NewNop()},
 		broken:   make(chan struct{}),
 		wake:     make(chan struct{}, 1),
 		sinks:    map[scheduler.RequestID]sink{},
+		waiting:  map[scheduler.RequestID]bool{},
 	}
+	l.alarm = l.settings.Clock.AfterFunc(idleSilence, l.look)
+	return l
 }
 
 // TestSlowOwner guards against memory that grows with every token, and without
--- a/internal/entry/dispatcher/server.go
+++ b/internal/entry/dispatcher/server.go
@@ -17,6 +17,10 @@
 	"github.com/amaranthcart/amaranthcart/internal/rpc/wire"
 )
 
+// orphanTime is how long the slots of a host that the membership doesn't list are kept
+// after its link broke. A host that lives opens the next one well before.
+const orphanTime = 1500 * time.Millisecond
+
 // Server answers the slot requests of other hosts while this host owns the
 // cell. Its Dispatch method implements the Peer service.
 type Server struct {
@@ -30,6 +34,8 @@
 	// orphans are the requests whose link broke while they held slots. They
 	// keep their slots until their host reports again or is gone.
 	orphans map[registrar.HostName]orphans
+	// orphaned is when the last of them was added.
+	orphaned map[registrar.HostName]time.Time
 	// sessions are the latest links of each host.
 	sessions map[registrar.HostName]*session
 }
@@ -43,6 +49,7 @@
 	n := &Server{
 		settings: s,
 		orphans:  map[registrar.HostName]orphans{},
+		orphaned: map[registrar.HostName]time.Time{},
 		sessions: map[registrar.HostName]*session{},
 	}
 	s.Local.onDisowned(n.disowned)
@@ -87,6 +94,7 @@
 		s.orphans[h] = orphans{}
 	}
 	s.orphans[h][id] = held
+	s.orphaned[h] = s.settings.Clock.Now()
 }
 
 func (s *Server) owns() bool { return s.settings.owns() }
@@ -110,6 +118,7 @@
 	s.settings.Local.ownership.agree(s.settings.Clock.Now())
 	n.foreign = hello.Cell != "" && registrar.CellName(hello.Cell) != s.settings.Cell
 	n.roams = hello.Roams && !n.foreign
+	n.standby = hello.Standby || n.foreign
 	defer s.finish(n)
 	return n.serve(ctx, stream)
 }
@@ -138,9 +147,23 @@
 		delete(s.sessions, n.host)
 	}
 	s.mu.Unlock()
-	// A host that went down before its link broke reports no end any more.
+	// The membership tells when a host that may own a cell has gone. Of the others, and
+	// of one that went down before its link broke, only the link tells.
 	if _, alive := s.settings.Membership.Address(n.host); !alive {
-		s.HostDown(n.host)
+		s.settings.Clock.AfterFunc(orphanTime, func() { s.lapse(n.host) })
+	}
+}
+
+// lapse frees the slots of a host that has had no link for long enough.
+func (s *Server) lapse(h registrar.HostName) {
+	s.mu.Lock()
+	gone := s.sessions[h] == nil && s.settings.Clock.Since(s.orphaned[h]) >= orphanTime
+	if gone {
+		delete(s.orphaned, h)
+	}
+	s.mu.Unlock()
+	if gone {
+		s.HostDown(h)
 	}
 }
 
@@ -154,6 +177,8 @@
 	foreign bool
 	// roams is set when the host can send its requests to other cells.
 	roams bool
+	// standby is set when the host has to notice soon that this one is lost.
+	standby bool
 
 	// taking orders the host's messages against the end of the session.
 	taking  sync.Mutex
@@ -164,8 +189,10 @@
 	// the host uses may be the one that was replaced.
 	replaced chan struct{}
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// open holds the requests of the host, and whether each of them waits.
 	open    map[scheduler.RequestID]bool
+	waiting int
 	pending *wire.DispatchResponse
 	// queued counts the answers in pending; overflowed is set once one was
 	// dropped because there were too many.
@@ -206,7 +233,7 @@
 }
 
 func (n *session) write(ctx context.Context, stream *connect.BidiStream[wire.DispatchRequest, wire.DispatchResponse]) error {
-	beat := n.clock().NewTicker(beatInterval)
+	beat := n.clock().NewTimer(n.beat())
 	defer beat.Stop()
 	for {
 		if !n.server.owns() || n.full() {
@@ -216,6 +243,7 @@
 		if err := stream.Send(n.warn(n.batch())); err != nil {
 			return fmt.Errorf("send grants: %w", err)
 		}
+		beat.Reset(n.beat())
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -227,6 +255,20 @@
 	}
 }
 
+// beat is how long the host may be sent nothing. One that has no request here need not
+// know soon that this one is lost.
+func (n *session) beat() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	switch {
+	case n.standby || n.waiting > 0:
+		return beatInterval
+	case len(n.open) > 0:
+		return heldBeat
+	}
+	return idleBeat
+}
+
 func (n *session) clock() clockwork.Clock { return n.server.settings.Clock }
 
 func (n *session) batch() *wire.DispatchResponse {
@@ -281,11 +323,12 @@
 	if !n.roams && r.Spilled == "" {
 		r.Spilled = n.server.settings.Cell
 	}
-	n.track(r.ID)
+	n.track(r.ID, m.Held == "")
 	l := n.server.settings.Local
 	if m.Held == "" {
 		n.forgo(r.ID)
 		l.submit(r, n.notify)
+		n.wakeIfWaiting(r.ID)
 		return
 	}
 	n.confirm(r.ID, registrar.UpstreamID(m.Held))
@@ -335,18 +378,48 @@
 	n.server.settings.Local.report(e)
 }
 
-func (n *session) track(id scheduler.RequestID) {
+func (n *session) track(id scheduler.RequestID, waits bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.open[id] = true
+	n.answered(id)
+	n.open[id] = waits
+	if waits {
+		n.waiting++
+	}
+}
+
+// answered notes that the request doesn't wait any more. The caller holds mu.
+func (n *session) answered(id scheduler.RequestID) {
+	if n.open[id] {
+		n.open[id] = false
+		n.waiting--
+	}
 }
 
 func (n *session) untrack(id scheduler.RequestID) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.answered(id)
 	delete(n.open, id)
 }
 
+// wakeIfWaiting lets the writer send beats for a request that got no answer at once.
+func (n *session) wakeIfWaiting(id scheduler.RequestID) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.open[id] && n.waiting == 1 {
+		n.signal()
+	}
+}
+
+// signal wakes the writer.
+func (n *session) signal() {
+	select {
+	case n.wake <- struct{}{}:
+	default:
+	}
+}
+
 // full reports whether the host reads its answers too slowly. The session ends
 // then, and the host submits again what was not answered.
 func (n *session) full() bool {
@@ -363,8 +436,12 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if r, ok := a.(scheduler.Refuse); ok {
-		delete(n.open, r.ID)
+	switch a := a.(type) {
+	case scheduler.Grant:
+		n.answered(a.ID)
+	case scheduler.Refuse:
+		n.answered(a.ID)
+		delete(n.open, a.ID)
 	}
 	if n.queued >= maxQueued {
 		n.overflowed = true
@@ -373,10 +450,7 @@
 	n.queued++
 	appendAction(n.pending, a)
 	n.locate(n.pending)
-	select {
-	case n.wake <- struct{}{}:
-	default:
-	}
+	n.signal()
 	return true
 }
 
@@ -404,7 +478,7 @@
 	close(n.replaced)
 	n.mu.Lock()
 	ids := n.open
-	n.open = map[scheduler.RequestID]bool{}
+	n.open, n.waiting = map[scheduler.RequestID]bool{}, 0
 	n.mu.Unlock()
 	for id, held := range n.orphans {
 		n.server.orphan(n.host, id, held)
--- a/internal/entry/dispatcher/storm_test.go
+++ b/internal/entry/dispatcher/storm_test.go
@@ -194,7 +194,7 @@
 	clock := clockwork.NewRealClock()
 	for i := range hosts {
 		p := &peer{name: registrar.HostName(fmt.Sprint("host", i)), client: dialer.New(), local: NewLocal(scheduler.New(), clock)}
-		set := Settings{Host: p.name, Cell: "main", Membership: s.view, Local: p.local, Client: p.client, Clock: clock, Logger: zap.NewNop()}
+		set := Settings{Host: p.name, Cell: "main", Standby: true, Membership: s.view, Local: p.local, Client: p.client, Clock: clock, Logger: zap.NewNop()}
 		p.local.Configure(document())
 		for j := range stormUpstreams {
 			p.local.Observe(stormUpstream(j, 1))
--- a/internal/member/gossiper/announce.go
+++ b/internal/member/gossiper/announce.go
@@ -94,6 +94,22 @@
 	}
 }
 
+// Taker applies an announcement that may come from its sender. It returns the status of
+// the answer beside its body.
+type Taker func(ctx context.Context, u registrar.Upstream) (int, Reply)
+
+// NewAnnouncements returns a handler of upstream announcements. Secure tells whether
+// this host can call https addresses.
+func NewAnnouncements(take Taker, secure bool, logger *zap.Logger) http.Handler {
+	return announcer{take: take, secure: secure, log: logger}
+}
+
+type announcer struct {
+	take   Taker
+	secure bool
+	log    *zap.Logger
+}
+
 // ServeHTTP answers announcements.
 func (a announcer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.Method != http.MethodPost {
@@ -116,11 +132,11 @@
 		a.reply(w, http.StatusBadRequest, Reply{Reason: "the announcement is invalid", Problems: problems(err)})
 		return
 	}
-	if reason := a.g.refuse(r.Context(), u); reason != "" {
+	if reason := a.refuse(r.Context(), u); reason != "" {
 		a.reply(w, http.StatusForbidden, Reply{Reason: reason})
 		return
 	}
-	status, reply := a.g.Announce(u)
+	status, reply := a.take(r.Context(), u)
 	a.reply(w, status, reply)
 }
 
@@ -136,24 +152,22 @@
 	return list
 }
 
-type announcer struct{ g *Gossiper }
-
 func (a announcer) reply(w http.ResponseWriter, status int, reply Reply) {
 	reply.Lease = registrar.Lease.String()
 	reply.Renew = registrar.RenewalInterval.String()
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	if err := json.NewEncoder(w).Encode(reply); err != nil {
-		a.g.log.Debug("The reply to an announcement was not sent.", zap.Error(err))
+		a.log.Debug("The reply to an announcement was not sent.", zap.Error(err))
 	}
 }
 
 // refuse tells why an upstream may not announce itself so, or returns nothing.
-func (g *Gossiper) refuse(ctx context.Context, u registrar.Upstream) string {
+func (a announcer) refuse(ctx context.Context, u registrar.Upstream) string {
 	if name := authenticator.Named(ctx, authenticator.Upstream); name != "" && name != string(u.Name) {
 		return "the certificate is that of the upstream " + name
 	}
-	if _, secure := u.Endpoint(); secure && !g.secure {
+	if _, secure := u.Endpoint(); secure && !a.secure {
 		return "this host has no setting tls, so that it can't call an https address"
 	}
 	return ""
--- a/internal/member/gossiper/encode.go
+++ b/internal/member/gossiper/encode.go
@@ -12,7 +12,8 @@
 // thousandths is the unit of the cache share in renewals.
 const thousandths = 1000
 
-func encodeHost(n registrar.HostNews) *wire.EntryHost {
+// EncodeHost writes a description of a host.
+func EncodeHost(n registrar.HostNews) *wire.EntryHost {
 	return &wire.EntryHost{
 		Name:        string(n.Host.Name),
 		Address:     n.Host.Address,
@@ -25,10 +26,12 @@
 		Revision:    n.Host.Revision,
 		Age:         n.Age.Milliseconds(),
 		Described:   n.Described,
+		Watchers:    count(n.Host.Watchers),
 	}
 }
 
-func decodeHost(h *wire.EntryHost) registrar.HostNews {
+// DecodeHost reads a description of a host.
+func DecodeHost(h *wire.EntryHost) registrar.HostNews {
 	return registrar.HostNews{
 		Host: registrar.Host{
 			Name:        registrar.HostName(h.GetName()),
@@ -40,6 +43,7 @@
 			Left:        h.GetLeft(),
 			Control:     h.GetControl(),
 			Revision:    h.GetRevision(),
+			Watchers:    int(min(h.GetWatchers(), math.MaxInt32)),
 		},
 		Described: h.GetDescribed(),
 		Age:       milliseconds(h.GetAge()),
@@ -55,10 +59,10 @@
 func encodeUpdate(u registrar.Update, q question, out *wire.GossipResponse) {
 	index := q.answer(u.Vector, u.Heard, out)
 	for _, h := range u.Hosts {
-		out.Hosts = append(out.Hosts, encodeHost(h))
+		out.Hosts = append(out.Hosts, EncodeHost(h))
 	}
 	for _, n := range u.News {
-		out.Upstreams = append(out.Upstreams, encodeUpstream(n))
+		out.Upstreams = append(out.Upstreams, EncodeUpstream(n))
 	}
 	for _, r := range u.Renewals {
 		i, ok := index[r.Stamp.Origin]
@@ -85,10 +89,10 @@
 func decodeUpdate(in *wire.GossipResponse, q question) registrar.Update {
 	u, keys := q.read(in)
 	for _, h := range in.GetHosts() {
-		u.Hosts = append(u.Hosts, decodeHost(h))
+		u.Hosts = append(u.Hosts, DecodeHost(h))
 	}
 	for _, n := range in.GetUpstreams() {
-		u.News = append(u.News, decodeUpstream(n))
+		u.News = append(u.News, DecodeUpstream(n))
 	}
 	for _, r := range in.GetRenewals() {
 		if int(r.GetOrigin()) >= len(keys) {
@@ -105,7 +109,8 @@
 	return u
 }
 
-func encodeUpstream(n registrar.News) *wire.Upstream {
+// EncodeUpstream writes an announcement as hosts pass it on.
+func EncodeUpstream(n registrar.News) *wire.Upstream {
 	u := n.Upstream
 	return &wire.Upstream{
 		Name:        string(u.Name),
@@ -131,7 +136,8 @@
 	}
 }
 
-func decodeUpstream(u *wire.Upstream) registrar.News {
+// DecodeUpstream reads an announcement that another host passed on.
+func DecodeUpstream(u *wire.Upstream) registrar.News {
 	return registrar.News{
 		Upstream: registrar.Upstream{
 			Name:        registrar.UpstreamID(u.GetName()),
--- a/internal/member/gossiper/gossiper.go
+++ b/internal/member/gossiper/gossiper.go
@@ -100,7 +100,7 @@
 	secure    bool
 	exchanger Exchanger
 	prints    Fingerprints
-	printLog  *printLog
+	printLog  *PrintLog
 	revisions Revisions
 	onAction  func(registrar.Action)
 	options   []registrar.Option
@@ -195,7 +195,7 @@
 	now := g.clock.Now()
 	g.registrar = registrar.New(now, self, g.options...)
 	g.repaired = now
-	g.printLog = newPrintLog()
+	g.printLog = NewPrintLog()
 	g.peers = newPeers(self.Address, g.seeds)
 	g.context, g.cancel = context.WithCancel(context.Background())
 	return g
@@ -236,10 +236,18 @@
 	g.describe(func(d *registrar.Describe) { d.Draining = on })
 }
 
+// Watch tells the other hosts how many hosts follow the view of this one.
+func (g *Gossiper) Watch(watchers int) {
+	g.describe(func(d *registrar.Describe) { d.Watchers = watchers })
+}
+
+// Restore takes the upstreams that another host knew before this one started.
+func (g *Gossiper) Restore(e registrar.Restore) { g.step(e) }
+
 func (g *Gossiper) describe(change func(*registrar.Describe)) {
 	g.mu.Lock()
 	s := g.registrar.Self().Host
-	d := registrar.Describe{Draining: s.Draining, Left: s.Left, Revision: s.Revision}
+	d := registrar.Describe{Draining: s.Draining, Left: s.Left, Revision: s.Revision, Watchers: s.Watchers}
 	change(&d)
 	g.queue = append(g.queue, g.registrar.Step(g.clock.Now(), d)...)
 	g.mu.Unlock()
@@ -270,7 +278,7 @@
 		}
 		g.peers.observe(a)
 		if d, ok := a.(registrar.HostDown); ok {
-			g.printLog.forget(d.Host.Address, string(d.Host.Name))
+			g.printLog.Forget(d.Host.Address, string(d.Host.Name))
 		}
 		if g.onAction != nil {
 			g.onAction(a)
@@ -361,7 +369,7 @@
 	if g.context.Err() != nil {
 		return false, nil
 	}
-	from := decodeHost(a.GetFrom())
+	from := DecodeHost(a.GetFrom())
 	g.step(registrar.Merge{From: from.Host.Name, Began: began, Update: decodeUpdate(a, question)})
 	g.learn(address, began, Confirmation{Revision: a.GetRevision(), Check: a.GetCheck(), Age: age(a.GetConfirmed())}, a.GetFingerprints())
 	return false, nil
--- a/internal/member/gossiper/peer.go
+++ b/internal/member/gossiper/peer.go
@@ -22,7 +22,10 @@
 )
 
 // Announcements returns the handler of upstream announcements.
-func (g *Gossiper) Announcements() http.Handler { return announcer{g} }
+func (g *Gossiper) Announcements() http.Handler {
+	take := func(_ context.Context, u registrar.Upstream) (int, Reply) { return g.Announce(u) }
+	return NewAnnouncements(take, g.secure, g.log)
+}
 
 // Gossip answers another host with what its version vector lacks.
 func (g *Gossiper) Gossip(ctx context.Context, r *connect.Request[wire.GossipRequest]) (*connect.Response[wire.GossipResponse], error) {
@@ -39,7 +42,7 @@
 
 // Answer answers the request of another host.
 func (g *Gossiper) Answer(q *wire.GossipRequest) (*wire.GossipResponse, error) {
-	from := decodeHost(q.GetFrom())
+	from := DecodeHost(q.GetFrom())
 	if from.Host.Name == "" {
 		return nil, fmt.Errorf("the request names no host")
 	}
@@ -92,6 +95,17 @@
 	}
 }
 
+// PassedOn takes an announcement that another host has received and checked.
+func (g *Gossiper) PassedOn(ctx context.Context, r *connect.Request[wire.AnnounceRequest]) (*connect.Response[wire.AnnounceResponse], error) {
+	if name := authenticator.Named(ctx, authenticator.Entry); name != "" && name != r.Msg.GetHost() {
+		return nil, connect.NewError(connect.CodePermissionDenied, fmt.Errorf("the certificate is that of entry host %s, the message that of %s", name, r.Msg.GetHost()))
+	}
+	status, reply := g.Announce(DecodeUpstream(r.Msg.GetUpstream()).Upstream)
+	return connect.NewResponse(&wire.AnnounceResponse{
+		Status: uint32(status), Accepted: reply.Accepted, Reason: reply.Reason, Known: uint64(reply.Known),
+	}), nil
+}
+
 // Fetch returns a configuration revision that this host has.
 func (g *Gossiper) Fetch(_ context.Context, r *connect.Request[wire.FetchRequest]) (*connect.Response[wire.FetchResponse], error) {
 	if g.revisions != nil {
@@ -107,7 +121,7 @@
 	if g.prints == nil {
 		return nil
 	}
-	return g.printLog.lacks(peer, g.prints.Fingerprints(), g.clock.Now())
+	return g.printLog.Lacks(peer, g.prints.Fingerprints(), g.clock.Now())
 }
 
 // sayGoodbye tells the live hosts that this one stops, and waits until one of
@@ -126,7 +140,7 @@
 			continue
 		}
 		calls.Go(func() {
-			q := &wire.GossipRequest{Confirmed: -1, From: encodeHost(self), Fresh: fresh}
+			q := &wire.GossipRequest{Confirmed: -1, From: EncodeHost(self), Fresh: fresh}
 			q.Keys, q.Versions, q.Ahead = []uint64{key}, []uint64{self.Described}, []uint64{0}
 			if _, err := g.exchanger.Exchange(ctx, h.Address, q); err != nil {
 				g.log.Debug("A host was not told goodbye.", zap.Error(err))
@@ -250,7 +264,7 @@
 	known := p.known[address]
 	q.From = &wire.EntryHost{Name: string(self.Host.Name), Incarnation: uint64(self.Host.Incarnation), Described: self.Described}
 	if known.described < self.Described {
-		q.From = encodeHost(self)
+		q.From = EncodeHost(self)
 	}
 	if known.list != q.GetList() {
 		q.Keys = keys
--- a/internal/member/gossiper/prints.go
+++ b/internal/member/gossiper/prints.go
@@ -21,9 +21,9 @@
 	maxPrints = 64
 )
 
-// printLog numbers the fingerprints in the order in which they became known or
+// PrintLog numbers the fingerprints in the order in which they became known or
 // changed, so that another host is sent each of them once.
-type printLog struct {
+type PrintLog struct {
 	mu      sync.Mutex
 	last    uint64
 	entries map[string]printEntry
@@ -42,8 +42,8 @@
 	since  time.Time
 }
 
-func newPrintLog() *printLog {
-	return &printLog{entries: map[string]printEntry{}, sent: map[string]printMark{}}
+func NewPrintLog() *PrintLog {
+	return &PrintLog{entries: map[string]printEntry{}, sent: map[string]printMark{}}
 }
 
 // contentOf identifies what a fingerprint tells, without its age.
@@ -51,9 +51,9 @@
 	return xxhash.Sum64String(strings.Join(p.GetUpstreams(), " ")) + uint64(p.GetCrashes())
 }
 
-// lacks returns the fingerprints of the list that the peer was not sent yet, the
+// Lacks returns the fingerprints of the list that the peer was not sent yet, the
 // oldest ones first, as many as a message may have.
-func (l *printLog) lacks(peer string, list []*wire.Fingerprint, now time.Time) []*wire.Fingerprint {
+func (l *PrintLog) Lacks(peer string, list []*wire.Fingerprint, now time.Time) []*wire.Fingerprint {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.update(list)
@@ -79,7 +79,7 @@
 }
 
 // update numbers what is new in the list and forgets what is not in it any more.
-func (l *printLog) update(list []*wire.Fingerprint) {
+func (l *PrintLog) update(list []*wire.Fingerprint) {
 	for _, p := range list {
 		content := contentOf(p)
 		if e, ok := l.entries[p.GetDigest()]; ok && e.content == content {
@@ -102,8 +102,8 @@
 	}
 }
 
-// forget drops what was sent to hosts that are gone.
-func (l *printLog) forget(peers ...string) {
+// Forget drops what was sent to hosts that are gone.
+func (l *PrintLog) Forget(peers ...string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, p := range peers {
--- a/internal/member/gossiper/prints_test.go
+++ b/internal/member/gossiper/prints_test.go
@@ -21,11 +21,11 @@
 // Pattern: 45 engines lose answers in a fleet of 83 hosts. Each message between hosts
 // had the list of all suspects, which filled their links.
 func TestPrintsAreSentOnce(t *testing.T) {
-	l, now := newPrintLog(), time.Unix(1_700_000_000, 0)
+	l, now := NewPrintLog(), time.Unix(1_700_000_000, 0)
 	list := crashPrints(150)
 	got := map[string]int{}
 	for range 10 {
-		part := l.lacks("peer", list, now)
+		part := l.Lacks("peer", list, now)
 		assert.Assert(t, len(part) <= maxPrints)
 		for _, p := range part {
 			got[p.Digest]++
@@ -36,23 +36,23 @@
 	for digest, n := range got {
 		assert.Equal(t, n, 1, digest)
 	}
-	assert.Equal(t, len(l.lacks("other", list, now)), maxPrints, "another host has none yet")
+	assert.Equal(t, len(l.Lacks("other", list, now)), maxPrints, "another host has none yet")
 }
 
 // Guards against news of a crash that doesn't spread: one that is new, one that
 // changed, and one whose message was lost.
 func TestPrintsThatChange(t *testing.T) {
-	l, now := newPrintLog(), time.Unix(1_700_000_000, 0)
+	l, now := NewPrintLog(), time.Unix(1_700_000_000, 0)
 	list := crashPrints(3)
-	assert.Equal(t, len(l.lacks("peer", list, now)), 3)
+	assert.Equal(t, len(l.Lacks("peer", list, now)), 3)
 	list[1].Remaining = 5
-	assert.Equal(t, len(l.lacks("peer", list, now)), 0, "its age is no news")
+	assert.Equal(t, len(l.Lacks("peer", list, now)), 0, "its age is no news")
 	list[1].Upstreams = append(list[1].Upstreams, "v@1")
 	list = append(list, &wire.Fingerprint{Digest: "new"})
-	assert.Equal(t, len(l.lacks("peer", list, now)), 2)
-	assert.Equal(t, len(l.lacks("peer", list, now.Add(printsInterval))), 4, "all again after a time")
-	assert.Equal(t, len(l.lacks("peer", list[:1], now.Add(printsInterval))), 0)
+	assert.Equal(t, len(l.Lacks("peer", list, now)), 2)
+	assert.Equal(t, len(l.Lacks("peer", list, now.Add(printsInterval))), 4, "all again after a time")
+	assert.Equal(t, len(l.Lacks("peer", list[:1], now.Add(printsInterval))), 0)
 	assert.Equal(t, len(l.entries), 1)
-	l.forget("peer")
-	assert.Equal(t, len(l.lacks("peer", list[:1], now.Add(printsInterval))), 1)
+	l.Forget("peer")
+	assert.Equal(t, len(l.Lacks("peer", list[:1], now.Add(printsInterval))), 1)
 }
--- a/internal/member/gossiper/session_test.go
+++ b/internal/member/gossiper/session_test.go
@@ -27,6 +27,14 @@
 	*gossiper.Gossiper
 }
 
+func (peerService) Announce(context.Context, *connect.Request[wire.AnnounceRequest]) (*connect.Response[wire.AnnounceResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("not served here"))
+}
+
+func (peerService) Members(context.Context, *connect.Request[wire.MembersRequest]) (*connect.Response[wire.MembersResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("not served here"))
+}
+
 func (peerService) Dispatch(context.Context, *connect.BidiStream[wire.DispatchRequest, wire.DispatchResponse]) error {
 	return connect.NewError(connect.CodeUnimplemented, errors.New("not served here"))
 }
--- /dev/null
+++ b/internal/member/publisher/journal.go
@@ -0,0 +1,86 @@
+package publisher
+
+import (
+	"github.com/amaranthcart/amaranthcart/internal/member/gossiper"
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/wire"
+)
+
+// journal numbers the changes of the live upstreams.
+type journal struct {
+	epoch  uint64
+	number uint64
+	live   map[registrar.UpstreamID]record
+	// departures are the latest, oldest first; forgotten is the number of the last
+	// one that was dropped.
+	departures []departure
+	forgotten  uint64
+}
+
+// record is an upstream with the number of its last change.
+type record struct {
+	upstream registrar.Upstream
+	number   uint64
+}
+
+type departure struct {
+	registrar.Departure
+	number uint64
+}
+
+func newJournal(epoch uint64) journal {
+	// 0 stands for a host that has nothing yet.
+	return journal{epoch: max(epoch, 1), live: map[registrar.UpstreamID]record{}}
+}
+
+// next numbers a change.
+func (j *journal) next() uint64 {
+	j.number++
+	return j.number
+}
+
+// change notes an announcement and reports whether it tells anything but that the
+// upstream is alive.
+func (j *journal) change(u registrar.Upstream) bool {
+	if known, ok := j.live[u.Name]; ok && registrar.SameDescription(known.upstream, u) {
+		return false
+	}
+	j.live[u.Name] = record{u, j.next()}
+	return true
+}
+
+func (j *journal) depart(d registrar.Departure) {
+	delete(j.live, d.UpstreamID)
+	j.departures = append(j.departures, departure{d, j.next()})
+	if drop := len(j.departures) - keepDepartures; drop > 0 {
+		j.forgotten = j.departures[drop-1].number
+		j.departures = append([]departure(nil), j.departures[drop:]...)
+	}
+}
+
+// lacks reports whether there is something that a host with the number doesn't have.
+func (j *journal) lacks(epoch, number uint64) bool {
+	return epoch != j.epoch || number < j.number
+}
+
+// tell adds what a host with the number doesn't have; 0 asks for everything.
+func (j *journal) tell(known uint64, a *wire.MembersResponse) {
+	a.Number = j.number
+	a.Full = known == 0 || known < j.forgotten
+	if a.Full {
+		known = 0
+	}
+	for _, r := range j.live {
+		if r.number > known {
+			a.Upstreams = append(a.Upstreams, gossiper.EncodeUpstream(registrar.News{Upstream: r.upstream}))
+		}
+	}
+	if a.Full {
+		return
+	}
+	for _, d := range j.departures {
+		if _, back := j.live[d.UpstreamID]; d.number > known && !back {
+			a.Departures = append(a.Departures, &wire.Departure{Name: string(d.UpstreamID), Incarnation: uint64(d.Incarnation), Leaving: d.Leaving})
+		}
+	}
+}
--- /dev/null
+++ b/internal/member/publisher/publisher_test.go
@@ -0,0 +1,219 @@
+package publisher
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"github.com/amaranthcart/amaranthcart/internal/member/gossiper"
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/wire"
+)
+
+// fakeMembers is a part in the exchange of news without a network.
+type fakeMembers struct {
+	mu        sync.Mutex
+	registrar *registrar.Registrar
+	watchers  int
+	restored  []registrar.Restore
+}
+
+func (f *fakeMembers) Snapshot() *registrar.View { return f.registrar.Snapshot() }
+
+func (f *fakeMembers) Watch(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.watchers = n
+}
+
+func (f *fakeMembers) Restore(e registrar.Restore) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.restored = append(f.restored, e)
+}
+
+// fakeRevisions has a revision that was confirmed some time ago.
+type fakeRevisions struct {
+	gossiper.Revisions
+	mu  sync.Mutex
+	now gossiper.Confirmation
+}
+
+func (f *fakeRevisions) Confirmation() gossiper.Confirmation {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.now
+}
+
+func (f *fakeRevisions) set(c gossiper.Confirmation) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.now = c
+}
+
+type rig struct {
+	*Publisher
+	members   *fakeMembers
+	revisions *fakeRevisions
+	clock     *clockwork.FakeClock
+}
+
+// newRig makes a publisher that has been up for long enough.
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	clock := clockwork.NewFakeClock()
+	r := &rig{
+		members:   &fakeMembers{registrar: registrar.New(clock.Now(), registrar.Host{Name: "a", Address: "10.0.0.1:1", Incarnation: 1})},
+		revisions: &fakeRevisions{now: gossiper.Confirmation{Age: -1}},
+		clock:     clock,
+	}
+	r.Publisher = New(Options{Members: r.members, Revisions: r.revisions, Cell: "main", Clock: clock})
+	r.Start()
+	t.Cleanup(r.Close)
+	return r
+}
+
+func (r *rig) settle() { r.clock.Advance(learnTime) }
+
+func (r *rig) ask(t *testing.T, q *wire.MembersRequest) (*wire.MembersResponse, error) {
+	t.Helper()
+	q.Cell = "main"
+	a, err := r.Members(t.Context(), connect.NewRequest(q))
+	if err != nil {
+		return nil, err
+	}
+	return a.Msg, nil
+}
+
+func upstream(name string) registrar.Upstream {
+	return registrar.Upstream{Name: registrar.UpstreamID(name), Address: "10.0.0.9:1", Incarnation: 1}
+}
+
+// An answer waits for news, brings it at once, and comes without any after a second.
+func TestAnswersWait(t *testing.T) {
+	r := newRig(t)
+	r.settle()
+	r.Observe(registrar.Changed{Upstream: upstream("u1")})
+	a, err := r.ask(t, &wire.MembersRequest{Host: "w"})
+	assert.NilError(t, err)
+	assert.Assert(t, a.GetFull())
+	assert.Equal(t, len(a.GetUpstreams()), 1)
+
+	next := make(chan *wire.MembersResponse)
+	wait := func(q *wire.MembersRequest) {
+		b, err := r.ask(t, q)
+		assert.Check(t, err)
+		next <- b
+	}
+	known := &wire.MembersRequest{Host: "w", Epoch: a.GetEpoch(), Number: a.GetNumber()}
+	go wait(known)
+	assert.NilError(t, r.clock.BlockUntilContext(t.Context(), 2))
+	r.Observe(registrar.Changed{Upstream: upstream("u1")})
+	select {
+	case <-next:
+		t.Fatal("a renewal is no news")
+	case <-time.After(20 * time.Millisecond):
+	}
+	r.Observe(registrar.Removed{UpstreamID: "u1", Incarnation: 1, Leaving: true})
+	b := <-next
+	assert.Assert(t, !b.GetFull())
+	assert.Equal(t, b.GetDepartures()[0].GetName(), "u1")
+
+	go wait(&wire.MembersRequest{Host: "w", Epoch: b.GetEpoch(), Number: b.GetNumber()})
+	assert.NilError(t, r.clock.BlockUntilContext(t.Context(), 2))
+	r.clock.Advance(2 * Hold)
+	c := <-next
+	assert.Equal(t, len(c.GetUpstreams())+len(c.GetDepartures()), 0)
+}
+
+// Guards against watching hosts that drop all upstreams because the host that they ask
+// has just started and knows none.
+func TestStartedHostAsksForUpstreams(t *testing.T) {
+	r := newRig(t)
+	a, err := r.ask(t, &wire.MembersRequest{Host: "w"})
+	assert.NilError(t, err)
+	assert.Assert(t, a.GetIncomplete())
+	assert.Assert(t, !a.GetFull() && len(a.GetUpstreams()) == 0)
+
+	u := gossiper.EncodeUpstream(registrar.News{Upstream: upstream("u1")})
+	b, err := r.ask(t, &wire.MembersRequest{Host: "w", Upstreams: []*wire.Upstream{u}, Remaining: 3000})
+	assert.NilError(t, err)
+	assert.Assert(t, !b.GetIncomplete() && b.GetFull())
+	assert.Equal(t, len(r.members.restored), 1)
+	assert.Equal(t, r.members.restored[0].Remaining, 3*time.Second)
+
+	_, err = r.ask(t, &wire.MembersRequest{Host: "v", Upstreams: []*wire.Upstream{u}, Remaining: 3000})
+	assert.NilError(t, err)
+	assert.Equal(t, len(r.members.restored), 1, "what a host knows is taken only while it is needed")
+}
+
+// Guards against a host on the small side of a cut that tells others its part of the
+// upstreams as all of them.
+func TestCutOffHostTellsNothing(t *testing.T) {
+	r := newRig(t)
+	r.settle()
+	r.revisions.set(gossiper.Confirmation{Revision: 3, Age: maxAge + time.Millisecond})
+	_, err := r.ask(t, &wire.MembersRequest{Host: "w"})
+	assert.Equal(t, connect.CodeOf(err), connect.CodeUnavailable)
+	r.revisions.set(gossiper.Confirmation{Revision: 3, Age: time.Second})
+	_, err = r.ask(t, &wire.MembersRequest{Host: "w"})
+	assert.NilError(t, err)
+}
+
+// Guards against a confirmation that becomes younger on its way: the asking host counts
+// its age from the start of its call.
+func TestConfirmationAge(t *testing.T) {
+	r := newRig(t)
+	cases := []struct {
+		age, held time.Duration
+		before    int64
+	}{
+		{300 * time.Millisecond, 0, 301},
+		{300 * time.Millisecond, 200 * time.Millisecond, 101},
+		{100 * time.Millisecond, 400 * time.Millisecond, -299},
+		{1500 * time.Microsecond, time.Millisecond, 1},
+	}
+	for _, c := range cases {
+		t.Run(fmt.Sprint(c.age, c.held), func(t *testing.T) {
+			r.revisions.set(gossiper.Confirmation{Revision: 3, Age: c.age})
+			a := &wire.MembersResponse{}
+			r.confirm(r.clock.Now().Add(-c.held), a)
+			assert.Equal(t, a.GetConfirmed(), c.before)
+		})
+	}
+	r.revisions.set(gossiper.Confirmation{Revision: 3, Age: -1})
+	a := &wire.MembersResponse{}
+	r.confirm(r.clock.Now(), a)
+	assert.Assert(t, a.Confirmed == nil)
+}
+
+// Hosts that ask are counted, and those that stop or fall silent are not.
+func TestWatchersAreCounted(t *testing.T) {
+	r := newRig(t)
+	r.settle()
+	for i := range 3 {
+		_, err := r.ask(t, &wire.MembersRequest{Host: fmt.Sprint("w", i), Brief: true, Revision: 7})
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, len(r.Watchers()), 3)
+	_, err := r.ask(t, &wire.MembersRequest{Host: "w1", Left: true})
+	assert.NilError(t, err)
+	assert.Equal(t, len(r.Watchers()), 2)
+	r.clock.Advance(silence + time.Millisecond)
+	r.refresh()
+	assert.Equal(t, len(r.Watchers()), 0)
+}
+
+func TestRefusedQuestions(t *testing.T) {
+	r := newRig(t)
+	_, err := r.Members(context.Background(), connect.NewRequest(&wire.MembersRequest{Cell: "main"}))
+	assert.Equal(t, connect.CodeOf(err), connect.CodeInvalidArgument)
+	_, err = r.Members(context.Background(), connect.NewRequest(&wire.MembersRequest{Host: "w", Cell: "other"}))
+	assert.Equal(t, connect.CodeOf(err), connect.CodeInvalidArgument)
+}
--- a/internal/member/registrar/event.go
+++ b/internal/member/registrar/event.go
@@ -34,11 +34,23 @@
 	Draining bool
 	Left     bool
 	Revision uint64
+	// Watchers is the number of hosts that follow this host's view.
+	Watchers int
+}
+
+// Restore brings the upstreams that a host knew before this one started, from an
+// exchange that began at the time.
+type Restore struct {
+	Upstreams []Upstream
+	Began     time.Time
+	// Remaining is what is left of their leases.
+	Remaining time.Duration
 }
 
 // Tick lets time pass.
 type Tick struct{}
 
+func (Restore) event()  {}
 func (Announce) event() {}
 func (Merge) event()    {}
 func (Hear) event()     {}
@@ -121,6 +133,9 @@
 	// Revision is the configuration in force on the host when it last
 	// described itself.
 	Revision uint64
+	// Watchers is the number of hosts without a part in the exchange that follow the
+	// view of this one.
+	Watchers int
 }
 
 // HostKey identifies one incarnation of an entry host in a version vector.
--- /dev/null
+++ b/internal/member/registrar/mirror.go
@@ -0,0 +1,213 @@
+package registrar
+
+import (
+	"slices"
+	"sync/atomic"
+	"time"
+)
+
+// Departure is the end of an upstream in the view of another host.
+type Departure struct {
+	UpstreamID  UpstreamID
+	Incarnation Incarnation
+	// Leaving is false when the lease expired.
+	Leaving bool
+}
+
+// Copy is what an exchange tells of the view of another host.
+type Copy struct {
+	// Began is when the exchange started on this host. The lease of all upstreams is
+	// counted from it, so that time spent on the way never extends it.
+	Began time.Time
+	// Full tells that Changed holds all live upstreams.
+	Full       bool
+	Changed    []Upstream
+	Departures []Departure
+	// Hosts are all live hosts that may own a cell; nil while they have not changed.
+	Hosts []Host
+}
+
+// Mirror is the view of a host that takes no part in the exchange of news: a copy of
+// the view of one host that does. Its upstreams have one lease, which each exchange
+// renews. Step-like methods are for one goroutine at a time; Snapshot may be used by
+// any.
+type Mirror struct {
+	self      Host
+	lease     time.Duration
+	upstreams map[UpstreamID]*slot
+	hosts     map[HostName]Host
+	horizon   *horizon
+	// ended is set once the lease has ended.
+	ended   bool
+	view    atomic.Pointer[View]
+	actions []Action
+}
+
+// NewMirror makes the mirror of the host self.
+func NewMirror(now time.Time, self Host, lease time.Duration) *Mirror {
+	m := &Mirror{
+		self: self, lease: lease, upstreams: map[UpstreamID]*slot{}, hosts: map[HostName]Host{},
+		horizon: &horizon{}, ended: true,
+	}
+	m.horizon.set(now)
+	m.publish()
+	return m
+}
+
+// Snapshot returns the current view.
+func (m *Mirror) Snapshot() *View { return m.view.Load() }
+
+// Take applies a copy and returns what follows from it.
+func (m *Mirror) Take(now time.Time, c Copy) []Action {
+	m.actions = nil
+	until := c.Began.Add(m.lease)
+	if !now.Before(until) {
+		return m.Expire(now)
+	}
+	if until.After(m.horizon.get()) {
+		m.horizon.set(until)
+	}
+	m.ended = false
+	changed := false
+	for _, u := range c.Changed {
+		changed = m.change(u, until, c.Full) || changed
+	}
+	for _, d := range c.Departures {
+		changed = m.depart(d) || changed
+	}
+	if c.Full {
+		changed = m.retain(c.Changed) || changed
+	}
+	if c.Hosts != nil {
+		changed = m.replaceHosts(c.Hosts) || changed
+	}
+	if changed {
+		m.publish()
+	}
+	return m.actions
+}
+
+// TakeHosts applies the hosts of an exchange that tells nothing of upstreams; nil while
+// they have not changed.
+func (m *Mirror) TakeHosts(list []Host) []Action {
+	m.actions = nil
+	if list != nil && m.replaceHosts(list) {
+		m.publish()
+	}
+	return m.actions
+}
+
+// Expire ends the lease of all upstreams when its time has come.
+func (m *Mirror) Expire(now time.Time) []Action {
+	m.actions = nil
+	if m.ended || now.Before(m.horizon.get()) {
+		return nil
+	}
+	m.ended = true
+	m.retain(nil)
+	m.publish()
+	return m.actions
+}
+
+// Roster lists the live upstreams and what is left of their lease.
+func (m *Mirror) Roster(now time.Time) ([]Upstream, time.Duration) {
+	left := m.horizon.get().Sub(now)
+	if left <= 0 {
+		return nil, 0
+	}
+	return m.Snapshot().Upstreams(now), left
+}
+
+// change notes a live upstream and reports whether it is new. News of an earlier process
+// counts only from a host that tells everything: what follows refers to that.
+func (m *Mirror) change(u Upstream, until time.Time, full bool) bool {
+	s := m.upstreams[u.Name]
+	known := s != nil
+	if known && !full && s.load().Upstream.Incarnation > u.Incarnation {
+		return false
+	}
+	if !known {
+		s = &slot{}
+		m.upstreams[u.Name] = s
+	}
+	s.store(&Entry{Upstream: u, Until: until})
+	m.actions = append(m.actions, Changed{Upstream: u, Until: until})
+	return !known
+}
+
+func (m *Mirror) depart(d Departure) bool {
+	s := m.upstreams[d.UpstreamID]
+	if s == nil || s.load().Upstream.Incarnation > d.Incarnation {
+		return false
+	}
+	delete(m.upstreams, d.UpstreamID)
+	m.actions = append(m.actions, Removed(d))
+	return true
+}
+
+// retain drops the upstreams that are not in the list and reports whether there were
+// any.
+func (m *Mirror) retain(list []Upstream) bool {
+	live := make(map[UpstreamID]bool, len(list))
+	for _, u := range list {
+		live[u.Name] = true
+	}
+	dropped := false
+	for id, s := range m.upstreams {
+		if live[id] {
+			continue
+		}
+		dropped = m.depart(Departure{UpstreamID: id, Incarnation: s.load().Upstream.Incarnation}) || dropped
+	}
+	return dropped
+}
+
+// replaceHosts takes over the hosts that may own a cell and reports whether they
+// differ from the known ones.
+func (m *Mirror) replaceHosts(list []Host) bool {
+	next := make(map[HostName]Host, len(list))
+	for _, h := range list {
+		if h.Name == m.self.Name {
+			continue
+		}
+		next[h.Name] = h
+		switch known, ok := m.hosts[h.Name]; {
+		case !ok:
+			m.actions = append(m.actions, HostUp{Host: h})
+		case known != h:
+			m.actions = append(m.actions, HostChanged{Host: h})
+		}
+	}
+	for name, h := range m.hosts {
+		if _, ok := next[name]; !ok {
+			m.actions = append(m.actions, HostDown{Host: h})
+		}
+	}
+	m.hosts = next
+	return len(m.actions) > 0
+}
+
+func (m *Mirror) publish() {
+	v := &View{self: m.self.Name, slots: make(map[UpstreamID]*slot, len(m.upstreams)), horizon: m.horizon}
+	for id, s := range m.upstreams {
+		v.slots[id] = s
+	}
+	v.hosts = append(v.hosts, m.self)
+	for _, h := range m.hosts {
+		v.hosts = append(v.hosts, h)
+	}
+	v.arrange()
+	// This host is one of those that the others count.
+	v.watchers = max(v.watchers-1, 0)
+	m.view.Store(v)
+}
+
+// Hosts lists the hosts that may own a cell.
+func (m *Mirror) Hosts() []Host {
+	list := make([]Host, 0, len(m.hosts))
+	for _, h := range m.hosts {
+		list = append(list, h)
+	}
+	slices.SortFunc(list, byHostName)
+	return list
+}
--- /dev/null
+++ b/internal/member/registrar/mirror_test.go
@@ -0,0 +1,146 @@
+package registrar
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const mirrorLease = 5 * time.Second
+
+var mirrorStart = time.Unix(1_700_000_000, 0)
+
+func live(name string, i Incarnation) Upstream {
+	return Upstream{Name: UpstreamID(name), Address: "10.0.0.1:1", Incarnation: i}
+}
+
+// names lists the live upstreams of a view.
+func names(v *View, now time.Time) []string {
+	var list []string
+	for _, u := range v.Upstreams(now) {
+		list = append(list, string(u.Name))
+	}
+	slices.Sort(list)
+	return list
+}
+
+func TestMirror(t *testing.T) {
+	type step struct {
+		after time.Duration
+		copy  Copy
+		want  []string
+	}
+	at := func(d time.Duration) time.Time { return mirrorStart.Add(d) }
+	full := func(began time.Duration, list ...Upstream) Copy { return Copy{Began: at(began), Full: true, Changed: list} }
+	cases := []struct {
+		name  string
+		steps []step
+	}{
+		{"everything, then changes", []step{
+			{0, full(0, live("a", 1), live("b", 1)), []string{"a", "b"}},
+			{1, Copy{Began: at(1), Changed: []Upstream{live("c", 1)}}, []string{"a", "b", "c"}},
+			{2, Copy{Began: at(2), Departures: []Departure{{UpstreamID: "a", Incarnation: 1, Leaving: true}}}, []string{"b", "c"}},
+		}},
+		{"everything drops what it lacks", []step{
+			{0, full(0, live("a", 1), live("b", 1)), []string{"a", "b"}},
+			{1, full(1, live("b", 1)), []string{"b"}},
+		}},
+		{"the end of an earlier process", []step{
+			{0, full(0, live("a", 2)), []string{"a"}},
+			{1, Copy{Began: at(1), Departures: []Departure{{UpstreamID: "a", Incarnation: 1}}}, []string{"a"}},
+		}},
+		{"news of an earlier process", []step{
+			{0, full(0, live("a", 2)), []string{"a"}},
+			{1, Copy{Began: at(1), Changed: []Upstream{live("a", 1)}}, []string{"a"}},
+		}},
+		{"another host that knows the earlier process only", []step{
+			{0, full(0, live("a", 2)), []string{"a"}},
+			{1, full(1, live("a", 1)), []string{"a"}},
+			{2, Copy{Began: at(2), Departures: []Departure{{UpstreamID: "a", Incarnation: 1}}}, nil},
+		}},
+		{"an empty exchange renews the lease", []step{
+			{0, full(0, live("a", 1)), []string{"a"}},
+			{4 * time.Second, Copy{Began: at(4 * time.Second)}, []string{"a"}},
+			{8 * time.Second, Copy{Began: at(8 * time.Second)}, []string{"a"}},
+		}},
+		{"a lease counts from the start of the exchange", []step{
+			{4 * time.Second, full(0, live("a", 1)), []string{"a"}},
+			{mirrorLease, Copy{Began: at(0)}, nil},
+		}},
+		{"an answer that comes after its lease brings nothing", []step{
+			{mirrorLease, full(0, live("a", 1)), nil},
+		}},
+		{"a late answer doesn't shorten the lease", []step{
+			{time.Second, full(time.Second, live("a", 1)), []string{"a"}},
+			{2 * time.Second, Copy{Began: at(0)}, []string{"a"}},
+			{mirrorLease, Copy{Began: at(0)}, []string{"a"}},
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			m := NewMirror(mirrorStart, Host{Name: "self"}, mirrorLease)
+			for _, s := range c.steps {
+				m.Take(at(s.after), s.copy)
+				assert.DeepEqual(t, names(m.Snapshot(), at(s.after)), s.want)
+			}
+		})
+	}
+}
+
+// Guards against upstreams that stay in the scheduler of a host which hears of nothing:
+// it would send them work for as long as it is cut off.
+func TestMirrorExpires(t *testing.T) {
+	m := NewMirror(mirrorStart, Host{Name: "self"}, mirrorLease)
+	m.Take(mirrorStart, Copy{Began: mirrorStart, Full: true, Changed: []Upstream{live("a", 1)}})
+	assert.Equal(t, len(m.Expire(mirrorStart.Add(mirrorLease-1))), 0)
+	ended := m.Expire(mirrorStart.Add(mirrorLease))
+	assert.DeepEqual(t, ended, []Action{Removed{UpstreamID: "a", Incarnation: 1}})
+	assert.Equal(t, len(m.Expire(mirrorStart.Add(2*mirrorLease))), 0)
+	list, left := m.Roster(mirrorStart.Add(mirrorLease))
+	assert.Equal(t, len(list), 0)
+	assert.Equal(t, left, time.Duration(0))
+}
+
+func TestMirrorOfHosts(t *testing.T) {
+	m := NewMirror(mirrorStart, Host{Name: "self", Draining: true}, mirrorLease)
+	a, b := Host{Name: "a", Address: "10.0.0.1:1", Watchers: 3}, Host{Name: "b", Address: "10.0.0.2:1", Watchers: 2}
+	assert.DeepEqual(t, m.TakeHosts([]Host{a, b}), []Action{HostUp{Host: a}, HostUp{Host: b}})
+	v := m.Snapshot()
+	assert.Equal(t, len(v.Hosts()), 3)
+	assert.Equal(t, v.Fleet(), 7, "two that schedule, five that watch, this one among them")
+	owner := v.Owner("main")
+	assert.Assert(t, owner == "a" || owner == "b")
+
+	drained := a
+	drained.Draining = true
+	assert.DeepEqual(t, m.TakeHosts([]Host{drained, b}), []Action{HostChanged{Host: drained}})
+	assert.Equal(t, m.Snapshot().Owner("main"), HostName("b"))
+	assert.DeepEqual(t, m.TakeHosts([]Host{b}), []Action{HostDown{Host: drained}})
+	assert.Equal(t, len(m.TakeHosts([]Host{b})), 0)
+	assert.Equal(t, len(m.TakeHosts(nil)), 0, "they have not changed")
+	assert.Equal(t, m.Snapshot().Owner("main"), HostName("b"))
+}
+
+// Guards against a host that starts and takes back an upstream that has left, or an
+// earlier process of one, from a host that didn't know yet.
+func TestRestore(t *testing.T) {
+	r := New(mirrorStart, Host{Name: "self", Incarnation: 1})
+	gone := live("gone", 1)
+	gone.Leaving = true
+	newer := live("newer", 2)
+	newer.Sequence = 7
+	for _, u := range []Upstream{gone, newer} {
+		r.Step(mirrorStart, Announce{u})
+	}
+	r.Step(mirrorStart, Restore{
+		Upstreams: []Upstream{live("gone", 1), live("newer", 1), live("newer", 2), live("known", 1), {}},
+		Began:     mirrorStart, Remaining: time.Second,
+	})
+	assert.DeepEqual(t, names(r.Snapshot(), mirrorStart), []string{"known", "newer"})
+	u, _ := r.Snapshot().Upstream(mirrorStart, "newer")
+	assert.Equal(t, u.Sequence, uint64(7))
+	r.Step(mirrorStart.Add(time.Second), Tick{})
+	assert.DeepEqual(t, names(r.Snapshot(), mirrorStart.Add(time.Second)), []string{"newer"})
+}
--- a/internal/member/registrar/registrar.go
+++ b/internal/member/registrar/registrar.go
@@ -176,6 +176,8 @@
 		}
 		r.mergeHosts(now, now, e.Hosts)
 		r.hear(now, e.Heard)
+	case Restore:
+		r.restore(now, e)
 	case Describe:
 		r.describe(e)
 	case Tick:
@@ -263,7 +265,7 @@
 	r.version++
 	stamp := Stamp{Origin: r.key, Version: r.version}
 	described := stamp
-	if c := r.upstreams[u.Name]; c != nil && sameDescription(c.slot.load().Upstream, u) && r.serves(c.described.Origin) {
+	if c := r.upstreams[u.Name]; c != nil && SameDescription(c.slot.load().Upstream, u) && r.serves(c.described.Origin) {
 		described = c.described
 	}
 	if why := r.apply(now, News{Upstream: u, Stamp: stamp, Described: described}, now.Add(r.lease)); why != "" {
@@ -273,6 +275,23 @@
 	r.fresh = true
 }
 
+// restore takes upstreams from a host that knew them before. Announcements of them
+// may have arrived since; those are newer.
+func (r *Registrar) restore(now time.Time, e Restore) {
+	if now.Before(r.settled) || now.Sub(e.Began) > Stall {
+		return
+	}
+	for _, u := range e.Upstreams {
+		if u.Name == "" || u.Incarnation == 0 || u.Leaving {
+			continue
+		}
+		r.version++
+		stamp := Stamp{Origin: r.key, Version: r.version}
+		r.apply(now, News{Upstream: u, Stamp: stamp, Described: stamp}, r.until(now, e.Began, e.Remaining))
+	}
+	r.fresh = true
+}
+
 // serves tells whether the host still counts in vectors. The description of an
 // upstream gets a new stamp once the old origin is dead, since hosts that don't
 // list the origin would be sent the description in every exchange.
@@ -359,7 +378,8 @@
 	return ""
 }
 
-func sameDescription(a, b Upstream) bool {
+// SameDescription reports whether two announcements differ in sequence and load only.
+func SameDescription(a, b Upstream) bool {
 	return a.Incarnation == b.Incarnation && a.Leaving == b.Leaving && a.Address == b.Address &&
 		a.Centre == b.Centre && a.Cell == b.Cell && a.Slots == b.Slots &&
 		slices.Equal(a.Services, b.Services) && slices.Equal(a.Models, b.Models) &&
@@ -411,10 +431,12 @@
 }
 
 func (r *Registrar) describe(e Describe) {
-	if r.self.Draining == e.Draining && r.self.Left == e.Left && r.self.Revision == e.Revision {
+	next := r.self
+	next.Draining, next.Left, next.Revision, next.Watchers = e.Draining, e.Left, e.Revision, e.Watchers
+	if next == r.self {
 		return
 	}
-	r.self.Draining, r.self.Left, r.self.Revision = e.Draining, e.Left, e.Revision
+	r.self = next
 	r.version++
 	r.described = r.version
 	r.dirty = true
--- a/internal/member/registrar/view.go
+++ b/internal/member/registrar/view.go
@@ -32,8 +32,19 @@
 	self  HostName
 	slots map[UpstreamID]*slot
 	hosts []Host
+	// watchers counts the hosts that only follow a view.
+	watchers int
+	// horizon ends all leases of a mirror; nil where each upstream has its own.
+	horizon *horizon
 }
 
+// horizon is a time that moves while readers share it.
+type horizon struct{ at atomic.Pointer[time.Time] }
+
+func (h *horizon) set(t time.Time) { h.at.Store(&t) }
+
+func (h *horizon) get() time.Time { return *h.at.Load() }
+
 // Snapshot returns the current view.
 func (r *Registrar) Snapshot() *View { return r.view.Load() }
 
@@ -56,17 +67,37 @@
 			v.hosts = append(v.hosts, h.Host)
 		}
 	}
-	slices.SortFunc(v.hosts, func(a, b Host) int { return strings.Compare(string(a.Name), string(b.Name)) })
+	v.arrange()
 	r.view.Store(v)
 }
 
+// arrange sorts the hosts and counts those that follow them.
+func (v *View) arrange() {
+	slices.SortFunc(v.hosts, byHostName)
+	v.watchers = 0
+	for _, h := range v.hosts {
+		v.watchers += h.Watchers
+	}
+}
+
+func byHostName(a, b Host) int { return strings.Compare(string(a.Name), string(b.Name)) }
+
+// load returns an entry with the end of its lease.
+func (v *View) load(s *slot) Entry {
+	e := *s.load()
+	if v.horizon != nil {
+		e.Until = v.horizon.get()
+	}
+	return e
+}
+
 // Upstream returns a live upstream.
 func (v *View) Upstream(now time.Time, id UpstreamID) (Upstream, bool) {
 	s := v.slots[id]
 	if s == nil {
 		return Upstream{}, false
 	}
-	e := s.load()
+	e := v.load(s)
 	return e.Upstream, e.live(now)
 }
 
@@ -74,7 +105,7 @@
 func (v *View) Upstreams(now time.Time) []Upstream {
 	list := make([]Upstream, 0, len(v.slots))
 	for _, s := range v.slots {
-		if e := s.load(); e.live(now) {
+		if e := v.load(s); e.live(now) {
 			list = append(list, e.Upstream)
 		}
 	}
@@ -85,8 +116,8 @@
 func (v *View) Entries(now time.Time) []Entry {
 	list := make([]Entry, 0, len(v.slots))
 	for _, s := range v.slots {
-		if e := s.load(); e.live(now) {
-			list = append(list, *e)
+		if e := v.load(s); e.live(now) {
+			list = append(list, e)
 		}
 	}
 	return list
@@ -99,6 +130,9 @@
 // Hosts returns the live entry hosts, this one included, sorted by name.
 func (v *View) Hosts() []Host { return slices.Clone(v.hosts) }
 
+// Fleet counts the entry hosts, with those that only follow a view.
+func (v *View) Fleet() int { return len(v.hosts) + v.watchers }
+
 // Host returns a live entry host.
 func (v *View) Host(n HostName) (Host, bool) {
 	for _, h := range v.hosts {
--- a/internal/ops/guardian/access.go
+++ b/internal/ops/guardian/access.go
@@ -34,6 +34,8 @@
 	wireconnect.ControlLeaseProcedure:    {authenticator.Entry, authenticator.Control},
 	wireconnect.ControlExchangeProcedure: {authenticator.Control},
 	wireconnect.PeerGossipProcedure:      {authenticator.Entry},
+	wireconnect.PeerMembersProcedure:     {authenticator.Entry},
+	wireconnect.PeerAnnounceProcedure:    {authenticator.Entry},
 	wireconnect.PeerFetchProcedure:       {authenticator.Entry},
 	wireconnect.PeerDispatchProcedure:    {authenticator.Entry},
 	wireconnect.CellsSummarizeProcedure:  {authenticator.Entry},
--- a/internal/ops/guardian/access_test.go
+++ b/internal/ops/guardian/access_test.go
@@ -52,6 +52,8 @@
 		{wireconnect.ControlLeaseProcedure, loader.RequireCertificate, []string{control, entry}},
 		{wireconnect.ControlExchangeProcedure, loader.RequireCertificate, []string{control}},
 		{wireconnect.PeerGossipProcedure, loader.RequireCertificate, []string{entry}},
+		{wireconnect.PeerMembersProcedure, loader.RequireCertificate, []string{entry}},
+		{wireconnect.PeerAnnounceProcedure, loader.RequireCertificate, []string{entry}},
 		{wireconnect.PeerFetchProcedure, loader.RequireCertificate, []string{entry}},
 		{wireconnect.PeerDispatchProcedure, loader.RequireCertificate, []string{entry}},
 		{wireconnect.CellsSummarizeProcedure, loader.RequireCertificate, []string{entry}},
--- a/internal/rpc/wire/wireconnect/wire.connect.go
+++ b/internal/rpc/wire/wireconnect/wire.connect.go
@@ -60,6 +60,10 @@
 	ControlExchangeProcedure = "/amaranthcart.wire.Control/Exchange"
 	// PeerGossipProcedure is the fully-qualified name of the Peer's Gossip RPC.
 	PeerGossipProcedure = "/amaranthcart.wire.Peer/Gossip"
+	// PeerMembersProcedure is the fully-qualified name of the Peer's Members RPC.
+	PeerMembersProcedure = "/amaranthcart.wire.Peer/Members"
+	// PeerAnnounceProcedure is the fully-qualified name of the Peer's Announce RPC.
+	PeerAnnounceProcedure = "/amaranthcart.wire.Peer/Announce"
 	// PeerFetchProcedure is the fully-qualified name of the Peer's Fetch RPC.
 	PeerFetchProcedure = "/amaranthcart.wire.Peer/Fetch"
 	// PeerDispatchProcedure is the fully-qualified name of the Peer's Dispatch RPC.
@@ -396,6 +400,12 @@
 type PeerClient interface {
 	// Gossip exchanges membership news.
 	Gossip(context.Context, *connect.Request[wire.GossipRequest]) (*connect.Response[wire.GossipResponse], error)
+	// Members tells a host that may own no cell what has changed in the view of this
+	// host. The answer waits until something has, for a second at most.
+	Members(context.Context, *connect.Request[wire.MembersRequest]) (*connect.Response[wire.MembersResponse], error)
+	// Announce passes on the announcement of an upstream that reached a host which may
+	// own no cell.
+	Announce(context.Context, *connect.Request[wire.AnnounceRequest]) (*connect.Response[wire.AnnounceResponse], error)
 	// Fetch returns a configuration revision in force on this host.
 	Fetch(context.Context, *connect.Request[wire.FetchRequest]) (*connect.Response[wire.FetchResponse], error)
 	// Dispatch carries slot requests to the owner of a cell and grants back.
@@ -419,6 +429,18 @@
 			connect.WithSchema(peerMethods.ByName("Gossip")),
 			connect.WithClientOptions(opts...),
 		),
+		members: connect.NewClient[wire.MembersRequest, wire.MembersResponse](
+			httpClient,
+			baseURL+PeerMembersProcedure,
+			connect.WithSchema(peerMethods.ByName("Members")),
+			connect.WithClientOptions(opts...),
+		),
+		announce: connect.NewClient[wire.AnnounceRequest, wire.AnnounceResponse](
+			httpClient,
+			baseURL+PeerAnnounceProcedure,
+			connect.WithSchema(peerMethods.ByName("Announce")),
+			connect.WithClientOptions(opts...),
+		),
 		fetch: connect.NewClient[wire.FetchRequest, wire.FetchResponse](
 			httpClient,
 			baseURL+PeerFetchProcedure,
@@ -437,6 +459,8 @@
 // peerClient implements PeerClient.
 type peerClient struct {
 	gossip   *connect.Client[wire.GossipRequest, wire.GossipResponse]
+	members  *connect.Client[wire.MembersRequest, wire.MembersResponse]
+	announce *connect.Client[wire.AnnounceRequest, wire.AnnounceResponse]
 	fetch    *connect.Client[wire.FetchRequest, wire.FetchResponse]
 	dispatch *connect.Client[wire.DispatchRequest, wire.DispatchResponse]
 }
@@ -446,6 +470,16 @@
 	return c.gossip.CallUnary(ctx, req)
 }
 
+// Members calls amaranthcart.wire.Peer.Members.
+func (c *peerClient) Members(ctx context.Context, req *connect.Request[wire.MembersRequest]) (*connect.Response[wire.MembersResponse], error) {
+	return c.members.CallUnary(ctx, req)
+}
+
+// Announce calls amaranthcart.wire.Peer.Announce.
+func (c *peerClient) Announce(ctx context.Context, req *connect.Request[wire.AnnounceRequest]) (*connect.Response[wire.AnnounceResponse], error) {
+	return c.announce.CallUnary(ctx, req)
+}
+
 // Fetch calls amaranthcart.wire.Peer.Fetch.
 func (c *peerClient) Fetch(ctx context.Context, req *connect.Request[wire.FetchRequest]) (*connect.Response[wire.FetchResponse], error) {
 	return c.fetch.CallUnary(ctx, req)
@@ -460,6 +494,12 @@
 type PeerHandler interface {
 	// Gossip exchanges membership news.
 	Gossip(context.Context, *connect.Request[wire.GossipRequest]) (*connect.Response[wire.GossipResponse], error)
+	// Members tells a host that may own no cell what has changed in the view of this
+	// host. The answer waits until something has, for a second at most.
+	Members(context.Context, *connect.Request[wire.MembersRequest]) (*connect.Response[wire.MembersResponse], error)
+	// Announce passes on the announcement of an upstream that reached a host which may
+	// own no cell.
+	Announce(context.Context, *connect.Request[wire.AnnounceRequest]) (*connect.Response[wire.AnnounceResponse], error)
 	// Fetch returns a configuration revision in force on this host.
 	Fetch(context.Context, *connect.Request[wire.FetchRequest]) (*connect.Response[wire.FetchResponse], error)
 	// Dispatch carries slot requests to the owner of a cell and grants back.
@@ -479,6 +519,18 @@
 		connect.WithSchema(peerMethods.ByName("Gossip")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerMembersHandler := connect.NewUnaryHandler(
+		PeerMembersProcedure,
+		svc.Members,
+		connect.WithSchema(peerMethods.ByName("Members")),
+		connect.WithHandlerOptions(opts...),
+	)
+	peerAnnounceHandler := connect.NewUnaryHandler(
+		PeerAnnounceProcedure,
+		svc.Announce,
+		connect.WithSchema(peerMethods.ByName("Announce")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerFetchHandler := connect.NewUnaryHandler(
 		PeerFetchProcedure,
 		svc.Fetch,
@@ -495,6 +547,10 @@
 		switch r.URL.Path {
 		case PeerGossipProcedure:
 			peerGossipHandler.ServeHTTP(w, r)
+		case PeerMembersProcedure:
+			peerMembersHandler.ServeHTTP(w, r)
+		case PeerAnnounceProcedure:
+			peerAnnounceHandler.ServeHTTP(w, r)
 		case PeerFetchProcedure:
 			peerFetchHandler.ServeHTTP(w, r)
 		case PeerDispatchProcedure:
@@ -512,6 +568,14 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("amaranthcart.wire.Peer.Gossip is not implemented"))
 }
 
+func (UnimplementedPeerHandler) Members(context.Context, *connect.Request[wire.MembersRequest]) (*connect.Response[wire.MembersResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("amaranthcart.wire.Peer.Members is not implemented"))
+}
+
+func (UnimplementedPeerHandler) Announce(context.Context, *connect.Request[wire.AnnounceRequest]) (*connect.Response[wire.AnnounceResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("amaranthcart.wire.Peer.Announce is not implemented"))
+}
+
 func (UnimplementedPeerHandler) Fetch(context.Context, *connect.Request[wire.FetchRequest]) (*connect.Response[wire.FetchResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("amaranthcart.wire.Peer.Fetch is not implemented"))
 }
