--- a/internal/member/registrar/mirror_test.go
+++ b/internal/member/registrar/mirror_test.go
@@ -33,7 +33,9 @@
 		want  []string
 	}
 	at := func(d time.Duration) time.Time { return mirrorStart.Add(d) }
-	full := func(began time.Duration, list ...Upstream) Copy { return Copy{Began: at(began), Full: true, Changed: list} }
+	full := func(began time.Duration, list ...Upstream) Copy {
+		return Copy{Began: at(began), Full: true, Changed: list}
+	}
 	cases := []struct {
 		name  string
 		steps []step
