--- a/internal/member/gossiper/prints.go
+++ b/internal/member/gossiper/prints.go
@@ -42,6 +42,7 @@
 	since  time.Time
 }
 
+// NewPrintLog returns a log that has sent nothing.
 func NewPrintLog() *PrintLog {
 	return &PrintLog{entries: map[string]printEntry{}, sent: map[string]printMark{}}
 }
