registrar, dispatcher: hosts that have just started don't understate the fleet

Cause: control hosts count the hosts that watch them from 0 after a start. A host that schedules on its own divides slots and retries by the number that it is told: with all control hosts killed, each of 77 hosts would have taken a fifth for its own. A started owner would have used all slots once the other control hosts had reported, before the watching hosts had.

Ruled out: keeping the number on disk. It would be as old as the stop.

Change: a mirror goes on with the largest number of the last 10 s; a host that started less than 5 s ago waits the whole collection time as owner.

--- a/internal/daemon/runner/adapter.go
+++ b/internal/daemon/runner/adapter.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 
@@ -15,8 +16,16 @@
 type membership struct {
 	members members
 	clock   clockwork.Clock
+	started time.Time
 }
 
+// countTime is how long after the start the watching hosts may not all have asked this
+// host or another one, which passes their number on once a second.
+const countTime = 5 * time.Second
+
+// Counted reports whether the number of hosts is known.
+func (m membership) Counted() bool { return m.clock.Since(m.started) >= countTime }
+
 // Owner returns the entry host that owns the cell, if any is alive.
 func (m membership) Owner(c registrar.CellName) (registrar.HostName, bool) {
 	h := m.members.Snapshot().Owner(c)
--- a/internal/daemon/runner/entry.go
+++ b/internal/daemon/runner/entry.go
@@ -282,7 +282,7 @@
 	s := dispatcher.Settings{
 		Host:       e.settings.Name,
 		Cell:       e.settings.Cell,
-		Membership: membership{e.members, e.awake},
+		Membership: membership{e.members, e.awake, e.awake.Now()},
 		Local:      e.local,
 		Client:     e.client,
 		Roams:      e.courier != nil,
--- a/internal/entry/dispatcher/beat_test.go
+++ b/internal/entry/dispatcher/beat_test.go
@@ -116,3 +116,17 @@
 	s.Release(scheduler.Completed, 1)
 	onlyServes(all, "b")
 }
+
+// Guards against a new owner that uses all slots before it has heard of those in use,
+// because it has just started and doesn't know how many hosts there are.
+func TestStartedOwnerWaitsForUncountedHosts(t *testing.T) {
+	view, all := newMembers(t, "a", "b", "c")
+	waitFor(t, "links", func() bool { return all["b"].linked() && all["c"].linked() })
+	view.mu.Lock()
+	view.uncounted = true
+	view.mu.Unlock()
+	began := time.Now()
+	view.setOwner("b")
+	waitFor(t, "the next owner to use all slots", func() bool { return all["b"].full() })
+	assert.Assert(t, time.Since(began) >= collectTime, "after %s", time.Since(began))
+}
--- a/internal/entry/dispatcher/cell.go
+++ b/internal/entry/dispatcher/cell.go
@@ -51,6 +51,9 @@
 	Address(h registrar.HostName) (string, bool)
 	// Hosts counts the live entry hosts.
 	Hosts() int
+	// Counted reports whether the number of hosts is known; for some seconds after a
+	// start it is too low.
+	Counted() bool
 	// Schedulers counts those that may own a cell, and so know of crashes.
 	Schedulers() int
 	// Upstream looks an upstream up.
@@ -349,7 +352,7 @@
 	s := f.cell.settings
 	hosts := s.Membership.Hosts()
 	alone := hosts <= 1
-	collected := f.owning && (s.reported(hosts) || s.Clock.Since(f.since) >= collectTime)
+	collected := f.owning && (s.Membership.Counted() && s.reported(hosts) || s.Clock.Since(f.since) >= collectTime)
 	if alone || collected {
 		hosts = 1
 	}
--- a/internal/entry/dispatcher/cell_test.go
+++ b/internal/entry/dispatcher/cell_test.go
@@ -30,6 +30,7 @@
 	mu        sync.Mutex
 	owner     registrar.HostName
 	successor registrar.HostName
+	uncounted bool
 	addresses map[registrar.HostName]string
 	upstreams map[registrar.UpstreamID]registrar.Upstream
 }
@@ -55,6 +56,12 @@
 
 func (f *fakeMembership) Schedulers() int { return f.Hosts() }
 
+func (f *fakeMembership) Counted() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.uncounted
+}
+
 func (f *fakeMembership) Hosts() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/member/registrar/mirror.go
+++ b/internal/member/registrar/mirror.go
@@ -27,6 +27,11 @@
 	Hosts []Host
 }
 
+// fleetTime is how long a mirror goes on with a larger number of watching hosts than it
+// is told. Hosts that start count from 0, and hosts that schedule on their own divide
+// upstreams and retries by this number.
+const fleetTime = 10 * time.Second
+
 // Mirror is the view of a host that takes no part in the exchange of news: a copy of
 // the view of one host that does. Its upstreams have one lease, which each exchange
 // renews. Step-like methods are for one goroutine at a time; Snapshot may be used by
@@ -37,6 +42,10 @@
 	upstreams map[UpstreamID]*slot
 	hosts     map[HostName]Host
 	horizon   *horizon
+	// watchers is the largest number of watching hosts that was told lately, and told
+	// when that was last.
+	watchers int
+	told     time.Time
 	// ended is set once the lease has ended.
 	ended   bool
 	view    atomic.Pointer[View]
@@ -50,7 +59,7 @@
 		horizon: &horizon{}, ended: true,
 	}
 	m.horizon.set(now)
-	m.publish()
+	m.publish(now)
 	return m
 }
 
@@ -81,18 +90,18 @@
 	if c.Hosts != nil {
 		changed = m.replaceHosts(c.Hosts) || changed
 	}
-	if changed {
-		m.publish()
+	if changed || m.overstated(now) {
+		m.publish(now)
 	}
 	return m.actions
 }
 
 // TakeHosts applies the hosts of an exchange that tells nothing of upstreams; nil while
 // they have not changed.
-func (m *Mirror) TakeHosts(list []Host) []Action {
+func (m *Mirror) TakeHosts(now time.Time, list []Host) []Action {
 	m.actions = nil
 	if list != nil && m.replaceHosts(list) {
-		m.publish()
+		m.publish(now)
 	}
 	return m.actions
 }
@@ -105,7 +114,7 @@
 	}
 	m.ended = true
 	m.retain(nil)
-	m.publish()
+	m.publish(now)
 	return m.actions
 }
 
@@ -187,7 +196,29 @@
 	return len(m.actions) > 0
 }
 
-func (m *Mirror) publish() {
+// overstated reports whether the number of watching hosts is larger than what was told
+// for long enough.
+func (m *Mirror) overstated(now time.Time) bool {
+	return m.toldWatchers() < m.watchers && now.Sub(m.told) >= fleetTime
+}
+
+func (m *Mirror) toldWatchers() int {
+	n := 0
+	for _, h := range m.hosts {
+		n += h.Watchers
+	}
+	return n
+}
+
+// count updates the number of watching hosts.
+func (m *Mirror) count(now time.Time) {
+	if n := m.toldWatchers(); n >= m.watchers || m.overstated(now) {
+		m.watchers, m.told = n, now
+	}
+}
+
+func (m *Mirror) publish(now time.Time) {
+	m.count(now)
 	v := &View{self: m.self.Name, slots: make(map[UpstreamID]*slot, len(m.upstreams)), horizon: m.horizon}
 	for id, s := range m.upstreams {
 		v.slots[id] = s
@@ -198,7 +229,7 @@
 	}
 	v.arrange()
 	// This host is one of those that the others count.
-	v.watchers = max(v.watchers-1, 0)
+	v.watchers = max(m.watchers-1, 0)
 	m.view.Store(v)
 }
 
--- a/internal/member/registrar/mirror_test.go
+++ b/internal/member/registrar/mirror_test.go
@@ -108,7 +108,7 @@
 func TestMirrorOfHosts(t *testing.T) {
 	m := NewMirror(mirrorStart, Host{Name: "self", Draining: true}, mirrorLease)
 	a, b := Host{Name: "a", Address: "10.0.0.1:1", Watchers: 3}, Host{Name: "b", Address: "10.0.0.2:1", Watchers: 2}
-	assert.DeepEqual(t, m.TakeHosts([]Host{a, b}), []Action{HostUp{Host: a}, HostUp{Host: b}})
+	assert.DeepEqual(t, m.TakeHosts(mirrorStart, []Host{a, b}), []Action{HostUp{Host: a}, HostUp{Host: b}})
 	v := m.Snapshot()
 	assert.Equal(t, len(v.Hosts()), 3)
 	assert.Equal(t, v.Fleet(), 7, "two that schedule, five that watch, this one among them")
@@ -117,11 +117,11 @@
 
 	drained := a
 	drained.Draining = true
-	assert.DeepEqual(t, m.TakeHosts([]Host{drained, b}), []Action{HostChanged{Host: drained}})
+	assert.DeepEqual(t, m.TakeHosts(mirrorStart, []Host{drained, b}), []Action{HostChanged{Host: drained}})
 	assert.Equal(t, m.Snapshot().Owner("main"), HostName("b"))
-	assert.DeepEqual(t, m.TakeHosts([]Host{b}), []Action{HostDown{Host: drained}})
-	assert.Equal(t, len(m.TakeHosts([]Host{b})), 0)
-	assert.Equal(t, len(m.TakeHosts(nil)), 0, "they have not changed")
+	assert.DeepEqual(t, m.TakeHosts(mirrorStart, []Host{b}), []Action{HostDown{Host: drained}})
+	assert.Equal(t, len(m.TakeHosts(mirrorStart, []Host{b})), 0)
+	assert.Equal(t, len(m.TakeHosts(mirrorStart, nil)), 0, "they have not changed")
 	assert.Equal(t, m.Snapshot().Owner("main"), HostName("b"))
 }
 
@@ -146,3 +146,23 @@
 	r.Step(mirrorStart.Add(time.Second), Tick{})
 	assert.DeepEqual(t, names(r.Snapshot(), mirrorStart.Add(time.Second)), []string{"newer"})
 }
+
+// Guards against hosts that each take a large part of the upstreams' slots and of the
+// retries for their own, because all control hosts have started again and count those
+// that watch from 0.
+func TestMirrorKeepsTheSizeOfTheFleet(t *testing.T) {
+	m := NewMirror(mirrorStart, Host{Name: "self", Draining: true}, mirrorLease)
+	told := func(after time.Duration, watchers int) int {
+		now := mirrorStart.Add(after)
+		m.Take(now, Copy{Began: now, Hosts: []Host{{Name: "a", Watchers: watchers}}})
+		return m.Snapshot().Fleet()
+	}
+	assert.Equal(t, told(0, 100), 101)
+	assert.Equal(t, told(time.Second, 0), 101)
+	assert.Equal(t, told(2*time.Second, 40), 101)
+	assert.Equal(t, told(3*time.Second, 120), 121, "more count at once")
+	assert.Equal(t, told(4*time.Second, 90), 121)
+	assert.Equal(t, told(3*time.Second+fleetTime, 90), 91)
+	m.Take(mirrorStart.Add(30*time.Second), Copy{Began: mirrorStart.Add(30 * time.Second)})
+	assert.Equal(t, m.Snapshot().Fleet(), 91)
+}
--- a/internal/member/watcher/watcher.go
+++ b/internal/member/watcher/watcher.go
@@ -322,7 +322,7 @@
 		w.source = source{address: address}
 		_, left := w.mirror.Roster(now)
 		w.source.wanted = a.GetIncomplete() && !asked && left > 0
-		w.queue = append(w.queue, w.mirror.TakeHosts(c.Hosts)...)
+		w.queue = append(w.queue, w.mirror.TakeHosts(now, c.Hosts)...)
 	default:
 		w.source = source{address: address, epoch: a.GetEpoch(), number: a.GetNumber()}
 		w.queue = append(w.queue, w.mirror.Take(now, c)...)
