dispatcher: the test of a slow owner has no alarm for a silent one

The test is about an owner that sends and doesn't read. Ruled out: a fault of the alarm; the time and the state fit its rule. Change: the test's link belongs to a host on standby, where a goroutine of its own looks for silence, which the test does not start; as it was before links had an alarm. No check or bound changed.

--- a/internal/entry/dispatcher/outbox_test.go
+++ b/internal/entry/dispatcher/outbox_test.go
@@ -13,10 +13,11 @@
 	"github.com/amaranthcart/amaranthcart/internal/rpc/wire"
 )
 
-// idleLink is a link to an owner that never reads.
+// idleLink is a link to an owner that never reads. Nothing looks whether it sends, as if
+// it did.
 func idleLink() *link {
 	l := &link{
-		settings: Settings{Clock: clockwork.NewRealClock(), Logger: zap.NewNop()},
+		settings: Settings{Clock: clockwork.NewRealClock(), Logger: zap.NewNop(), Standby: true},
 		broken:   make(chan struct{}),
 		wake:     make(chan struct{}, 1),
 		sinks:    map[scheduler.RequestID]sink{},
