publisher: a host that is cut off sends its watching hosts elsewhere after 2 s

Control hosts told their view until the last confirmation was 4 s old, and answers that waited were not ended then; gossip had brought the news from the other side before.

Ruled out: the stream of revisions; it ends by design 2 s after contact is lost, and its host then tries the others in turn. The entry host's own question comes at an age of 3 to 3.8 s.

Change: a control host counts as cut off after 2 s without a confirmation, and ends the answers that wait.

--- a/internal/member/publisher/publisher.go
+++ b/internal/member/publisher/publisher.go
@@ -58,9 +58,10 @@
 	// that asks for older ones gets everything.
 	keepDepartures = 1024
 	// maxAge is the age of the confirmed revision from which on this host counts as
-	// cut off from the others: its view may lack what they know. It is below the
-	// lease of upstreams.
-	maxAge = 4 * time.Second
+	// cut off from the others: it doesn't know their news, revisions among them, which
+	// have to be in force everywhere within seconds. A confirmation each second reaches
+	// all hosts that exchange news within another half.
+	maxAge = 2 * time.Second
 )
 
 // Members is this host's part in the exchange of news.
@@ -100,6 +101,8 @@
 	// watchers holds when each host asked last, and the revision in force there.
 	watchers map[registrar.HostName]watcher
 	counted  time.Time
+	// cut is set while this host counts as cut off.
+	cut bool
 	// restored is set once a host has brought the upstreams that it knew.
 	restored bool
 
@@ -196,10 +199,17 @@
 	p.changed = make(chan struct{})
 }
 
-// refresh notes changes of the hosts, and counts those that follow this one.
+// refresh notes changes of the hosts, and whether this one is cut off from them, and
+// counts those that follow it.
 func (p *Publisher) refresh() {
 	hosts := p.options.Members.Snapshot().Hosts()
+	age, cut := p.cutOff()
 	p.mu.Lock()
+	if cut != p.cut {
+		p.cut = cut
+		p.logger.Info("whether this host is cut off from the others changed", zap.Bool("cut", cut), zap.Duration("confirmed", age))
+		p.wake()
+	}
 	if !slices.Equal(hosts, p.hosts) {
 		p.hosts = hosts
 		p.hostsNumber = p.journal.next()
--- a/internal/member/publisher/publisher_test.go
+++ b/internal/member/publisher/publisher_test.go
@@ -166,6 +166,28 @@
 	assert.NilError(t, err)
 }
 
+// Guards against revisions that reach watching hosts late because they wait for the
+// answer of a host on the small side of a cut. They have to be in force everywhere 2 s
+// after they were accepted, and 3 s after the cut.
+func TestCutOffHostEndsItsAnswers(t *testing.T) {
+	r := newRig(t)
+	r.settle()
+	r.revisions.set(gossiper.Confirmation{Revision: 3, Age: 0})
+	a, err := r.ask(t, &wire.MembersRequest{Host: "w"})
+	assert.NilError(t, err)
+	failed := make(chan error)
+	go func() {
+		_, err := r.ask(t, &wire.MembersRequest{Host: "w", Epoch: a.GetEpoch(), Number: a.GetNumber()})
+		failed <- err
+	}()
+	assert.NilError(t, r.clock.BlockUntilContext(t.Context(), 2))
+	r.revisions.set(gossiper.Confirmation{Revision: 3, Age: maxAge + time.Millisecond})
+	r.clock.Advance(refreshInterval)
+	assert.Equal(t, connect.CodeOf(<-failed), connect.CodeUnavailable)
+	const confirmations, another = 500 * time.Millisecond, 300 * time.Millisecond
+	assert.Assert(t, maxAge+refreshInterval+another+confirmations <= 3*time.Second)
+}
+
 // Guards against a confirmation that becomes younger on its way: the asking host counts
 // its age from the start of its call.
 func TestConfirmationAge(t *testing.T) {
