--- a/internal/entry/relayer/copy_test.go
+++ b/internal/entry/relayer/copy_test.go
@@ -16,8 +16,8 @@
 // copier is an upstream that answers the first request on a connection twice. The
 // copy comes at a moment of its own choice.
 type copier struct {
-	// between is called after the first answer, before the next request is read, and
-	// then after that is read but before it is answered. It gets the copy.
+	// idle is called after the first answer, before the next request is read, and asked
+	// after that is read, before it is answered. Both get the copy.
 	idle, asked func(w io.Writer, copy string)
 }
 
