relayer: the last line of a request tells its size

The line at the end of a request had its class and outcome, but neither the tokens that it asked to read nor those that it may generate, so that no log could tell. Both are in it now, for requests to models.

Before: not answerable from logs.

--- a/internal/entry/relayer/call.go
+++ b/internal/entry/relayer/call.go
@@ -429,6 +429,9 @@
 		fields = append(fields, zap.String("upstream", string(c.upstream)), zap.Int("attempts", c.attempts), zap.Int("unsent", c.unsent),
 			zap.Duration("queued", c.granted.Sub(c.arrived)), zap.Duration("predicted", c.predicted))
 	}
+	if c.model {
+		fields = append(fields, zap.Int("prompt", c.ask.Prompt), zap.Int("limit", c.ask.Limit))
+	}
 	if !c.first.IsZero() {
 		fields = append(fields, zap.Duration("first", c.first.Sub(c.arrived)), zap.Int("events", c.stream.events))
 	}
