scheduler: a refusal under load names what kept the request from a slot

The scheduler notes why it placed a request nowhere when it considered it last (slots, memory, reading, shared), or that it was not its turn, and the refusal carries it to the entry host's log.

--- a/internal/entry/dispatcher/message.go
+++ b/internal/entry/dispatcher/message.go
@@ -115,7 +115,7 @@
 	case scheduler.Hedge:
 		m.Grants = append(m.Grants, &wire.SlotGrant{Id: string(a.ID), Upstream: string(a.Upstream), Priority: int32(a.Priority), Hedge: true})
 	case scheduler.Refuse:
-		m.Refusals = append(m.Refusals, &wire.SlotRefusal{Id: string(a.ID), Reason: string(a.Reason), Retry: a.RetryAfter.Milliseconds(), Cell: string(a.Cell), Predicted: a.Predicted.Milliseconds(), Ahead: uint32(max(a.Ahead, 0))})
+		m.Refusals = append(m.Refusals, &wire.SlotRefusal{Id: string(a.ID), Reason: string(a.Reason), Retry: a.RetryAfter.Milliseconds(), Cell: string(a.Cell), Predicted: a.Predicted.Milliseconds(), Ahead: uint32(max(a.Ahead, 0)), Obstacle: string(a.Obstacle)})
 	case scheduler.Preempt:
 		m.Preempted = append(m.Preempted, &wire.SlotPreemption{Id: string(a.ID), Upstream: string(a.Upstream)})
 	}
@@ -134,7 +134,7 @@
 	}
 	for _, r := range m.Refusals {
 		id := scheduler.RequestID(r.Id)
-		all = append(all, addressed{id, scheduler.Refuse{ID: id, Reason: scheduler.Reason(r.Reason), RetryAfter: time.Duration(r.Retry) * time.Millisecond, Cell: registrar.CellName(r.Cell), Predicted: time.Duration(r.Predicted) * time.Millisecond, Ahead: int(r.Ahead)}})
+		all = append(all, addressed{id, scheduler.Refuse{ID: id, Reason: scheduler.Reason(r.Reason), RetryAfter: time.Duration(r.Retry) * time.Millisecond, Cell: registrar.CellName(r.Cell), Predicted: time.Duration(r.Predicted) * time.Millisecond, Ahead: int(r.Ahead), Obstacle: scheduler.Obstacle(r.Obstacle)}})
 	}
 	for _, p := range m.Preempted {
 		id := scheduler.RequestID(p.Id)
--- a/internal/entry/dispatcher/port.go
+++ b/internal/entry/dispatcher/port.go
@@ -59,12 +59,14 @@
 	// that waited.
 	Predicted time.Duration
 	Ahead     int
+	// Obstacle is what kept the request from a slot.
+	Obstacle scheduler.Obstacle
 }
 
 // Error describes the refusal.
 func (e *RefusedError) Error() string {
 	if e.Predicted > 0 {
-		return fmt.Sprintf("request refused: %s (%d waiting, predicted wait %v)", e.Reason, e.Ahead, e.Predicted)
+		return fmt.Sprintf("request refused: %s (%d waiting, predicted wait %v, obstacle %s)", e.Reason, e.Ahead, e.Predicted, e.Obstacle)
 	}
 	return fmt.Sprintf("request refused: %s", e.Reason)
 }
--- a/internal/entry/dispatcher/ticket.go
+++ b/internal/entry/dispatcher/ticket.go
@@ -156,7 +156,7 @@
 		return t.grant(a)
 	case scheduler.Refuse:
 		t.closed = true
-		t.result <- grant{refusal: &RefusedError{Reason: a.Reason, RetryAfter: a.RetryAfter, Cell: a.Cell, Predicted: a.Predicted, Ahead: a.Ahead}}
+		t.result <- grant{refusal: &RefusedError{Reason: a.Reason, RetryAfter: a.RetryAfter, Cell: a.Cell, Predicted: a.Predicted, Ahead: a.Ahead, Obstacle: a.Obstacle}}
 	case scheduler.Preempt:
 		if s := t.slot(a.Upstream); s != nil {
 			s.preempt()
--- a/internal/policy/scheduler/placement.go
+++ b/internal/policy/scheduler/placement.go
@@ -73,10 +73,14 @@
 		return nil
 	}
 	best := s.cheapest(now, r)
-	if best == nil || len(best.attempts) > 0 && best.backlogFor(now, r.class.tier) > queueLimit {
+	switch {
+	case best == nil:
 		return nil
-	}
-	if s.waitsForShared(now, best, r) {
+	case len(best.attempts) > 0 && best.backlogFor(now, r.class.tier) > queueLimit:
+		r.obstacle = LongReading
+		return nil
+	case s.waitsForShared(now, best, r):
+		r.obstacle = SharedReading
 		return nil
 	}
 	return best
@@ -94,16 +98,21 @@
 }
 
 // cheapest returns the engine with the least startCost among the best that may run
-// the request, or nil when none of those has room.
+// the request, or nil when none of those has room, which it notes.
 func (s *Scheduler) cheapest(now time.Time, r *request) *upstream {
 	p := r.pool
 	open := s.detector.Unrestricted(now, r.Fingerprint)
 	limits := p.limits()
 	grade := s.bestGrade(now, r, open)
+	r.obstacle = FullSlots
 	var best *upstream
 	var least time.Duration
 	for _, u := range p.upstreams {
-		if !s.mayRun(now, u, r, open) || u.grade(now, r) != grade || !u.usable(limits) || !s.fits(u, r) {
+		if !s.mayRun(now, u, r, open) || u.grade(now, r) != grade || !u.usable(limits) {
+			continue
+		}
+		if !s.fits(u, r) {
+			r.obstacle = FullMemory
 			continue
 		}
 		if cost := s.startCost(now, u, r); best == nil || cost < least {
--- a/internal/policy/scheduler/placement_test.go
+++ b/internal/policy/scheduler/placement_test.go
@@ -351,3 +351,24 @@
 	assert.Equal(t, c.held(&Request{Prompt: sharedPart, Prefix: []uint64{1}, Ends: []int{sharedPart}}), sharedPart)
 	assert.Equal(t, c.held(&Request{Prompt: 500, Prefix: []uint64{9}, Ends: []int{500}}), 500)
 }
+
+// TestRefusalNamesItsObstacle guards against refusals under load that can't be
+// explained: the time to read what is ahead tells nothing where memory binds.
+func TestRefusalNamesItsObstacle(t *testing.T) {
+	huge := Request{Class: "summary", Prompt: engineMemory * 3 / 4, Limit: 150, Prefix: []uint64{1}, Ends: []int{engineMemory * 3 / 4}}
+
+	f := newEngineFleet(t, 1)
+	running := f.submit(huge)
+	f.pass(30 * time.Second)
+	f.first(running)
+	huge.Prefix = []uint64{2}
+	waiting := f.submit(huge)
+	f.pass(5 * time.Second)
+	assert.Equal(t, f.refused[waiting].Obstacle, FullMemory)
+
+	f = newEngineFleet(t, 1)
+	f.submit(Request{Class: "summary", Prompt: 150_000, Limit: 150, Prefix: []uint64{5}, Ends: []int{150_000}})
+	hint := f.submit(Request{Class: "summary", Prompt: 100, Limit: 10, Prefix: []uint64{9}, Ends: []int{100}})
+	f.pass(5 * time.Second)
+	assert.Equal(t, f.refused[hint].Obstacle, LongReading)
+}
--- a/internal/policy/scheduler/request.go
+++ b/internal/policy/scheduler/request.go
@@ -43,7 +43,9 @@
 	toRead time.Duration
 	// suspect is set when the request had met a crash at its submission.
 	suspect bool
-	index   int
+	// obstacle is what kept it from a slot when it was considered last.
+	obstacle Obstacle
+	index    int
 }
 
 // resubmit takes over what a new submission of the request changes.
@@ -51,6 +53,7 @@
 	sent.Arrived = r.Arrived
 	r.Request = sent
 	r.queued = now
+	r.obstacle = Unconsidered
 }
 
 // cost is the number of tokens charged for an answer of the given length.
--- a/internal/policy/scheduler/scheduler.go
+++ b/internal/policy/scheduler/scheduler.go
@@ -361,7 +361,7 @@
 // refuseLoaded refuses a request that can't begin in time.
 func (s *Scheduler) refuseLoaded(now time.Time, r *request) {
 	wait := s.drainTime(now, r)
-	s.actions = append(s.actions, Refuse{ID: r.ID, Reason: Overloaded, RetryAfter: s.spread(wait), Predicted: wait, Ahead: r.pool.waiting})
+	s.actions = append(s.actions, Refuse{ID: r.ID, Reason: Overloaded, RetryAfter: s.spread(wait), Predicted: wait, Ahead: r.pool.waiting, Obstacle: r.obstacle})
 }
 
 // spread randomises a retry time between once and twice its value so that
--- a/internal/policy/scheduler/types.go
+++ b/internal/policy/scheduler/types.go
@@ -255,8 +255,28 @@
 	// number of requests that waited.
 	Predicted time.Duration
 	Ahead     int
+	// Obstacle is what kept the request from a slot.
+	Obstacle Obstacle
 }
 
+// Obstacle is what kept a request from a slot when it was considered last.
+type Obstacle string
+
+// Obstacles.
+const (
+	// Unconsidered means that requests before it took what there was.
+	Unconsidered Obstacle = "turn"
+	// FullSlots means that no upstream had a free slot.
+	FullSlots Obstacle = "slots"
+	// FullMemory means that no engine with a free slot had memory for the request.
+	FullMemory Obstacle = "memory"
+	// LongReading means that the best engine had too much to read before it.
+	LongReading Obstacle = "reading"
+	// SharedReading means that the best engine was reading a part of the prompt for
+	// another request.
+	SharedReading Obstacle = "shared"
+)
+
 // Preempt asks for an attempt to be cancelled; the request is submitted again
 // with the tokens that it already has.
 type Preempt struct {
