scheduler: the owner of a cell reports what it believes of the reading speed

The prediction follows from a learned time for a token, which no line told.

The scheduler reports the learned time when it has changed by a quarter; the owner's host logs it.

--- a/internal/entry/dispatcher/local.go
+++ b/internal/entry/dispatcher/local.go
@@ -404,6 +404,9 @@
 	case scheduler.Silence:
 		l.logger.Warn("an upstream with work shows no sign of life; it gets no more for a time",
 			zap.String("upstream", string(e.Upstream)), zap.Duration("quiet", e.Quiet), zap.Duration("pause", e.Pause))
+	case scheduler.Pace:
+		l.logger.Info("the time that engines take to read a prompt is believed to have changed",
+			zap.String("pool", string(e.Pool)), zap.Duration("before", e.Before), zap.Duration("after", e.After), zap.Int("tokens", e.Tokens))
 	case scheduler.Preempt:
 		l.logger.Info("a request is asked to go on elsewhere",
 			zap.String("request", string(e.ID)), zap.String("upstream", string(e.Upstream)),
--- a/internal/policy/scheduler/queue.go
+++ b/internal/policy/scheduler/queue.go
@@ -46,8 +46,10 @@
 	// toRead is what the engines have to read for the waiting requests of each
 	// tier.
 	toRead [validator.LowestTier + 1]time.Duration
-	// reading is how fast the engines read prompts.
-	reading reading
+	// reading is how fast the engines read prompts, and reported the time for one
+	// token that was reported last.
+	reading  reading
+	reported time.Duration
 	// preempting counts the attempts that were asked to give way and still
 	// hold their slot; protected counts those that are never asked.
 	preempting, protected int
@@ -141,7 +143,7 @@
 func (s *Scheduler) pool(name validator.PoolName) *pool {
 	p := s.pools[name]
 	if p == nil {
-		p = &pool{name: name, ages: make(map[*class][]age), credits: make(map[*class]float64)}
+		p = &pool{name: name, reported: defaultPerToken, ages: make(map[*class][]age), credits: make(map[*class]float64)}
 		for _, u := range s.upstreams {
 			if !u.gone && u.Serves(name) {
 				p.upstreams = append(p.upstreams, u)
--- a/internal/policy/scheduler/reading.go
+++ b/internal/policy/scheduler/reading.go
@@ -14,6 +14,21 @@
 	readingSamples = 20
 )
 
+// paceStep is the part by which the learned time has to change to be reported again.
+const paceStep = 0.25
+
+// reportPace reports the time to read a token once it has changed much.
+func (s *Scheduler) reportPace(p *pool) {
+	if s.memory[p.name] == 0 {
+		return
+	}
+	before, after := p.reported, p.reading.perToken()
+	if change := float64(after - before); change > paceStep*float64(before) || -change > paceStep*float64(before) {
+		p.reported = after
+		s.actions = append(s.actions, Pace{Pool: p.name, Before: before, After: after, Tokens: int(p.reading.x)})
+	}
+}
+
 // reading learns the time per prompt token by linear regression of the time to
 // the first token on the tokens read: the fixed part of the time doesn't count.
 type reading struct {
--- a/internal/policy/scheduler/types.go
+++ b/internal/policy/scheduler/types.go
@@ -310,6 +310,16 @@
 	Pause time.Duration
 }
 
+// Pace reports that the time which engines are believed to need for a prompt has
+// changed.
+type Pace struct {
+	Pool validator.PoolName
+	// Before and After are the times for one token.
+	Before, After time.Duration
+	// Tokens is how many the observations behind it cover, the older ones in part.
+	Tokens int
+}
+
 // Hedge starts a second attempt of a request that runs.
 type Hedge struct {
 	ID       RequestID
@@ -321,4 +331,5 @@
 func (Refuse) action()  {}
 func (Preempt) action() {}
 func (Silence) action() {}
+func (Pace) action()    {}
 func (Hedge) action()   {}
