scheduler: the reading speed is learned from what engines read in a time, where their caches are known

The time for a prompt token was a regression of the time to the first token on the tokens that the scheduler believed unread. A new owner doesn't know the caches for its first moments and counts prompts in full of which engines keep nine tenths; behind queues that it doesn't know the time to the first token doesn't depend on the prompt at all. The slope came out at 2 to 4 us where 25 to 40 us were right. The bound on what an engine gets in advance (0.5 s) is reckoned with it, so that engines got ten times as much, read without a pause, and generated at half their speed beside it.

Ruled out: memory (no refusal for it), organisations' shares (obstacle "turn" is rare), the owner's processor (0.25 of a core).

What is measured is a rate: the tokens that an engine reads in a span without a pause, by the length of that span. It doesn't depend on queues and corrects itself the sooner the busier engines are. Attempts begun under another scheduler, or before the engine's cache is known (it has told it, restarted, or been seen for 3 s), don't count.

Before: TestNextOwnerDoesNotTakeEnginesForFast 10 prompts at an engine that should have 3; TestOverloadDoesNotLookLikeFastReading failed too.

--- a/internal/policy/scheduler/cache.go
+++ b/internal/policy/scheduler/cache.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"time"
 
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
 )
@@ -63,6 +64,15 @@
 	}
 }
 
+// cacheTime is how long after an engine was seen first its cache counts as known, if it
+// doesn't tell: what it is given fills the cache meanwhile.
+const cacheTime = 3 * time.Second
+
+// knownCache reports whether the cache of the engine is known.
+func (u *upstream) knownCache(now time.Time) bool {
+	return u.told || now.Sub(u.seen) >= cacheTime
+}
+
 // Engines lists the upstreams of the pools whose engines have a known memory.
 func (s *Scheduler) Engines() []registrar.Upstream {
 	var all []registrar.Upstream
@@ -85,6 +95,7 @@
 		return
 	}
 	u.cache.learn(e.Blocks)
+	u.told = true
 	for _, a := range u.attempts {
 		if capacity := s.memory[a.request.pool.name]; capacity > 0 {
 			u.cache.use(&a.request.Request, capacity)
--- a/internal/policy/scheduler/placement.go
+++ b/internal/policy/scheduler/placement.go
@@ -54,9 +54,6 @@
 	// minShared is the number of shared tokens for which a request waits until
 	// they are read; reading fewer again takes less than the wait.
 	minShared = 2048
-	// quietAttempts is the number of requests on an engine up to which the time to
-	// a first token tells how fast it reads.
-	quietAttempts = 4
 	// lowerWeight is the part of the reading for lower tiers that delays a request.
 	lowerWeight = 0.25
 	// crowdedPart is the part of the wait of a class that the predicted wait has
@@ -300,8 +297,14 @@
 
 // readTime predicts how long the engine reads a number of prompt tokens.
 func (s *Scheduler) readTime(u *upstream, r *request, tokens int) time.Duration {
+	return time.Duration(s.weigh(u, r, tokens) * float64(r.pool.reading.perToken()))
+}
+
+// weigh returns the number of prompt tokens on an engine without other requests that
+// take as long to read.
+func (s *Scheduler) weigh(u *upstream, r *request, tokens int) float64 {
 	context := float64(u.memory) / float64(s.memory[r.pool.name])
-	return time.Duration(float64(tokens) * (1 + contextWeight*context) * float64(r.pool.reading.perToken()))
+	return float64(tokens) * (1 + contextWeight*context)
 }
 
 // beginReading notes what the engine of a new attempt has to read for it.
@@ -314,15 +317,19 @@
 	if capacity == 0 {
 		return
 	}
-	a.unread = r.Prompt - u.cache.held(&r.Request)
-	a.beside = len(u.attempts)
+	unread := r.Prompt - u.cache.held(&r.Request)
+	a.unread = s.weigh(u, r, unread)
+	a.blind = !u.knownCache(now)
 	a.ahead = u.backlogFor(now, r.class.tier)
 	a.memory, a.tier = r.memory(), r.class.tier
-	read := s.readTime(u, r, a.unread)
+	read := s.readTime(u, r, unread)
 	u.reading = now.Add(u.backlog(now) + read)
 	u.addRead(now, read)
 	a.reading = read
 	if read > 0 {
+		if len(u.readingFor) == 0 {
+			u.span = readSpan{since: now, idle: true}
+		}
 		u.readingFor = append(u.readingFor, a)
 	}
 	u.toRead[r.class.tier] += read
@@ -349,9 +356,11 @@
 	if s.memory[a.request.pool.name] == 0 {
 		return
 	}
-	took := now.Sub(a.granted)
-	if a.ahead == 0 && a.beside <= quietAttempts {
-		a.request.pool.reading.observe(a.unread, took)
+	if a.reading > 0 {
+		took := a.upstream.span.next(now)
+		if !a.blind {
+			a.request.pool.reading.observe(a.unread, took)
+		}
 	}
 	a.finishReading()
 	s.reviewReading(now, a.upstream)
--- /dev/null
+++ b/internal/policy/scheduler/reading_test.go
@@ -0,0 +1,103 @@
+package scheduler
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/amaranthcart/amaranthcart/internal/config/validator"
+)
+
+// TestNextOwnerDoesNotTakeEnginesForFast guards against an owner of a cell that, after
+// a change, takes prompts of which the engines keep most for prompts that were read
+// fast: it gave them several times as much to read, and answers that ran there
+// outlasted their callers' patience, the longest ones first.
+func TestNextOwnerDoesNotTakeEnginesForFast(t *testing.T) {
+	const engines = 40
+	f := newEngineFleet(t, engines)
+	var ends []firstEnd
+	prompt := func(class validator.ClassName, shared, own int) {
+		id := f.submit(Request{
+			Class: class, Prompt: shared + own, Limit: 150,
+			Prefix: []uint64{uint64(shared), uint64(1_000_000 + f.next)}, Ends: []int{shared, shared + own},
+		})
+		if f.running[id] != "" {
+			ends = append(ends, firstEnd{f.now.Add(startTime + time.Duration(own)*defaultPerToken), id})
+		}
+	}
+	for step := range 100 {
+		f.now = f.now.Add(10 * time.Millisecond)
+		ends = f.bring(ends)
+		prompt("hint", 300, 500+step)
+		prompt("summary", sharedPart+step%engines, ownPart)
+	}
+	for _, u := range f.s.upstreams {
+		f.step(Kept{Upstream: u.Name, Incarnation: 1})
+	}
+	// An engine gets half a second of reading in advance: two or three cold summaries.
+	for i := range 10 * engines {
+		f.summary(uint64(1_000 + i))
+	}
+	for _, u := range f.s.upstreams {
+		assert.Assert(t, u.backlog(f.now) < 2*queueLimit && len(u.attempts) <= 5, "%d prompts for %s", len(u.attempts), u.Name)
+	}
+}
+
+// firstEnd is when the first token of a request comes.
+type firstEnd struct {
+	at time.Time
+	id RequestID
+}
+
+// bring lets the first tokens that are due come, ends their requests and returns the
+// others.
+func (f *engineFleet) bring(ends []firstEnd) []firstEnd {
+	return slices.DeleteFunc(ends, func(e firstEnd) bool {
+		if e.at.After(f.now) {
+			return false
+		}
+		f.first(e.id)
+		f.finish(e.id)
+		return true
+	})
+}
+
+// TestOverloadDoesNotLookLikeFastReading guards against a scheduler that takes engines
+// with a long queue for fast ones, gives them more for it and never recovers: behind a
+// queue that it doesn't know, as after a change of the cell's owner, the time to the
+// first token says nothing about the length of the prompt.
+func TestOverloadDoesNotLookLikeFastReading(t *testing.T) {
+	const (
+		engines  = 10
+		perToken = 20 * time.Microsecond
+		unknown  = 2 * time.Second
+	)
+	f := newEngineFleet(t, engines)
+	random := rand.New(rand.NewPCG(1, 18))
+	free := map[string]time.Time{}
+	for _, u := range f.s.upstreams {
+		f.step(Kept{Upstream: u.Name, Incarnation: 1})
+		free[string(u.Name)] = f.now.Add(time.Duration(random.Int64N(int64(2 * unknown))))
+	}
+	var ends []firstEnd
+	for step := range 800 {
+		f.now = f.now.Add(10 * time.Millisecond)
+		ends = f.bring(ends)
+		f.step(Tick{})
+		prompt := 500 + random.IntN(12_000)
+		id := f.submit(Request{Class: "summary", Prompt: prompt, Limit: 100, Prefix: []uint64{uint64(step + 1)}, Ends: []int{prompt}})
+		if u := string(f.running[id]); u != "" {
+			begin := free[u]
+			if begin.Before(f.now) {
+				begin = f.now
+			}
+			free[u] = begin.Add(time.Duration(prompt) * perToken)
+			ends = append(ends, firstEnd{free[u].Add(startTime), id})
+		}
+	}
+	learned := f.s.pools["m"].reading.perToken()
+	assert.Assert(t, learned > perToken*3/4 && learned < perToken*2, "%v a token is learned, %v is right", learned, perToken)
+}
--- a/internal/policy/scheduler/request.go
+++ b/internal/policy/scheduler/request.go
@@ -92,14 +92,16 @@
 	// protected attempts were overdue and are not preempted.
 	protected bool
 	process   detector.Process
-	// unread is the part of the prompt that the engine had to read, and tokens
-	// of memory that the attempt takes.
-	unread, memory int
+	// unread is the part of the prompt that the engine had to read, weighted for the
+	// memory in use, and memory the tokens of it that the attempt takes.
+	unread float64
+	memory int
+	// blind is set when it was not known how much the engine had to read: the attempt
+	// began under another scheduler, or at an engine whose cache was not known.
+	blind bool
 	// ahead is what the engine had to read before it, and reading what it reads
 	// for the attempt until the first token.
 	ahead, reading time.Duration
-	// beside is the number of attempts on the engine when this one began.
-	beside int
 	// shared lists the blocks that the engine reads for the attempt and that
 	// other requests may have too.
 	shared []uint64
--- a/internal/policy/scheduler/scheduler.go
+++ b/internal/policy/scheduler/scheduler.go
@@ -214,6 +214,7 @@
 		s.upstreams[id] = u
 	}
 	a := s.start(now, r, u)
+	a.blind = true
 	if !e.Unread {
 		a.finishReading()
 		s.reviewReading(now, u)
@@ -257,8 +258,7 @@
 	if a.first.IsZero() && e.Tokens > 0 {
 		a.first, a.reported = now, now
 		a.upstream.firsts++
-		a.finishReading()
-		s.reviewReading(now, a.upstream)
+		s.observeReading(now, a)
 	}
 	if n := e.Tokens - a.tokens; n > 0 && now.After(a.reported) {
 		a.upstream.pace.observe(now, now.Sub(a.reported)/time.Duration(n), n)
--- a/internal/policy/scheduler/upstream.go
+++ b/internal/policy/scheduler/upstream.go
@@ -43,6 +43,10 @@
 	unconnected int
 	// cache is what an engine keeps of prompts, as far as it is known.
 	cache promptCache
+	// told is set once it is known what the cache holds: the engine has told it, or
+	// has started since seen, when the scheduler heard of it first.
+	told bool
+	seen time.Time
 	// unfinished are the prompt blocks that the engine is reading.
 	unfinished blockCounts
 	// reading is when the engine has read what it was given.
@@ -59,6 +63,8 @@
 	// readingFor lists the attempts that the engine still has to read for, oldest
 	// first.
 	readingFor []*attempt
+	// span is the time for which it reads.
+	span readSpan
 	// exposure adds up the tightness of the attempts.
 	exposure float64
 }
@@ -85,6 +91,7 @@
 		}
 		u.prefixes, u.pace = prefixes{}, pace{}
 		u.cache.clear()
+		u.told = true
 		u.unfinished = nil
 		u.silent, u.reading = time.Time{}, time.Time{}
 		u.unconnected, u.lostAnswer = 0, time.Time{}
@@ -118,6 +125,7 @@
 	switch {
 	case u == nil:
 		u = newUpstream(news)
+		u.seen = now
 		s.upstreams[news.Name] = u
 	case u.older(news):
 		return
