scheduler: an urgent prompt goes where the queue is short when the engine that suits it best has a long one

Cause, of the class "one choice by cost, then a veto by another measure": the scheduler chose the cheapest engine and then, if that one had more than half a second to read, placed the request nowhere. The cost of reading beside streams grows with the prompt, so that large prompts insisted on the few engines without streams, which read all the time.

Ruled out: memory (no refusal names it).

--- a/internal/policy/scheduler/placement.go
+++ b/internal/policy/scheduler/placement.go
@@ -63,24 +63,36 @@
 
 // place returns the engine at which the request should have its first token
 // earliest, or nil when none has room. What an engine keeps of the prompt need
-// not be read again, so that requests with equal beginnings meet at one engine
-// for as long as its queue is short.
+// not be read again, so that requests with equal beginnings meet at one engine.
+// While its queue is long, they wait, and so do prompts of classes whose answers may
+// pause: elsewhere they would delay streams. Others go where the queue is short.
 func (s *Scheduler) place(now time.Time, r *request) *upstream {
 	if s.unsettled && s.detector.Verdict(now, r.Fingerprint) == detector.Suspect {
 		return nil
 	}
-	best := s.cheapest(now, r)
-	switch {
-	case best == nil:
-		return nil
-	case len(best.attempts) > 0 && best.backlogFor(now, r.class.tier) > queueLimit:
+	best, open := s.cheapest(now, r)
+	if best != open {
 		r.obstacle = LongReading
-		return nil
-	case s.waitsForShared(now, best, r):
+		if open == nil || r.class.tightness == 0 || best.keepsMore(open, r) {
+			return nil
+		}
+	}
+	if open != nil && s.waitsForShared(now, open, r) {
 		r.obstacle = SharedReading
 		return nil
 	}
-	return best
+	return open
+}
+
+// queues reports whether the engine with a backlog has too much to read for more.
+func (u *upstream) queues(backlog time.Duration) bool {
+	return len(u.attempts) > 0 && backlog > queueLimit
+}
+
+// keepsMore reports whether the engine keeps so much more of the prompt than another
+// that reading it again there would cost more than waiting here.
+func (u *upstream) keepsMore(other *upstream, r *request) bool {
+	return u.cache.held(&r.Request)-other.cache.held(&r.Request) >= minShared
 }
 
 // waitsForShared reports whether the engine is reading a part of the prompt for
@@ -94,29 +106,34 @@
 	return now.Add(own + startTime).Before(r.due)
 }
 
-// cheapest returns the engine with the least startCost among the best that may run
-// the request, or nil when none of those has room, which it notes.
-func (s *Scheduler) cheapest(now time.Time, r *request) *upstream {
+// cheapest returns the engine with the least startCost among those of the best grade
+// that have room for the request, and the one among these whose queue is short. Both
+// are nil when none has room, which it notes.
+func (s *Scheduler) cheapest(now time.Time, r *request) (best, open *upstream) {
 	p := r.pool
-	open := s.detector.Unrestricted(now, r.Fingerprint)
+	unrestricted := s.detector.Unrestricted(now, r.Fingerprint)
 	limits := p.limits()
-	grade := s.bestGrade(now, r, open)
+	grade := s.bestGrade(now, r, unrestricted)
 	r.obstacle = FullSlots
-	var best *upstream
-	var least time.Duration
+	var least, leastOpen time.Duration
 	for _, u := range p.upstreams {
-		if !s.mayRun(now, u, r, open) || u.grade(now, r) != grade || !u.usable(limits) {
+		if !s.mayRun(now, u, r, unrestricted) || u.grade(now, r) != grade || !u.usable(limits) {
 			continue
 		}
 		if !s.fits(u, r) {
 			r.obstacle = FullMemory
 			continue
 		}
-		if cost := s.startCost(now, u, r); best == nil || cost < least {
+		backlog := u.backlogFor(now, r.class.tier)
+		cost := s.startCost(now, u, r, backlog)
+		if best == nil || cost < least {
 			best, least = u, cost
 		}
+		if !u.queues(backlog) && (open == nil || cost < leastOpen) {
+			open, leastOpen = u, cost
+		}
 	}
-	return best
+	return best, open
 }
 
 // mayRun reports whether the upstream may run the request; open tells that nothing is
@@ -218,13 +235,12 @@
 	return min(above, u.backlog(now))
 }
 
-// startCost predicts the time to the first token, with the delay that the other
-// streams on the engine suffer.
-func (s *Scheduler) startCost(now time.Time, u *upstream, r *request) time.Duration {
+// startCost predicts the time to the first token behind a backlog, with the delay that
+// the other streams on the engine suffer.
+func (s *Scheduler) startCost(now time.Time, u *upstream, r *request, backlog time.Duration) time.Duration {
 	read := s.readTime(u, r, r.Prompt-u.cache.held(&r.Request))
 	full := float64(u.cache.tokens) / float64(s.memory[r.pool.name])
 	weight := 1.0
-	backlog := u.backlogFor(now, r.class.tier)
 	if now.Add(backlog + read).Before(r.due) {
 		weight = readWeight
 	}
