scheduler: what began under another owner teaches no times

The time from a grant to the first token, and for which a slot is held, were counted from when the new owner heard of the request, so that it expected first tokens and free slots too early.

Adopted requests no longer count in either. Before: 40 adopted requests with first tokens after one tick teach 20 ms (TestAdoptedAttemptsTeachNoTimes failed); after: nothing.

--- a/internal/policy/scheduler/reading_test.go
+++ b/internal/policy/scheduler/reading_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -101,3 +102,20 @@
 	learned := f.s.pools["m"].reading.perToken()
 	assert.Assert(t, learned > perToken*3/4 && learned < perToken*2, "%v a token is learned, %v is right", learned, perToken)
 }
+
+// TestAdoptedAttemptsTeachNoTimes guards against an owner of a cell that, after a
+// change, counts the times of requests from when it heard of them: it would expect
+// first tokens and free slots too early.
+func TestAdoptedAttemptsTeachNoTimes(t *testing.T) {
+	f := newEngineFleet(t, 1)
+	for i := range 40 {
+		id := RequestID(fmt.Sprint("a", i))
+		f.running[id] = "engine-0"
+		f.step(Adopt{Request: Request{ID: id, Pool: "m", Class: "hint", Prompt: 1_000, Limit: 100}, Upstream: "engine-0", Unread: true})
+		f.pass(TickInterval)
+		f.first(id)
+		f.finish(id)
+	}
+	assert.Equal(t, f.s.estimator.Start("hint", startQuantile), time.Duration(0))
+	assert.Equal(t, f.s.pools["m"].hold, 0.0)
+}
--- a/internal/policy/scheduler/request.go
+++ b/internal/policy/scheduler/request.go
@@ -96,8 +96,11 @@
 	// memory in use, and memory the tokens of it that the attempt takes.
 	unread float64
 	memory int
+	// adopted attempts began under another scheduler: granted is when this one heard of
+	// them.
+	adopted bool
 	// blind is set when it was not known how much the engine had to read: the attempt
-	// began under another scheduler, or at an engine whose cache was not known.
+	// is adopted, or the engine's cache was not known when it began.
 	blind bool
 	// ahead is what the engine had to read before it, and reading what it reads
 	// for the attempt until the first token.
--- a/internal/policy/scheduler/scheduler.go
+++ b/internal/policy/scheduler/scheduler.go
@@ -214,7 +214,7 @@
 		s.upstreams[id] = u
 	}
 	a := s.start(now, r, u)
-	a.blind = true
+	a.adopted, a.blind = true, true
 	if !e.Unread {
 		a.finishReading()
 		s.reviewReading(now, u)
@@ -243,7 +243,7 @@
 		s.observeReading(now, a)
 		a.upstream.firsts++
 		a.reported, a.tokens = now, max(a.tokens, 1)
-		if !a.request.Whole {
+		if !a.request.Whole && !a.adopted {
 			s.estimator.Started(a.request.Class, now.Sub(a.granted))
 		}
 	}
@@ -279,7 +279,9 @@
 	a.tokens = max(a.tokens, e.Tokens)
 	if e.Outcome == Completed {
 		s.estimator.Answered(r.Class, r.Request.Organisation, r.Emitted+a.tokens)
-		r.pool.held(now.Sub(a.granted))
+		if !a.adopted {
+			r.pool.held(now.Sub(a.granted))
+		}
 	}
 	s.interrupt(now, a, e.Outcome)
 	s.release(now, a, e.Outcome)
