scheduler: a host that schedules alone doesn't learn the reading speed

While the cell has no owner, each host schedules on its own part of the slots and sees its own prompts only. It counts those in full that engines keep because of other hosts, and takes them for prompts that were read fast.

A scheduler of a divided cell keeps the speed that it knows. Before: after 60 summaries with first tokens after 140 ms 2.9 us a token were learned in place of 15 (TestDividedSchedulerDoesNotLearnSpeed failed); after: 15.

--- a/internal/policy/scheduler/placement.go
+++ b/internal/policy/scheduler/placement.go
@@ -367,14 +367,15 @@
 	}
 }
 
-// observeReading learns from the first token of an attempt how fast engines read.
+// observeReading learns from the first token of an attempt how fast engines read. While
+// the cell is divided, other hosts fill caches and queues that aren't known here.
 func (s *Scheduler) observeReading(now time.Time, a *attempt) {
 	if s.memory[a.request.pool.name] == 0 {
 		return
 	}
 	if a.reading > 0 {
 		took := a.upstream.span.next(now)
-		if !a.blind {
+		if !a.blind && s.hosts == 1 {
 			a.request.pool.reading.observe(a.unread, took)
 		}
 	}
--- a/internal/policy/scheduler/reading_test.go
+++ b/internal/policy/scheduler/reading_test.go
@@ -119,3 +119,21 @@
 	assert.Equal(t, f.s.estimator.Start("hint", startQuantile), time.Duration(0))
 	assert.Equal(t, f.s.pools["m"].hold, 0.0)
 }
+
+// TestDividedSchedulerDoesNotLearnSpeed guards against a host that schedules alone and
+// takes prompts of which engines keep most, because other hosts sent them there, for
+// prompts that were read fast.
+func TestDividedSchedulerDoesNotLearnSpeed(t *testing.T) {
+	f := newEngineFleet(t, 4)
+	f.step(Divide{Hosts: 8})
+	for _, u := range f.s.upstreams {
+		f.step(Kept{Upstream: u.Name, Incarnation: 1})
+	}
+	for i := range 60 {
+		id := f.summary(uint64(i + 1))
+		f.pass(startTime + 2*TickInterval)
+		f.first(id)
+		f.finish(id)
+	}
+	assert.Equal(t, f.s.pools["m"].reading.perToken(), defaultPerToken)
+}
