--- a/internal/entry/dispatcher/local.go
+++ b/internal/entry/dispatcher/local.go
@@ -404,7 +404,7 @@
 	case scheduler.Silence:
 		l.logger.Warn("an upstream with work shows no sign of life; it gets no more for a time",
 			zap.String("upstream", string(e.Upstream)), zap.Duration("quiet", e.Quiet), zap.Duration("pause", e.Pause))
-	case scheduler.Pace:
+	case scheduler.ReadingSpeed:
 		l.logger.Info("the time that engines take to read a prompt is believed to have changed",
 			zap.String("pool", string(e.Pool)), zap.Duration("before", e.Before), zap.Duration("after", e.After), zap.Int("tokens", e.Tokens))
 	case scheduler.Preempt:
--- a/internal/policy/scheduler/reading.go
+++ b/internal/policy/scheduler/reading.go
@@ -17,9 +17,9 @@
 	// readingMemory is the number of tokens after which older observations count for
 	// a third.
 	readingMemory = 1_000_000
-	// paceStep is the part by which the learned time has to change to be reported
+	// speedStep is the part by which the learned time has to change to be reported
 	// again.
-	paceStep = 0.25
+	speedStep = 0.25
 )
 
 // reading learns how long engines take for a prompt token: the time for which they
@@ -65,14 +65,14 @@
 	return took
 }
 
-// reportPace reports the time to read a token once it has changed much.
-func (s *Scheduler) reportPace(p *pool) {
+// reportSpeed reports the time to read a token once it has changed much.
+func (s *Scheduler) reportSpeed(p *pool) {
 	if s.memory[p.name] == 0 {
 		return
 	}
 	before, after := p.reported, p.reading.perToken()
-	if change := math.Abs(float64(after - before)); change > paceStep*float64(before) {
+	if change := math.Abs(float64(after - before)); change > speedStep*float64(before) {
 		p.reported = after
-		s.actions = append(s.actions, Pace{Pool: p.name, Before: before, After: after, Tokens: int(p.reading.tokens)})
+		s.actions = append(s.actions, ReadingSpeed{Pool: p.name, Before: before, After: after, Tokens: int(p.reading.tokens)})
 	}
 }
--- a/internal/policy/scheduler/scheduler.go
+++ b/internal/policy/scheduler/scheduler.go
@@ -111,7 +111,7 @@
 		s.compare(now)
 		s.watch(now)
 		for _, p := range s.pools {
-			s.reportPace(p)
+			s.reportSpeed(p)
 			s.dispatch(now, p)
 			s.preempt(now, p)
 			s.hedge(now, p)
--- a/internal/policy/scheduler/types.go
+++ b/internal/policy/scheduler/types.go
@@ -310,9 +310,9 @@
 	Pause time.Duration
 }
 
-// Pace reports that the time which engines are believed to need for a prompt has
+// ReadingSpeed reports that the time which engines are believed to need for a prompt has
 // changed.
-type Pace struct {
+type ReadingSpeed struct {
 	Pool validator.PoolName
 	// Before and After are the times for one token.
 	Before, After time.Duration
@@ -327,9 +327,9 @@
 	Priority int
 }
 
-func (Grant) action()   {}
-func (Refuse) action()  {}
-func (Preempt) action() {}
-func (Silence) action() {}
-func (Pace) action()    {}
-func (Hedge) action()   {}
+func (Grant) action()        {}
+func (Refuse) action()       {}
+func (Preempt) action()      {}
+func (Silence) action()      {}
+func (ReadingSpeed) action() {}
+func (Hedge) action()        {}
--- a/internal/policy/scheduler/upstream.go
+++ b/internal/policy/scheduler/upstream.go
@@ -285,5 +285,8 @@
 			best, least = u, load
 		}
 	}
+	if best == nil {
+		r.obstacle = FullSlots
+	}
 	return best
 }
