a failing test of an upstream that left and comes back after all control hosts restart

An upstream's leaving is acknowledged and known on one entry host; another one misses it. All control hosts lose their memory. The entry host that missed it brings its list, upstream included, and the one that knew takes it back:

A mirror forgets departures and the list that it brings has none, so that the last to have heard of the upstream decides.

--- /dev/null
+++ b/internal/member/watcher/leave_test.go
@@ -0,0 +1,248 @@
+package watcher
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"gotest.tools/v3/assert"
+
+	"github.com/amaranthcart/amaranthcart/internal/member/gossiper"
+	"github.com/amaranthcart/amaranthcart/internal/member/publisher"
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/wire"
+)
+
+const (
+	// clusterLease is the lease of a deployment whose upstreams announce themselves
+	// every 1.2 s.
+	clusterLease = 5600 * time.Millisecond
+	// leaveBound is how long after its acknowledgement an upstream that leaves may be
+	// listed.
+	leaveBound = 3 * time.Second
+	// downTime is how long a host that was killed stays down.
+	downTime = 500 * time.Millisecond
+)
+
+// cluster is some control hosts that exchange news, and those that watch them.
+type cluster struct {
+	t        *testing.T
+	mu       sync.Mutex
+	nodes    map[string]*clusterNode
+	watchers map[string]*Watcher
+	// deaf lists the watching hosts whose calls get no answer.
+	deaf map[string]bool
+}
+
+// clusterNode is one start of a control host.
+type clusterNode struct {
+	gossiper  *gossiper.Gossiper
+	publisher *publisher.Publisher
+	killed    bool
+}
+
+func newCluster(t *testing.T, names ...string) *cluster {
+	c := &cluster{t: t, nodes: map[string]*clusterNode{}, watchers: map[string]*Watcher{}, deaf: map[string]bool{}}
+	for _, n := range names {
+		c.nodes[addressOf(n)] = nil
+	}
+	for _, n := range names {
+		c.start(n)
+	}
+	return c
+}
+
+// start starts a control host without a memory.
+func (c *cluster) start(name string) {
+	n := &clusterNode{}
+	self := registrar.Host{
+		Name: registrar.HostName(name), Address: addressOf(name), Cell: "main",
+		Incarnation: registrar.Incarnation(time.Now().UnixNano()), Control: true,
+	}
+	n.gossiper = gossiper.New(self,
+		gossiper.WithSeeds(slices.Collect(maps.Keys(c.nodes))...),
+		gossiper.WithExchanger(clusterExchanger{c, n}),
+		gossiper.WithRegistrarOptions(registrar.WithScope(), registrar.WithLease(clusterLease)),
+		gossiper.WithOnAction(func(a registrar.Action) { n.publisher.Observe(a) }))
+	n.publisher = publisher.New(publisher.Options{Members: n.gossiper, Cell: "main"})
+	c.mu.Lock()
+	c.nodes[addressOf(name)] = n
+	c.mu.Unlock()
+	n.gossiper.Start()
+	n.publisher.Start()
+	c.t.Cleanup(func() {
+		c.setKilled(n)
+		n.publisher.Close()
+		n.gossiper.Close()
+	})
+}
+
+func (c *cluster) setKilled(n *clusterNode) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n.killed = true
+}
+
+// kill ends control hosts without notice.
+func (c *cluster) kill(names ...string) {
+	for _, n := range names {
+		c.setKilled(c.nodes[addressOf(n)])
+	}
+}
+
+// running returns the control host at an address, or nil.
+func (c *cluster) running(address string) *clusterNode {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n := c.nodes[address]; n != nil && !n.killed {
+		return n
+	}
+	return nil
+}
+
+// clusterExchanger carries the exchanges of one control host.
+type clusterExchanger struct {
+	cluster *cluster
+	node    *clusterNode
+}
+
+// Exchange implements gossiper.Exchanger.
+func (e clusterExchanger) Exchange(_ context.Context, address string, q *wire.GossipRequest) (*wire.GossipResponse, error) {
+	e.cluster.mu.Lock()
+	killed := e.node.killed
+	e.cluster.mu.Unlock()
+	n := e.cluster.running(address)
+	if killed || n == nil {
+		return nil, errCut
+	}
+	return n.gossiper.Answer(q)
+}
+
+// Close implements gossiper.Exchanger.
+func (clusterExchanger) Close() {}
+
+// Members implements Caller.
+func (c *cluster) Members(ctx context.Context, address string, q *wire.MembersRequest) (*wire.MembersResponse, error) {
+	c.mu.Lock()
+	deaf := c.deaf[q.GetHost()]
+	c.mu.Unlock()
+	if deaf {
+		return nil, errCut
+	}
+	n := c.running(address)
+	if n == nil {
+		return nil, errCut
+	}
+	a, err := n.publisher.Members(ctx, connect.NewRequest(q))
+	c.mu.Lock()
+	deaf = c.deaf[q.GetHost()]
+	c.mu.Unlock()
+	if err != nil || deaf || c.running(address) != n {
+		return nil, errCut
+	}
+	return a.Msg, nil
+}
+
+// Announce implements Caller.
+func (c *cluster) Announce(context.Context, string, *wire.AnnounceRequest) (*wire.AnnounceResponse, error) {
+	return nil, errCut
+}
+
+// Close implements Caller.
+func (c *cluster) Close() {}
+
+func (c *cluster) setDeaf(name string, deaf bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deaf[name] = deaf
+}
+
+// watch starts a host that watches.
+func (c *cluster) watch(name string) *Watcher {
+	self := registrar.Host{Name: registrar.HostName(name), Draining: true, Cell: "main"}
+	w := New(self, Options{Seeds: slices.Collect(maps.Keys(c.nodes)), Lease: clusterLease, Caller: c})
+	w.Start()
+	c.t.Cleanup(w.Close)
+	c.watchers[name] = w
+	return w
+}
+
+// announce brings an announcement to a control host, which has to acknowledge it.
+func (c *cluster) announce(name string, u registrar.Upstream) {
+	c.t.Helper()
+	status, reply := c.running(addressOf(name)).gossiper.Announce(u)
+	assert.Equal(c.t, status, http.StatusOK, reply.Reason)
+}
+
+// lists names the running hosts whose view lists the upstream.
+func (c *cluster) lists(id registrar.UpstreamID) []string {
+	var all []string
+	for _, address := range slices.Sorted(maps.Keys(c.nodes)) {
+		if n := c.running(address); n != nil {
+			if _, ok := n.gossiper.Snapshot().Upstream(time.Now(), id); ok {
+				all = append(all, address)
+			}
+		}
+	}
+	for name, w := range c.watchers {
+		if knows(w, id)() {
+			all = append(all, name)
+		}
+	}
+	return all
+}
+
+// spread waits until all hosts list the upstream.
+func (c *cluster) spread(id registrar.UpstreamID) {
+	c.t.Helper()
+	eventually(c.t, "all hosts to list the upstream", 2*startTime, func() bool { return len(c.lists(id)) == len(c.nodes)+len(c.watchers) })
+}
+
+// checkLeft checks that no host lists the upstream later than the bound after its
+// leaving was acknowledged, for as long as a lease may bring it back.
+func (c *cluster) checkLeft(id registrar.UpstreamID, acknowledged time.Time) {
+	c.t.Helper()
+	var last time.Duration
+	var by []string
+	for time.Since(acknowledged) < leaveBound+2*clusterLease {
+		if all := c.lists(id); len(all) > 0 {
+			last, by = time.Since(acknowledged), all
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	assert.Assert(c.t, last <= leaveBound, "listed by %v %s after its leaving was acknowledged", by, last.Round(10*time.Millisecond))
+}
+
+// left is an upstream's word that it leaves.
+func left(u registrar.Upstream) registrar.Upstream {
+	u.Leaving = true
+	u.Sequence++
+	return u
+}
+
+// Guards against an upstream that is used again although it has left: one host knows so,
+// but another one, which missed it, tells the control hosts that have lost their memory.
+func TestLeavingUpstreamStaysOutAfterAllControlHostsRestart(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, "a", "b", "c")
+	c.announce("a", engine("u1"))
+	informed := c.watch("informed")
+	c.watch("late")
+	c.spread("u1")
+	c.setDeaf("late", true)
+	c.announce("a", left(engine("u1")))
+	acknowledged := time.Now()
+	eventually(t, "the leaving to be known", leaveBound, lacks(informed, "u1"))
+	c.kill("a", "b", "c")
+	time.Sleep(downTime)
+	c.setDeaf("late", false)
+	for _, n := range []string{"a", "b", "c"} {
+		c.start(n)
+	}
+	c.checkLeft("u1", acknowledged)
+}
