a failing test of a leaving that is lost with the host that acknowledged it

A control host acknowledges that an upstream leaves as soon as it knows so itself. If it is lost before it has told another host, nobody tells them: an upstream that only says DELETE announces nothing any more. The others use it until its lease ends, 5.6 s after its last announcement:

--- a/internal/member/watcher/leave_test.go
+++ b/internal/member/watcher/leave_test.go
@@ -246,3 +246,21 @@
 	}
 	c.checkLeft("u1", acknowledged)
 }
+
+// Guards against an acknowledgement that only one host knows of: it is lost with that
+// host, and the others use the upstream until its lease ends.
+func TestLeavingIsKnownWhenItsHostIsLost(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, "a", "b", "c")
+	c.announce("b", engine("u1"))
+	c.watch("w1")
+	c.watch("w2")
+	c.spread("u1")
+	renewed := engine("u1")
+	renewed.Sequence++
+	c.announce("b", renewed)
+	c.announce("a", left(renewed))
+	acknowledged := time.Now()
+	c.kill("a")
+	c.checkLeft("u1", acknowledged)
+}
