a failing test of a late announcement after a leaving that was lost

A control host acknowledges that an upstream leaves, is lost before it has told another host, and starts again without a memory. An announcement that was sent before arrives three seconds later at another host and gives the upstream a new lease:

listed by [a:1 b:1 w1] 8.6s after its leaving was acknowledged

--- a/internal/member/watcher/leave_test.go
+++ b/internal/member/watcher/leave_test.go
@@ -27,6 +27,8 @@
 	leaveBound = 3 * time.Second
 	// downTime is how long a host that was killed stays down.
 	downTime = 500 * time.Millisecond
+	// lateTime is how long after the next start a late announcement arrives.
+	lateTime = 2500 * time.Millisecond
 )
 
 // cluster is some control hosts that exchange news, and those that watch them.
@@ -264,3 +266,23 @@
 	c.kill("a")
 	c.checkLeft("u1", acknowledged)
 }
+
+// Guards against a late announcement that brings an upstream back after its leaving was
+// acknowledged by a host that was lost: it counts as a new lease.
+func TestLateAnnouncementAfterLeavingHostIsLost(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, "a", "b", "c")
+	c.announce("b", engine("u1"))
+	c.watch("w1")
+	c.spread("u1")
+	late := engine("u1")
+	late.Sequence++
+	c.announce("a", left(late))
+	acknowledged := time.Now()
+	c.kill("a")
+	time.Sleep(downTime)
+	c.start("a")
+	time.Sleep(lateTime)
+	c.announce("b", late)
+	c.checkLeft("u1", acknowledged)
+}
