gossiper: that an upstream leaves is acknowledged once other hosts keep it

What callers saw: requests to an upstream that had said it was leaving, for up to 5.6 s (the rest of its lease) and with a late announcement for longer, streams cut off when it ended.

Cause: a control host acknowledged a leaving as soon as it knew so itself; the others asked for it 0.2 to 1 s later. Lost or parted in between, it took the only copy along: an upstream doesn't repeat what was acknowledged, and one that only says DELETE announces nothing any more.

Ruled out: that the others hear it in time without the host (nobody else was told); a shorter lease (announcements may be seconds late).

Change: a leaving is told to the other live hosts that may own a cell, at once and in parallel, and acknowledged when as many keep it as may be lost at a time (setting witnesses; the platform's tolerated losses). Otherwise the answer is 503, and the upstream says it to another host. The host that heard it acts on it in either case. A departure that is news is passed on to schedulers and watching hosts also where the upstream was not live.

New: TestLeavingIsAcknowledgedOnceOthersKeepIt.

--- a/internal/daemon/runner/members.go
+++ b/internal/daemon/runner/members.go
@@ -76,6 +76,7 @@
 		gossiper.WithOnAction(e.applyAndTell),
 		gossiper.WithRegistrarOptions(registrar.WithScope(), registrar.WithLease(time.Duration(s.Lease))),
 		gossiper.WithTLS(e.tls),
+		gossiper.WithWitnesses(s.Witnesses),
 	}
 	if e.upstreams != nil {
 		options = append(options, gossiper.WithSecureUpstreams())
--- a/internal/member/gossiper/announce.go
+++ b/internal/member/gossiper/announce.go
@@ -173,9 +173,8 @@
 	return ""
 }
 
-// Announce applies the announcement of an upstream that reached this host. It
-// returns the status of the answer beside its body.
-func (g *Gossiper) Announce(u registrar.Upstream) (int, Reply) {
+// take applies an announcement on this host.
+func (g *Gossiper) take(u registrar.Upstream) (int, Reply) {
 	if u.Cell == "" {
 		u.Cell = g.cell
 	}
--- a/internal/member/gossiper/gossiper.go
+++ b/internal/member/gossiper/gossiper.go
@@ -83,9 +83,12 @@
 	Document(revision uint64) *wire.Revision
 }
 
-// Exchanger makes one exchange with the host at an address.
+// Exchanger makes calls to the host at an address.
 type Exchanger interface {
+	// Exchange makes one exchange.
 	Exchange(ctx context.Context, address string, q *wire.GossipRequest) (*wire.GossipResponse, error)
+	// Announce passes an announcement on.
+	Announce(ctx context.Context, address string, q *wire.AnnounceRequest) (*wire.AnnounceResponse, error)
 	Close()
 }
 
@@ -105,6 +108,8 @@
 	revisions Revisions
 	onAction  func(registrar.Action)
 	options   []registrar.Option
+	// witnesses is how many other hosts keep a departure before it is acknowledged.
+	witnesses int
 
 	mu        sync.Mutex
 	registrar *registrar.Registrar
--- a/internal/member/gossiper/network_test.go
+++ b/internal/member/gossiper/network_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -9,6 +10,7 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/jonboulle/clockwork"
 	"github.com/sourcegraph/conc"
 	"google.golang.org/protobuf/proto"
@@ -133,6 +135,20 @@
 	return throughWire(a, &wire.GossipResponse{}), nil
 }
 
+func (m *memory) Announce(ctx context.Context, address string, q *wire.AnnounceRequest) (*wire.AnnounceResponse, error) {
+	m.mu.Lock()
+	node := m.nodes[address]
+	m.mu.Unlock()
+	if node == nil {
+		return nil, errors.New("no such host")
+	}
+	a, err := node.PassedOn(ctx, connect.NewRequest(throughWire(q, &wire.AnnounceRequest{})))
+	if err != nil {
+		return nil, err
+	}
+	return throughWire(a.Msg, &wire.AnnounceResponse{}), nil
+}
+
 func (m *memory) Close() {}
 
 func throughWire[T proto.Message](from, to T) T {
--- a/internal/member/gossiper/peer.go
+++ b/internal/member/gossiper/peer.go
@@ -23,8 +23,7 @@
 
 // Announcements returns the handler of upstream announcements.
 func (g *Gossiper) Announcements() http.Handler {
-	take := func(_ context.Context, u registrar.Upstream) (int, Reply) { return g.Announce(u) }
-	return NewAnnouncements(take, g.secure, g.log)
+	return NewAnnouncements(g.Announce, g.secure, g.log)
 }
 
 // Gossip answers another host with what its version vector lacks.
@@ -95,17 +94,6 @@
 	}
 }
 
-// PassedOn takes an announcement that another host has received and checked.
-func (g *Gossiper) PassedOn(ctx context.Context, r *connect.Request[wire.AnnounceRequest]) (*connect.Response[wire.AnnounceResponse], error) {
-	if name := authenticator.Named(ctx, authenticator.Entry); name != "" && name != r.Msg.GetHost() {
-		return nil, connect.NewError(connect.CodePermissionDenied, fmt.Errorf("the certificate is that of entry host %s, the message that of %s", name, r.Msg.GetHost()))
-	}
-	status, reply := g.Announce(DecodeUpstream(r.Msg.GetUpstream()).Upstream)
-	return connect.NewResponse(&wire.AnnounceResponse{
-		Status: uint32(status), Accepted: reply.Accepted, Reason: reply.Reason, Known: uint64(reply.Known),
-	}), nil
-}
-
 // Fetch returns a configuration revision that this host has.
 func (g *Gossiper) Fetch(_ context.Context, r *connect.Request[wire.FetchRequest]) (*connect.Response[wire.FetchResponse], error) {
 	if g.revisions != nil {
--- /dev/null
+++ b/internal/member/gossiper/witness.go
@@ -0,0 +1,117 @@
+package gossiper
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/authenticator"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/dialer"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/wire"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/wire/wireconnect"
+)
+
+// witnessTime bounds the wait for the hosts that keep a departure. Upstreams go to
+// another host after a second.
+const witnessTime = 700 * time.Millisecond
+
+// WithWitnesses sets how many other hosts have to keep that an upstream leaves before
+// the upstream is told that it is known. An upstream doesn't say it again after that, so
+// it must outlive this host.
+func WithWitnesses(n int) Option { return func(g *Gossiper) { g.witnesses = n } }
+
+// Announce applies the announcement of an upstream that reached this host. It
+// returns the status of the answer beside its body.
+func (g *Gossiper) Announce(ctx context.Context, u registrar.Upstream) (int, Reply) {
+	status, reply := g.take(u)
+	if !u.Leaving || status != http.StatusOK {
+		return status, reply
+	}
+	if kept := g.tellWitnesses(ctx, u); kept < g.witnesses {
+		g.log.Warn("too few hosts keep that an upstream leaves; it has to say so again",
+			zap.String("upstream", string(u.Name)), zap.Uint64("incarnation", uint64(u.Incarnation)),
+			zap.Int("hosts", kept), zap.Int("wanted", g.witnesses))
+		return http.StatusServiceUnavailable, Reply{Reason: fmt.Sprintf("only %d of %d other hosts could be told", kept, g.witnesses)}
+	}
+	return status, reply
+}
+
+// tellWitnesses tells the other live hosts that an upstream leaves, and returns how many
+// keep it once they are enough, all have answered or the time has passed.
+func (g *Gossiper) tellWitnesses(ctx context.Context, u registrar.Upstream) int {
+	if g.witnesses == 0 {
+		return 0
+	}
+	self := g.self()
+	q := &wire.AnnounceRequest{Host: string(self.Name), Upstream: EncodeUpstream(registrar.News{Upstream: u}), Witness: true}
+	ctx, cancel := context.WithTimeout(ctx, witnessTime)
+	answers := make(chan bool, len(g.Snapshot().Hosts()))
+	asked := 0
+	var group conc.WaitGroup
+	for _, h := range g.Snapshot().Hosts() {
+		if h.Address == "" || h.Name == self.Name || asked == cap(answers) {
+			continue
+		}
+		asked++
+		group.Go(func() { answers <- g.tellWitness(ctx, h.Address, q) })
+	}
+	kept := 0
+	for ; asked > 0 && kept < g.witnesses; asked-- {
+		if <-answers {
+			kept++
+		}
+	}
+	cancel()
+	group.Wait()
+	return kept
+}
+
+// tellWitness reports whether the host keeps the departure.
+func (g *Gossiper) tellWitness(ctx context.Context, address string, q *wire.AnnounceRequest) bool {
+	a, err := g.exchanger.Announce(ctx, address, q)
+	if err != nil {
+		g.log.Debug("A host was not told that an upstream leaves.", zap.String("address", address), zap.Error(err))
+		return false
+	}
+	// A host that knows of a later process has no need of it.
+	return a.GetStatus() == http.StatusOK || a.GetStatus() == http.StatusConflict
+}
+
+// self describes this host.
+func (g *Gossiper) self() registrar.Host {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.registrar.Self().Host
+}
+
+// PassedOn takes an announcement that another host has received and checked.
+func (g *Gossiper) PassedOn(ctx context.Context, r *connect.Request[wire.AnnounceRequest]) (*connect.Response[wire.AnnounceResponse], error) {
+	if name := authenticator.Named(ctx, authenticator.Entry); name != "" && name != r.Msg.GetHost() {
+		return nil, connect.NewError(connect.CodePermissionDenied, fmt.Errorf("the certificate is that of entry host %s, the message that of %s", name, r.Msg.GetHost()))
+	}
+	take := g.Announce
+	if r.Msg.GetWitness() {
+		take = func(_ context.Context, u registrar.Upstream) (int, Reply) { return g.take(u) }
+	}
+	status, reply := take(ctx, DecodeUpstream(r.Msg.GetUpstream()).Upstream)
+	return connect.NewResponse(&wire.AnnounceResponse{
+		Status: uint32(status), Accepted: reply.Accepted, Reason: reply.Reason, Known: uint64(reply.Known),
+	}), nil
+}
+
+// Announce passes an announcement on. The call isn't made again when it fails: the
+// upstream goes to another host then.
+func (c *caller) Announce(ctx context.Context, address string, q *wire.AnnounceRequest) (*wire.AnnounceResponse, error) {
+	client := wireconnect.NewPeerClient(c.clients.Client(address), dialer.URL(address), dialer.Options()...)
+	a, err := client.Announce(ctx, connect.NewRequest(q))
+	if err != nil {
+		return nil, fmt.Errorf("announce an upstream to %s: %w", address, err)
+	}
+	return a.Msg, nil
+}
--- /dev/null
+++ b/internal/member/gossiper/witness_test.go
@@ -0,0 +1,78 @@
+package gossiper_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"github.com/amaranthcart/amaranthcart/internal/member/gossiper"
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+)
+
+// Guards against an upstream that is told that its leaving is known while only one host
+// knows it: lost with that host, it is used until its lease ends.
+func TestLeavingIsAcknowledgedOnceOthersKeepIt(t *testing.T) {
+	cases := []struct {
+		name string
+		// lost is the number of the other hosts that can't be reached.
+		lost, witnesses int
+		status          int
+	}{
+		{"all reachable", 0, 2, http.StatusOK},
+		{"as many lost as may be", 2, 2, http.StatusOK},
+		{"one more lost", 3, 2, http.StatusServiceUnavailable},
+		{"alone, without witnesses", 4, 0, http.StatusOK},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			m := &memory{nodes: map[string]*gossiper.Gossiper{}}
+			clock := clockwork.NewFakeClock()
+			var all []*gossiper.Gossiper
+			for i := range 5 {
+				name := fmt.Sprint("host-", i)
+				g := gossiper.New(registrar.Host{Name: registrar.HostName(name), Address: name, Incarnation: 1},
+					gossiper.WithExchanger(m), gossiper.WithClock(clock), gossiper.WithWitnesses(c.witnesses))
+				defer g.Close()
+				m.nodes[name] = g
+				all = append(all, g)
+			}
+			u := registrar.Upstream{Name: "hay", Address: "127.0.0.1:9", Incarnation: 3, Sequence: 1, Cell: "main"}
+			status, _ := all[1].Announce(t.Context(), u)
+			assert.Equal(t, status, http.StatusOK, "an upstream that doesn't leave needs no witness")
+			for range 3 {
+				for _, g := range all {
+					for i := range all {
+						g.Exchange(t.Context(), fmt.Sprint("host-", i))
+					}
+				}
+			}
+			m.mu.Lock()
+			for i := range c.lost {
+				delete(m.nodes, fmt.Sprint("host-", 4-i))
+			}
+			m.mu.Unlock()
+			u.Leaving = true
+			status, _ = all[0].Announce(t.Context(), u)
+			assert.Equal(t, status, c.status)
+			kept := 0
+			for _, g := range all[1:] {
+				if _, live := g.Snapshot().Upstream(clock.Now(), "hay"); !live {
+					kept++
+				}
+			}
+			assert.Assert(t, status != http.StatusOK || kept >= c.witnesses, "%d other hosts keep it", kept)
+			_, live := all[0].Snapshot().Upstream(clock.Now(), "hay")
+			assert.Assert(t, !live, "the host that heard it acts on it at once")
+			for i := range all {
+				m.mu.Lock()
+				m.nodes[fmt.Sprint("host-", i)] = all[i]
+				m.mu.Unlock()
+			}
+			status, _ = all[2].Announce(t.Context(), u)
+			assert.Equal(t, status, http.StatusOK, "the upstream says it again")
+		})
+	}
+}
--- a/internal/member/registrar/event.go
+++ b/internal/member/registrar/event.go
@@ -47,10 +47,17 @@
 	Remaining time.Duration
 }
 
+// Depart brings departures that were not announced to this host: what an upstream said
+// of itself in an answer, or what another host knew before this one started.
+type Depart struct {
+	Departures []Departure
+}
+
 // Tick lets time pass.
 type Tick struct{}
 
 func (Restore) event()  {}
+func (Depart) event()   {}
 func (Announce) event() {}
 func (Merge) event()    {}
 func (Hear) event()     {}
@@ -67,7 +74,8 @@
 	Until time.Time
 }
 
-// Removed tells that an upstream takes no new work.
+// Removed tells that an upstream takes no new work. One that leaves is also told of when
+// it was not live here: another host may take it for live.
 type Removed struct {
 	UpstreamID  UpstreamID
 	Incarnation Incarnation
--- a/internal/member/registrar/registrar.go
+++ b/internal/member/registrar/registrar.go
@@ -178,6 +178,8 @@
 		r.hear(now, e.Heard)
 	case Restore:
 		r.restore(now, e)
+	case Depart:
+		r.depart(now, e.Departures)
 	case Describe:
 		r.describe(e)
 	case Tick:
@@ -292,6 +294,22 @@
 	r.fresh = true
 }
 
+// depart takes departures from where they were heard. They are final whatever else is
+// under way, and go to the other hosts as announcements do.
+func (r *Registrar) depart(now time.Time, list []Departure) {
+	for _, d := range list {
+		if d.UpstreamID == "" || d.Incarnation == 0 || !d.Leaving {
+			continue
+		}
+		r.version++
+		stamp := Stamp{Origin: r.key, Version: r.version}
+		gone := Upstream{Name: d.UpstreamID, Incarnation: d.Incarnation, Leaving: true}
+		if why := r.apply(now, News{Upstream: gone, Stamp: stamp, Described: stamp}, now); why == "" {
+			r.fresh = true
+		}
+	}
+}
+
 // serves tells whether the host still counts in vectors. The description of an
 // upstream gets a new stamp once the old origin is dead, since hosts that don't
 // list the origin would be sent the description in every exchange.
@@ -339,10 +357,8 @@
 	u.stamp, u.described = n.Stamp, n.Described
 	u.slot.store(&Entry{Upstream: n.Upstream, Until: until})
 	switch {
-	case n.Upstream.Leaving && live:
-		r.remove(now, u, n.Upstream)
 	case n.Upstream.Leaving:
-		u.gone = now
+		r.remove(now, u, n.Upstream)
 	default:
 		r.dirty = r.dirty || !live
 		u.gone = time.Time{}
--- a/internal/settings/loader/load.go
+++ b/internal/settings/loader/load.go
@@ -198,6 +198,7 @@
 			p.Check(m.Address == s.Advertise, at+".address", m.Address, "this host's own address, "+s.Advertise)
 		}
 	}
+	p.Check(s.Witnesses >= 0 && s.Witnesses < maxGroup, "$.witnesses", s.Witnesses, fmt.Sprintf("0 to %d", maxGroup-1))
 	p.Check(s.Voters >= 0 && s.Voters <= maxGroup, "$.voters", s.Voters, fmt.Sprintf("0 (the hosts in bootstrap) to %d", maxGroup))
 	if _, ok := names[s.Name]; !ok && s.Plays(Control) && s.Voters == 0 {
 		p.Add("$.control", fmt.Sprintf("no entry named %q", s.Name), "an entry for this host, because it has the role control")
--- a/internal/settings/loader/settings.go
+++ b/internal/settings/loader/settings.go
@@ -80,6 +80,9 @@
 	// hosts in Control are only where the group is looked for, and hosts that are
 	// not listed may join it; no change is accepted before it has its voters.
 	Voters int `json:"voters,omitempty"`
+	// Witnesses is how many other hosts that may own a cell have to know that an
+	// upstream leaves before the upstream is told that it is known.
+	Witnesses int `json:"witnesses,omitempty"`
 	// Scheduler is the role of the hosts that own cells.
 	Scheduler Role `json:"scheduler,omitempty"`
 	// Lease is how long an upstream's announcement counts; the same on all
