a failing test of a control host that isn't told what has left before it restarted

Departures are passed on for 10 s, and after that only to hosts that ask for everything. A host that has restarted asks with its own version, so that it counts as one that has seen the departures:

the upstream is back on the host that has restarted

A late announcement there gives the upstream a new lease; the other hosts know better, but the hosts that watch this one, and the cell if this one owns it, use the upstream.

--- a/internal/member/registrar/registrar_test.go
+++ b/internal/member/registrar/registrar_test.go
@@ -273,3 +273,23 @@
 		assert.Assert(t, times[len(times)-1] <= 2*time.Second, "%d hosts: %v", hosts, times)
 	}
 }
+
+// Guards against a host that has restarted, doesn't learn that an upstream left a while
+// ago, and takes it back when an announcement comes late.
+func TestRestartedHostLearnsWhatHasLeft(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	u := registrar.Upstream{Name: "hay", Address: "a:1", Incarnation: 1, Sequence: 1}
+	a := registrar.New(now, registrar.Host{Name: "a", Address: "a", Incarnation: 1})
+	a.Step(now, registrar.Announce{Upstream: u})
+	gone := u
+	gone.Leaving = true
+	a.Step(now, registrar.Announce{Upstream: gone})
+	now = now.Add(registrar.Relay + time.Second)
+	a.Step(now, registrar.Tick{})
+	b := registrar.New(now, registrar.Host{Name: "b", Address: "b", Incarnation: 2})
+	b.Step(now, registrar.Merge{From: "a", Began: now, Update: a.Update(now, b.Vector())})
+	u.Sequence++
+	b.Step(now, registrar.Announce{Upstream: u})
+	_, ok := b.Snapshot().Upstream(now, "hay")
+	assert.Assert(t, !ok, "the upstream is back on the host that has restarted")
+}
