a failing test of a mirror that takes an upstream back that has left

A mirror drops the record of an upstream that leaves, so that nothing says no when it follows another host next, whose view is older:

TestMirrorRemembersDepartures: [a b] where [b] is wanted

--- a/internal/member/registrar/mirror_test.go
+++ b/internal/member/registrar/mirror_test.go
@@ -166,3 +166,15 @@
 	m.Take(mirrorStart.Add(30*time.Second), Copy{Began: mirrorStart.Add(30 * time.Second)})
 	assert.Equal(t, m.Snapshot().Fleet(), 91)
 }
+
+// Guards against a watching host that forgets that an upstream has left: it takes it back
+// from a host that hasn't heard so.
+func TestMirrorRemembersDepartures(t *testing.T) {
+	m := NewMirror(mirrorStart, Host{Name: "self"}, mirrorLease)
+	m.Take(mirrorStart, Copy{Began: mirrorStart, Full: true, Changed: []Upstream{live("a", 1), live("b", 1)}})
+	m.Take(mirrorStart, Copy{Began: mirrorStart, Departures: []Departure{{UpstreamID: "a", Incarnation: 1, Leaving: true}}})
+	m.Take(mirrorStart, Copy{Began: mirrorStart, Full: true, Changed: []Upstream{live("a", 1), live("b", 1)}})
+	assert.DeepEqual(t, names(m.Snapshot(), mirrorStart), []string{"b"})
+	m.Take(mirrorStart, Copy{Began: mirrorStart, Changed: []Upstream{live("a", 2)}})
+	assert.DeepEqual(t, names(m.Snapshot(), mirrorStart), []string{"a", "b"})
+}
