a failing test of leases that a restart of the control hosts makes longer

A mirror has one lease for all upstreams, which each exchange renews. The list that it brings to a control host without a memory carries that one, so that an upstream that has been silent for nearly a lease gets a whole one again:

1 (int) != 0 (int): the upstream has been silent for a lease and is listed

--- a/internal/member/registrar/mirror_test.go
+++ b/internal/member/registrar/mirror_test.go
@@ -178,3 +178,22 @@
 	m.Take(mirrorStart, Copy{Began: mirrorStart, Changed: []Upstream{live("a", 2)}})
 	assert.DeepEqual(t, names(m.Snapshot(), mirrorStart), []string{"a", "b"})
 }
+
+// Guards against leases that grow with each restart of the control hosts: an upstream
+// that has been silent for nearly a lease must not get a whole one.
+func TestRestoreKeepsLeases(t *testing.T) {
+	at := func(d time.Duration) time.Time { return mirrorStart.Add(d) }
+	const left = 500 * time.Millisecond
+	a := New(mirrorStart, Host{Name: "a", Incarnation: 1}, WithLease(mirrorLease))
+	a.Step(mirrorStart, Announce{live("silent", 1)})
+	m := NewMirror(mirrorStart, Host{Name: "self"}, mirrorLease)
+	m.Take(mirrorStart, Copy{Began: mirrorStart, Full: true, Changed: a.Snapshot().Upstreams(mirrorStart)})
+	asked := at(mirrorLease - left)
+	m.Take(asked, Copy{Began: asked})
+	b := New(asked, Host{Name: "a", Incarnation: 2}, WithLease(mirrorLease))
+	list, remaining := m.Roster(asked)
+	b.Step(asked, Restore{Upstreams: list, Began: asked, Remaining: remaining})
+	end := at(mirrorLease)
+	b.Step(end, Tick{})
+	assert.Equal(t, len(names(b.Snapshot(), end)), 0, "the upstream has been silent for a lease and is listed")
+}
