platform: a leaving names the process that it is of, and is kept where nobody lists it

What callers saw: requests to an upstream whose DELETE had been acknowledged, and none to one that had started anew while a DELETE of its last start came late.

Cause: DELETE has no body on the wire, and the host looked the process up in its own live view. Where that lacked it (a host that has restarted, an upstream announced elsewhere, a lease that has just ended) the call was answered with 200 and nothing was kept. A body that named an earlier start than the known one took the known one out.

What remains: a late DELETE without a body is taken for the latest process.

--- a/internal/member/gossiper/witness.go
+++ b/internal/member/gossiper/witness.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -19,7 +20,10 @@
 
 // witnessTime bounds the wait for the hosts that keep a departure. Upstreams go to
 // another host after a second.
-const witnessTime = 700 * time.Millisecond
+const witnessTime = 600 * time.Millisecond
+
+// knownTime bounds the question which process of an upstream other hosts know.
+const knownTime = 200 * time.Millisecond
 
 // WithWitnesses sets how many other hosts have to keep that an upstream leaves before
 // the upstream is told that it is known. An upstream doesn't say it again after that, so
@@ -45,42 +49,70 @@
 // tellWitnesses tells the other live hosts that an upstream leaves, and returns how many
 // keep it once they are enough, all have answered or the time has passed.
 func (g *Gossiper) tellWitnesses(ctx context.Context, u registrar.Upstream) int {
+	kept := 0
 	if g.witnesses == 0 {
-		return 0
+		return kept
+	}
+	ctx, cancel := context.WithTimeout(ctx, witnessTime)
+	defer cancel()
+	g.passOn(ctx, u, func(a *wire.AnnounceResponse) bool {
+		// A host that knows of a later process has no need of it.
+		if a.GetStatus() == http.StatusOK || a.GetStatus() == http.StatusConflict {
+			kept++
+		}
+		return kept >= g.witnesses
+	})
+	return kept
+}
+
+// Known returns the latest process of an upstream that this host or, if it knows none,
+// another live host has heard of, whether or not it is live; 0 when there is none.
+func (g *Gossiper) Known(ctx context.Context, id registrar.UpstreamID) registrar.Incarnation {
+	// Hosts answer an announcement that names no process with the one that they know.
+	u := registrar.Upstream{Name: id, Leaving: true, Cell: g.cell}
+	_, reply := g.take(u)
+	known := reply.Known
+	if known > 0 {
+		return known
 	}
+	ctx, cancel := context.WithTimeout(ctx, knownTime)
+	defer cancel()
+	g.passOn(ctx, u, func(a *wire.AnnounceResponse) bool {
+		known = max(known, registrar.Incarnation(a.GetKnown()))
+		return false
+	})
+	return known
+}
+
+// passOn passes an announcement on to the other live hosts at once, and their answers to
+// the function until it returns true.
+func (g *Gossiper) passOn(ctx context.Context, u registrar.Upstream, enough func(*wire.AnnounceResponse) bool) {
 	self := g.self()
 	q := &wire.AnnounceRequest{Host: string(self.Name), Upstream: EncodeUpstream(registrar.News{Upstream: u}), Witness: true}
-	ctx, cancel := context.WithTimeout(ctx, witnessTime)
-	answers := make(chan bool, len(g.Snapshot().Hosts()))
-	asked := 0
+	others := slices.DeleteFunc(g.Snapshot().Hosts(), func(h registrar.Host) bool { return h.Address == "" || h.Name == self.Name })
+	ctx, cancel := context.WithCancel(ctx)
+	answers := make(chan *wire.AnnounceResponse, len(others))
 	var group conc.WaitGroup
-	for _, h := range g.Snapshot().Hosts() {
-		if h.Address == "" || h.Name == self.Name || asked == cap(answers) {
-			continue
-		}
-		asked++
-		group.Go(func() { answers <- g.tellWitness(ctx, h.Address, q) })
+	defer group.Wait()
+	defer cancel()
+	for _, h := range others {
+		group.Go(func() { answers <- g.passOnTo(ctx, h.Address, q) })
 	}
-	kept := 0
-	for ; asked > 0 && kept < g.witnesses; asked-- {
-		if <-answers {
-			kept++
+	for range others {
+		if a := <-answers; a != nil && enough(a) {
+			return
 		}
 	}
-	cancel()
-	group.Wait()
-	return kept
 }
 
-// tellWitness reports whether the host keeps the departure.
-func (g *Gossiper) tellWitness(ctx context.Context, address string, q *wire.AnnounceRequest) bool {
+// passOnTo returns the answer of one host, or nil.
+func (g *Gossiper) passOnTo(ctx context.Context, address string, q *wire.AnnounceRequest) *wire.AnnounceResponse {
 	a, err := g.exchanger.Announce(ctx, address, q)
 	if err != nil {
-		g.log.Debug("A host was not told that an upstream leaves.", zap.String("address", address), zap.Error(err))
-		return false
+		g.log.Debug("An announcement was not passed on.", zap.String("address", address), zap.Error(err))
+		return nil
 	}
-	// A host that knows of a later process has no need of it.
-	return a.GetStatus() == http.StatusOK || a.GetStatus() == http.StatusConflict
+	return a
 }
 
 // self describes this host.
--- a/internal/member/gossiper/witness_test.go
+++ b/internal/member/gossiper/witness_test.go
@@ -76,3 +76,31 @@
 		})
 	}
 }
+
+// Guards against a leaving that names no process and reaches a host which hasn't heard of
+// the upstream: it would be acknowledged, and the others would go on.
+func TestLeavingAtAnUninformedHost(t *testing.T) {
+	m := &memory{nodes: map[string]*gossiper.Gossiper{}}
+	clock := clockwork.NewFakeClock()
+	node := func(name string) *gossiper.Gossiper {
+		g := gossiper.New(registrar.Host{Name: registrar.HostName(name), Address: name, Incarnation: 1},
+			gossiper.WithExchanger(m), gossiper.WithClock(clock), gossiper.WithWitnesses(1))
+		t.Cleanup(g.Close)
+		m.nodes[name] = g
+		return g
+	}
+	a, b := node("a"), node("b")
+	for range 2 {
+		a.Exchange(t.Context(), "b")
+		b.Exchange(t.Context(), "a")
+	}
+	status, _ := b.Announce(t.Context(), registrar.Upstream{Name: "hay", Address: "127.0.0.1:9", Incarnation: 3, Sequence: 1})
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, a.Known(t.Context(), "hay"), registrar.Incarnation(3))
+	assert.Equal(t, a.Known(t.Context(), "straw"), registrar.Incarnation(0))
+	status, _ = a.Announce(t.Context(), registrar.Upstream{Name: "hay", Incarnation: 3, Leaving: true})
+	assert.Equal(t, status, http.StatusOK)
+	_, live := b.Snapshot().Upstream(clock.Now(), "hay")
+	assert.Assert(t, !live)
+	assert.Equal(t, a.Known(t.Context(), "hay"), registrar.Incarnation(3), "it is known after it has left")
+}
