registrar: a host that has started learns what left more than ten seconds ago

What callers saw: an upstream that had left came back on a control host that had restarted, by an announcement that was seconds late, and got requests.

Cause: departures are passed on for ten seconds, and after that only to hosts that ask for everything. A host that has started doesn't ask so: its vector holds itself, and hosts it has heard of with version 0.

Change: a host that has no news of the answering one yet is told all departures that are kept (ten minutes).

Before: TestRestartedHostLearnsWhatHasLeft 'the upstream is back on the host that has restarted'.

--- a/internal/member/registrar/registrar.go
+++ b/internal/member/registrar/registrar.go
@@ -30,8 +30,8 @@
 	// this bounds only announcements that were delayed on their way.
 	Retention = 10 * time.Minute
 	// Relay is how long departures are passed on, other than to hosts that ask
-	// for everything. Any host that missed them for so long has seen the lease
-	// end.
+	// for everything or have no news of this one yet. Any other host that missed
+	// them for so long has seen the lease end.
 	Relay = 10 * time.Second
 	// HostRetention is how long a dead entry host stays in the vector.
 	HostRetention = time.Minute
@@ -462,6 +462,7 @@
 // everything.
 func (r *Registrar) Update(now time.Time, known Vector) Update {
 	r.fresh = false
+	met := known[r.key] > 0
 	u := Update{Vector: r.Vector(), Heard: r.Heard()}
 	if known[r.key] < r.described {
 		u.Hosts = append(u.Hosts, HostNews{Host: r.self, Described: r.described})
@@ -477,7 +478,7 @@
 		remaining := e.Until.Sub(now)
 		switch {
 		case e.Upstream.Leaving:
-			if len(known) > 0 && now.Sub(c.gone) > Relay {
+			if met && now.Sub(c.gone) > Relay {
 				continue
 			}
 		case remaining <= 0 || !c.gone.IsZero():
--- a/internal/member/registrar/registrar_test.go
+++ b/internal/member/registrar/registrar_test.go
@@ -287,6 +287,8 @@
 	now = now.Add(registrar.Relay + time.Second)
 	a.Step(now, registrar.Tick{})
 	b := registrar.New(now, registrar.Host{Name: "b", Address: "b", Incarnation: 2})
+	// It may have heard of the other host before it has any news of it.
+	b.Step(now, registrar.Hear{Hosts: []registrar.HostNews{a.Self()}})
 	b.Step(now, registrar.Merge{From: "a", Began: now, Update: a.Update(now, b.Vector())})
 	u.Sequence++
 	b.Step(now, registrar.Announce{Upstream: u})
