registrar: a watching host remembers what has left

What callers saw: an entry host that knew of a leaving used the upstream again after it had changed the host that it watches.

Cause: a departure deleted the entry of the mirror and left nothing behind. The next host's whole view was taken as it is, also where it lacked the news that this host had before.

Change: departures of upstreams that leave are kept as long as the registrars keep theirs, by process. A process that is known to leave doesn't come back with any copy; a later one does. One that leaves is told of also when it wasn't live here.

Before: TestMirrorRemembersDepartures lists a and b where b is right. The case 'another host that knows the earlier process only' of TestMirror is unchanged: an earlier process that nobody said to leave is still taken.

--- a/internal/member/registrar/mirror.go
+++ b/internal/member/registrar/mirror.go
@@ -42,6 +42,8 @@
 	upstreams map[UpstreamID]*slot
 	hosts     map[HostName]Host
 	horizon   *horizon
+	// departed holds the upstreams that have left, whichever host has told so.
+	departed map[UpstreamID]departed
 	// watchers is the largest number of watching hosts that was told lately, and told
 	// when that was last.
 	watchers int
@@ -52,11 +54,18 @@
 	actions []Action
 }
 
+// departed is the last process of an upstream that is known to leave, and when that was
+// heard here.
+type departed struct {
+	incarnation Incarnation
+	at          time.Time
+}
+
 // NewMirror makes the mirror of the host self.
 func NewMirror(now time.Time, self Host, lease time.Duration) *Mirror {
 	m := &Mirror{
 		self: self, lease: lease, upstreams: map[UpstreamID]*slot{}, hosts: map[HostName]Host{},
-		horizon: &horizon{}, ended: true,
+		horizon: &horizon{}, departed: map[UpstreamID]departed{}, ended: true,
 	}
 	m.horizon.set(now)
 	m.publish(now)
@@ -77,15 +86,12 @@
 		m.horizon.set(until)
 	}
 	m.ended = false
-	changed := false
+	changed := m.departAll(now, c.Departures)
 	for _, u := range c.Changed {
 		changed = m.change(u, until, c.Full) || changed
 	}
-	for _, d := range c.Departures {
-		changed = m.depart(d) || changed
-	}
 	if c.Full {
-		changed = m.retain(c.Changed) || changed
+		changed = m.retain(now, c.Changed) || changed
 	}
 	if c.Hosts != nil {
 		changed = m.replaceHosts(c.Hosts) || changed
@@ -113,11 +119,30 @@
 		return nil
 	}
 	m.ended = true
-	m.retain(nil)
+	m.retain(now, nil)
 	m.publish(now)
 	return m.actions
 }
 
+// Depart takes departures that another way than the followed host has brought.
+func (m *Mirror) Depart(now time.Time, list []Departure) []Action {
+	m.actions = nil
+	if m.departAll(now, list) {
+		m.publish(now)
+	}
+	return m.actions
+}
+
+// Departures lists the upstreams that are known to leave.
+func (m *Mirror) Departures(now time.Time) []Departure {
+	m.forget(now)
+	list := make([]Departure, 0, len(m.departed))
+	for id, d := range m.departed {
+		list = append(list, Departure{UpstreamID: id, Incarnation: d.incarnation, Leaving: true})
+	}
+	return list
+}
+
 // Roster lists the live upstreams and what is left of their lease.
 func (m *Mirror) Roster(now time.Time) ([]Upstream, time.Duration) {
 	left := m.horizon.get().Sub(now)
@@ -128,8 +153,12 @@
 }
 
 // change notes a live upstream and reports whether it is new. News of an earlier process
-// counts only from a host that tells everything: what follows refers to that.
+// counts only from a host that tells everything: what follows refers to that. A process
+// that is known to leave doesn't come back with a host that hasn't heard so.
 func (m *Mirror) change(u Upstream, until time.Time, full bool) bool {
+	if d, ok := m.departed[u.Name]; ok && u.Incarnation <= d.incarnation {
+		return false
+	}
 	s := m.upstreams[u.Name]
 	known := s != nil
 	if known && !full && s.load().Upstream.Incarnation > u.Incarnation {
@@ -144,19 +173,52 @@
 	return !known
 }
 
-func (m *Mirror) depart(d Departure) bool {
+// departAll notes departures and reports whether any concerned a live upstream.
+func (m *Mirror) departAll(now time.Time, list []Departure) bool {
+	changed := false
+	for _, d := range list {
+		changed = m.depart(now, d) || changed
+	}
+	return changed
+}
+
+// depart notes a departure and reports whether the upstream was live. One that leaves is
+// told of also when it was not: the owner of the cell may take it for live.
+func (m *Mirror) depart(now time.Time, d Departure) bool {
+	news := d.Leaving && m.leave(now, d)
 	s := m.upstreams[d.UpstreamID]
-	if s == nil || s.load().Upstream.Incarnation > d.Incarnation {
+	live := s != nil && s.load().Upstream.Incarnation <= d.Incarnation
+	if live {
+		delete(m.upstreams, d.UpstreamID)
+	}
+	if live || news {
+		m.actions = append(m.actions, Removed(d))
+	}
+	return live
+}
+
+// leave notes the process that leaves and reports whether that is news.
+func (m *Mirror) leave(now time.Time, d Departure) bool {
+	if known, ok := m.departed[d.UpstreamID]; ok && known.incarnation >= d.Incarnation {
 		return false
 	}
-	delete(m.upstreams, d.UpstreamID)
-	m.actions = append(m.actions, Removed(d))
+	m.forget(now)
+	m.departed[d.UpstreamID] = departed{d.Incarnation, now}
 	return true
 }
 
+// forget drops departures that nothing on its way is older than.
+func (m *Mirror) forget(now time.Time) {
+	for id, d := range m.departed {
+		if now.Sub(d.at) > Retention {
+			delete(m.departed, id)
+		}
+	}
+}
+
 // retain drops the upstreams that are not in the list and reports whether there were
 // any.
-func (m *Mirror) retain(list []Upstream) bool {
+func (m *Mirror) retain(now time.Time, list []Upstream) bool {
 	live := make(map[UpstreamID]bool, len(list))
 	for _, u := range list {
 		live[u.Name] = true
@@ -166,7 +228,7 @@
 		if live[id] {
 			continue
 		}
-		dropped = m.depart(Departure{UpstreamID: id, Incarnation: s.load().Upstream.Incarnation}) || dropped
+		dropped = m.depart(now, Departure{UpstreamID: id, Incarnation: s.load().Upstream.Incarnation}) || dropped
 	}
 	return dropped
 }
