watcher, publisher: departures are brought to control hosts that may not know them

What callers saw: after all control hosts had been killed at the same moment an upstream that had left got requests again, for as long as the lease that it was restored with.

Cause: control hosts keep departures in memory. When they start again they ask the first watching host for the upstreams that it knows; one that had missed a leaving brought the upstream back, and those that knew better weren't asked and took it from the restored view.

Change: a watching host tells the departures that it remembers in its first request to each start of a control host, and whole views carry those that the control host remembers. They are taken whoever comes first (registrar.Depart) and go to the others as announcements do. About 40 bytes a departure, told once to a start.

Before: TestLeavingUpstreamStaysOutAfterAllControlHostsRestart 'listed by [informed late] 5.4s after its leaving was acknowledged', 3 s are allowed.

--- a/internal/member/gossiper/encode.go
+++ b/internal/member/gossiper/encode.go
@@ -179,3 +179,23 @@
 	}
 	return out
 }
+
+// EncodeDepartures writes the ends of upstreams.
+func EncodeDepartures(list []registrar.Departure) []*wire.Departure {
+	all := make([]*wire.Departure, 0, len(list))
+	for _, d := range list {
+		all = append(all, &wire.Departure{Name: string(d.UpstreamID), Incarnation: uint64(d.Incarnation), Leaving: d.Leaving})
+	}
+	return all
+}
+
+// DecodeDepartures reads the ends of upstreams.
+func DecodeDepartures(list []*wire.Departure) []registrar.Departure {
+	all := make([]registrar.Departure, 0, len(list))
+	for _, d := range list {
+		all = append(all, registrar.Departure{
+			UpstreamID: registrar.UpstreamID(d.GetName()), Incarnation: registrar.Incarnation(d.GetIncarnation()), Leaving: d.GetLeaving(),
+		})
+	}
+	return all
+}
--- a/internal/member/gossiper/gossiper.go
+++ b/internal/member/gossiper/gossiper.go
@@ -251,6 +251,9 @@
 // Restore takes the upstreams that another host knew before this one started.
 func (g *Gossiper) Restore(e registrar.Restore) { g.step(e) }
 
+// Depart takes departures that were heard in another way than by an announcement.
+func (g *Gossiper) Depart(list ...registrar.Departure) { g.step(registrar.Depart{Departures: list}) }
+
 func (g *Gossiper) describe(change func(*registrar.Describe)) {
 	g.mu.Lock()
 	s := g.registrar.Self().Host
--- a/internal/member/publisher/fuzz_test.go
+++ b/internal/member/publisher/fuzz_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"connectrpc.com/connect"
 	"google.golang.org/protobuf/proto"
@@ -19,12 +20,17 @@
 
 func (r restorer) Restore(e registrar.Restore) { r.Step(e.Began, e) }
 
+func (r restorer) Depart(list ...registrar.Departure) {
+	r.Step(time.Now(), registrar.Depart{Departures: list})
+}
+
 // Guards against a question that ends the process which gets it.
 func FuzzMembersRequest(f *testing.F) {
 	for _, m := range []*wire.MembersRequest{
 		{Host: "w", Cell: "main", Brief: true},
 		{Host: "w", Cell: "main", Epoch: 1, Number: 1 << 63, Left: true},
 		{Host: "w", Cell: "main", Upstreams: []*wire.Upstream{{Name: "u", Incarnation: 1 << 63, Slots: 1 << 31}, {}}, Remaining: -1 << 62},
+		{Host: "w", Cell: "main", Departures: []*wire.Departure{{Name: "u", Incarnation: 1 << 63, Leaving: true}, {Leaving: true}, {}}},
 	} {
 		data, err := proto.Marshal(m)
 		assert.NilError(f, err)
--- a/internal/member/publisher/journal.go
+++ b/internal/member/publisher/journal.go
@@ -75,12 +75,12 @@
 			a.Upstreams = append(a.Upstreams, gossiper.EncodeUpstream(registrar.News{Upstream: r.upstream}))
 		}
 	}
-	if a.Full {
-		return
-	}
+	var gone []registrar.Departure
 	for _, d := range j.departures {
-		if _, back := j.live[d.UpstreamID]; d.number > known && !back {
-			a.Departures = append(a.Departures, &wire.Departure{Name: string(d.UpstreamID), Incarnation: uint64(d.Incarnation), Leaving: d.Leaving})
+		// Everything that is live drops the others; those that leave are final beyond it.
+		if _, back := j.live[d.UpstreamID]; d.number > known && !back && (d.Leaving || !a.Full) {
+			gone = append(gone, d.Departure)
 		}
 	}
+	a.Departures = gossiper.EncodeDepartures(gone)
 }
--- a/internal/member/publisher/publisher.go
+++ b/internal/member/publisher/publisher.go
@@ -71,6 +71,8 @@
 	Watch(watchers int)
 	// Restore takes upstreams that another host knew before this one started.
 	Restore(e registrar.Restore)
+	// Depart takes departures that another host knows.
+	Depart(list ...registrar.Departure)
 }
 
 // Options configures a Publisher.
@@ -271,6 +273,10 @@
 	if prints := q.GetFingerprints(); len(prints) > 0 && p.options.Fingerprints != nil {
 		p.options.Fingerprints.MergeFingerprints(prints)
 	}
+	if gone := gossiper.DecodeDepartures(q.GetDepartures()); len(gone) > 0 {
+		p.logger.Info("a host has told which upstreams leave", zap.String("host", q.GetHost()), zap.Int("upstreams", len(gone)))
+		p.options.Members.Depart(gone...)
+	}
 	if len(q.GetUpstreams()) > 0 {
 		p.restore(now, q)
 	}
--- a/internal/member/publisher/publisher_test.go
+++ b/internal/member/publisher/publisher_test.go
@@ -22,6 +22,7 @@
 	registrar *registrar.Registrar
 	watchers  int
 	restored  []registrar.Restore
+	departed  []registrar.Departure
 }
 
 func (f *fakeMembers) Snapshot() *registrar.View { return f.registrar.Snapshot() }
@@ -38,6 +39,12 @@
 	f.restored = append(f.restored, e)
 }
 
+func (f *fakeMembers) Depart(list ...registrar.Departure) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.departed = append(f.departed, list...)
+}
+
 // fakeRevisions has a revision that was confirmed some time ago.
 type fakeRevisions struct {
 	gossiper.Revisions
--- a/internal/member/watcher/watcher.go
+++ b/internal/member/watcher/watcher.go
@@ -114,6 +114,8 @@
 	epoch, number uint64
 	// wanted is set when the other host asked for the known upstreams.
 	wanted bool
+	// introduced is the epoch of the other host that has been told all known departures.
+	introduced uint64
 }
 
 // New makes the watcher of the host self.
@@ -255,7 +257,7 @@
 	if err != nil {
 		return err
 	}
-	w.take(began, address, brief, a)
+	w.take(began, address, q, a)
 	w.learn(began, address, a)
 	switch {
 	case brief && len(a.GetHosts()) == 0:
@@ -281,6 +283,9 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.source.address != address || w.source.introduced == 0 {
+		q.Departures = gossiper.EncodeDepartures(w.mirror.Departures(now))
+	}
 	if w.source.address != address {
 		return q
 	}
@@ -301,36 +306,42 @@
 }
 
 // take applies an answer to the mirror.
-func (w *Watcher) take(began time.Time, address string, brief bool, a *wire.MembersResponse) {
-	c := registrar.Copy{Began: began, Full: a.GetFull()}
+func (w *Watcher) take(began time.Time, address string, q *wire.MembersRequest, a *wire.MembersResponse) {
+	c := registrar.Copy{Began: began, Full: a.GetFull(), Departures: gossiper.DecodeDepartures(a.GetDepartures())}
 	for _, h := range a.GetHosts() {
 		c.Hosts = append(c.Hosts, gossiper.DecodeHost(h).Host)
 	}
 	for _, u := range a.GetUpstreams() {
 		c.Changed = append(c.Changed, gossiper.DecodeUpstream(u).Upstream)
 	}
-	for _, d := range a.GetDepartures() {
-		c.Departures = append(c.Departures, registrar.Departure{
-			UpstreamID: registrar.UpstreamID(d.GetName()), Incarnation: registrar.Incarnation(d.GetIncarnation()), Leaving: d.GetLeaving(),
-		})
-	}
 	w.mu.Lock()
 	now := w.clock.Now()
+	introduced := w.introduced(address, q, a)
 	switch {
-	case brief || a.GetIncomplete():
+	case q.GetBrief() || a.GetIncomplete():
 		asked := w.source.wanted && w.source.address == address
-		w.source = source{address: address}
+		w.source = source{address: address, introduced: introduced}
 		_, left := w.mirror.Roster(now)
 		w.source.wanted = a.GetIncomplete() && !asked && left > 0
 		w.queue = append(w.queue, w.mirror.TakeHosts(now, c.Hosts)...)
 	default:
-		w.source = source{address: address, epoch: a.GetEpoch(), number: a.GetNumber()}
+		w.source = source{address: address, epoch: a.GetEpoch(), number: a.GetNumber(), introduced: introduced}
 		w.queue = append(w.queue, w.mirror.Take(now, c)...)
 	}
 	w.mu.Unlock()
 	w.deliver()
 }
 
+// introduced returns the epoch of the answer if that start of the other host knows all
+// departures that this one knows, and 0 otherwise. The caller holds mu.
+func (w *Watcher) introduced(address string, q *wire.MembersRequest, a *wire.MembersResponse) uint64 {
+	told := w.source.address == address && w.source.introduced == a.GetEpoch()
+	if told || len(q.GetDepartures()) > 0 || len(w.mirror.Departures(w.clock.Now())) == 0 {
+		return a.GetEpoch()
+	}
+	return 0
+}
+
 // learn takes what the answer tells of the configuration and of crashes.
 func (w *Watcher) learn(began time.Time, address string, a *wire.MembersResponse) {
 	if prints := a.GetFingerprints(); len(prints) > 0 && w.options.Fingerprints != nil {
--- a/internal/member/watcher/watcher_test.go
+++ b/internal/member/watcher/watcher_test.go
@@ -69,6 +69,13 @@
 	}
 }
 
+// Depart implements publisher.Members.
+func (h *controlHost) Depart(list ...registrar.Departure) {
+	for _, o := range h.fleet.list() {
+		o.take(registrar.Copy{Began: time.Now(), Departures: list})
+	}
+}
+
 func (h *controlHost) take(c registrar.Copy) {
 	h.mu.Lock()
 	actions := h.mirror.Take(time.Now(), c)
