registrar: upstreams that a host brings back get a part of a lease

What callers saw: after all control hosts had been killed, crashed upstreams got requests for a lease (5.6 s) from the restart on.

Cause: a watching host has one lease for all upstreams, which each exchange renews; it was passed on as what is left of the lease of each.

Change: a restored upstream has half a lease at most. A live one announces itself in it: that is 2.8 s where they do so each 1.2 s.

Before: TestRestoredUpstreamsGetPartOfALease lists the crashed upstream at half a lease. After: it passes.

--- a/internal/member/registrar/mirror_test.go
+++ b/internal/member/registrar/mirror_test.go
@@ -147,6 +147,23 @@
 	assert.DeepEqual(t, names(r.Snapshot(), mirrorStart.Add(time.Second)), []string{"newer"})
 }
 
+// Guards against an upstream that crashed before all control hosts started again, and is
+// used for a whole lease more.
+func TestRestoredUpstreamsGetPartOfALease(t *testing.T) {
+	r := New(mirrorStart, Host{Name: "self", Incarnation: 1}, WithLease(mirrorLease))
+	r.Step(mirrorStart, Restore{Upstreams: []Upstream{live("crashed", 1), live("live", 1)}, Began: mirrorStart, Remaining: mirrorLease})
+	renewed := live("live", 1)
+	renewed.Sequence++
+	end := mirrorStart.Add(mirrorLease / 2)
+	for t := mirrorStart; t.Before(end); t = t.Add(Stall / 2) {
+		r.Step(t, Tick{})
+	}
+	r.Step(end.Add(-time.Millisecond), Announce{renewed})
+	assert.DeepEqual(t, names(r.Snapshot(), end.Add(-time.Millisecond)), []string{"crashed", "live"})
+	r.Step(end, Tick{})
+	assert.DeepEqual(t, names(r.Snapshot(), end), []string{"live"})
+}
+
 // Guards against hosts that each take a large part of the upstreams' slots and of the
 // retries for their own, because all control hosts have started again and count those
 // that watch from 0.
--- a/internal/member/registrar/registrar.go
+++ b/internal/member/registrar/registrar.go
@@ -278,7 +278,9 @@
 }
 
 // restore takes upstreams from a host that knew them before. Announcements of them
-// may have arrived since; those are newer.
+// may have arrived since; those are newer. That host doesn't know how old the last
+// announcement of each is, so that they get a part of a lease, in which a live one
+// announces itself.
 func (r *Registrar) restore(now time.Time, e Restore) {
 	if now.Before(r.settled) || now.Sub(e.Began) > Stall {
 		return
@@ -289,7 +291,7 @@
 		}
 		r.version++
 		stamp := Stamp{Origin: r.key, Version: r.version}
-		r.apply(now, News{Upstream: u, Stamp: stamp, Described: stamp}, r.until(now, e.Began, e.Remaining))
+		r.apply(now, News{Upstream: u, Stamp: stamp, Described: stamp}, r.until(now, e.Began, min(e.Remaining, r.lease/2)))
 	}
 	r.fresh = true
 }
