a failing test of a late notice that lifts the bar of a newer process

A host keeps one bar for each upstream name. An answer of an earlier process that comes late replaces the bar of the process that has started since and leaves, which is then taken for one that takes work:

0s (time.Duration) != 10m0s (maxBar time.Duration)

--- a/internal/entry/dispatcher/bar_test.go
+++ b/internal/entry/dispatcher/bar_test.go
@@ -141,3 +141,16 @@
 		})
 	}
 }
+
+// Guards against a notice of an earlier process, which came late, in the place of that of
+// the process that leaves now.
+func TestBarOfNewerProcessStays(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	at := func(i registrar.Incarnation) registrar.Upstream { return registrar.Upstream{Name: "u", Incarnation: i} }
+	var b bars
+	b.add(now, Notice{Upstream: at(2), Leaving: true})
+	b.add(now, Notice{Upstream: at(1), Leaving: true})
+	assert.Equal(t, b.left(now, at(2)), maxBar)
+	b.add(now, Notice{Upstream: at(1), Pause: time.Second})
+	assert.Equal(t, b.left(now, at(2)), maxBar)
+}
