a failing test of an upstream whose leaving is known before the upstream

The scheduler notes that an upstream leaves on its record. A new owner of the cell hears so from its hosts before it has heard of the upstream, notes nothing for the other hosts, and grants it to them:

r1>c (string) != r1!unavailable (string)

Breaks no rule, since each host stays away itself; callers lose an attempt.

--- a/internal/policy/scheduler/bar_test.go
+++ b/internal/policy/scheduler/bar_test.go
@@ -117,3 +117,14 @@
 	s.Step(start.Add(leavingTime), Tick{})
 	assert.Equal(t, len(s.bars), 0)
 }
+
+// Guards against a new owner of the cell that hears from one host that an upstream leaves
+// before it has heard of the upstream, and grants it to the others.
+func TestLeavingIsKeptForUnknownUpstream(t *testing.T) {
+	s := barRig(t, 0)
+	s.Step(start, Bar{Host: "h1", Upstream: "c", Incarnation: 1, Leaving: true})
+	s.Step(start, Observe{engine("c", 4)})
+	s.Step(start, Forget{"a"})
+	s.Step(start, Forget{"b"})
+	assert.Equal(t, script(s.Step(start, from("h2", "r1"))), "r1!unavailable")
+}
