a failing test of a leaving that the scheduler forgets with the lease

What an upstream said of its leaving is dropped with the record once its lease ends. If an announcement comes late, the upstream is granted to all hosts but those that it has told:

r1>a (string) != r1!unavailable (string)

--- a/internal/policy/scheduler/bar_test.go
+++ b/internal/policy/scheduler/bar_test.go
@@ -128,3 +128,14 @@
 	s.Step(start, Forget{"b"})
 	assert.Equal(t, script(s.Step(start, from("h2", "r1"))), "r1!unavailable")
 }
+
+// Guards against an upstream that gets work again from hosts that it hasn't told that it
+// leaves, because its lease ended for a moment.
+func TestLeavingOutlivesTheLease(t *testing.T) {
+	s := barRig(t, 0)
+	s.Step(start, Bar{Host: "h1", Upstream: "a", Incarnation: 1, Leaving: true})
+	s.Step(start, Forget{"a"})
+	s.Step(start, Forget{"b"})
+	s.Step(start, Observe{engine("a", 4)})
+	assert.Equal(t, script(s.Step(start, from("h2", "r1"))), "r1!unavailable")
+}
