--- a/internal/policy/scheduler/bar_test.go
+++ b/internal/policy/scheduler/bar_test.go
@@ -117,3 +117,25 @@
 	s.Step(start.Add(leavingTime), Tick{})
 	assert.Equal(t, len(s.bars), 0)
 }
+
+// Guards against a new owner of the cell that hears from one host that an upstream leaves
+// before it has heard of the upstream, and grants it to the others.
+func TestLeavingIsKeptForUnknownUpstream(t *testing.T) {
+	s := barRig(t, 0)
+	s.Step(start, Bar{Host: "h1", Upstream: "c", Incarnation: 1, Leaving: true})
+	s.Step(start, Observe{engine("c", 4)})
+	s.Step(start, Forget{"a"})
+	s.Step(start, Forget{"b"})
+	assert.Equal(t, script(s.Step(start, from("h2", "r1"))), "r1!unavailable")
+}
+
+// Guards against an upstream that gets work again from hosts that it hasn't told that it
+// leaves, because its lease ended for a moment.
+func TestLeavingOutlivesTheLease(t *testing.T) {
+	s := barRig(t, 0)
+	s.Step(start, Bar{Host: "h1", Upstream: "a", Incarnation: 1, Leaving: true})
+	s.Step(start, Forget{"a"})
+	s.Step(start, Forget{"b"})
+	s.Step(start, Observe{engine("a", 4)})
+	assert.Equal(t, script(s.Step(start, from("h2", "r1"))), "r1!unavailable")
+}
