scheduler: that a process leaves outlasts the record of its upstream

What callers saw: requests of other hosts went to an upstream that had told one host in an answer that it leaves, after a change of the owner of the cell or of the upstream's lease.

Cause: the scheduler kept it as a mark on the record of the upstream. A new owner that is told before it has heard of the upstream has no record, and one whose lease ends and begins anew gets another.

Change: the scheduler keeps which process leaves, by name, for as long as the bars of hosts; announcements of that process or an earlier one count as those of one that leaves.

Before: TestLeavingIsKeptForUnknownUpstream and TestLeavingOutlivesTheLease grant the request.

--- a/internal/policy/scheduler/bar.go
+++ b/internal/policy/scheduler/bar.go
@@ -45,6 +45,7 @@
 	}
 	if e.Leaving {
 		e.For = leavingTime
+		s.leave(now, e)
 	}
 	key, next := barKey{e.Host, e.Upstream}, bar{e.Incarnation, now.Add(e.For)}
 	if known := s.bars[key]; known.incarnation > next.incarnation || known.incarnation == next.incarnation && known.until.After(next.until) {
@@ -59,6 +60,20 @@
 	s.refuseBarred(now, u)
 }
 
+// leave notes that a process leaves. That outlasts the record of the upstream, which ends
+// with a lease and may begin after the news.
+func (s *Scheduler) leave(now time.Time, e Bar) {
+	if known, ok := s.left[e.Upstream]; !ok || e.Incarnation >= known.incarnation {
+		s.left[e.Upstream] = bar{e.Incarnation, now.Add(e.For)}
+	}
+}
+
+// hasLeft reports whether the process is known to leave.
+func (s *Scheduler) hasLeft(u registrar.Upstream) bool {
+	known, ok := s.left[u.Name]
+	return ok && u.Incarnation <= known.incarnation
+}
+
 // barLeft is how long the host of a request still has to stay away from the
 // upstream; 0 when it need not.
 func (s *Scheduler) barLeft(now time.Time, u *upstream, r *request) time.Duration {
@@ -129,4 +144,9 @@
 			delete(s.bars, key)
 		}
 	}
+	for id, b := range s.left {
+		if !now.Before(b.until) {
+			delete(s.left, id)
+		}
+	}
 }
--- a/internal/policy/scheduler/scheduler.go
+++ b/internal/policy/scheduler/scheduler.go
@@ -22,7 +22,9 @@
 	requests      map[RequestID]*request
 	interrupted   map[RequestID]interruption
 	bars          map[barKey]bar
-	limits        map[registrar.UpstreamID]*knownLimit
+	// left holds the processes that are known to leave.
+	left   map[registrar.UpstreamID]bar
+	limits map[registrar.UpstreamID]*knownLimit
 	// part is the one of each limit that this scheduler may use.
 	part      float64
 	unsettled bool
@@ -58,6 +60,7 @@
 		requests:      make(map[RequestID]*request),
 		interrupted:   make(map[RequestID]interruption),
 		bars:          make(map[barKey]bar),
+		left:          make(map[registrar.UpstreamID]bar),
 		limits:        make(map[registrar.UpstreamID]*knownLimit),
 		part:          1,
 		hosts:         1,
--- a/internal/policy/scheduler/upstream.go
+++ b/internal/policy/scheduler/upstream.go
@@ -124,6 +124,7 @@
 
 func (s *Scheduler) observe(now time.Time, news registrar.Upstream) {
 	u := s.upstreams[news.Name]
+	news.Leaving = news.Leaving || s.hasLeft(news)
 	switch {
 	case u == nil:
 		u = newUpstream(news)
