dispatcher: a grant for a later process isn't taken for one of the earlier process

What callers saw: a request to an upstream that had started again went to its last address, and what its answer said of itself (leaving, pause, limit) was kept for the last process, so that nobody kept it for the present one.

Cause: a host preferred its own view to the grant, whichever was later.

Change: of both the one with the higher incarnation counts.

Before: TestGrantNamesTheLaterProcess '1 (u.Incarnation) != 2'. After: it passes.

--- a/internal/entry/dispatcher/bar_test.go
+++ b/internal/entry/dispatcher/bar_test.go
@@ -110,6 +110,22 @@
 	waitFor(t, "declined slots freed", func() bool { return all["a"].occupied() == 0 })
 }
 
+// Guards against a grant for a restarted upstream that goes to, and whose answer is taken
+// for one of, the earlier process in the view of this host.
+func TestGrantNamesTheLaterProcess(t *testing.T) {
+	view := &fakeMembership{upstreams: map[registrar.UpstreamID]registrar.Upstream{
+		"a": {Name: "a", Address: "10.0.0.1:1", Incarnation: 1},
+	}}
+	c := &Cell{settings: Settings{Membership: view}}
+	l := &link{}
+	l.granted.Store(registrar.UpstreamID("a"), location{"10.0.0.2:1", 2})
+	c.linked.Store(l)
+	u, ok := c.upstream("a")
+	assert.Assert(t, ok)
+	assert.Equal(t, u.Incarnation, registrar.Incarnation(2))
+	assert.Equal(t, u.Address, "10.0.0.2:1")
+}
+
 func TestBars(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
 	at := func(i registrar.Incarnation) registrar.Upstream { return registrar.Upstream{Name: "u", Incarnation: i} }
--- a/internal/entry/dispatcher/cell.go
+++ b/internal/entry/dispatcher/cell.go
@@ -214,17 +214,18 @@
 	return &c.shards[xxhash.Sum64String(string(id))%ticketShards]
 }
 
-// upstream returns an upstream that was granted. The owner may know it before this
-// host does, and longer.
+// upstream returns an upstream that was granted. The owner may know it, or a later process
+// of it, before this host does, and longer.
 func (c *Cell) upstream(id registrar.UpstreamID) (registrar.Upstream, bool) {
-	if u, ok := c.settings.Membership.Upstream(id); ok {
-		return u, true
-	}
+	u, ok := c.settings.Membership.Upstream(id)
 	if l := c.linked.Load(); l != nil {
-		if u, ok := l.find(id); ok {
-			return u, true
+		if granted, known := l.find(id); known && (!ok || granted.Incarnation > u.Incarnation) {
+			return granted, true
 		}
 	}
+	if ok {
+		return u, true
+	}
 	return c.settings.Local.upstream(id)
 }
 
