dispatcher: a late notice of an earlier process doesn't lift the bar of a later one

What callers saw: requests to an upstream within the time for which it had asked the host to stay away, after a late answer of its last process.

Cause: a notice of any other process replaced the one that was kept.

Change: the notice of a later process counts; of one process leaving, then the longer time.

Before: TestBarOfNewerProcessStays '0s != 10m0s'.

--- a/internal/entry/dispatcher/bar.go
+++ b/internal/entry/dispatcher/bar.go
@@ -54,6 +54,11 @@
 	until       time.Time
 }
 
+// bar returns the entry as the scheduler takes it.
+func (b barEntry) bar(now time.Time, id registrar.UpstreamID) scheduler.Bar {
+	return scheduler.Bar{Upstream: id, Incarnation: b.incarnation, Leaving: b.leaving, For: b.until.Sub(now)}
+}
+
 // left is how long the bar holds for a process of the upstream. A process of which
 // this host knows no incarnation counts as the barred one.
 func (b barEntry) left(now time.Time, i registrar.Incarnation) time.Duration {
@@ -69,21 +74,38 @@
 	if n.Leaving {
 		e.until = now.Add(maxBar)
 	}
+	return b.put(now, n.Upstream.Name, e)
+}
+
+// put notes an entry unless a later process or a longer bar of the same one is known, and
+// reports whether it was noted.
+func (b *bars) put(now time.Time, id registrar.UpstreamID, e barEntry) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	known, ok := b.list[n.Upstream.Name]
-	same := ok && known.incarnation == e.incarnation && now.Before(known.until)
-	if same && (known.leaving || !e.leaving && !e.until.After(known.until)) {
+	if known, ok := b.list[id]; ok && now.Before(known.until) && !e.supersedes(known) {
 		return false
 	}
 	if b.list == nil {
 		b.list = map[registrar.UpstreamID]barEntry{}
 	}
-	b.list[n.Upstream.Name] = e
+	b.list[id] = e
 	b.count.Store(int64(len(b.list)))
 	return true
 }
 
+// supersedes reports whether the entry tells more than a known one that is in force.
+func (b barEntry) supersedes(known barEntry) bool {
+	switch {
+	case b.incarnation != known.incarnation:
+		return b.incarnation > known.incarnation
+	case b.leaving != known.leaving:
+		return b.leaving
+	case b.leaving:
+		return false
+	}
+	return b.until.After(known.until)
+}
+
 // left is how long this host has to stay away from the upstream.
 func (b *bars) left(now time.Time, u registrar.Upstream) time.Duration {
 	if b.count.Load() == 0 {
@@ -108,7 +130,7 @@
 			delete(b.list, id)
 			continue
 		}
-		list = append(list, scheduler.Bar{Upstream: id, Incarnation: e.incarnation, Leaving: e.leaving, For: e.until.Sub(now)})
+		list = append(list, e.bar(now, id))
 	}
 	b.count.Store(int64(len(b.list)))
 	return list
