dispatcher: a host sends nothing to an upstream that it knows to leave, whoever grants it

What callers saw: requests to an upstream that had left, from hosts that knew so, while the owner of the cell didn't.

Cause: two ways of one statement. What an answer said barred the host; what the membership said only removed the upstream from the host's own view, and the owner's grant was used as if the host had not heard of the upstream yet.

Bars that the membership has told are told to the owner only after it has granted such an upstream: it hears them in the same way. New log lines: 'an upstream leaves', 'a granted slot is declined'.

--- a/internal/daemon/runner/members.go
+++ b/internal/daemon/runner/members.go
@@ -99,10 +99,7 @@
 	case registrar.Changed:
 		e.local.Observe(a.Upstream)
 	case registrar.Removed:
-		e.local.Forget(a.UpstreamID)
-		if !a.Leaving {
-			e.cell.Lost(a.UpstreamID)
-		}
+		e.remove(a)
 	case registrar.HostDown:
 		e.server.HostDown(a.Host.Name)
 		e.cell.Review()
@@ -111,6 +108,17 @@
 	}
 }
 
+// remove passes on that an upstream takes no new work. A process that leaves goes on with
+// the requests that it has.
+func (e *entry) remove(a registrar.Removed) {
+	e.local.Forget(a.UpstreamID)
+	if a.Leaving {
+		e.cell.Leave(registrar.Departure(a))
+		return
+	}
+	e.cell.Lost(a.UpstreamID)
+}
+
 // applyAndTell passes membership news on to the scheduler and to the watching hosts.
 func (e *entry) applyAndTell(a registrar.Action) {
 	e.apply(a)
--- a/internal/entry/dispatcher/bar.go
+++ b/internal/entry/dispatcher/bar.go
@@ -51,7 +51,10 @@
 type barEntry struct {
 	incarnation registrar.Incarnation
 	leaving     bool
-	until       time.Time
+	// known is set when the membership has told of it: the owner of the cell hears it
+	// there, too.
+	known bool
+	until time.Time
 }
 
 // bar returns the entry as the scheduler takes it.
@@ -120,7 +123,8 @@
 	return e.left(now, u.Incarnation)
 }
 
-// all returns the bars in force as the scheduler takes them and drops the others.
+// all returns the bars in force that the owner of the cell hears from this host only, as
+// the scheduler takes them, and drops those that have ended.
 func (b *bars) all(now time.Time) []scheduler.Bar {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -130,12 +134,25 @@
 			delete(b.list, id)
 			continue
 		}
-		list = append(list, e.bar(now, id))
+		if !e.known {
+			list = append(list, e.bar(now, id))
+		}
 	}
 	b.count.Store(int64(len(b.list)))
 	return list
 }
 
+// tell lets the owner of the cell hear a bar from this host, after it has granted a slot
+// at the upstream.
+func (b *bars) tell(id registrar.UpstreamID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if e, ok := b.list[id]; ok {
+		e.known = false
+		b.list[id] = e
+	}
+}
+
 // Notice takes what an upstream said about new work. This host sends it nothing
 // more, and the scheduler is told.
 func (c *Cell) Notice(n Notice) {
@@ -150,6 +167,28 @@
 	c.retellBars()
 }
 
+// Leave takes from the membership that a process of an upstream leaves. This host sends it
+// nothing more, whatever the owner of the cell grants.
+func (c *Cell) Leave(d registrar.Departure) {
+	now := c.settings.Clock.Now()
+	e := barEntry{incarnation: d.Incarnation, leaving: true, known: true, until: now.Add(maxBar)}
+	noted := c.bars.put(now, d.UpstreamID, e)
+	c.settings.Logger.Info("an upstream leaves", zap.String("upstream", string(d.UpstreamID)),
+		zap.Uint64("incarnation", uint64(d.Incarnation)), zap.Bool("news", noted))
+	c.settings.Local.bar([]scheduler.Bar{e.bar(now, d.UpstreamID)})
+}
+
+// decline gives back a slot at an upstream that this host stays away from, and tells the
+// owner why.
+func (c *Cell) decline(s Slot, left time.Duration) {
+	u := s.Upstream()
+	c.settings.Logger.Info("a granted slot is declined: this host stays away from the upstream",
+		zap.String("upstream", string(u.Name)), zap.Uint64("incarnation", uint64(u.Incarnation)), zap.Duration("left", left))
+	s.Release(scheduler.Abandoned, 0)
+	c.bars.tell(u.Name)
+	c.retellBars()
+}
+
 // retellBars reports the bars in force to the present route.
 func (c *Cell) retellBars() {
 	c.mu.RLock()
--- a/internal/entry/dispatcher/bar_test.go
+++ b/internal/entry/dispatcher/bar_test.go
@@ -110,6 +110,24 @@
 	waitFor(t, "declined slots freed", func() bool { return all["a"].occupied() == 0 })
 }
 
+// Guards against work for an upstream that this host knows to leave, because the owner of
+// the cell has missed it: a grant is declined, and the owner learns why.
+func TestOwnerThatMissedALeavingIsDeclined(t *testing.T) {
+	view, all := newMembers(t, "a", "b")
+	other := second(view, all)
+	waitFor(t, "link", func() bool { return all["b"].linked() })
+	waitFor(t, "collected", func() bool { return all["a"].full() })
+	delete(view.upstreams, "engine")
+	all["b"].local.Forget("engine")
+	all["b"].cell.Leave(registrar.Departure{UpstreamID: "engine", Incarnation: 1, Leaving: true})
+	for range 2 * slots {
+		assert.Equal(t, granted(t, all["b"].cell, "at-b"), other.Name)
+	}
+	for range 2 * slots {
+		assert.Equal(t, granted(t, all["a"].cell, "at-a"), other.Name)
+	}
+}
+
 // Guards against a grant for a restarted upstream that goes to, and whose answer is taken
 // for one of, the earlier process in the view of this host.
 func TestGrantNamesTheLaterProcess(t *testing.T) {
--- a/internal/entry/dispatcher/cell.go
+++ b/internal/entry/dispatcher/cell.go
@@ -140,8 +140,7 @@
 		if left == 0 {
 			return s, nil
 		}
-		s.Release(scheduler.Abandoned, 0)
-		c.retellBars()
+		c.decline(s, left)
 	}
 	return nil, &RefusedError{Reason: scheduler.NoUpstream, RetryAfter: left}
 }
--- a/internal/member/registrar/mirror.go
+++ b/internal/member/registrar/mirror.go
@@ -187,10 +187,11 @@
 func (m *Mirror) depart(now time.Time, d Departure) bool {
 	news := d.Leaving && m.leave(now, d)
 	s := m.upstreams[d.UpstreamID]
-	live := s != nil && s.load().Upstream.Incarnation <= d.Incarnation
-	if live {
-		delete(m.upstreams, d.UpstreamID)
+	if s != nil && s.load().Upstream.Incarnation > d.Incarnation {
+		return false
 	}
+	live := s != nil
+	delete(m.upstreams, d.UpstreamID)
 	if live || news {
 		m.actions = append(m.actions, Removed(d))
 	}
