relayer: a long answer is no longer written into a stream that has begun

Operators saw: a stream had begun and broke off; the next server answered with an error.

Cause: relayWhole refused an answer that is no stream only after it had read it to its end. One that is longer than 1 MiB, or longer than the memory that is left for answers (16 KiB on a host that has none left), went to relayLong first, which wrote it into the stream and reported it as delivered. The status doesn't matter: 400 to 503 and 200 with another type were passed on alike.

Ruled out by the table of the new tests, which compares the bytes on the caller's connection: short failures with and without length, in chunks, compressed, cut off, as event stream with a status of failure; refusals; 204 and 304; heads that break off; unsigned answers and ones of another request; missing and partial events; a failure kept from an earlier attempt with each result of the attempts after the stream; no slot, no time and no attempt left. All of these ended in a closed connection without a last chunk before the change too.

Change: an answer that is no event stream ends the attempt before it is read, if a stream has begun. A further upstream may go on with the stream.

--- a/internal/entry/relayer/attempt.go
+++ b/internal/entry/relayer/attempt.go
@@ -45,6 +45,7 @@
 	errPreempted     = errors.New("the scheduler asked to go on elsewhere")
 	errSilent        = errors.New("the upstream is silent")
 	errFailedAnswer  = errors.New("the upstream answered with a failure")
+	errNoStream      = errors.New("the answer can't go on with the stream")
 	errEnded         = errors.New("the attempt has ended")
 	errLate          = errors.New("no time is left")
 )
@@ -264,9 +265,13 @@
 	}
 }
 
-// relayWhole reads a short answer to its end before it is passed on.
+// relayWhole reads a short answer to its end before it is passed on. A stream that has
+// begun can't go on with one, however long it is.
 func (a *attempt) relayWhole(ctx context.Context, response *http.Response) result {
 	c := a.call
+	if c.stream.begun {
+		return failed{cause: errNoStream}
+	}
 	kept := c.relayer.buffers.open()
 	ended, err := kept.fill(response.Body, maxBuffered)
 	if err != nil {
@@ -278,10 +283,6 @@
 	if !ended {
 		return a.relayLong(ctx, whole)
 	}
-	if c.stream.begun {
-		// A stream can't go on with an answer that is none.
-		return failed{cause: errFailedAnswer}
-	}
 	a.first()
 	if response.StatusCode >= 500 && c.route.Repeat != validator.Once && c.attempts+1 < c.route.Attempts {
 		return whole
@@ -366,7 +367,7 @@
 		return scheduler.Preempted
 	case errors.Is(context.Cause(ctx), errTimeout):
 		return scheduler.Abandoned
-	case errors.Is(cause, errForeignAnswer), errors.Is(cause, errUnsigned), errors.Is(cause, errEncoded), errors.Is(cause, errFailedAnswer):
+	case errors.Is(cause, errForeignAnswer), errors.Is(cause, errUnsigned), errors.Is(cause, errEncoded), errors.Is(cause, errNoStream):
 		return scheduler.Failed
 	}
 	return scheduler.Crashed
--- /dev/null
+++ b/internal/entry/relayer/broken_test.go
@@ -0,0 +1,226 @@
+package relayer
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// raw sends one request on a connection of its own and returns the bytes of its answer
+// up to the end of the connection, and how that ended: io.EOF, a reset, or a timeout
+// for one that is kept open.
+func (r *rig) raw(path, version string, headers ...string) (head, body string, end error) {
+	r.t.Helper()
+	c, err := net.Dial("tcp", r.address)
+	assert.NilError(r.t, err)
+	defer func() { _ = c.Close() }()
+	_, err = fmt.Fprintf(c, "POST %s HTTP/%s\r\nHost: shop.example\r\nX-Id: id-1\r\nX-Key: secret\r\nContent-Length: 1\r\n", path, version)
+	assert.NilError(r.t, err)
+	for i := 0; i < len(headers); i += 2 {
+		_, err = fmt.Fprintf(c, "%s: %s\r\n", headers[i], headers[i+1])
+		assert.NilError(r.t, err)
+	}
+	_, err = io.WriteString(c, "\r\nx")
+	assert.NilError(r.t, err)
+	data, end := readConnection(c)
+	head, body, found := strings.Cut(data, "\r\n\r\n")
+	assert.Assert(r.t, found, "no head in %q", data)
+	return head + "\r\n", body, end
+}
+
+// keptOpen is how long nothing may come for a connection to count as kept open. The
+// timeout of the routes is shorter.
+const keptOpen = 5 * time.Second
+
+// readConnection reads until the connection ends or nothing more comes.
+func readConnection(c net.Conn) (string, error) {
+	var data strings.Builder
+	part := make([]byte, 64<<10)
+	for {
+		_ = c.SetReadDeadline(time.Now().Add(keptOpen))
+		n, err := c.Read(part)
+		data.Write(part[:n])
+		if err != nil {
+			return data.String(), err
+		}
+	}
+}
+
+// numbered returns the events of a stream as its upstream makes them.
+func numbered(first, last int) []string {
+	var list []string
+	for i := first; i <= last; i++ {
+		list = append(list, fmt.Sprintf("id: %d\ndata: part %d\n\n", i, i))
+	}
+	return list
+}
+
+// shortened quotes the end of what a caller got beyond its first events.
+func shortened(body string) string {
+	const most = 80
+	body = strings.TrimPrefix(body, chunked(numbered(1, 3)...))
+	if len(body) > most {
+		return fmt.Sprintf("%d bytes more: %q ... %q", len(body), body[:most/2], body[len(body)-most/2:])
+	}
+	return fmt.Sprintf("%d bytes more: %q", len(body), body)
+}
+
+// chunked returns the bytes of the events on a caller's connection, without the last
+// chunk.
+func chunked(events ...string) string {
+	var b strings.Builder
+	for _, e := range events {
+		chunk(&b, e)
+	}
+	return b.String()
+}
+
+// answers sends an answer with a head of the given lines, signed and named, and raw bytes, and
+// closes.
+func answers(status, lines, body string) script {
+	return writes("HTTP/1.1 " + status + "\r\nX-Id: id-1\r\nX-Signed: yes\r\nX-Second: yes\r\n" + lines + "\r\n" + body)
+}
+
+const eventLines = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+
+// streamOf answers with an event stream of these events that ends regularly.
+func streamOf(events ...string) script {
+	return answers("200 OK", eventLines, chunked(events...)+"0\r\n\r\n")
+}
+
+// noContinuation is an answer that can't go on to the end with a stream whose third
+// event was the last one, and the events of it that are passed on all the same.
+type noContinuation struct {
+	answer script
+	passed []string
+}
+
+func noContinuations() map[string]noContinuation {
+	rows := map[string]noContinuation{
+		"nothing":                   {vanishes, nil},
+		"half a head":               {writes("HTTP/1.1 200 OK\r\nX-Id: id-1\r\nX-Sig"), nil},
+		"refusal":                   {refuses, nil},
+		"status 204":                {answers("204 X", "", ""), nil},
+		"status 304":                {answers("304 X", "", ""), nil},
+		"plain text":                {answers("200 OK", "Content-Type: text/plain\r\nContent-Length: 4\r\n", "oops"), nil},
+		"plain text without length": {answers("200 OK", "Content-Type: text/plain\r\n", "oops"), nil},
+		"long plain text":           {answers("200 OK", "Content-Type: text/plain\r\n", strings.Repeat("oops", 1<<19)), nil},
+		"no type":                   {answers("200 OK", "Content-Length: 4\r\n", "oops"), nil},
+		"not signed":                {writes("HTTP/1.1 200 OK\r\nX-Id: id-1\r\n" + eventLines + "\r\n" + chunked(numbered(4, 5)...) + "0\r\n\r\n"), nil},
+		"of another request":        {writes("HTTP/1.1 200 OK\r\nX-Id: id-0\r\nX-Signed: yes\r\n" + eventLines + "\r\n" + chunked(numbered(4, 5)...) + "0\r\n\r\n"), nil},
+		"compressed stream":         {answers("200 OK", eventLines+"Content-Encoding: gzip\r\n", chunked(numbered(4, 5)...)+"0\r\n\r\n"), nil},
+		"an event is missing":       {streamOf(numbered(5, 6)...), nil},
+		"an event is missing later": {streamOf(append(numbered(4, 4), numbered(6, 7)...)...), numbered(4, 4)},
+		"part of an event":          {streamOf("id: 4\ndata: pa"), nil},
+		"part of an event, no chunks": {
+			answers("200 OK", "Content-Type: text/event-stream\r\n", "id: 4\ndata: pa"), nil,
+		},
+		"breaks off after an event":      {answers("200 OK", eventLines, chunked(numbered(4, 4)...)), numbered(4, 4)},
+		"breaks off within an event":     {events(4, 4, false), numbered(4, 4)},
+		"stream shorter than its length": {answers("200 OK", "Content-Type: text/event-stream\r\nContent-Length: 99\r\n", numbered(4, 4)[0]), numbered(4, 4)},
+	}
+	for _, status := range []string{"400", "404", "421", "429", "500", "503"} {
+		head, text := status+" X", "oops"
+		rows["status "+status] = noContinuation{answers(head, "Content-Length: 4\r\n", text), nil}
+		rows["status "+status+" without length"] = noContinuation{answers(head, "", text), nil}
+		rows["status "+status+" in chunks"] = noContinuation{answers(head, "Transfer-Encoding: chunked\r\n", chunked(text)+"0\r\n\r\n"), nil}
+		rows["status "+status+", compressed"] = noContinuation{answers(head, "Content-Encoding: gzip\r\nContent-Length: 4\r\n", text), nil}
+		rows["status "+status+", breaks off"] = noContinuation{answers(head, "Content-Length: 9\r\n", text), nil}
+		rows["status "+status+", event stream"] = noContinuation{answers(head, eventLines, chunked(numbered(4, 5)...)+"0\r\n\r\n"), nil}
+		rows["status "+status+", long"] = noContinuation{answers(head, fmt.Sprintf("Content-Length: %d\r\n", 2<<20), strings.Repeat("oops", 1<<19)), nil}
+		rows["status "+status+", long, in chunks"] = noContinuation{answers(head, "Transfer-Encoding: chunked\r\n", chunked(strings.Repeat("oops", 1<<19))+"0\r\n\r\n"), nil}
+	}
+	return rows
+}
+
+// Guards against a caller that finds an error within its stream, or takes a broken
+// stream for a whole one, when the upstream that was to go on with it answers with
+// something else.
+func TestBrokenStreamStaysBroken(t *testing.T) {
+	for name, row := range noContinuations() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t, events(1, 3, false), row.answer)
+			want := append(numbered(1, 3), row.passed...)
+			head, body, end := r.raw("/resumable/x", "1.1")
+			assert.Assert(t, body == chunked(want...), "the caller got %s", shortened(body))
+			assert.Assert(t, errors.Is(end, io.EOF), "the connection ended with %v", end)
+			assert.Assert(t, !strings.Contains(head, "X-Second"), head)
+		})
+	}
+}
+
+// Guards against a stream that is given up though a further upstream may go on with it.
+func TestBrokenStreamGoesOnAfterAFailure(t *testing.T) {
+	rows := noContinuations()
+	// Its upstream is asked again, since only the connection is at fault.
+	delete(rows, "of another request")
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			next := 4 + len(row.passed)
+			r := newRig(t, events(1, 3, false), row.answer, events(next, 6, true))
+			head, body, end := r.raw("/thrice/x", "1.1", "Connection", "close")
+			assert.Assert(t, body == chunked(numbered(1, 6)...)+"0\r\n\r\n", "the caller got %s", shortened(body))
+			assert.Assert(t, errors.Is(end, io.EOF), "the connection ended with %v", end)
+			assert.Assert(t, !strings.Contains(head, "X-Second"), head)
+		})
+	}
+}
+
+// Guards against the failure of an earlier attempt, which is kept, within a stream that
+// a later attempt began, and against a stream that looks whole because no attempt is
+// left.
+func TestBrokenStreamAfterAKeptFailure(t *testing.T) {
+	failure := says(500, "oops", "X-Second", "yes")
+	cases := map[string]struct {
+		scripts []script
+		waits   bool
+		headers []string
+	}{
+		"no upstream is left":      {scripts: []script{failure, events(1, 3, false)}},
+		"another failure":          {scripts: []script{failure, events(1, 3, false), failure}},
+		"another long failure":     {scripts: []script{failure, events(1, 3, false), answers("500 X", "", strings.Repeat("oops", 1<<19))}},
+		"lost":                     {scripts: []script{failure, events(1, 3, false), vanishes}},
+		"refused":                  {scripts: []script{failure, events(1, 3, false), refuses}},
+		"no attempt is left":       {scripts: []script{failure, vanishes, events(1, 3, false), events(4, 6, true)}},
+		"no failure, no upstream":  {scripts: []script{events(1, 3, false)}},
+		"no slot before the end":   {scripts: []script{events(1, 3, false), events(4, 6, true)}, waits: true, headers: []string{"X-Patience", "300ms"}},
+		"silent up to the timeout": {scripts: []script{stalls(events(1, 3, false)), events(4, 6, true)}, headers: []string{"X-Patience", "300ms"}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t, c.scripts...)
+			r.dispatcher.waits = c.waits
+			head, body, end := r.raw("/thrice/x", "1.1", c.headers...)
+			assert.Assert(t, body == chunked(numbered(1, 3)...), "the caller got %s", shortened(body))
+			assert.Assert(t, errors.Is(end, io.EOF), "the connection ended with %v", end)
+			assert.Assert(t, !strings.Contains(head, "X-Second"), head)
+		})
+	}
+}
+
+// stalls keeps the connection open after the answer.
+func stalls(s script) script {
+	return func(w io.Writer, q *http.Request) {
+		s(w, q)
+		_, _ = w.(io.Reader).Read(make([]byte, 1))
+	}
+}
+
+// Guards against the same on a host that has no memory left to keep answers.
+func TestBrokenStreamOfAHostWithoutMemory(t *testing.T) {
+	r := newRig(t, events(1, 3, false), answers("500 X", "", strings.Repeat("oops", ownBuffer)))
+	r.relayer.buffers.used.Store(sharedBuffer)
+	_, body, end := r.raw("/resumable/x", "1.1")
+	assert.Assert(t, body == chunked(numbered(1, 3)...), "the caller got %s", shortened(body))
+	assert.Assert(t, errors.Is(end, io.EOF), "the connection ended with %v", end)
+}
--- a/internal/entry/relayer/harness_test.go
+++ b/internal/entry/relayer/harness_test.go
@@ -63,12 +63,18 @@
 	mu        sync.Mutex
 	upstreams []registrar.Upstream
 	refusal   *dispatcher.RefusedError
-	asked     []scheduler.Request
-	progress  []int
-	outcomes  []scheduler.Outcome
+	// waits is set when repeated requests get no slot before their deadline.
+	waits    bool
+	asked    []scheduler.Request
+	progress []int
+	outcomes []scheduler.Outcome
 }
 
-func (d *fakeDispatcher) Acquire(_ context.Context, r scheduler.Request) (dispatcher.Slot, error) {
+func (d *fakeDispatcher) Acquire(ctx context.Context, r scheduler.Request) (dispatcher.Slot, error) {
+	if d.waits && r.Retry {
+		<-ctx.Done()
+		return nil, context.Cause(ctx)
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.asked = append(d.asked, r)
@@ -142,7 +148,9 @@
 	}
 	single := d.Routes[0]
 	single.Name, single.Path, single.Repeat, single.Attempts = "single", "/single/", validator.Once, 1
-	d.Routes = append(d.Routes, single)
+	thrice := d.Routes[0]
+	thrice.Name, thrice.Path, thrice.Repeat, thrice.Attempts = "thrice", "/thrice/", validator.Resumable, 3
+	d.Routes = append(d.Routes, single, thrice)
 	return d
 }
 
