relayer: a stream goes on only with an answer of the same status

Cause: any 2xx answer of the type text/event-stream could go on with a stream that had begun.

Change: an event stream with another status than that of the stream's first upstream ends the attempt. A further upstream may go on.

Before (-race): TestBrokenStreamStaysBroken/status_204,_event_stream: the caller got 5 bytes more: "0\r\n\r\n" TestBrokenStreamStaysBroken/status_206,_event_stream: the caller got 57 bytes more: "14\r\nid: 4\ndata: part 4\n\n\r\n14\r\nid: 5\n..." and the same cases of TestBrokenStreamGoesOnAfterAFailure. After: all pass.

--- a/internal/entry/relayer/broken_test.go
+++ b/internal/entry/relayer/broken_test.go
@@ -108,6 +108,8 @@
 		"half a head":               {writes("HTTP/1.1 200 OK\r\nX-Id: id-1\r\nX-Sig"), nil},
 		"refusal":                   {refuses, nil},
 		"status 204":                {answers("204 X", "", ""), nil},
+		"status 204, event stream":  {answers("204 X", "Content-Type: text/event-stream\r\n", ""), nil},
+		"status 206, event stream":  {answers("206 X", eventLines, chunked(numbered(4, 5)...)+"0\r\n\r\n"), nil},
 		"status 304":                {answers("304 X", "", ""), nil},
 		"plain text":                {answers("200 OK", "Content-Type: text/plain\r\nContent-Length: 4\r\n", "oops"), nil},
 		"plain text without length": {answers("200 OK", "Content-Type: text/plain\r\n", "oops"), nil},
--- a/internal/entry/relayer/stream.go
+++ b/internal/entry/relayer/stream.go
@@ -28,6 +28,8 @@
 type streamState struct {
 	// begun is set once a part of the answer has been passed on.
 	begun bool
+	// status is that of its first upstream.
+	status int
 	// events counts the whole events passed on.
 	events int
 	// last is the ID of the last of them, or that of an earlier stream of the
@@ -42,6 +44,9 @@
 
 // relayStream passes events on until the stream ends.
 func (a *attempt) relayStream(ctx context.Context, response *http.Response) result {
+	if s := &a.call.stream; s.begun && response.StatusCode != s.status {
+		return failed{cause: errNoStream}
+	}
 	events := bufio.NewReaderSize(response.Body, readBuffer)
 	kept := a.call.relayer.buffers.open()
 	defer kept.release()
@@ -99,7 +104,7 @@
 	c := a.call
 	c.copyHeader(response)
 	c.writer.WriteHeader(response.StatusCode)
-	c.stream.begun = true
+	c.stream.begun, c.stream.status = true, response.StatusCode
 }
 
 // order is the place of an event in its stream.
