relayer: the report of an error is no event of a stream that goes on elsewhere

Operators saw: clients found the error's text, at times its whole head, in the middle of their stream.

Cause: a further upstream may answer with status 200 and an event stream that holds the report of an error in place of the next events. Such an event has no ID, or one that is no number, and these weren't compared with what the caller has. An upstream that writes the head of an error into its stream is the same case: the lines of the head up to the empty one were passed on as an event.

Change: in a stream that goes on at a further upstream, each event needs an ID, a number if the last one was. Another one ends the attempt. Comments are passed on as before. The first upstream's events are its answer and stay as they are.

Before (-race): TestBrokenStreamStaysBroken/error_event_without_ID: the caller got 36 bytes more: "19\r\nevent: error\ndata: oops\n\n\r\n0\r\n\r\n" TestBrokenStreamStaysBroken/error_as_lines: the caller got 59 bytes more: "25\r\nHTTP/1.1 500 X\r\nContent-Length: 4\r\n\r\n\r\n6\r\noops\n\n\r\n0\r\n\r\n" and two more cases there, and four of TestBrokenStreamGoesOnAfterAFailure. After: all pass.

--- a/internal/entry/relayer/stream.go
+++ b/internal/entry/relayer/stream.go
@@ -72,7 +72,7 @@
 func (a *attempt) relayEvent(response *http.Response, event []byte) result {
 	c := a.call
 	id := eventID(event)
-	switch c.stream.compare(id) {
+	switch c.stream.compare(event, id) {
 	case repeated:
 		return nil
 	case missing:
@@ -117,14 +117,17 @@
 )
 
 // compare tells whether an event follows on the last one. IDs that are no numbers
-// are not compared.
-func (s *streamState) compare(id string) order {
-	if s.last == "" {
+// are not compared. At a further upstream an event without a place among those
+// that the caller has, such as the report of an error, doesn't follow.
+func (s *streamState) compare(event []byte, id string) order {
+	if s.last == "" || isComment(event) {
 		return next
 	}
 	before, errBefore := strconv.ParseInt(s.last, 10, 64)
 	now, errNow := strconv.ParseInt(id, 10, 64)
 	switch {
+	case s.resumed && (id == "" || errBefore == nil && errNow != nil):
+		return missing
 	case errBefore != nil || errNow != nil || now == before+1:
 		return next
 	case now <= before:
@@ -156,6 +159,16 @@
 	}
 }
 
+// isComment reports whether lines are comments only, which are no event.
+func isComment(lines []byte) bool {
+	for line := range bytes.Lines(lines) {
+		if line[0] != ':' && len(bytes.TrimRight(line, "\r\n")) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // eventID returns the field id of an event.
 func eventID(event []byte) string {
 	for line := range bytes.Lines(event) {
