relayer: a stream whose last event has no ID goes on nowhere else

Cause: a stream that may be resumed went on at a further upstream after any event. Comments, which have no ID either, don't count.

Change: after an event without an ID a broken stream stays broken. While that is so, silence and the scheduler's request to give way don't end the attempt, since nothing could go on (a trial without this: TestStreamWithoutIDsKeepsItsUpstream ends after the first event).

--- a/internal/entry/relayer/attempt.go
+++ b/internal/entry/relayer/attempt.go
@@ -152,16 +152,23 @@
 		return
 	}
 	a.limit = min(c.silence(), left)
-	a.silence = c.relayer.clock.AfterFunc(a.limit, func() { a.cancel(errSilent) })
+	a.silence = c.relayer.clock.AfterFunc(a.limit, func() { a.yield(errSilent) })
 	a.group.Go(func() {
 		select {
 		case <-a.slot.Preempted():
-			a.cancel(errPreempted)
+			a.yield(errPreempted)
 		case <-ctx.Done():
 		}
 	})
 }
 
+// yield ends the attempt, unless its stream can't go on elsewhere.
+func (a *attempt) yield(cause error) {
+	if !a.call.stream.fixed.Load() {
+		a.cancel(cause)
+	}
+}
+
 // silence is how long an upstream may say nothing. The scheduler, which sees the
 // requests of all hosts, notices a silent upstream earlier; this bound is for
 // single requests that an upstream forgets.
--- a/internal/entry/relayer/broken_test.go
+++ b/internal/entry/relayer/broken_test.go
@@ -230,3 +230,69 @@
 	assert.Assert(t, body == chunked(numbered(1, 3)...), "the caller got %s", shortened(body))
 	assert.Assert(t, errors.Is(end, io.EOF), "the connection ended with %v", end)
 }
+
+// Guards against events that come twice: a stream whose last event has no ID can't go on
+// after it, since nothing tells the next upstream where. Comments are no events.
+func TestBrokenStreamWithoutIDs(t *testing.T) {
+	const (
+		plain   = "data: part\n\n"
+		comment = ": still here\n\n"
+	)
+	cases := map[string]struct {
+		first, second []string
+		want          string
+		whole         bool
+	}{
+		"no event has an ID":      {[]string{plain, plain}, []string{plain, plain, plain}, chunked(plain, plain), false},
+		"the last one has no ID":  {[]string{numbered(1, 1)[0], plain}, []string{plain, numbered(2, 2)[0]}, chunked(numbered(1, 1)[0], plain), false},
+		"an earlier one has none": {[]string{plain, numbered(1, 1)[0]}, numbered(2, 2), chunked(plain, numbered(1, 1)[0], numbered(2, 2)[0]), true},
+		"comment behind an event": {[]string{numbered(1, 1)[0], comment}, numbered(2, 2), chunked(numbered(1, 1)[0], comment, numbered(2, 2)[0]), true},
+		"comments only":           {[]string{comment}, numbered(1, 2), chunked(comment, numbered(1, 1)[0], numbered(2, 2)[0]), true},
+		"comment between the two": {numbered(1, 1), []string{comment, numbered(2, 2)[0]}, chunked(numbered(1, 1)[0], comment, numbered(2, 2)[0]), true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			breaks := answers("200 OK", eventLines, chunked(c.first...))
+			r := newRig(t, breaks, streamOf(c.second...))
+			want := c.want
+			if c.whole {
+				want += "0\r\n\r\n"
+			}
+			_, body, end := r.raw("/resumable/x", "1.1", "Connection", "close")
+			assert.Equal(t, body, want)
+			assert.Assert(t, errors.Is(end, io.EOF), "the connection ended with %v", end)
+		})
+	}
+}
+
+// Guards against a stream that is asked to give way where it can't go on elsewhere: it
+// would be broken off for nothing.
+func TestStreamWithoutIDsKeepsItsUpstream(t *testing.T) {
+	asked := make(chan struct{})
+	r := newRig(t, func(w io.Writer, _ *http.Request) {
+		_, _ = io.WriteString(w, streamHead)
+		chunk(w, "data: part\n\n")
+		<-asked
+		time.Sleep(50 * time.Millisecond)
+		chunk(w, "data: part\n\n")
+		_, _ = io.WriteString(w, "0\r\n\r\n")
+	}, vanishes)
+	r.dispatcher.preempted = make(chan struct{})
+	go func() {
+		for r.dispatcher.passed() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		close(r.dispatcher.preempted)
+		close(asked)
+	}()
+	_, body, _ := r.raw("/resumable/x", "1.1", "Connection", "close")
+	assert.Equal(t, body, chunked("data: part\n\n", "data: part\n\n")+"0\r\n\r\n")
+}
+
+// passed counts the events that were passed on.
+func (d *fakeDispatcher) passed() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.progress)
+}
--- a/internal/entry/relayer/call.go
+++ b/internal/entry/relayer/call.go
@@ -297,7 +297,7 @@
 	if !allowed || ctx.Err() != nil || c.attempts >= c.route.Attempts || c.unsent > maxUnsent {
 		return false
 	}
-	if c.stream.begun && (c.route.Repeat != validator.Resumable || c.stream.events == 0) {
+	if c.stream.begun && (c.route.Repeat != validator.Resumable || c.stream.events == 0 || c.stream.fixed.Load()) {
 		return false
 	}
 	c.ask.Retry = true
--- a/internal/entry/relayer/harness_test.go
+++ b/internal/entry/relayer/harness_test.go
@@ -64,10 +64,12 @@
 	upstreams []registrar.Upstream
 	refusal   *dispatcher.RefusedError
 	// waits is set when repeated requests get no slot before their deadline.
-	waits    bool
-	asked    []scheduler.Request
-	progress []int
-	outcomes []scheduler.Outcome
+	waits bool
+	// preempted asks all slots to give way.
+	preempted chan struct{}
+	asked     []scheduler.Request
+	progress  []int
+	outcomes  []scheduler.Outcome
 }
 
 func (d *fakeDispatcher) Acquire(ctx context.Context, r scheduler.Request) (dispatcher.Slot, error) {
@@ -102,7 +104,7 @@
 func (s *fakeSlot) Priority() int                  { return 1 }
 func (s *fakeSlot) Predicted() time.Duration       { return 0 }
 func (s *fakeSlot) FirstToken()                    {}
-func (s *fakeSlot) Preempted() <-chan struct{}     { return nil }
+func (s *fakeSlot) Preempted() <-chan struct{}     { return s.dispatcher.preempted }
 func (s *fakeSlot) Gone() <-chan struct{}          { return nil }
 func (s *fakeSlot) Hedged() <-chan dispatcher.Slot { return nil }
 func (s *fakeSlot) Progress(tokens int) {
--- a/internal/entry/relayer/stream.go
+++ b/internal/entry/relayer/stream.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 )
 
 const (
@@ -35,6 +36,9 @@
 	// last is the ID of the last of them, or that of an earlier stream of the
 	// caller.
 	last string
+	// fixed is set while the caller has a last event after which no further upstream
+	// can go on, since it has no ID.
+	fixed atomic.Bool
 	// resumed is set while the stream goes on at a further upstream.
 	resumed bool
 }
@@ -87,10 +91,7 @@
 	if err := http.NewResponseController(c.writer).Flush(); err != nil {
 		return cutOff{cause: err}
 	}
-	if id != "" {
-		c.stream.last = id
-	}
-	c.stream.events++
+	c.stream.note(event, id)
 	if c.stream.events == 1 {
 		a.first()
 	}
@@ -98,6 +99,17 @@
 	return nil
 }
 
+// note notes an event that has been passed on.
+func (s *streamState) note(event []byte, id string) {
+	if id != "" {
+		s.last = id
+	}
+	if !isComment(event) {
+		s.fixed.Store(id == "")
+	}
+	s.events++
+}
+
 // begin passes the head of the stream on. A stream that goes on elsewhere keeps
 // that of its first upstream.
 func (a *attempt) begin(response *http.Response) {
