relayer: a stream that ends before what its caller has is not whole

Cause: events that the caller already has are left out. Where a further upstream began anew and ended before the last of them, all of its events were left out and its end was taken for the end of the stream, which looked complete (ORDER). The same for a caller that resumes a stream itself: it got an empty 200.

Change: an upstream whose last event isn't the last one that the caller has then has sent another stream, and the attempt has failed. One that repeats events up to that one, or has no event to add, ends the stream as before.

--- a/internal/entry/relayer/attempt.go
+++ b/internal/entry/relayer/attempt.go
@@ -93,6 +93,8 @@
 	limit    time.Duration
 	// asked is when the request was sent.
 	asked time.Time
+	// event is the ID of the last event of this upstream.
+	event string
 	group conc.WaitGroup
 }
 
--- a/internal/entry/relayer/broken_test.go
+++ b/internal/entry/relayer/broken_test.go
@@ -120,6 +120,7 @@
 		"compressed stream":          {answers("200 OK", eventLines+"Content-Encoding: gzip\r\n", chunked(numbered(4, 5)...)+"0\r\n\r\n"), nil},
 		"an event is missing":        {streamOf(numbered(5, 6)...), nil},
 		"an event is missing later":  {streamOf(append(numbered(4, 4), numbered(6, 7)...)...), numbered(4, 4)},
+		"another, shorter stream":    {streamOf(numbered(1, 2)...), nil},
 		"error event without ID":     {streamOf("event: error\ndata: oops\n\n"), nil},
 		"error event after an event": {streamOf(numbered(4, 4)[0], "event: error\ndata: oops\n\n"), numbered(4, 4)},
 		"error event with a name":    {streamOf("id: error\ndata: oops\n\n"), nil},
@@ -296,3 +297,30 @@
 	defer d.mu.Unlock()
 	return len(d.progress)
 }
+
+// Guards against a stream that looks whole though its upstream ended before the event
+// that its caller had from an earlier stream, and against one that is given up though
+// its upstream has nothing to add.
+func TestEndOfAStreamThatCallersResume(t *testing.T) {
+	t.Run("ends earlier", func(t *testing.T) {
+		r := newRig(t, streamOf(numbered(1, 2)...))
+		assert.Equal(t, r.call("/resumable/x", "Last-Event-Id", "3").status, http.StatusBadGateway)
+	})
+	t.Run("ends there", func(t *testing.T) {
+		r := newRig(t, streamOf(numbered(1, 3)...))
+		a := r.call("/resumable/x", "Last-Event-Id", "3")
+		assert.NilError(t, a.broken)
+		assert.Equal(t, a.status, http.StatusOK)
+	})
+	t.Run("nothing to add", func(t *testing.T) {
+		r := newRig(t, streamOf())
+		a := r.call("/resumable/x", "Last-Event-Id", "3")
+		assert.NilError(t, a.broken)
+		assert.Equal(t, a.status, http.StatusOK)
+	})
+	t.Run("nothing to add at a further upstream", func(t *testing.T) {
+		r := newRig(t, events(1, 3, false), streamOf())
+		_, body, _ := r.raw("/resumable/x", "1.1", "Connection", "close")
+		assert.Equal(t, body, chunked(numbered(1, 3)...)+"0\r\n\r\n")
+	})
+}
--- a/internal/entry/relayer/stream.go
+++ b/internal/entry/relayer/stream.go
@@ -57,10 +57,7 @@
 	for {
 		event, err := readEvent(events, kept)
 		if errors.Is(err, io.EOF) {
-			if !a.call.stream.begun {
-				a.begin(response)
-			}
-			return delivered{status: response.StatusCode}
+			return a.endStream(response)
 		}
 		if err != nil {
 			return a.lost(ctx, fmt.Errorf("read stream: %w", err))
@@ -72,10 +69,26 @@
 	}
 }
 
+// endStream ends a stream whose upstream has ended it. One that ends before the event
+// that the caller already has is another stream.
+func (a *attempt) endStream(response *http.Response) result {
+	s := &a.call.stream
+	if a.event != "" && a.event != s.last {
+		return failed{cause: errSequence}
+	}
+	if !s.begun {
+		a.begin(response)
+	}
+	return delivered{status: response.StatusCode}
+}
+
 // relayEvent passes one event on. It returns nil when the stream goes on.
 func (a *attempt) relayEvent(response *http.Response, event []byte) result {
 	c := a.call
 	id := eventID(event)
+	if id != "" {
+		a.event = id
+	}
 	switch c.stream.compare(event, id) {
 	case repeated:
 		return nil
