relayer: a caller's last event counts only where streams may be resumed

Cause: on every route, events up to the one that a caller names in its header were left out of the answer.

Change: the header is read for routes whose streams may be resumed; it is passed on in all cases.

Before, TestEventOfACallerWhereNothingIsResumed: events 1 to 3 of 5 were left out. After: passes.

--- a/internal/entry/relayer/broken_test.go
+++ b/internal/entry/relayer/broken_test.go
@@ -324,3 +324,14 @@
 		assert.Equal(t, body, chunked(numbered(1, 3)...)+"0\r\n\r\n")
 	})
 }
+
+// Guards against events that are left out because a caller names one where streams
+// can't be resumed: its upstream begins anew, and the caller gets the whole answer.
+func TestEventOfACallerWhereNothingIsResumed(t *testing.T) {
+	for _, path := range []string{"/once/x", "/idempotent/x"} {
+		a := newRig(t, streamOf(numbered(1, 5)...)).call(path, "Last-Event-Id", "3")
+		assert.NilError(t, a.broken)
+		assert.Equal(t, a.status, http.StatusOK)
+		assert.Equal(t, a.body, strings.Join(numbered(1, 5), ""))
+	}
+}
--- a/internal/entry/relayer/call.go
+++ b/internal/entry/relayer/call.go
@@ -211,7 +211,9 @@
 	if c.organisation != nil {
 		c.ask.Organisation = c.organisation.Name
 	}
-	c.stream.last = c.intent.After
+	if c.route.Repeat == validator.Resumable {
+		c.stream.last = c.intent.After
+	}
 	end := 0
 	for _, p := range c.intent.Prompt {
 		end += p.Tokens
