interposer: the test of faults reads all bytes before the next fault begins

Cause, in the test: the byte that was sent while the direction was held arrives after Pass, beside the byte of the next exchange. That exchange read one of the two. The other one came either before the connection was made silent, and was then taken for an answer of the silent connection, or was held with it.

Change: bytes are numbered; an exchange reads all that were sent, in order, and a connection that must be silent may bring no byte at all, late ones included, which is stricter than before: only the first byte was looked at and its value wasn't.

--- a/internal/stub/interposer/interposer_test.go
+++ b/internal/stub/interposer/interposer_test.go
@@ -34,18 +34,51 @@
 	silence  = 100 * time.Millisecond
 )
 
-// exchange sends a byte and reports whether it comes back in time.
-func exchange(t *testing.T, c net.Conn, limit time.Duration) bool {
-	t.Helper()
-	_, err := c.Write([]byte{1})
-	if err != nil {
-		return false
-	}
-	assert.NilError(t, c.SetReadDeadline(time.Now().Add(limit)))
-	_, err = c.Read(make([]byte, 1))
+// caller sends numbered bytes on a connection that returns them.
+type caller struct {
+	net.Conn
+	t          *testing.T
+	sent, back byte
+}
+
+// send sends the next byte. It reports false on a connection that has ended.
+func (c *caller) send() bool {
+	c.sent++
+	_, err := c.Write([]byte{c.sent})
 	return err == nil
 }
 
+// read waits for the next byte, which must be the first one that is not back yet.
+func (c *caller) read(limit time.Duration) error {
+	c.t.Helper()
+	assert.NilError(c.t, c.SetReadDeadline(time.Now().Add(limit)))
+	b := make([]byte, 1)
+	_, err := c.Read(b)
+	if err == nil {
+		c.back++
+		assert.Equal(c.t, b[0], c.back)
+	}
+	return err
+}
+
+// exchanges sends a byte and reads all bytes that are not back yet, so that none is
+// under way when the next disturbance begins.
+func (c *caller) exchanges() {
+	c.t.Helper()
+	assert.Assert(c.t, c.send())
+	for c.back != c.sent {
+		assert.NilError(c.t, c.read(patience))
+	}
+}
+
+// isSilent sends a byte and checks that none comes back.
+func (c *caller) isSilent() {
+	c.t.Helper()
+	if c.send() {
+		assert.Assert(c.t, c.read(silence) != nil, "byte %d came back", c.back)
+	}
+}
+
 // TestFaults guards against disturbances that don't disturb, and against ones that
 // don't end.
 func TestFaults(t *testing.T) {
@@ -53,31 +86,32 @@
 	defer n.Close()
 	address, err := n.Relay("server", "127.0.0.1:0", echo(t))
 	assert.NilError(t, err)
-	dial := func() net.Conn {
+	dial := func() *caller {
 		c, err := net.Dial("tcp", address)
 		assert.NilError(t, err)
 		t.Cleanup(func() { _ = c.Close() })
-		return c
+		return &caller{Conn: c, t: t}
 	}
 	// This process itself has the empty name.
 	c := dial()
-	assert.Assert(t, exchange(t, c, patience))
+	c.exchanges()
 	n.Hold("server", "")
-	assert.Assert(t, !exchange(t, c, silence))
+	c.isSilent()
 	n.Pass("server", "")
-	assert.Assert(t, exchange(t, c, patience))
+	c.exchanges()
 
 	assert.Equal(t, n.Silence("", "server"), 1)
-	assert.Assert(t, !exchange(t, c, silence))
+	c.isSilent()
 	n.Heal()
-	assert.Assert(t, !exchange(t, c, silence), "a silent connection stays silent")
+	// A silent connection stays silent, and new ones work.
+	c.isSilent()
 	c = dial()
-	assert.Assert(t, exchange(t, c, patience), "new ones work")
+	c.exchanges()
 
 	n.Reset("", "server")
-	assert.Assert(t, !exchange(t, c, silence))
+	c.isSilent()
 	n.Cut("", "server")
-	assert.Assert(t, !exchange(t, dial(), silence))
+	dial().isSilent()
 	n.Pass("", "server")
-	assert.Assert(t, exchange(t, dial(), patience))
+	dial().exchanges()
 }
