--- a/internal/entry/relayer/attempt.go
+++ b/internal/entry/relayer/attempt.go
@@ -45,6 +45,7 @@
 	errPreempted     = errors.New("the scheduler asked to go on elsewhere")
 	errSilent        = errors.New("the upstream is silent")
 	errFailedAnswer  = errors.New("the upstream answered with a failure")
+	errNoStream      = errors.New("the answer can't go on with the stream")
 	errEnded         = errors.New("the attempt has ended")
 	errLate          = errors.New("no time is left")
 )
@@ -92,6 +93,8 @@
 	limit    time.Duration
 	// asked is when the request was sent.
 	asked time.Time
+	// event is the ID of the last event of this upstream.
+	event string
 	group conc.WaitGroup
 }
 
@@ -151,16 +154,23 @@
 		return
 	}
 	a.limit = min(c.silence(), left)
-	a.silence = c.relayer.clock.AfterFunc(a.limit, func() { a.cancel(errSilent) })
+	a.silence = c.relayer.clock.AfterFunc(a.limit, func() { a.yield(errSilent) })
 	a.group.Go(func() {
 		select {
 		case <-a.slot.Preempted():
-			a.cancel(errPreempted)
+			a.yield(errPreempted)
 		case <-ctx.Done():
 		}
 	})
 }
 
+// yield ends the attempt, unless its stream can't go on elsewhere.
+func (a *attempt) yield(cause error) {
+	if !a.call.stream.fixed.Load() {
+		a.cancel(cause)
+	}
+}
+
 // silence is how long an upstream may say nothing. The scheduler, which sees the
 // requests of all hosts, notices a silent upstream earlier; this bound is for
 // single requests that an upstream forgets.
@@ -264,9 +274,13 @@
 	}
 }
 
-// relayWhole reads a short answer to its end before it is passed on.
+// relayWhole reads a short answer to its end before it is passed on. A stream that has
+// begun can't go on with one, however long it is.
 func (a *attempt) relayWhole(ctx context.Context, response *http.Response) result {
 	c := a.call
+	if c.stream.begun {
+		return failed{cause: errNoStream}
+	}
 	kept := c.relayer.buffers.open()
 	ended, err := kept.fill(response.Body, maxBuffered)
 	if err != nil {
@@ -278,10 +292,6 @@
 	if !ended {
 		return a.relayLong(ctx, whole)
 	}
-	if c.stream.begun {
-		// A stream can't go on with an answer that is none.
-		return failed{cause: errFailedAnswer}
-	}
 	a.first()
 	if response.StatusCode >= 500 && c.route.Repeat != validator.Once && c.attempts+1 < c.route.Attempts {
 		return whole
@@ -366,7 +376,7 @@
 		return scheduler.Preempted
 	case errors.Is(context.Cause(ctx), errTimeout):
 		return scheduler.Abandoned
-	case errors.Is(cause, errForeignAnswer), errors.Is(cause, errUnsigned), errors.Is(cause, errEncoded), errors.Is(cause, errFailedAnswer):
+	case errors.Is(cause, errForeignAnswer), errors.Is(cause, errUnsigned), errors.Is(cause, errEncoded), errors.Is(cause, errNoStream):
 		return scheduler.Failed
 	}
 	return scheduler.Crashed
--- a/internal/entry/relayer/call.go
+++ b/internal/entry/relayer/call.go
@@ -211,7 +211,9 @@
 	if c.organisation != nil {
 		c.ask.Organisation = c.organisation.Name
 	}
-	c.stream.last = c.intent.After
+	if c.route.Repeat == validator.Resumable {
+		c.stream.last = c.intent.After
+	}
 	end := 0
 	for _, p := range c.intent.Prompt {
 		end += p.Tokens
@@ -297,7 +299,7 @@
 	if !allowed || ctx.Err() != nil || c.attempts >= c.route.Attempts || c.unsent > maxUnsent {
 		return false
 	}
-	if c.stream.begun && (c.route.Repeat != validator.Resumable || c.stream.events == 0) {
+	if c.stream.begun && (c.route.Repeat != validator.Resumable || c.stream.events == 0 || c.stream.fixed.Load()) {
 		return false
 	}
 	c.ask.Retry = true
