relayer: a refusal that names no request isn't believed on a reused connection

Cause: a faulty upstream writes an earlier refusal once more on a kept connection. An answer with another request's ID was already told apart, but a refusal without an ID (or with an empty one) counted as the refusal of the present request, whatever the connection had carried before. The upstream ran the request; its caller was told that it hadn't run, and the connection stayed in the pool, so that the upstream went on while a second one ran the request too.

Ruled out: requests that run once. They have a connection of their own, and the table passes for them before the change, with each status (408, 421, 429, 503), each way of naming the request and each moment (with the first refusal, idle, at the next request, after an interim answer, in two halves, behind the next answer). The copy in the idle time is usually noticed by net/http; when the next request is sent first, it is read as its answer.

Change: the sender tells whether the connection carried requests before. There such a refusal is a failure that may have run, and its connections are dropped; on a fresh connection it is a refusal as before.

Conclusion: a refusal is believed if it has the request's ID, or if nothing else was ever sent on its connection.

--- a/internal/entry/forwarder/plain.go
+++ b/internal/entry/forwarder/plain.go
@@ -307,13 +307,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return t.forwarder.pool.pooled(ctx, t.slot.Upstream(), request, &t.sent)
+	sent := func(httptrace.GotConnInfo) { t.sent.Store(true) }
+	return t.forwarder.pool.pooled(ctx, t.slot.Upstream(), request, sent)
 }
 
-// pooled sends the request on a connection that may have been used; sent is set
+// pooled sends the request on a connection that may have been used; connected is called
 // before the first byte may leave.
-func (p *pool) pooled(ctx context.Context, u registrar.Upstream, request *http.Request, sent *atomic.Bool) (*http.Response, error) {
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+func (p *pool) pooled(ctx context.Context, u registrar.Upstream, request *http.Request, connected func(httptrace.GotConnInfo)) (*http.Response, error) {
+	trace := &httptrace.ClientTrace{GotConn: connected}
 	request = request.WithContext(httptrace.WithClientTrace(ctx, trace))
 	response, err := p.transport(u.Address).RoundTrip(request)
 	if err != nil {
--- a/internal/entry/forwarder/sender.go
+++ b/internal/entry/forwarder/sender.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptrace"
 	"sync/atomic"
 	"time"
 
@@ -42,22 +43,34 @@
 	Once bool
 	// Sent is set before the first byte may leave.
 	Sent atomic.Bool
+	// Reused is set when earlier requests were sent on the connection, so that an
+	// answer that names none may be theirs.
+	Reused atomic.Bool
+}
+
+// connected notes the connection on which the request is sent.
+func (a *Attempt) connected(i httptrace.GotConnInfo) {
+	a.Reused.Store(i.Reused)
+	a.Sent.Store(true)
 }
 
 // Send makes the attempt. Nothing repeats it below.
 func (s *Sender) Send(ctx context.Context, a *Attempt) (*http.Response, error) {
 	a.Request.GetBody = nil
-	send := s.pool.pooled
-	if a.Once {
-		send = s.pool.once
-	}
-	response, err := send(ctx, a.Upstream, a.Request, &a.Sent)
+	response, err := s.send(ctx, a)
 	if err != nil && ctx.Err() == nil {
 		s.distrust.note(s.pool.clock.Now(), a.Upstream.Name, err)
 	}
 	return response, err
 }
 
+func (s *Sender) send(ctx context.Context, a *Attempt) (*http.Response, error) {
+	if a.Once {
+		return s.pool.once(ctx, a.Upstream, a.Request, &a.Sent)
+	}
+	return s.pool.pooled(ctx, a.Upstream, a.Request, a.connected)
+}
+
 // Avoid returns the list with the upstreams to which this host could make no
 // connection lately.
 func (s *Sender) Avoid(list []registrar.UpstreamID) []registrar.UpstreamID {
--- a/internal/entry/relayer/attempt.go
+++ b/internal/entry/relayer/attempt.go
@@ -40,6 +40,7 @@
 
 var (
 	errForeignAnswer = errors.New("the answer belongs to another request")
+	errUnattributed  = errors.New("the refusal names no request, and the connection has carried others")
 	errUnsigned      = errors.New("the answer is not signed by an upstream, or names no request")
 	errEncoded       = errors.New("the answer is encoded")
 	errPreempted     = errors.New("the scheduler asked to go on elsewhere")
@@ -232,6 +233,10 @@
 	case reply.ID != "" && reply.ID != c.intent.ID:
 		c.relayer.options.Sender.Discard(a.upstream)
 		return failed{cause: errForeignAnswer}
+	case reply.NotRun && reply.ID == "" && a.send.Reused.Load():
+		// It may be that of an earlier request, written once more.
+		c.relayer.options.Sender.Discard(a.upstream)
+		return failed{cause: errUnattributed}
 	case reply.NotRun:
 		return notRun{refused: true, cause: fmt.Errorf("upstream refused with status %d", response.StatusCode)}
 	case !reply.Signed || reply.ID == "":
@@ -366,7 +371,7 @@
 		return scheduler.Preempted
 	case errors.Is(context.Cause(ctx), errTimeout):
 		return scheduler.Abandoned
-	case errors.Is(cause, errForeignAnswer), errors.Is(cause, errUnsigned), errors.Is(cause, errEncoded), errors.Is(cause, errFailedAnswer):
+	case errors.Is(cause, errForeignAnswer), errors.Is(cause, errUnattributed), errors.Is(cause, errUnsigned), errors.Is(cause, errEncoded), errors.Is(cause, errFailedAnswer):
 		return scheduler.Failed
 	}
 	return scheduler.Crashed
--- /dev/null
+++ b/internal/entry/relayer/refusal_test.go
@@ -0,0 +1,203 @@
+package relayer
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// workTime is how long a refuser works on a request.
+const workTime = 60 * time.Millisecond
+
+// refuser is an upstream that refuses the first request on a connection, runs the later
+// ones, and writes the refusal once more.
+type refuser struct {
+	// ids is the head's part that names the request; it gets the ID of the refused
+	// request and that of the present one.
+	ids func(refused, present string) string
+	// status is that of the refusal.
+	status int
+	// at is when the refusal is written once more.
+	at moment
+
+	mu sync.Mutex
+	// started, left and done count the requests by ID that ran, whose connection was
+	// closed meanwhile, and that have been answered.
+	started, left, done map[string]int
+}
+
+// moment is when the refusal is written once more.
+type moment string
+
+const (
+	together   moment = "with the first refusal"
+	idle       moment = "while the connection is idle"
+	atRequest  moment = "at the next request"
+	interim    moment = "after an interim answer to the next request"
+	half       moment = "half of it while idle, half at the next request"
+	behind     moment = "with the next answer"
+	neverAgain moment = "never"
+)
+
+func (f *refuser) listen(t *testing.T) string {
+	f.started, f.left, f.done = map[string]int{}, map[string]int{}, map[string]int{}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go f.serve(c)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func (f *refuser) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	refused := ""
+	for {
+		q, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, q.Body)
+		id := q.Header.Get("X-Id")
+		if refused == "" {
+			refused = id
+			f.refuse(c, id)
+			continue
+		}
+		f.count(f.started, id)
+		again := f.refusal(refused, id)
+		switch f.at {
+		case atRequest:
+			_, _ = io.WriteString(c, again)
+		case half:
+			_, _ = io.WriteString(c, again[len(again)/2:])
+		case interim:
+			_, _ = io.WriteString(c, "HTTP/1.1 103 Early Hints\r\n\r\n"+again)
+		}
+		// A request whose connection is closed is dropped.
+		_ = c.SetReadDeadline(time.Now().Add(workTime))
+		if _, err := r.Peek(1); !errors.Is(err, os.ErrDeadlineExceeded) {
+			f.count(f.left, id)
+			return
+		}
+		_ = c.SetReadDeadline(time.Time{})
+		f.count(f.done, id)
+		more := ""
+		if f.at == behind {
+			more = again
+		}
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Signed: y\r\nContent-Length: %d\r\n\r\nfor %s%s", id, len("for "+id), id, more)
+	}
+}
+
+// refuse writes the first refusal, and once more what comes before the next request.
+func (f *refuser) refuse(w io.Writer, id string) {
+	text := f.refusal(id, id)
+	switch f.at {
+	case together:
+		_, _ = io.WriteString(w, text+text)
+		return
+	case idle:
+		_, _ = io.WriteString(w, text)
+		time.Sleep(workTime / 4)
+		_, _ = io.WriteString(w, text)
+		return
+	case half:
+		_, _ = io.WriteString(w, text+text[:len(text)/2])
+		return
+	}
+	_, _ = io.WriteString(w, text)
+}
+
+func (f *refuser) refusal(refused, present string) string {
+	return fmt.Sprintf("HTTP/1.1 %d X\r\n%sX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", f.status, f.ids(refused, present))
+}
+
+func (f *refuser) count(m map[string]int, id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m[id]++
+}
+
+func (f *refuser) counted(m map[string]int, id string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return m[id]
+}
+
+// names are the ways in which a refusal names its request.
+var names = map[string]func(refused, present string) string{
+	"the refused request": func(refused, _ string) string { return "X-Id: " + refused + "\r\n" },
+	"no request":          func(string, string) string { return "" },
+	"an empty ID":         func(string, string) string { return "X-Id:\r\n" },
+}
+
+// promised are the statuses that tell a caller that its request has not run.
+func promised(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// Guards against a request that is told not to have run because of an earlier request's
+// refusal, which the upstream wrote once more on a connection in use again.
+func TestEarlierRefusalIsNotBelieved(t *testing.T) {
+	for _, path := range []string{"/once/x", "/resumable/x", "/idempotent/x"} {
+		for name, ids := range names {
+			for _, at := range []moment{together, idle, atRequest, interim, half, behind} {
+				for _, status := range []int{408, 421, 429, 503} {
+					t.Run(fmt.Sprint(path, " ", name, " ", at, " ", status), func(t *testing.T) {
+						t.Parallel()
+						f := &refuser{ids: ids, status: status, at: at}
+						r := newRig(t)
+						r.add(f.listen(t))
+						for i := range 6 {
+							id := fmt.Sprintf("id-%d", i)
+							a := r.call(path, "X-Id", id)
+							ran := f.counted(f.started, id)
+							assert.Assert(t, ran == 0 || !promised(a.status), "%s ran and was answered with %d %s", id, a.status, a.body)
+							assert.Assert(t, path != "/once/x" || ran <= 1, "%s ran %d times", id, ran)
+						}
+					})
+				}
+			}
+		}
+	}
+}
+
+// Guards against a stream that goes on at a second upstream while the first one, whose
+// earlier refusal came once more, still works on it.
+func TestUnattributedRefusalEndsItsConnection(t *testing.T) {
+	for name, ids := range names {
+		t.Run(name, func(t *testing.T) {
+			f := &refuser{ids: ids, status: 503, at: atRequest}
+			r := newRig(t)
+			r.add(f.listen(t))
+			r.call("/resumable/x", "X-Id", "id-0")
+			r.add(r.upstream(says(200, "sold")))
+			assert.Assert(t, !promised(r.call("/resumable/x").status))
+			time.Sleep(2 * workTime)
+			assert.Equal(t, f.counted(f.started, "id-1"), 1, "the connection was not used again")
+			assert.Equal(t, f.counted(f.done, "id-1"), 0, "the first upstream finished what the second one ran")
+		})
+	}
+}
