relayer: a request has a connection of its own where the upstream had it before

Cause: the scheduler grants an avoided upstream when there is no other (gradeAvoided; TestStep, "avoided only when there is no other"), and after another request's answer the upstream isn't avoided at all; a process may also be back under another name at the same address. Then the request is sent a second time to the same address, with the same ID and on the kept connection that brought its refusal. When the upstream writes that refusal once more, the ID is the right one: the router takes it as the answer to the second sending, while the upstream runs it.

Ruled out: requests that run once, which never share a connection (the rows of /once/ pass before the change).

Change: a request that goes to an address for the second time gets a connection of its own, as one that must run once does.

Before: --- FAIL: TestOwnEarlierRefusalIsNotBelieved//resumable/x_at_the_next_request refusal_test.go:219: assertion failed: expression is false: ran == 0 || !promised(a.status): it ran and was answered with 503 not_run After: it and the other tests of second copies pass, three runs with the race detector.

Conclusion: the ID identifies the request, not the sending; on its own connection there is one sending only.

--- a/internal/entry/forwarder/sender.go
+++ b/internal/entry/forwarder/sender.go
@@ -39,7 +39,7 @@
 	Upstream registrar.Upstream
 	Request  *http.Request
 	// Once gives the request a connection of its own, so that no part of it can
-	// be sent twice.
+	// be sent twice and no answer to an earlier request be read.
 	Once bool
 	// Sent is set before the first byte may leave.
 	Sent atomic.Bool
--- a/internal/entry/relayer/attempt.go
+++ b/internal/entry/relayer/attempt.go
@@ -9,6 +9,7 @@
 	"mime"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -133,7 +134,7 @@
 	if err != nil {
 		return notRun{cause: err}
 	}
-	a.send = forwarder.Attempt{Upstream: a.upstream, Request: request, Once: c.route.Repeat == validator.Once}
+	a.send = forwarder.Attempt{Upstream: a.upstream, Request: request, Once: a.alone()}
 	a.watch(ctx, left)
 	a.asked = c.relayer.clock.Now()
 	response, err := c.relayer.options.Sender.Send(ctx, &a.send)
@@ -144,6 +145,13 @@
 	return a.receive(ctx, response)
 }
 
+// alone reports whether the request needs a connection of its own: it must run once, or
+// the upstream had it before, whose earlier answer has the same ID.
+func (a *attempt) alone() bool {
+	c := a.call
+	return c.route.Repeat == validator.Once || slices.Contains(c.addresses, a.upstream.Address)
+}
+
 // watch gives an upstream up that is silent, or that the scheduler has found to be,
 // where the request may go on elsewhere.
 func (a *attempt) watch(ctx context.Context, left time.Duration) {
--- a/internal/entry/relayer/call.go
+++ b/internal/entry/relayer/call.go
@@ -68,6 +68,8 @@
 	// attempts counts the upstreams that the request was sent to, and unsent those
 	// to which no connection could be made.
 	attempts, unsent int
+	// addresses are those that the request was sent to.
+	addresses []string
 	// mayHaveRun is set once an upstream may have run the request without an
 	// answer that was passed on.
 	mayHaveRun bool
@@ -247,6 +249,7 @@
 		result := a.run(ctx)
 		if a.send.Sent.Load() {
 			c.attempts++
+			c.addresses = append(c.addresses, a.upstream.Address)
 		} else {
 			c.unsent++
 		}
--- a/internal/entry/relayer/refusal_test.go
+++ b/internal/entry/relayer/refusal_test.go
@@ -201,3 +201,23 @@
 		})
 	}
 }
+
+// Guards against a request that is sent to the same upstream again and believes its own
+// earlier refusal, which the upstream wrote once more.
+func TestOwnEarlierRefusalIsNotBelieved(t *testing.T) {
+	for _, path := range []string{"/once/x", "/resumable/x", "/idempotent/x"} {
+		for _, at := range []moment{together, idle, atRequest, interim, half} {
+			t.Run(path+" "+string(at), func(t *testing.T) {
+				f := &refuser{ids: names["the refused request"], status: 503, at: at}
+				r := newRig(t)
+				address := f.listen(t)
+				// The second attempt goes to the same process.
+				r.add(address)
+				r.add(address)
+				a := r.call(path)
+				ran := f.counted(f.started, "id-1")
+				assert.Assert(t, ran == 0 || !promised(a.status), "it ran and was answered with %d %s", a.status, a.body)
+			})
+		}
+	}
+}
