forwarder: an answer that belongs to another request ends its connection

Cause: after such an answer the sender closed the idle connections of the upstream. net/http gives a connection back before it returns an answer without a body, so that a further request may have taken the connection by then. It stayed open in that case: the upstream went on with the request that the host had given up and sent elsewhere, and the further request waited behind it.

Ruled out: connections in a transport that has been replaced, and answers with a body that isn't read; both are closed before the change.

Change: the attempt knows its connection, and Discard closes that one beside the idle ones.

Before: --- FAIL: TestDiscardEndsTheConnection/in_use_again sender_test.go:107: the upstream still has the connection After: passes, five runs with the race detector.

Conclusion: an upstream is told at once that a request was given up, whatever the pool did with its connection.

--- a/internal/entry/forwarder/sender.go
+++ b/internal/entry/forwarder/sender.go
@@ -43,17 +43,23 @@
 	Once bool
 	// Sent is set before the first byte may leave.
 	Sent atomic.Bool
-	// Reused is set when earlier requests were sent on the connection, so that an
-	// answer that names none may be theirs.
-	Reused atomic.Bool
+	// pooled is the connection of an attempt that has none of its own.
+	pooled atomic.Pointer[httptrace.GotConnInfo]
 }
 
 // connected notes the connection on which the request is sent.
 func (a *Attempt) connected(i httptrace.GotConnInfo) {
-	a.Reused.Store(i.Reused)
+	a.pooled.Store(&i)
 	a.Sent.Store(true)
 }
 
+// Reused reports whether earlier requests were sent on the connection, so that an answer
+// that names none may be theirs.
+func (a *Attempt) Reused() bool {
+	i := a.pooled.Load()
+	return i != nil && i.Reused
+}
+
 // Send makes the attempt. Nothing repeats it below.
 func (s *Sender) Send(ctx context.Context, a *Attempt) (*http.Response, error) {
 	a.Request.GetBody = nil
@@ -77,10 +83,15 @@
 	return s.distrust.extend(s.pool.clock.Now(), list)
 }
 
-// Discard makes later attempts use new connections to the upstream, after one
-// brought something that belongs to another request.
-func (s *Sender) Discard(u registrar.Upstream) {
-	s.pool.discard(u.Address, s.pool.transport(u.Address))
+// Discard ends the connection of an attempt that brought something that belongs to
+// another request, and makes later attempts use new connections to the upstream. The
+// transport may have given the connection to a further request already, behind one that
+// the upstream still runs.
+func (s *Sender) Discard(a *Attempt) {
+	if i := a.pooled.Load(); i != nil {
+		_ = withoutTLS(i.Conn).Close()
+	}
+	s.pool.discard(a.Upstream.Address, s.pool.transport(a.Upstream.Address))
 }
 
 // Unsent classifies the error of an attempt that got no connection.
--- a/internal/entry/forwarder/sender_test.go
+++ b/internal/entry/forwarder/sender_test.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"bufio"
 	"context"
 	"net"
 	"net/http"
@@ -52,3 +53,61 @@
 	assert.Assert(t, err != nil)
 	assert.Equal(t, len(s.Avoid(nil)), 0)
 }
+
+// TestDiscardEndsTheConnection guards against an upstream that goes on with a request
+// which the host has given up: the connection that brought something else in place of
+// the answer must end, also when its transport has been replaced or another request
+// already uses it again.
+func TestDiscardEndsTheConnection(t *testing.T) {
+	for name, between := range map[string]func(s *Sender, u registrar.Upstream, clock *clockwork.FakeClock, next func()){
+		"idle": func(*Sender, registrar.Upstream, *clockwork.FakeClock, func()) {},
+		"replaced transport": func(s *Sender, u registrar.Upstream, clock *clockwork.FakeClock, _ func()) {
+			clock.Advance(maxConnectionAge)
+		},
+		"in use again": func(_ *Sender, _ registrar.Upstream, _ *clockwork.FakeClock, next func()) { next() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer func() { _ = l.Close() }()
+			second, ended := make(chan struct{}), make(chan error, 1)
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer func() { _ = c.Close() }()
+				r := bufio.NewReader(c)
+				_, _ = http.ReadRequest(r)
+				_, _ = c.Write([]byte("HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"))
+				if _, err := http.ReadRequest(r); err == nil {
+					close(second)
+				}
+				_, err = r.Peek(1)
+				ended <- err
+			}()
+			clock := clockwork.NewFakeClock()
+			s := NewSender(clock, nil)
+			defer s.Close()
+			u := registrar.Upstream{Name: "u", Address: l.Addr().String()}
+			attempt := func() *Attempt {
+				request, err := http.NewRequest(http.MethodPost, "http://"+u.Address+"/", nil)
+				assert.NilError(t, err)
+				return &Attempt{Upstream: u, Request: request}
+			}
+			a := attempt()
+			_, err = s.Send(t.Context(), a)
+			assert.NilError(t, err)
+			between(s, u, clock, func() {
+				go func() { _, _ = s.Send(t.Context(), attempt()) }()
+				<-second
+			})
+			s.Discard(a)
+			select {
+			case <-ended:
+			case <-time.After(time.Second):
+				t.Fatal("the upstream still has the connection")
+			}
+		})
+	}
+}
--- a/internal/entry/relayer/attempt.go
+++ b/internal/entry/relayer/attempt.go
@@ -239,16 +239,16 @@
 	success := response.StatusCode >= 200 && response.StatusCode < 300
 	switch {
 	case reply.ID != "" && reply.ID != c.intent.ID:
-		c.relayer.options.Sender.Discard(a.upstream)
+		c.relayer.options.Sender.Discard(&a.send)
 		return failed{cause: errForeignAnswer}
-	case reply.NotRun && reply.ID == "" && a.send.Reused.Load():
+	case reply.NotRun && reply.ID == "" && a.send.Reused():
 		// It may be that of an earlier request, written once more.
-		c.relayer.options.Sender.Discard(a.upstream)
+		c.relayer.options.Sender.Discard(&a.send)
 		return failed{cause: errUnattributed}
 	case reply.NotRun:
 		return notRun{refused: true, cause: fmt.Errorf("upstream refused with status %d", response.StatusCode)}
 	case !reply.Signed || reply.ID == "":
-		c.relayer.options.Sender.Discard(a.upstream)
+		c.relayer.options.Sender.Discard(&a.send)
 		return failed{cause: errUnsigned}
 	case response.Header.Get("Content-Encoding") != "":
 		return failed{cause: errEncoded}
