relayer: a head that begins with a part of another one is nobody's

Cause: a faulty upstream writes a part of an earlier answer once more and then the answer to the present request, on a connection in use again. When the part ends within a line, the rest of that line is the present answer's status line, and net/http reads one head from both: the earlier status and its statement that the request hasn't run, with the present ID and signature. A request that ran was answered 503, and a signed 500 was passed on as a signed 200.

Ruled out: parts that end elsewhere (net/http finds the line malformed, or the ID is the earlier one's), and requests that run once.

Change: on a reused connection, a status line in the reason or in a value of the head marks the answer as another request's; its connection ends.

Conclusion: two heads that were run together are told apart by the second status line.

--- a/internal/entry/forwarder/sender.go
+++ b/internal/entry/forwarder/sender.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"net/http/httptrace"
+	"regexp"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -60,6 +62,27 @@
 	return i != nil && i.Reused
 }
 
+// statusLine is the part of a status line that no value of a header has.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9]{2}`)
+
+// Spliced reports whether the head of an answer begins with a part of another one, which
+// was cut off within a line: the status line of the answer itself then follows in that
+// line.
+func (a *Attempt) Spliced(response *http.Response) bool {
+	if !a.Reused() {
+		return false
+	}
+	if statusLine.MatchString(response.Status) {
+		return true
+	}
+	for _, values := range response.Header {
+		if slices.ContainsFunc(values, statusLine.MatchString) {
+			return true
+		}
+	}
+	return false
+}
+
 // Send makes the attempt. Nothing repeats it below.
 func (s *Sender) Send(ctx context.Context, a *Attempt) (*http.Response, error) {
 	a.Request.GetBody = nil
--- a/internal/entry/relayer/attempt.go
+++ b/internal/entry/relayer/attempt.go
@@ -234,6 +234,10 @@
 // receive checks that the answer belongs to the request and reads it.
 func (a *attempt) receive(ctx context.Context, response *http.Response) result {
 	c := a.call
+	if a.send.Spliced(response) {
+		c.relayer.options.Sender.Discard(&a.send)
+		return failed{cause: errForeignAnswer}
+	}
 	reply := c.relayer.options.Protocol.Reply(response)
 	a.notice(reply)
 	success := response.StatusCode >= 200 && response.StatusCode < 300
--- a/internal/entry/relayer/refusal_test.go
+++ b/internal/entry/relayer/refusal_test.go
@@ -221,3 +221,51 @@
 		}
 	}
 }
+
+// Guards against the head of an answer that is read together with a part of an earlier
+// one, which the upstream wrote before it: its status and what it states are a mixture.
+func TestPartOfEarlierHeadIsNotBelieved(t *testing.T) {
+	heads := map[string]string{
+		"refusal": "HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nRetry-After: 1\r\nX-Id: id-0\r\nContent-Length: 0\r\n\r\n",
+		"success": "HTTP/1.1 200 OK\r\nX-Signed: y\r\nServer: s\r\nX-Id: id-0\r\nContent-Length: 3\r\n\r\nold",
+	}
+	for _, status := range []int{200, 500} {
+		for name, earlier := range heads {
+			for cut := range len(earlier) {
+				t.Run(fmt.Sprint(status, " after ", cut, " bytes of a ", name), func(t *testing.T) {
+					t.Parallel()
+					l, err := net.Listen("tcp", "127.0.0.1:0")
+					assert.NilError(t, err)
+					defer func() { _ = l.Close() }()
+					go serveSpliced(l, earlier, earlier[:cut]+fmt.Sprintf("HTTP/1.1 %d X\r\nX-Id: id-1\r\nX-Signed: y\r\nContent-Length: 3\r\n\r\nnew", status))
+					r := newRig(t)
+					r.add(l.Addr().String())
+					r.call("/resumable/x", "X-Id", "id-0")
+					a := r.call("/resumable/x")
+					assert.Assert(t, a.broken == nil && !promised(a.status), "%d %s", a.status, a.body)
+					assert.Assert(t, a.header.Get("X-Signed") == "" || a.status == status, "%d for %d", a.status, status)
+				})
+			}
+		}
+	}
+}
+
+// serveSpliced answers the first request on its connection and the second one, which
+// runs, and no further connection.
+func serveSpliced(l net.Listener, first, second string) {
+	c, err := l.Accept()
+	if err != nil {
+		return
+	}
+	_ = l.Close()
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for _, text := range []string{first, second} {
+		q, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, q.Body)
+		_, _ = io.WriteString(c, text)
+	}
+}
