relayer: an upstream's status alone tells no caller that its request has not run

Cause: an upstream's own 408, 429 or 503 was passed on as it came, with its signature, also without the statement that the request hasn't run. Callers take these statuses for that promise and repeat a request that runs once, though the upstream may have run it.

Ruled out: refusals that carry the statement, which are retried elsewhere and end with a 503 of the system's own, and idempotent requests, which callers repeat after any failure; for these the upstream's own answer is still passed on.

Change: without the statement such a status is a failure that may have run, a 502 of the system's own unless the stream goes on elsewhere. The causes that count as a bad answer of the upstream stand in one list.

Before: --- FAIL: TestStatusAloneIsNoRefusal//once/x_503 refusal_test.go:280: assertion failed: 503 (a.status int) != 502 (http.StatusBadGateway int) After: passes with the race detector.

Conclusion: the statuses that promise reach callers of requests that aren't idempotent only from the system itself.

--- a/internal/entry/relayer/attempt.go
+++ b/internal/entry/relayer/attempt.go
@@ -43,6 +43,7 @@
 	errForeignAnswer = errors.New("the answer belongs to another request")
 	errUnattributed  = errors.New("the refusal names no request, and the connection has carried others")
 	errUnsigned      = errors.New("the answer is not signed by an upstream, or names no request")
+	errUnstated      = errors.New("the upstream refused by its status alone")
 	errEncoded       = errors.New("the answer is encoded")
 	errPreempted     = errors.New("the scheduler asked to go on elsewhere")
 	errSilent        = errors.New("the upstream is silent")
@@ -51,6 +52,9 @@
 	errLate          = errors.New("no time is left")
 )
 
+// badAnswers are the failures of upstreams that do answer.
+var badAnswers = []error{errForeignAnswer, errUnattributed, errUnsigned, errUnstated, errEncoded, errFailedAnswer}
+
 // result is how an attempt ended.
 type result interface{ result() }
 
@@ -254,6 +258,8 @@
 	case !reply.Signed || reply.ID == "":
 		c.relayer.options.Sender.Discard(&a.send)
 		return failed{cause: errUnsigned}
+	case c.route.Repeat != validator.Idempotent && promises(response.StatusCode):
+		return failed{cause: errUnstated}
 	case response.Header.Get("Content-Encoding") != "":
 		return failed{cause: errEncoded}
 	}
@@ -263,6 +269,15 @@
 	return a.relayWhole(ctx, response)
 }
 
+// promises reports whether a status alone tells callers that the request has not run.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // notice passes on what the upstream says about new work. It counts whatever becomes
 // of the answer, but for a limit that is not named any more: only an answer to this
 // request tells that.
@@ -383,7 +398,7 @@
 		return scheduler.Preempted
 	case errors.Is(context.Cause(ctx), errTimeout):
 		return scheduler.Abandoned
-	case errors.Is(cause, errForeignAnswer), errors.Is(cause, errUnattributed), errors.Is(cause, errUnsigned), errors.Is(cause, errEncoded), errors.Is(cause, errFailedAnswer):
+	case slices.ContainsFunc(badAnswers, func(bad error) bool { return errors.Is(cause, bad) }):
 		return scheduler.Failed
 	}
 	return scheduler.Crashed
--- a/internal/entry/relayer/refusal_test.go
+++ b/internal/entry/relayer/refusal_test.go
@@ -150,13 +150,7 @@
 }
 
 // promised are the statuses that tell a caller that its request has not run.
-func promised(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	}
-	return false
-}
+var promised = map[int]bool{408: true, 421: true, 429: true, 503: true}
 
 // Guards against a request that is told not to have run because of an earlier request's
 // refusal, which the upstream wrote once more on a connection in use again.
@@ -174,7 +168,7 @@
 							id := fmt.Sprintf("id-%d", i)
 							a := r.call(path, "X-Id", id)
 							ran := f.counted(f.started, id)
-							assert.Assert(t, ran == 0 || !promised(a.status), "%s ran and was answered with %d %s", id, a.status, a.body)
+							assert.Assert(t, ran == 0 || !promised[a.status], "%s ran and was answered with %d %s", id, a.status, a.body)
 							assert.Assert(t, path != "/once/x" || ran <= 1, "%s ran %d times", id, ran)
 						}
 					})
@@ -194,7 +188,7 @@
 			r.add(f.listen(t))
 			r.call("/resumable/x", "X-Id", "id-0")
 			r.add(r.upstream(says(200, "sold")))
-			assert.Assert(t, !promised(r.call("/resumable/x").status))
+			assert.Assert(t, !promised[r.call("/resumable/x").status])
 			time.Sleep(2 * workTime)
 			assert.Equal(t, f.counted(f.started, "id-1"), 1, "the connection was not used again")
 			assert.Equal(t, f.counted(f.done, "id-1"), 0, "the first upstream finished what the second one ran")
@@ -216,7 +210,7 @@
 				r.add(address)
 				a := r.call(path)
 				ran := f.counted(f.started, "id-1")
-				assert.Assert(t, ran == 0 || !promised(a.status), "it ran and was answered with %d %s", a.status, a.body)
+				assert.Assert(t, ran == 0 || !promised[a.status], "it ran and was answered with %d %s", a.status, a.body)
 			})
 		}
 	}
@@ -242,7 +236,7 @@
 					r.add(l.Addr().String())
 					r.call("/resumable/x", "X-Id", "id-0")
 					a := r.call("/resumable/x")
-					assert.Assert(t, a.broken == nil && !promised(a.status), "%d %s", a.status, a.body)
+					assert.Assert(t, a.broken == nil && !promised[a.status], "%d %s", a.status, a.body)
 					assert.Assert(t, a.header.Get("X-Signed") == "" || a.status == status, "%d for %d", a.status, status)
 				})
 			}
@@ -269,3 +263,17 @@
 		_, _ = io.WriteString(c, text)
 	}
 }
+
+// Guards against a caller that is told by an upstream's status that its request has not
+// run, while the upstream doesn't say so and may have run it.
+func TestStatusAloneIsNoRefusal(t *testing.T) {
+	for _, path := range []string{"/once/x", "/resumable/x"} {
+		for _, status := range []int{408, 429, 503} {
+			t.Run(fmt.Sprint(path, " ", status), func(t *testing.T) {
+				a := newRig(t, says(status, "no")).call(path)
+				assert.Equal(t, a.status, http.StatusBadGateway)
+				assert.Equal(t, a.header.Get("X-Signed"), "")
+			})
+		}
+	}
+}
