relayer: a test of refusals written in the middle and at the end of a stream

An earlier refusal written once more between two chunks of a stream, before its last chunk or behind it reaches no caller: the first two break the chunks, so that the stream goes on at another upstream after its last whole event; the third is dropped with its connection.

--- a/internal/entry/relayer/refusal_test.go
+++ b/internal/entry/relayer/refusal_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -277,3 +278,42 @@
 		}
 	}
 }
+
+// Guards against an earlier refusal that becomes a part of a stream or ends it as if it
+// were whole.
+func TestEarlierRefusalBesideStream(t *testing.T) {
+	const refusal = "HTTP/1.1 503 X\r\nX-Id: id-0\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	var parts, rest strings.Builder
+	events(1, 3, true)(&parts, nil)
+	events(4, 6, true)(&rest, nil)
+	begin, _, _ := strings.Cut(parts.String(), "0\r\n\r\n")
+	_, more, _ := strings.Cut(rest.String(), "\r\n\r\n")
+	for _, c := range []struct {
+		name   string
+		answer string
+		events int
+		// resumed is set when the stream goes on at the second upstream.
+		resumed bool
+	}{
+		{"between two events", begin + refusal + more, 6, true},
+		{"before its end", begin + refusal + "0\r\n\r\n", 6, true},
+		{"after its end", parts.String() + refusal, 3, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer func() { _ = l.Close() }()
+			go serveSpliced(l, refusal, c.answer)
+			r := newRig(t)
+			r.add(l.Addr().String())
+			r.call("/resumable/x", "X-Id", "id-0")
+			r.add(r.upstream(events(4, 6, true)))
+			a := r.call("/resumable/x")
+			assert.NilError(t, a.broken)
+			assert.Equal(t, a.status, 200)
+			assert.Assert(t, !strings.Contains(a.body, "HTTP/1.1"), "%s", a.body)
+			assert.Equal(t, strings.Count(a.body, "id: "), c.events)
+			assert.Equal(t, r.runs() == 1, c.resumed)
+		})
+	}
+}
