relayer: a refusal isn't believed after net/http has sent the request twice

Cause: net/http sends a request without a body (GET, HEAD, OPTIONS, TRACE, others with an idempotency key) again by itself when a reused connection ends before the answer, also without GetBody. An upstream that read the request, closed the connection and refused the second sending made the caller be told that it hadn't run.

Ruled out: requests that run once; their connection is never a reused one. The resending itself stays: it makes good for idle connections that the upstream just closed, and only requests that may be repeated are sent so.

Change: the sender notes the resending, and a refusal after it is a failure that may have run. The comment on Send says what net/http does.

Before: --- FAIL: TestRefusalOfResentRequestIsNotBelieved refusal_test.go:364: assertion failed: 503 (status int) != 502 (http.StatusBadGateway int) After: passes, five runs with the race detector.

Conclusion: a refusal speaks for one sending; with two, the first may have run.

--- a/internal/entry/forwarder/sender.go
+++ b/internal/entry/forwarder/sender.go
@@ -47,11 +47,15 @@
 	Sent atomic.Bool
 	// pooled is the connection of an attempt that has none of its own.
 	pooled atomic.Pointer[httptrace.GotConnInfo]
+	// resent is set when net/http sent the request on a further connection.
+	resent atomic.Bool
 }
 
 // connected notes the connection on which the request is sent.
 func (a *Attempt) connected(i httptrace.GotConnInfo) {
-	a.pooled.Store(&i)
+	if a.pooled.Swap(&i) != nil {
+		a.resent.Store(true)
+	}
 	a.Sent.Store(true)
 }
 
@@ -62,6 +66,10 @@
 	return i != nil && i.Reused
 }
 
+// Resent reports whether net/http sent the request again after a reused connection had
+// ended. The answer then tells nothing about the first sending.
+func (a *Attempt) Resent() bool { return a.resent.Load() }
+
 // statusLine is the part of a status line that no value of a header has.
 var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9]{2}`)
 
@@ -83,7 +91,8 @@
 	return false
 }
 
-// Send makes the attempt. Nothing repeats it below.
+// Send makes the attempt. Nothing repeats it below, but that net/http may send a request
+// without a body again when a reused connection ends before the answer.
 func (s *Sender) Send(ctx context.Context, a *Attempt) (*http.Response, error) {
 	a.Request.GetBody = nil
 	response, err := s.send(ctx, a)
--- a/internal/entry/relayer/attempt.go
+++ b/internal/entry/relayer/attempt.go
@@ -42,6 +42,7 @@
 var (
 	errForeignAnswer = errors.New("the answer belongs to another request")
 	errUnattributed  = errors.New("the refusal names no request, and the connection has carried others")
+	errResent        = errors.New("the upstream refused the request after it may have run it")
 	errUnsigned      = errors.New("the answer is not signed by an upstream, or names no request")
 	errUnstated      = errors.New("the upstream refused by its status alone")
 	errEncoded       = errors.New("the answer is encoded")
@@ -53,7 +54,7 @@
 )
 
 // badAnswers are the failures of upstreams that do answer.
-var badAnswers = []error{errForeignAnswer, errUnattributed, errUnsigned, errUnstated, errEncoded, errFailedAnswer}
+var badAnswers = []error{errForeignAnswer, errUnattributed, errResent, errUnsigned, errUnstated, errEncoded, errFailedAnswer}
 
 // result is how an attempt ended.
 type result interface{ result() }
@@ -253,6 +254,8 @@
 		// It may be that of an earlier request, written once more.
 		c.relayer.options.Sender.Discard(&a.send)
 		return failed{cause: errUnattributed}
+	case reply.NotRun && a.send.Resent():
+		return failed{cause: errResent}
 	case reply.NotRun:
 		return notRun{refused: true, cause: fmt.Errorf("upstream refused with status %d", response.StatusCode)}
 	case !reply.Signed || reply.ID == "":
--- a/internal/entry/relayer/refusal_test.go
+++ b/internal/entry/relayer/refusal_test.go
@@ -317,3 +317,49 @@
 		})
 	}
 }
+
+// Guards against a refusal that is believed though net/http sent the request twice: the
+// upstream closed the connection on reading it the first time, and may have run it.
+func TestRefusalOfResentRequestIsNotBelieved(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = l.Close() }()
+	refusal := "HTTP/1.1 503 X\r\nX-Id: %s\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	ran := make(chan string, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		r := bufio.NewReader(c)
+		_, _ = http.ReadRequest(r)
+		_, _ = fmt.Fprintf(c, refusal, "id-0")
+		if q, err := http.ReadRequest(r); err == nil {
+			ran <- q.Header.Get("X-Id")
+		}
+		_ = c.Close()
+		if c, err = l.Accept(); err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		_, _ = http.ReadRequest(bufio.NewReader(c))
+		_, _ = fmt.Fprintf(c, refusal, "id-1")
+	}()
+	r := newRig(t)
+	r.add(l.Addr().String())
+	get := func(id string) int {
+		q, err := http.NewRequest(http.MethodGet, "http://"+r.address+"/resumable/x", nil)
+		assert.NilError(t, err)
+		q.Host = "shop.example"
+		q.Header.Set("X-Id", id)
+		q.Header.Set("X-Key", "secret")
+		response, err := http.DefaultTransport.RoundTrip(q)
+		assert.NilError(t, err)
+		assert.NilError(t, response.Body.Close())
+		return response.StatusCode
+	}
+	assert.Equal(t, get("id-0"), http.StatusServiceUnavailable)
+	status := get("id-1")
+	assert.Equal(t, <-ran, "id-1")
+	assert.Equal(t, status, http.StatusBadGateway)
+}
