platform: an upstream's ID, service and zone are checked before they are kept

PUT /api/instances/%ff and DELETE /api/instances/%ff with a start time were taken with an ID that is no UTF-8.

Announcements on the system's own route are checked for this but for control characters; those on the platform's route were not. Both now pass gossiper.Check, which has the limits of the former, refuses what is no UTF-8, control characters and spaces at the ends of names.

--- a/internal/member/gossiper/announce.go
+++ b/internal/member/gossiper/announce.go
@@ -10,6 +10,9 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
+	"unicode"
+	"unicode/utf8"
 
 	"go.uber.org/zap"
 
@@ -54,6 +57,16 @@
 	if err := json.Unmarshal(body, &u); err != nil {
 		return registrar.Upstream{}, fmt.Errorf("decode announcement: %w", err)
 	}
+	if err := Check(u); err != nil {
+		return registrar.Upstream{}, err
+	}
+	return u, nil
+}
+
+// Check reports why an announcement can't be taken. One that passes can be sent to
+// other hosts, whose messages hold only valid text and are bounded. The error joins all
+// faults.
+func Check(u registrar.Upstream) error {
 	var faults []error
 	fault := func(bad bool, format string, args ...any) {
 		if bad {
@@ -64,6 +77,7 @@
 	fault(u.Incarnation == 0, "incarnation: must be at least 1")
 	for _, t := range [][2]string{{"name", string(u.Name)}, {"address", u.Address}, {"centre", string(u.Centre)}, {"cell", string(u.Cell)}} {
 		fault(len(t[1]) > MaxText, "%s: %d bytes, at most %d are allowed", t[0], len(t[1]), MaxText)
+		fault(!readable(t[1]), "%s: must be UTF-8 without control characters and without spaces at its ends", t[0])
 	}
 	checkList(fault, "services", u.Services)
 	checkList(fault, "models", u.Models)
@@ -81,16 +95,19 @@
 		fault(secure && (err != nil || host == "" || number != nil), "address: %q must be https://host:port", u.Address)
 		fault(len(u.Models)+len(u.Services) == 0, "models, services: at least one is needed")
 	}
-	if len(faults) > 0 {
-		return registrar.Upstream{}, errors.Join(faults...)
-	}
-	return u, nil
+	return errors.Join(faults...)
+}
+
+// readable reports whether a text can be sent in messages and in headers.
+func readable(text string) bool {
+	return utf8.ValidString(text) && !strings.ContainsFunc(text, unicode.IsControl) && strings.TrimSpace(text) == text
 }
 
 func checkList[T ~string](fault func(bool, string, ...any), name string, list []T) {
 	fault(len(list) > MaxList, "%s: %d items, at most %d are allowed", name, len(list), MaxList)
 	for i, t := range list {
 		fault(t == "" || len(t) > MaxText, "%s[%d]: %d bytes, must be 1 to %d", name, i, len(t), MaxText)
+		fault(!readable(string(t)), "%s[%d]: must be UTF-8 without control characters and without spaces at its ends", name, i)
 	}
 }
 
