dispatcher: a caller's ID that is no text no longer breaks the link of its host

Attempt-Id is a header of the caller and may hold any bytes. It is part of the request's ID in the messages to the owner of the cell, whose strings must be UTF-8. One request with Attempt-Id "\xff" made each batch with it impossible to encode: the link failed, was made again and failed again for as long as the request was open, and the host granted all its requests on its own meanwhile.

The ID of such a request, or of one longer than 256 bytes, is now replaced by its hash in the dispatcher, for the own cell and for other cells. The upstream still gets the caller's header, and answers are compared with that.

Found while looking for the same fault in the list of upstreams.

--- a/internal/entry/dispatcher/cell.go
+++ b/internal/entry/dispatcher/cell.go
@@ -7,6 +7,7 @@
 	"sync"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"connectrpc.com/connect"
 	"github.com/cespare/xxhash/v2"
@@ -149,8 +150,8 @@
 func (c *Cell) acquire(ctx context.Context, r scheduler.Request) (Slot, error) {
 	// Each call has an ID of its own: a late end of the last attempt must not
 	// withdraw the next one of the same request.
-	r.Origin = r.ID
-	r.ID = c.unique(r.ID)
+	r.Origin = identify(r.ID)
+	r.ID = c.unique(r.Origin)
 	t := newTicket(r, c.settings.Clock, c.find, c.ended)
 	c.admit(t)
 	select {
@@ -177,6 +178,19 @@
 	return scheduler.RequestID(id)
 }
 
+// maxID bounds a caller's ID in messages between hosts, in bytes.
+const maxID = 256
+
+// identify returns the caller's ID of a request as messages between hosts can carry it.
+// What is no text, or too long, is replaced by its hash.
+func identify(id scheduler.RequestID) scheduler.RequestID {
+	if len(id) <= maxID && utf8.ValidString(string(id)) {
+		return id
+	}
+	return scheduler.RequestID(strconv.FormatUint(xxhash.Sum64String(string(id)), 16))
+}
+
+// unique returns an ID for one attempt of a request.
 func (c *Cell) unique(id scheduler.RequestID) scheduler.RequestID {
 	b := make([]byte, 0, 64)
 	b = append(b, id...)
--- a/internal/entry/dispatcher/fleet.go
+++ b/internal/entry/dispatcher/fleet.go
@@ -154,8 +154,8 @@
 	if err != nil {
 		return nil, err
 	}
-	r.Origin = r.ID
-	r.ID = f.cell.unique(r.ID)
+	r.Origin = identify(r.ID)
+	r.ID = f.cell.unique(r.Origin)
 	// The own cell has admitted the first attempt; the other cell must not
 	// count further ones against its retries.
 	r.Moved = r.Retry || r.Emitted > 0
