gossiper: an announcement needs a host and a port from 1 to 65535

On the system's own route only https addresses had their host and port checked. One with port 0, 65536, -1 or 10^20, or without a host, named an upstream to use. The other odd announcements of the test (nesting, numbers, other types, cut off bodies) were refused before.

TestOddAnnouncements/port_0, _port_65536, _port_10^20, _port_-1, _no_host, _secure_port_0: announce_test.go:92: post(g, odd).Code is not http.StatusBadRequest

--- a/internal/member/gossiper/announce.go
+++ b/internal/member/gossiper/announce.go
@@ -89,15 +89,20 @@
 	fault(math.IsNaN(u.Load.Cache) || u.Load.Cache < 0 || u.Load.Cache > 1, "load.cache: %v, must be between 0 and 1", u.Load.Cache)
 	if !u.Leaving {
 		address, secure := u.Endpoint()
-		host, port, err := net.SplitHostPort(address)
-		_, number := strconv.ParseUint(port, 10, 16)
-		fault(!secure && err != nil, "address: %q must be host:port", u.Address)
-		fault(secure && (err != nil || host == "" || number != nil), "address: %q must be https://host:port", u.Address)
+		fault(!secure && !complete(address), "address: %q must be host:port", u.Address)
+		fault(secure && !complete(address), "address: %q must be https://host:port", u.Address)
 		fault(len(u.Models)+len(u.Services) == 0, "models, services: at least one is needed")
 	}
 	return errors.Join(faults...)
 }
 
+// complete reports whether an address has a host and a port.
+func complete(address string) bool {
+	host, port, err := net.SplitHostPort(address)
+	number, invalid := strconv.ParseUint(port, 10, 16)
+	return err == nil && host != "" && invalid == nil && number > 0
+}
+
 // readable reports whether a text can be sent in messages and in headers.
 func readable(text string) bool {
 	return utf8.ValidString(text) && !strings.ContainsFunc(text, unicode.IsControl) && strings.TrimSpace(text) == text
--- a/internal/member/gossiper/announce_test.go
+++ b/internal/member/gossiper/announce_test.go
@@ -60,6 +60,41 @@
 	assert.Equal(t, post(g, body).Code, http.StatusRequestEntityTooLarge)
 }
 
+// Guards against odd announcements that end a host, stop the news of all upstreams or
+// name an upstream to use.
+func TestOddAnnouncements(t *testing.T) {
+	const body = `{"name":"hay-1","address":"127.0.0.1:9000","centre":"patan","models":["hay"],"incarnation":7,"sequence":1,"slots":8,"load":{"running":1,"waiting":0,"cache":0.25}}`
+	with := func(old, other string) string { return strings.Replace(body, old, other, 1) }
+	nested := func(levels int) string { return strings.Repeat("[", levels) + strings.Repeat("]", levels) }
+	for name, odd := range map[string]string{
+		"empty": "", "null": "null", "cut off": body[:40], "text behind": body + "}",
+		"nested too deeply":    with(`"patan"`, nested(10_001)),
+		"nested in a list":     with(`["hay"]`, nested(9_000)),
+		"slots 2^62":           with(`"slots":8`, `"slots":4611686018427387904`),
+		"slots 1e30":           with(`"slots":8`, `"slots":1e30`),
+		"incarnation 2^64":     with(`"incarnation":7`, `"incarnation":18446744073709551616`),
+		"sequence 0.5":         with(`"sequence":1`, `"sequence":0.5`),
+		"cache 1e400":          with("0.25", "1e400"),
+		"control characters":   with("hay-1", `hay\u0000`),
+		"control in the model": with(`"hay"]`, `"h\u000day"]`),
+		"long name":            with("hay-1", strings.Repeat("h", gossiper.MaxText+1)),
+		"port 0":               with(":9000", ":0"),
+		"port 65536":           with(":9000", ":65536"),
+		"port 10^20":           with(":9000", ":99999999999999999999"),
+		"port -1":              with(":9000", ":-1"),
+		"no port":              with(":9000", ""),
+		"no host":              with("127.0.0.1:", ":"),
+		"secure port 0":        with("127.0.0.1:9000", "https://127.0.0.1:0"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gossiper.New(registrar.Host{Name: "entry-1"})
+			defer g.Close()
+			assert.Check(t, post(g, odd).Code == http.StatusBadRequest)
+			assert.Check(t, len(g.Snapshot().Upstreams(time.Now())) == 0)
+		})
+	}
+}
+
 // Guards against announcements that break a host or change when passed on.
 func FuzzDecodeAnnouncement(f *testing.F) {
 	for _, s := range []string{
