members, dispatcher: log each decision on which upstreams are listed

The logs don't tell who made a host believe that an upstream serves or has left: control hosts log announcements of a leaving and refused ones, without the process, and nothing that hosts tell each other. Which of the ways led to a request at an upstream that had left can't be told from them.

Control hosts write a line when an upstream is listed, is listed no longer, or an announcement is ignored, with the process and whose word it was; renewals are left out. Watching hosts write one for each answer that changes the list, and entry hosts one when they use or decline an upstream against their own list. No change of logic.

--- /dev/null
+++ b/internal/entry/dispatcher/belief.go
@@ -0,0 +1,22 @@
+package dispatcher
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+)
+
+// logUnlisted tells that an upstream is used on the word of a scheduler although this
+// host doesn't list it.
+func (c *Cell) logUnlisted(u registrar.Upstream, by registrar.HostName) {
+	c.settings.Logger.Info("a slot at an upstream that this host does not list",
+		zap.String("upstream", string(u.Name)), zap.Uint64("incarnation", uint64(u.Incarnation)), zap.String("by", string(by)))
+}
+
+// logDeclined tells that a slot was not used because its upstream asks for no new work.
+func (c *Cell) logDeclined(u registrar.Upstream, left time.Duration) {
+	c.settings.Logger.Info("a slot at an upstream that asks for no new work is declined",
+		zap.String("upstream", string(u.Name)), zap.Uint64("incarnation", uint64(u.Incarnation)), zap.Duration("left", left))
+}
--- a/internal/entry/dispatcher/cell.go
+++ b/internal/entry/dispatcher/cell.go
@@ -140,6 +140,7 @@
 		if left == 0 {
 			return s, nil
 		}
+		c.logDeclined(s.Upstream(), left)
 		s.Release(scheduler.Abandoned, 0)
 		c.retellBars()
 	}
@@ -222,10 +223,15 @@
 	}
 	if l := c.linked.Load(); l != nil {
 		if u, ok := l.find(id); ok {
+			c.logUnlisted(u, l.owner)
 			return u, true
 		}
 	}
-	return c.settings.Local.upstream(id)
+	u, ok := c.settings.Local.upstream(id)
+	if ok {
+		c.logUnlisted(u, c.settings.Host)
+	}
+	return u, ok
 }
 
 // Lost tells the requests that run on an upstream that its lease has ended.
--- /dev/null
+++ b/internal/member/gossiper/belief.go
@@ -0,0 +1,49 @@
+package gossiper
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+)
+
+// logBeliefs writes a line for each decision on an upstream that is more than a renewal
+// of its lease: what was said, by whom, and what came of it. The view is the one from
+// before the event.
+func (g *Gossiper) logBeliefs(now time.Time, before *registrar.View, e registrar.Event, actions []registrar.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case registrar.Changed:
+			known, listed := before.Upstream(now, a.Upstream.Name)
+			if listed && known.Incarnation == a.Upstream.Incarnation {
+				continue
+			}
+			g.log.Info("an upstream is listed", zap.String("upstream", string(a.Upstream.Name)),
+				zap.Uint64("incarnation", uint64(a.Upstream.Incarnation)), zap.Uint64("sequence", a.Upstream.Sequence),
+				source(e), zap.Duration("lease", a.Until.Sub(now)))
+		case registrar.Removed:
+			g.log.Info("an upstream is listed no longer", zap.String("upstream", string(a.UpstreamID)),
+				zap.Uint64("incarnation", uint64(a.Incarnation)), zap.Bool("leaving", a.Leaving), source(e))
+		case registrar.Ignored:
+			if a.Reason == registrar.Repeated || a.Reason == registrar.Stalled {
+				continue
+			}
+			g.log.Info("an announcement is ignored", zap.String("upstream", string(a.UpstreamID)),
+				zap.Uint64("known", uint64(a.Known)), zap.String("reason", string(a.Reason)), source(e))
+		}
+	}
+}
+
+// source tells from whom an event comes.
+func source(e registrar.Event) zap.Field {
+	switch e := e.(type) {
+	case registrar.Announce:
+		return zap.String("by", "upstream")
+	case registrar.Merge:
+		return zap.String("by", string(e.From))
+	case registrar.Restore:
+		return zap.String("by", "watching host")
+	}
+	return zap.String("by", "clock")
+}
--- a/internal/member/gossiper/gossiper.go
+++ b/internal/member/gossiper/gossiper.go
@@ -259,9 +259,11 @@
 // step passes an event to the registrar and its actions on.
 func (g *Gossiper) step(e registrar.Event) []registrar.Action {
 	g.mu.Lock()
-	actions := g.registrar.Step(g.clock.Now(), e)
+	now, before := g.clock.Now(), g.registrar.Snapshot()
+	actions := g.registrar.Step(now, e)
 	g.queue = append(g.queue, actions...)
 	g.mu.Unlock()
+	g.logBeliefs(now, before, e, actions)
 	g.deliver()
 	return actions
 }
--- a/internal/member/watcher/watcher.go
+++ b/internal/member/watcher/watcher.go
@@ -325,7 +325,10 @@
 		w.queue = append(w.queue, w.mirror.TakeHosts(now, c.Hosts)...)
 	default:
 		w.source = source{address: address, epoch: a.GetEpoch(), number: a.GetNumber()}
-		w.queue = append(w.queue, w.mirror.Take(now, c)...)
+		before := w.mirror.Snapshot()
+		actions := w.mirror.Take(now, c)
+		w.logBeliefs(now, before, address, c.Full, actions)
+		w.queue = append(w.queue, actions...)
 	}
 	w.mu.Unlock()
 	w.deliver()
