--- a/internal/entry/dispatcher/cell.go
+++ b/internal/entry/dispatcher/cell.go
@@ -233,13 +233,17 @@
 	u, ok := c.settings.Membership.Upstream(id)
 	if l := c.linked.Load(); l != nil {
 		if granted, known := l.find(id); known && (!ok || granted.Incarnation > u.Incarnation) {
+			c.logUnlisted(granted, l.owner)
 			return granted, true
 		}
 	}
 	if ok {
 		return u, true
 	}
-	return c.settings.Local.upstream(id)
+	if u, ok = c.settings.Local.upstream(id); ok {
+		c.logUnlisted(u, c.settings.Host)
+	}
+	return u, ok
 }
 
 // Lost tells the requests that run on an upstream that its lease has ended.
--- a/internal/member/watcher/watcher.go
+++ b/internal/member/watcher/watcher.go
@@ -326,7 +326,10 @@
 		w.queue = append(w.queue, w.mirror.TakeHosts(now, c.Hosts)...)
 	default:
 		w.source = source{address: address, epoch: a.GetEpoch(), number: a.GetNumber(), introduced: introduced}
-		w.queue = append(w.queue, w.mirror.Take(now, c)...)
+		before := w.mirror.Snapshot()
+		actions := w.mirror.Take(now, c)
+		w.logBeliefs(now, before, address, c.Full, actions)
+		w.queue = append(w.queue, actions...)
 	}
 	w.mu.Unlock()
 	w.deliver()
