dispatcher, watcher: a leaving that an answer tells goes the way of those that are announced

What callers saw: requests to an upstream that had said in its answers that it leaves, from hosts that had not got such an answer, once the owner of the cell and the host that had were gone.

Cause: two ways of one statement. An announced leaving went to the membership, which keeps it and brings it to hosts that start; one in an answer only to the present owner.

Change: the host that gets such an answer tells the membership, if the answer is certainly its own; control hosts learn it with the next call of the watching host (a second at most), and all others from them. The host itself and the owner act on it at once, as before.

--- a/internal/daemon/runner/entry.go
+++ b/internal/daemon/runner/entry.go
@@ -287,6 +287,7 @@
 		Client:     e.client,
 		Roams:      e.courier != nil,
 		Standby:    e.settings.Schedules(),
+		Leave:      func(d registrar.Departure) { e.members.Depart(d) },
 		Inventory:  e.inventory,
 		Clock:      e.clock,
 		Logger:     logger.Named("dispatcher"),
--- a/internal/daemon/runner/members.go
+++ b/internal/daemon/runner/members.go
@@ -28,6 +28,8 @@
 	// Drain tells whether this host is about to stop, so that it owns no cell.
 	Drain(on bool)
 	Seed(addresses ...string)
+	// Depart tells the other hosts which upstreams have said that they leave.
+	Depart(list ...registrar.Departure)
 	// Announcements takes the announcements of upstreams.
 	Announcements() http.Handler
 }
--- a/internal/entry/dispatcher/bar.go
+++ b/internal/entry/dispatcher/bar.go
@@ -26,6 +26,9 @@
 	Upstream registrar.Upstream
 	// Leaving means that the process takes no new work from any host.
 	Leaving bool
+	// Own is set when the answer is certainly the upstream's to this host's request, so
+	// that other hosts may rely on it.
+	Own bool
 	// Pause is how long this host is to stay away.
 	Pause time.Duration
 	// Rate is the requests a second that the process takes from all hosts together; 0
@@ -165,6 +168,9 @@
 		zap.String("upstream", string(n.Upstream.Name)), zap.Uint64("incarnation", uint64(n.Upstream.Incarnation)),
 		zap.Bool("leaving", n.Leaving), zap.Duration("pause", n.Pause))
 	c.retellBars()
+	if n.Leaving && n.Own && c.settings.Leave != nil {
+		c.settings.Leave(registrar.Departure{UpstreamID: n.Upstream.Name, Incarnation: n.Upstream.Incarnation, Leaving: true})
+	}
 }
 
 // Leave takes from the membership that a process of an upstream leaves. This host sends it
--- a/internal/entry/dispatcher/bar_test.go
+++ b/internal/entry/dispatcher/bar_test.go
@@ -188,3 +188,19 @@
 	b.add(now, Notice{Upstream: at(1), Pause: time.Second})
 	assert.Equal(t, b.left(now, at(2)), maxBar)
 }
+
+// Guards against a leaving that an answer tells and the membership isn't told, and against
+// one that is taken from an answer to another request.
+func TestLeavingInAnAnswerReachesTheMembership(t *testing.T) {
+	var told []registrar.Departure
+	view, all := newMembers(t, "a")
+	c := all["a"].cell
+	c.settings.Leave = func(d registrar.Departure) { told = append(told, d) }
+	engine := view.upstreams["engine"]
+	other := second(view, all)
+	c.Notice(Notice{Upstream: other, Leaving: true})
+	c.Notice(Notice{Upstream: engine, Own: true, Pause: time.Second})
+	assert.Equal(t, len(told), 0)
+	c.Notice(Notice{Upstream: engine, Own: true, Leaving: true})
+	assert.DeepEqual(t, told, []registrar.Departure{{UpstreamID: "engine", Incarnation: engine.Incarnation, Leaving: true}})
+}
--- a/internal/entry/dispatcher/cell.go
+++ b/internal/entry/dispatcher/cell.go
@@ -72,6 +72,9 @@
 	Roams bool
 	// Standby is set when this host may own the cell.
 	Standby bool
+	// Leave tells the membership that an upstream has said in an answer that it leaves;
+	// nil where nobody is told.
+	Leave func(registrar.Departure)
 	// Inventory tells what upstreams keep of prompts; nil where they don't tell.
 	Inventory Inventory
 	Clock     clockwork.Clock
--- a/internal/entry/relayer/attempt.go
+++ b/internal/entry/relayer/attempt.go
@@ -303,7 +303,7 @@
 	unlimited := own && r.Rate == 0 && !r.RateUnknown
 	if r.Leaving || r.Pause > 0 || r.Rate > 0 || unlimited {
 		take(dispatcher.Notice{
-			Upstream: a.upstream, Leaving: r.Leaving, Pause: r.Pause,
+			Upstream: a.upstream, Leaving: r.Leaving, Own: own, Pause: r.Pause,
 			Rate: r.Rate, Unlimited: unlimited, Asked: a.asked,
 		})
 	}
--- a/internal/member/watcher/leave_test.go
+++ b/internal/member/watcher/leave_test.go
@@ -304,3 +304,22 @@
 	c.running(addressOf("b")).gossiper.Announce(t.Context(), late)
 	c.checkLeft("u1", acknowledged)
 }
+
+// Guards against a leaving that only the host knows which got the answer that tells it: it
+// is forgotten with that host and with the owner of the cell.
+func TestLeavingHeardInAnAnswerIsToldToAll(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, "a", "b")
+	c.announce("a", engine("u1"))
+	hearer := c.watch("hearer")
+	c.watch("other")
+	c.spread("u1")
+	hearer.Depart(registrar.Departure{UpstreamID: "u1", Incarnation: engine("u1").Incarnation, Leaving: true})
+	heard := time.Now()
+	assert.Assert(t, lacks(hearer, "u1")(), "the host that heard it goes on")
+	eventually(t, "all hosts to drop the upstream", leaveBound, func() bool { return len(c.lists("u1")) == 0 })
+	late := engine("u1")
+	late.Sequence++
+	c.running(addressOf("b")).gossiper.Announce(t.Context(), late)
+	c.checkLeft("u1", heard)
+}
--- a/internal/member/watcher/watcher.go
+++ b/internal/member/watcher/watcher.go
@@ -174,6 +174,19 @@
 // Drain does nothing: a host that watches offers itself for no cell.
 func (w *Watcher) Drain(bool) {}
 
+// Depart takes departures that this host has heard of itself. The host that is followed is
+// told with the next call.
+func (w *Watcher) Depart(list ...registrar.Departure) {
+	w.mu.Lock()
+	news := w.mirror.Depart(w.clock.Now(), list)
+	w.queue = append(w.queue, news...)
+	if len(news) > 0 {
+		w.source.introduced = 0
+	}
+	w.mu.Unlock()
+	w.deliver()
+}
+
 // follow makes one call after the other.
 func (w *Watcher) follow() {
 	t := targets{failed: map[string]time.Time{}}
