dispatcher: the age of a reported limit counts up to when it is sent

A host or owner that stands still between queueing and sending a report sends an old limit as if it were new, and it supersedes a later one at all hosts.

Cause: the age was written when the report was queued.

Change: it is written when the message is made, on both sides of a link.

Before: TestReportOfALimitAgesWhileItWaits '0s != 3s'. After: it passes.

--- a/internal/entry/dispatcher/limit.go
+++ b/internal/entry/dispatcher/limit.go
@@ -172,7 +172,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.pending.Limits = append(n.pending.Limits, encodeLimits(list, n.clock().Now())...)
+	n.limits = append(n.limits, list...)
 	n.signal()
 }
 
--- a/internal/entry/dispatcher/limit_test.go
+++ b/internal/entry/dispatcher/limit_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
@@ -259,3 +260,20 @@
 		assert.Equal(t, f.count(), c.want, "after %v", c.after)
 	}
 }
+
+// Guards against a report on a limit that has waited on its way, as in a host that stood
+// still, and replaces a later one.
+func TestReportOfALimitAgesWhileItWaits(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	const waited = 3 * time.Second
+	e := scheduler.Limit{Upstream: "a", Incarnation: 1, Rate: 100, At: clock.Now()}
+	l := &link{settings: Settings{Clock: clock}, wake: make(chan struct{}, 1)}
+	l.limit(e)
+	n := newSession(&Server{settings: Settings{Clock: clock}}, "h")
+	n.tellLimits(e)
+	clock.Advance(waited)
+	for _, list := range [][]*wire.SlotLimit{l.batch().Limits, n.batch().Limits} {
+		assert.Equal(t, len(list), 1)
+		assert.Equal(t, clock.Since(decodeLimits(list, clock.Now())[0].At), waited)
+	}
+}
--- a/internal/entry/dispatcher/link.go
+++ b/internal/entry/dispatcher/link.go
@@ -332,7 +332,7 @@
 func (l *link) batch() *wire.DispatchRequest {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	m := l.pending.batch()
+	m := l.pending.batch(l.settings.Clock.Now())
 	if !l.pending.empty() {
 		l.signal()
 	}
@@ -439,7 +439,7 @@
 	if l.failed || len(list) == 0 {
 		return
 	}
-	l.pending.limits = append(l.pending.limits, encodeLimits(list, l.settings.Clock.Now())...)
+	l.pending.limits = append(l.pending.limits, list...)
 	l.signal()
 }
 
--- a/internal/entry/dispatcher/outbox.go
+++ b/internal/entry/dispatcher/outbox.go
@@ -2,7 +2,9 @@
 
 import (
 	"slices"
+	"time"
 
+	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
 	"github.com/amaranthcart/amaranthcart/internal/rpc/wire"
 )
 
@@ -47,8 +49,8 @@
 	crashes []*wire.Fingerprint
 	// bars replace those that were told before; they go with the crashes.
 	bars []*wire.SlotBar
-	// limits go with them.
-	limits []*wire.SlotLimit
+	// limits go with them. Their ages count up to when they are sent.
+	limits []scheduler.Limit
 	// complete is sent once the number of entries before it is zero.
 	complete bool
 	before   int
@@ -84,8 +86,8 @@
 // batch removes the next message. The owner takes the submissions of a message
 // before its reports. An ID is submitted once on a link, so only the next
 // attempt of a request must wait for the message after the end of its last one.
-func (o *outbox) batch() *wire.DispatchRequest {
-	m := &wire.DispatchRequest{Fingerprints: o.crashes, Bars: o.bars, Limits: o.limits}
+func (o *outbox) batch(now time.Time) *wire.DispatchRequest {
+	m := &wire.DispatchRequest{Fingerprints: o.crashes, Bars: o.bars, Limits: encodeLimits(o.limits, now)}
 	o.crashes, o.bars, o.limits = nil, nil, nil
 	size, n := 0, 0
 	for n < len(o.entries) && size < maxBatch {
--- a/internal/entry/dispatcher/server.go
+++ b/internal/entry/dispatcher/server.go
@@ -200,6 +200,8 @@
 	open    map[scheduler.RequestID]bool
 	waiting int
 	pending *wire.DispatchResponse
+	// limits go with pending. Their ages count up to when they are sent.
+	limits []scheduler.Limit
 	// queued counts the answers in pending; overflowed is set once one was
 	// dropped because there were too many.
 	queued     int
@@ -281,7 +283,8 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	m := n.pending
-	n.pending = &wire.DispatchResponse{}
+	m.Limits = encodeLimits(n.limits, n.clock().Now())
+	n.pending, n.limits = &wire.DispatchResponse{}, nil
 	n.queued = 0
 	return m
 }
