--- a/internal/entry/dispatcher/bar_test.go
+++ b/internal/entry/dispatcher/bar_test.go
@@ -110,6 +110,40 @@
 	waitFor(t, "declined slots freed", func() bool { return all["a"].occupied() == 0 })
 }
 
+// Guards against work for an upstream that this host knows to leave, because the owner of
+// the cell has missed it: a grant is declined, and the owner learns why.
+func TestOwnerThatMissedALeavingIsDeclined(t *testing.T) {
+	view, all := newMembers(t, "a", "b")
+	other := second(view, all)
+	waitFor(t, "link", func() bool { return all["b"].linked() })
+	waitFor(t, "collected", func() bool { return all["a"].full() })
+	delete(view.upstreams, "engine")
+	all["b"].local.Forget("engine")
+	all["b"].cell.Leave(registrar.Departure{UpstreamID: "engine", Incarnation: 1, Leaving: true})
+	for range 2 * slots {
+		assert.Equal(t, granted(t, all["b"].cell, "at-b"), other.Name)
+	}
+	for range 2 * slots {
+		assert.Equal(t, granted(t, all["a"].cell, "at-a"), other.Name)
+	}
+}
+
+// Guards against a grant for a restarted upstream that goes to, and whose answer is taken
+// for one of, the earlier process in the view of this host.
+func TestGrantNamesTheLaterProcess(t *testing.T) {
+	view := &fakeMembership{upstreams: map[registrar.UpstreamID]registrar.Upstream{
+		"a": {Name: "a", Address: "10.0.0.1:1", Incarnation: 1},
+	}}
+	c := &Cell{settings: Settings{Membership: view}}
+	l := &link{}
+	l.granted.Store(registrar.UpstreamID("a"), location{"10.0.0.2:1", 2})
+	c.linked.Store(l)
+	u, ok := c.upstream("a")
+	assert.Assert(t, ok)
+	assert.Equal(t, u.Incarnation, registrar.Incarnation(2))
+	assert.Equal(t, u.Address, "10.0.0.2:1")
+}
+
 func TestBars(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
 	at := func(i registrar.Incarnation) registrar.Upstream { return registrar.Upstream{Name: "u", Incarnation: i} }
--- a/internal/entry/dispatcher/cell.go
+++ b/internal/entry/dispatcher/cell.go
@@ -7,6 +7,7 @@
 	"sync"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"connectrpc.com/connect"
 	"github.com/cespare/xxhash/v2"
@@ -140,9 +141,7 @@
 		if left == 0 {
 			return s, nil
 		}
-		c.logDeclined(s.Upstream(), left)
-		s.Release(scheduler.Abandoned, 0)
-		c.retellBars()
+		c.decline(s, left)
 	}
 	return nil, &RefusedError{Reason: scheduler.NoUpstream, RetryAfter: left}
 }
@@ -150,8 +149,8 @@
 func (c *Cell) acquire(ctx context.Context, r scheduler.Request) (Slot, error) {
 	// Each call has an ID of its own: a late end of the last attempt must not
 	// withdraw the next one of the same request.
-	r.Origin = r.ID
-	r.ID = c.unique(r.ID)
+	r.Origin = identify(r.ID)
+	r.ID = c.unique(r.Origin)
 	t := newTicket(r, c.settings.Clock, c.find, c.ended)
 	c.admit(t)
 	select {
@@ -178,6 +177,19 @@
 	return scheduler.RequestID(id)
 }
 
+// maxID bounds a caller's ID in messages between hosts, in bytes.
+const maxID = 256
+
+// identify returns the caller's ID of a request as messages between hosts can carry it.
+// What is no text, or too long, is replaced by its hash.
+func identify(id scheduler.RequestID) scheduler.RequestID {
+	if len(id) <= maxID && utf8.ValidString(string(id)) {
+		return id
+	}
+	return scheduler.RequestID(strconv.FormatUint(xxhash.Sum64String(string(id)), 16))
+}
+
+// unique returns an ID for one attempt of a request.
 func (c *Cell) unique(id scheduler.RequestID) scheduler.RequestID {
 	b := make([]byte, 0, 64)
 	b = append(b, id...)
@@ -215,20 +227,20 @@
 	return &c.shards[xxhash.Sum64String(string(id))%ticketShards]
 }
 
-// upstream returns an upstream that was granted. The owner may know it before this
-// host does, and longer.
+// upstream returns an upstream that was granted. The owner may know it, or a later process
+// of it, before this host does, and longer.
 func (c *Cell) upstream(id registrar.UpstreamID) (registrar.Upstream, bool) {
-	if u, ok := c.settings.Membership.Upstream(id); ok {
-		return u, true
-	}
+	u, ok := c.settings.Membership.Upstream(id)
 	if l := c.linked.Load(); l != nil {
-		if u, ok := l.find(id); ok {
-			c.logUnlisted(u, l.owner)
-			return u, true
+		if granted, known := l.find(id); known && (!ok || granted.Incarnation > u.Incarnation) {
+			c.logUnlisted(granted, l.owner)
+			return granted, true
 		}
 	}
-	u, ok := c.settings.Local.upstream(id)
 	if ok {
+		return u, true
+	}
+	if u, ok = c.settings.Local.upstream(id); ok {
 		c.logUnlisted(u, c.settings.Host)
 	}
 	return u, ok
--- a/internal/entry/forwarder/sender.go
+++ b/internal/entry/forwarder/sender.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptrace"
+	"regexp"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -38,36 +41,89 @@
 	Upstream registrar.Upstream
 	Request  *http.Request
 	// Once gives the request a connection of its own, so that no part of it can
-	// be sent twice.
+	// be sent twice and no answer to an earlier request be read.
 	Once bool
 	// Sent is set before the first byte may leave.
 	Sent atomic.Bool
+	// pooled is the connection of an attempt that has none of its own.
+	pooled atomic.Pointer[httptrace.GotConnInfo]
+	// resent is set when net/http sent the request on a further connection.
+	resent atomic.Bool
 }
 
-// Send makes the attempt. Nothing repeats it below.
+// connected notes the connection on which the request is sent.
+func (a *Attempt) connected(i httptrace.GotConnInfo) {
+	if a.pooled.Swap(&i) != nil {
+		a.resent.Store(true)
+	}
+	a.Sent.Store(true)
+}
+
+// Reused reports whether earlier requests were sent on the connection, so that an answer
+// that names none may be theirs.
+func (a *Attempt) Reused() bool {
+	i := a.pooled.Load()
+	return i != nil && i.Reused
+}
+
+// Resent reports whether net/http sent the request again after a reused connection had
+// ended. The answer then tells nothing about the first sending.
+func (a *Attempt) Resent() bool { return a.resent.Load() }
+
+// statusLine is the part of a status line that no value of a header has.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9]{2}`)
+
+// Spliced reports whether the head of an answer begins with a part of another one, which
+// was cut off within a line: the status line of the answer itself then follows in that
+// line.
+func (a *Attempt) Spliced(response *http.Response) bool {
+	if !a.Reused() {
+		return false
+	}
+	if statusLine.MatchString(response.Status) {
+		return true
+	}
+	for _, values := range response.Header {
+		if slices.ContainsFunc(values, statusLine.MatchString) {
+			return true
+		}
+	}
+	return false
+}
+
+// Send makes the attempt. Nothing repeats it below, but that net/http may send a request
+// without a body again when a reused connection ends before the answer.
 func (s *Sender) Send(ctx context.Context, a *Attempt) (*http.Response, error) {
 	a.Request.GetBody = nil
-	send := s.pool.pooled
-	if a.Once {
-		send = s.pool.once
-	}
-	response, err := send(ctx, a.Upstream, a.Request, &a.Sent)
+	response, err := s.send(ctx, a)
 	if err != nil && ctx.Err() == nil {
 		s.distrust.note(s.pool.clock.Now(), a.Upstream.Name, err)
 	}
 	return response, err
 }
 
+func (s *Sender) send(ctx context.Context, a *Attempt) (*http.Response, error) {
+	if a.Once {
+		return s.pool.once(ctx, a.Upstream, a.Request, &a.Sent)
+	}
+	return s.pool.pooled(ctx, a.Upstream, a.Request, a.connected)
+}
+
 // Avoid returns the list with the upstreams to which this host could make no
 // connection lately.
 func (s *Sender) Avoid(list []registrar.UpstreamID) []registrar.UpstreamID {
 	return s.distrust.extend(s.pool.clock.Now(), list)
 }
 
-// Discard makes later attempts use new connections to the upstream, after one
-// brought something that belongs to another request.
-func (s *Sender) Discard(u registrar.Upstream) {
-	s.pool.discard(u.Address, s.pool.transport(u.Address))
+// Discard ends the connection of an attempt that brought something that belongs to
+// another request, and makes later attempts use new connections to the upstream. The
+// transport may have given the connection to a further request already, behind one that
+// the upstream still runs.
+func (s *Sender) Discard(a *Attempt) {
+	if i := a.pooled.Load(); i != nil {
+		_ = withoutTLS(i.Conn).Close()
+	}
+	s.pool.discard(a.Upstream.Address, s.pool.transport(a.Upstream.Address))
 }
 
 // Unsent classifies the error of an attempt that got no connection.
--- a/internal/entry/relayer/attempt.go
+++ b/internal/entry/relayer/attempt.go
@@ -9,6 +9,7 @@
 	"mime"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -40,15 +41,22 @@
 
 var (
 	errForeignAnswer = errors.New("the answer belongs to another request")
+	errUnattributed  = errors.New("the refusal names no request, and the connection has carried others")
+	errResent        = errors.New("the upstream refused the request after it may have run it")
 	errUnsigned      = errors.New("the answer is not signed by an upstream, or names no request")
+	errUnstated      = errors.New("the upstream refused by its status alone")
 	errEncoded       = errors.New("the answer is encoded")
 	errPreempted     = errors.New("the scheduler asked to go on elsewhere")
 	errSilent        = errors.New("the upstream is silent")
 	errFailedAnswer  = errors.New("the upstream answered with a failure")
+	errNoStream      = errors.New("the answer can't go on with the stream")
 	errEnded         = errors.New("the attempt has ended")
 	errLate          = errors.New("no time is left")
 )
 
+// badAnswers are the failures of upstreams that do answer.
+var badAnswers = []error{errForeignAnswer, errUnattributed, errResent, errUnsigned, errUnstated, errEncoded, errNoStream}
+
 // result is how an attempt ended.
 type result interface{ result() }
 
@@ -92,6 +100,8 @@
 	limit    time.Duration
 	// asked is when the request was sent.
 	asked time.Time
+	// event is the ID of the last event of this upstream.
+	event string
 	group conc.WaitGroup
 }
 
@@ -132,7 +142,7 @@
 	if err != nil {
 		return notRun{cause: err}
 	}
-	a.send = forwarder.Attempt{Upstream: a.upstream, Request: request, Once: c.route.Repeat == validator.Once}
+	a.send = forwarder.Attempt{Upstream: a.upstream, Request: request, Once: a.alone()}
 	a.watch(ctx, left)
 	a.asked = c.relayer.clock.Now()
 	response, err := c.relayer.options.Sender.Send(ctx, &a.send)
@@ -143,6 +153,13 @@
 	return a.receive(ctx, response)
 }
 
+// alone reports whether the request needs a connection of its own: it must run once, or
+// the upstream had it before, whose earlier answer has the same ID.
+func (a *attempt) alone() bool {
+	c := a.call
+	return c.route.Repeat == validator.Once || slices.Contains(c.addresses, a.upstream.Address)
+}
+
 // watch gives an upstream up that is silent, or that the scheduler has found to be,
 // where the request may go on elsewhere.
 func (a *attempt) watch(ctx context.Context, left time.Duration) {
@@ -151,16 +168,23 @@
 		return
 	}
 	a.limit = min(c.silence(), left)
-	a.silence = c.relayer.clock.AfterFunc(a.limit, func() { a.cancel(errSilent) })
+	a.silence = c.relayer.clock.AfterFunc(a.limit, func() { a.yield(errSilent) })
 	a.group.Go(func() {
 		select {
 		case <-a.slot.Preempted():
-			a.cancel(errPreempted)
+			a.yield(errPreempted)
 		case <-ctx.Done():
 		}
 	})
 }
 
+// yield ends the attempt, unless its stream can't go on elsewhere.
+func (a *attempt) yield(cause error) {
+	if !a.call.stream.fixed.Load() {
+		a.cancel(cause)
+	}
+}
+
 // silence is how long an upstream may say nothing. The scheduler, which sees the
 // requests of all hosts, notices a silent upstream earlier; this bound is for
 // single requests that an upstream forgets.
@@ -225,18 +249,30 @@
 // receive checks that the answer belongs to the request and reads it.
 func (a *attempt) receive(ctx context.Context, response *http.Response) result {
 	c := a.call
+	if a.send.Spliced(response) {
+		c.relayer.options.Sender.Discard(&a.send)
+		return failed{cause: errForeignAnswer}
+	}
 	reply := c.relayer.options.Protocol.Reply(response)
 	a.notice(reply)
 	success := response.StatusCode >= 200 && response.StatusCode < 300
 	switch {
 	case reply.ID != "" && reply.ID != c.intent.ID:
-		c.relayer.options.Sender.Discard(a.upstream)
+		c.relayer.options.Sender.Discard(&a.send)
 		return failed{cause: errForeignAnswer}
+	case reply.NotRun && reply.ID == "" && a.send.Reused():
+		// It may be that of an earlier request, written once more.
+		c.relayer.options.Sender.Discard(&a.send)
+		return failed{cause: errUnattributed}
+	case reply.NotRun && a.send.Resent():
+		return failed{cause: errResent}
 	case reply.NotRun:
 		return notRun{refused: true, cause: fmt.Errorf("upstream refused with status %d", response.StatusCode)}
 	case !reply.Signed || reply.ID == "":
-		c.relayer.options.Sender.Discard(a.upstream)
+		c.relayer.options.Sender.Discard(&a.send)
 		return failed{cause: errUnsigned}
+	case c.route.Repeat != validator.Idempotent && promises(response.StatusCode):
+		return failed{cause: errUnstated}
 	case response.Header.Get("Content-Encoding") != "":
 		return failed{cause: errEncoded}
 	}
@@ -246,6 +282,15 @@
 	return a.relayWhole(ctx, response)
 }
 
+// promises reports whether a status alone tells callers that the request has not run.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // notice passes on what the upstream says about new work. It counts whatever becomes
 // of the answer, but for a limit that is not named any more: only an answer to this
 // request tells that.
@@ -264,9 +309,13 @@
 	}
 }
 
-// relayWhole reads a short answer to its end before it is passed on.
+// relayWhole reads a short answer to its end before it is passed on. A stream that has
+// begun can't go on with one, however long it is.
 func (a *attempt) relayWhole(ctx context.Context, response *http.Response) result {
 	c := a.call
+	if c.stream.begun {
+		return failed{cause: errNoStream}
+	}
 	kept := c.relayer.buffers.open()
 	ended, err := kept.fill(response.Body, maxBuffered)
 	if err != nil {
@@ -278,10 +327,6 @@
 	if !ended {
 		return a.relayLong(ctx, whole)
 	}
-	if c.stream.begun {
-		// A stream can't go on with an answer that is none.
-		return failed{cause: errFailedAnswer}
-	}
 	a.first()
 	if response.StatusCode >= 500 && c.route.Repeat != validator.Once && c.attempts+1 < c.route.Attempts {
 		return whole
@@ -366,7 +411,7 @@
 		return scheduler.Preempted
 	case errors.Is(context.Cause(ctx), errTimeout):
 		return scheduler.Abandoned
-	case errors.Is(cause, errForeignAnswer), errors.Is(cause, errUnsigned), errors.Is(cause, errEncoded), errors.Is(cause, errFailedAnswer):
+	case slices.ContainsFunc(badAnswers, func(bad error) bool { return errors.Is(cause, bad) }):
 		return scheduler.Failed
 	}
 	return scheduler.Crashed
--- a/internal/entry/relayer/call.go
+++ b/internal/entry/relayer/call.go
@@ -68,6 +68,8 @@
 	// attempts counts the upstreams that the request was sent to, and unsent those
 	// to which no connection could be made.
 	attempts, unsent int
+	// addresses are those that the request was sent to.
+	addresses []string
 	// mayHaveRun is set once an upstream may have run the request without an
 	// answer that was passed on.
 	mayHaveRun bool
@@ -211,7 +213,9 @@
 	if c.organisation != nil {
 		c.ask.Organisation = c.organisation.Name
 	}
-	c.stream.last = c.intent.After
+	if c.route.Repeat == validator.Resumable {
+		c.stream.last = c.intent.After
+	}
 	end := 0
 	for _, p := range c.intent.Prompt {
 		end += p.Tokens
@@ -247,6 +251,7 @@
 		result := a.run(ctx)
 		if a.send.Sent.Load() {
 			c.attempts++
+			c.addresses = append(c.addresses, a.upstream.Address)
 		} else {
 			c.unsent++
 		}
@@ -297,7 +302,7 @@
 	if !allowed || ctx.Err() != nil || c.attempts >= c.route.Attempts || c.unsent > maxUnsent {
 		return false
 	}
-	if c.stream.begun && (c.route.Repeat != validator.Resumable || c.stream.events == 0) {
+	if c.stream.begun && (c.route.Repeat != validator.Resumable || c.stream.events == 0 || c.stream.fixed.Load()) {
 		return false
 	}
 	c.ask.Retry = true
--- a/internal/entry/relayer/harness_test.go
+++ b/internal/entry/relayer/harness_test.go
@@ -63,12 +63,20 @@
 	mu        sync.Mutex
 	upstreams []registrar.Upstream
 	refusal   *dispatcher.RefusedError
+	// waits is set when repeated requests get no slot before their deadline.
+	waits bool
+	// preempted asks all slots to give way.
+	preempted chan struct{}
 	asked     []scheduler.Request
 	progress  []int
 	outcomes  []scheduler.Outcome
 }
 
-func (d *fakeDispatcher) Acquire(_ context.Context, r scheduler.Request) (dispatcher.Slot, error) {
+func (d *fakeDispatcher) Acquire(ctx context.Context, r scheduler.Request) (dispatcher.Slot, error) {
+	if d.waits && r.Retry {
+		<-ctx.Done()
+		return nil, context.Cause(ctx)
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.asked = append(d.asked, r)
@@ -96,7 +104,7 @@
 func (s *fakeSlot) Priority() int                  { return 1 }
 func (s *fakeSlot) Predicted() time.Duration       { return 0 }
 func (s *fakeSlot) FirstToken()                    {}
-func (s *fakeSlot) Preempted() <-chan struct{}     { return nil }
+func (s *fakeSlot) Preempted() <-chan struct{}     { return s.dispatcher.preempted }
 func (s *fakeSlot) Gone() <-chan struct{}          { return nil }
 func (s *fakeSlot) Hedged() <-chan dispatcher.Slot { return nil }
 func (s *fakeSlot) Progress(tokens int) {
@@ -127,6 +135,9 @@
 	body []string
 }
 
+// routeTimeout is the timeout of all routes.
+const routeTimeout = 2 * time.Second
+
 // document has one route for each repetition.
 func document() *validator.Document {
 	d := &validator.Document{
@@ -137,12 +148,14 @@
 	for path, repeat := range map[string]validator.Repetition{"/idempotent/": validator.Idempotent, "/once/": validator.Once, "/resumable/": validator.Resumable} {
 		d.Routes = append(d.Routes, validator.Route{
 			Name: validator.RouteName(repeat), Host: "shop.example", Path: path, Class: "plain", Repeat: repeat,
-			Timeout: validator.Duration(2 * time.Second), Attempts: 2, Pools: []validator.PoolShare{{Pool: "ledger", Weight: 1}},
+			Timeout: validator.Duration(routeTimeout), Attempts: 2, Pools: []validator.PoolShare{{Pool: "ledger", Weight: 1}},
 		})
 	}
 	single := d.Routes[0]
 	single.Name, single.Path, single.Repeat, single.Attempts = "single", "/single/", validator.Once, 1
-	d.Routes = append(d.Routes, single)
+	thrice := d.Routes[0]
+	thrice.Name, thrice.Path, thrice.Repeat, thrice.Attempts = "thrice", "/thrice/", validator.Resumable, 3
+	d.Routes = append(d.Routes, single, thrice)
 	return d
 }
 
--- a/internal/entry/relayer/stream.go
+++ b/internal/entry/relayer/stream.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 )
 
 const (
@@ -28,11 +29,16 @@
 type streamState struct {
 	// begun is set once a part of the answer has been passed on.
 	begun bool
+	// status is that of its first upstream.
+	status int
 	// events counts the whole events passed on.
 	events int
 	// last is the ID of the last of them, or that of an earlier stream of the
 	// caller.
 	last string
+	// fixed is set while the caller has a last event after which no further upstream
+	// can go on, since it has no ID.
+	fixed atomic.Bool
 	// resumed is set while the stream goes on at a further upstream.
 	resumed bool
 }
@@ -42,16 +48,16 @@
 
 // relayStream passes events on until the stream ends.
 func (a *attempt) relayStream(ctx context.Context, response *http.Response) result {
+	if s := &a.call.stream; s.begun && response.StatusCode != s.status {
+		return failed{cause: errNoStream}
+	}
 	events := bufio.NewReaderSize(response.Body, readBuffer)
 	kept := a.call.relayer.buffers.open()
 	defer kept.release()
 	for {
 		event, err := readEvent(events, kept)
 		if errors.Is(err, io.EOF) {
-			if !a.call.stream.begun {
-				a.begin(response)
-			}
-			return delivered{status: response.StatusCode}
+			return a.endStream(response)
 		}
 		if err != nil {
 			return a.lost(ctx, fmt.Errorf("read stream: %w", err))
@@ -63,11 +69,27 @@
 	}
 }
 
+// endStream ends a stream whose upstream has ended it. One that ends before the event
+// that the caller already has is another stream.
+func (a *attempt) endStream(response *http.Response) result {
+	s := &a.call.stream
+	if a.event != "" && a.event != s.last {
+		return failed{cause: errSequence}
+	}
+	if !s.begun {
+		a.begin(response)
+	}
+	return delivered{status: response.StatusCode}
+}
+
 // relayEvent passes one event on. It returns nil when the stream goes on.
 func (a *attempt) relayEvent(response *http.Response, event []byte) result {
 	c := a.call
 	id := eventID(event)
-	switch c.stream.compare(id) {
+	if id != "" {
+		a.event = id
+	}
+	switch c.stream.compare(event, id) {
 	case repeated:
 		return nil
 	case missing:
@@ -82,10 +104,7 @@
 	if err := http.NewResponseController(c.writer).Flush(); err != nil {
 		return cutOff{cause: err}
 	}
-	if id != "" {
-		c.stream.last = id
-	}
-	c.stream.events++
+	c.stream.note(event, id)
 	if c.stream.events == 1 {
 		a.first()
 	}
@@ -93,13 +112,24 @@
 	return nil
 }
 
+// note notes an event that has been passed on.
+func (s *streamState) note(event []byte, id string) {
+	if id != "" {
+		s.last = id
+	}
+	if !isComment(event) {
+		s.fixed.Store(id == "")
+	}
+	s.events++
+}
+
 // begin passes the head of the stream on. A stream that goes on elsewhere keeps
 // that of its first upstream.
 func (a *attempt) begin(response *http.Response) {
 	c := a.call
 	c.copyHeader(response)
 	c.writer.WriteHeader(response.StatusCode)
-	c.stream.begun = true
+	c.stream.begun, c.stream.status = true, response.StatusCode
 }
 
 // order is the place of an event in its stream.
@@ -112,14 +142,17 @@
 )
 
 // compare tells whether an event follows on the last one. IDs that are no numbers
-// are not compared.
-func (s *streamState) compare(id string) order {
-	if s.last == "" {
+// are not compared. At a further upstream an event without a place among those
+// that the caller has, such as the report of an error, doesn't follow.
+func (s *streamState) compare(event []byte, id string) order {
+	if s.last == "" || isComment(event) {
 		return next
 	}
 	before, errBefore := strconv.ParseInt(s.last, 10, 64)
 	now, errNow := strconv.ParseInt(id, 10, 64)
 	switch {
+	case s.resumed && (id == "" || errBefore == nil && errNow != nil):
+		return missing
 	case errBefore != nil || errNow != nil || now == before+1:
 		return next
 	case now <= before:
@@ -151,6 +184,16 @@
 	}
 }
 
+// isComment reports whether lines are comments only, which are no event.
+func isComment(lines []byte) bool {
+	for line := range bytes.Lines(lines) {
+		if line[0] != ':' && len(bytes.TrimRight(line, "\r\n")) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // eventID returns the field id of an event.
 func eventID(event []byte) string {
 	for line := range bytes.Lines(event) {
--- a/internal/member/gossiper/belief.go
+++ b/internal/member/gossiper/belief.go
@@ -42,7 +42,7 @@
 		return zap.String("by", "upstream")
 	case registrar.Merge:
 		return zap.String("by", string(e.From))
-	case registrar.Restore:
+	case registrar.Restore, registrar.Depart:
 		return zap.String("by", "watching host")
 	}
 	return zap.String("by", "clock")
--- a/internal/member/registrar/registrar.go
+++ b/internal/member/registrar/registrar.go
@@ -30,8 +30,8 @@
 	// this bounds only announcements that were delayed on their way.
 	Retention = 10 * time.Minute
 	// Relay is how long departures are passed on, other than to hosts that ask
-	// for everything. Any host that missed them for so long has seen the lease
-	// end.
+	// for everything or have no news of this one yet. Any other host that missed
+	// them for so long has seen the lease end.
 	Relay = 10 * time.Second
 	// HostRetention is how long a dead entry host stays in the vector.
 	HostRetention = time.Minute
@@ -178,6 +178,8 @@
 		r.hear(now, e.Heard)
 	case Restore:
 		r.restore(now, e)
+	case Depart:
+		r.depart(now, e.Departures)
 	case Describe:
 		r.describe(e)
 	case Tick:
@@ -276,7 +278,9 @@
 }
 
 // restore takes upstreams from a host that knew them before. Announcements of them
-// may have arrived since; those are newer.
+// may have arrived since; those are newer. That host doesn't know how old the last
+// announcement of each is, so that they get a part of a lease, in which a live one
+// announces itself.
 func (r *Registrar) restore(now time.Time, e Restore) {
 	if now.Before(r.settled) || now.Sub(e.Began) > Stall {
 		return
@@ -287,11 +291,27 @@
 		}
 		r.version++
 		stamp := Stamp{Origin: r.key, Version: r.version}
-		r.apply(now, News{Upstream: u, Stamp: stamp, Described: stamp}, r.until(now, e.Began, e.Remaining))
+		r.apply(now, News{Upstream: u, Stamp: stamp, Described: stamp}, r.until(now, e.Began, min(e.Remaining, r.lease/2)))
 	}
 	r.fresh = true
 }
 
+// depart takes departures from where they were heard. They are final whatever else is
+// under way, and go to the other hosts as announcements do.
+func (r *Registrar) depart(now time.Time, list []Departure) {
+	for _, d := range list {
+		if d.UpstreamID == "" || d.Incarnation == 0 || !d.Leaving {
+			continue
+		}
+		r.version++
+		stamp := Stamp{Origin: r.key, Version: r.version}
+		gone := Upstream{Name: d.UpstreamID, Incarnation: d.Incarnation, Leaving: true}
+		if why := r.apply(now, News{Upstream: gone, Stamp: stamp, Described: stamp}, now); why == "" {
+			r.fresh = true
+		}
+	}
+}
+
 // serves tells whether the host still counts in vectors. The description of an
 // upstream gets a new stamp once the old origin is dead, since hosts that don't
 // list the origin would be sent the description in every exchange.
@@ -339,10 +359,8 @@
 	u.stamp, u.described = n.Stamp, n.Described
 	u.slot.store(&Entry{Upstream: n.Upstream, Until: until})
 	switch {
-	case n.Upstream.Leaving && live:
-		r.remove(now, u, n.Upstream)
 	case n.Upstream.Leaving:
-		u.gone = now
+		r.remove(now, u, n.Upstream)
 	default:
 		r.dirty = r.dirty || !live
 		u.gone = time.Time{}
@@ -446,6 +464,7 @@
 // everything.
 func (r *Registrar) Update(now time.Time, known Vector) Update {
 	r.fresh = false
+	met := known[r.key] > 0
 	u := Update{Vector: r.Vector(), Heard: r.Heard()}
 	if known[r.key] < r.described {
 		u.Hosts = append(u.Hosts, HostNews{Host: r.self, Described: r.described})
@@ -461,7 +480,7 @@
 		remaining := e.Until.Sub(now)
 		switch {
 		case e.Upstream.Leaving:
-			if len(known) > 0 && now.Sub(c.gone) > Relay {
+			if met && now.Sub(c.gone) > Relay {
 				continue
 			}
 		case remaining <= 0 || !c.gone.IsZero():
