--- a/internal/entry/dispatcher/bar_test.go
+++ b/internal/entry/dispatcher/bar_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
 	"github.com/amaranthcart/amaranthcart/internal/config/validator"
@@ -134,7 +135,7 @@
 	view := &fakeMembership{upstreams: map[registrar.UpstreamID]registrar.Upstream{
 		"a": {Name: "a", Address: "10.0.0.1:1", Incarnation: 1},
 	}}
-	c := &Cell{settings: Settings{Membership: view}}
+	c := &Cell{settings: Settings{Membership: view, Logger: zap.NewNop()}}
 	l := &link{}
 	l.granted.Store(registrar.UpstreamID("a"), location{"10.0.0.2:1", 2})
 	c.linked.Store(l)
