--- a/internal/entry/dispatcher/limit_test.go
+++ b/internal/entry/dispatcher/limit_test.go
@@ -8,8 +8,8 @@
 	"testing"
 	"time"
 
-	"github.com/sourcegraph/conc"
 	"github.com/jonboulle/clockwork"
+	"github.com/sourcegraph/conc"
 	"gotest.tools/v3/assert"
 
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
