courier: counts of a cell are bounded before they are sent

The sum of the free slots of a pool was cut to 32 bits: 4,096 upstreams of the most slots (2^20 each) make it wrap to 0, and other cells send nothing. The bound that the receiver applies is now applied by the sender too.

TestLargeCounts: assertion failed: 0 (d int) != 1048576 (maxCount int)

--- a/internal/member/courier/message.go
+++ b/internal/member/courier/message.go
@@ -65,7 +65,7 @@
 }
 
 func encodePool(p summarizer.Pool) *wire.PoolSummary {
-	m := &wire.PoolSummary{Name: string(p.Name), Live: uint32(max(p.Live, 0)), Free: uint32(max(p.Free, 0)), Leaving: uint32(max(p.Leaving, 0))}
+	m := &wire.PoolSummary{Name: string(p.Name), Live: encodeCount(p.Live), Free: encodeCount(p.Free), Leaving: encodeCount(p.Leaving)}
 	if p.Delay != (summarizer.Pool{}).Delay {
 		for _, d := range p.Delay {
 			m.Delay = append(m.Delay, uint32(roundUp(d)))
@@ -129,6 +129,8 @@
 	return p
 }
 
+func encodeCount(n int) uint32 { return uint32(min(max(n, 0), maxCount)) }
+
 func count(n uint32) int { return int(min(n, maxCount)) }
 
 // caller makes exchanges over the network.
--- /dev/null
+++ b/internal/member/courier/message_test.go
@@ -0,0 +1,18 @@
+package courier
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/amaranthcart/amaranthcart/internal/member/summarizer"
+)
+
+// Guards against sums over many upstreams that wrap on their way to another cell.
+func TestLargeCounts(t *testing.T) {
+	const most = 1 << 34
+	m := encodePool(summarizer.Pool{Name: "m", Live: most, Free: most, Leaving: most})
+	for _, d := range []int{decodePool(m).Live, decodePool(m).Free, decodePool(m).Leaving} {
+		assert.Equal(t, d, maxCount)
+	}
+}
