gossiper: the host of an announced address holds no other part of a URL

The address becomes part of the URL that a call is made to: with hay/x:9000 the call went to the host hay and a path before that of the request, with hay@x to x, and an address with % can't be read.

TestOddAnnouncements/path_in_the_host, _query_in_the_host, _user_in_the_host, _escape_in_the_host, _zone, _secure_path: post(g, odd).Code is not http.StatusBadRequest

--- a/internal/member/gossiper/announce.go
+++ b/internal/member/gossiper/announce.go
@@ -96,11 +96,12 @@
 	return errors.Join(faults...)
 }
 
-// complete reports whether an address has a host and a port.
+// complete reports whether an address has a host and a port, and nothing that another
+// part of a URL would be read from.
 func complete(address string) bool {
 	host, port, err := net.SplitHostPort(address)
 	number, invalid := strconv.ParseUint(port, 10, 16)
-	return err == nil && host != "" && invalid == nil && number > 0
+	return err == nil && host != "" && !strings.ContainsAny(host, "/?#@%\\ ") && invalid == nil && number > 0
 }
 
 // readable reports whether a text can be sent in messages and in headers.
--- a/internal/member/gossiper/announce_test.go
+++ b/internal/member/gossiper/announce_test.go
@@ -84,6 +84,12 @@
 		"port -1":              with(":9000", ":-1"),
 		"no port":              with(":9000", ""),
 		"no host":              with("127.0.0.1:", ":"),
+		"path in the host":     with("127.0.0.1:", "hay/x:"),
+		"query in the host":    with("127.0.0.1:", "hay?x:"),
+		"user in the host":     with("127.0.0.1:", "hay@x:"),
+		"escape in the host":   with("127.0.0.1:", "%zz:"),
+		"zone":                 with("127.0.0.1:", "[fe80::1%lo]:"),
+		"secure path":          with("127.0.0.1:", "https://hay/x:"),
 		"secure port 0":        with("127.0.0.1:9000", "https://127.0.0.1:0"),
 	} {
 		t.Run(name, func(t *testing.T) {
