relayer: a broken answer resets the connection of a caller of HTTP/1.0

Cause: a stream, or a long answer without a length, that breaks off ends in a closed connection without a last chunk.

Change: the connection of such a caller is reset in place of closed. The server of net/http hands a handler nothing of its connection but the local address, and the listener that bounds connections hides the TCP connection; so the accepted connections have a local address that leads to them. Hijacking was ruled out, since it returns the hidden one too.

--- a/internal/entry/relayer/broken_test.go
+++ b/internal/entry/relayer/broken_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -335,3 +336,31 @@
 		assert.Equal(t, a.body, strings.Join(numbered(1, 5), ""))
 	}
 }
+
+// Guards against a caller of HTTP/1.0 that takes a broken answer for a whole one: it has
+// no chunks, and its end is that of the connection.
+func TestBrokenAnswerForHTTP10(t *testing.T) {
+	long := strings.Repeat("sold", 1<<19)
+	cases := map[string]struct {
+		scripts []script
+		broken  bool
+	}{
+		"broken stream":               {[]script{events(1, 3, false)}, true},
+		"broken stream, then failure": {[]script{events(1, 3, false), says(500, "oops")}, true},
+		"broken long answer":          {[]script{answers("200 OK", "Transfer-Encoding: chunked\r\n", chunked(long))}, true},
+		"stream":                      {[]script{events(1, 3, true)}, false},
+		"long answer":                 {[]script{answers("200 OK", "Transfer-Encoding: chunked\r\n", chunked(long)+"0\r\n\r\n")}, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			_, body, end := newRig(t, c.scripts...).raw("/resumable/x", "1.0")
+			assert.Assert(t, !strings.Contains(body, "oops"), shortened(body))
+			if c.broken {
+				assert.Assert(t, errors.Is(end, syscall.ECONNRESET), "the connection ended with %v", end)
+				return
+			}
+			assert.Assert(t, errors.Is(end, io.EOF), "the connection ended with %v", end)
+		})
+	}
+}
--- a/internal/entry/relayer/call.go
+++ b/internal/entry/relayer/call.go
@@ -350,7 +350,7 @@
 		panic(http.ErrAbortHandler)
 	case c.stream.begun:
 		c.status, c.code = http.StatusOK, "stream_broken"
-		panic(http.ErrAbortHandler)
+		c.abort()
 	case c.failure != nil:
 		return c.deliver(*c.failure)
 	case !c.mayHaveRun:
--- a/internal/entry/relayer/harness_test.go
+++ b/internal/entry/relayer/harness_test.go
@@ -138,6 +138,9 @@
 // routeTimeout is the timeout of all routes.
 const routeTimeout = 2 * time.Second
 
+// maxConnections bounds the callers' connections of a rig.
+const maxConnections = 1000
+
 // document has one route for each repetition.
 func document() *validator.Document {
 	d := &validator.Document{
@@ -167,7 +170,7 @@
 	}
 	index := validator.Compile(document())
 	r.relayer = New(Options{
-		Protocol: testProtocol{}, Dispatcher: r.dispatcher,
+		Protocol: testProtocol{}, Dispatcher: r.dispatcher, Connections: maxConnections,
 		Sender:        forwarder.NewSender(clockwork.NewRealClock(), nil),
 		Configuration: func() (*validator.Index, bool) { return index, r.fresh.Load() },
 	})
@@ -175,7 +178,7 @@
 	assert.NilError(t, err)
 	s := r.relayer.Server()
 	done := make(chan struct{})
-	go func() { _ = s.Serve(l); close(done) }()
+	go func() { _ = s.Serve(r.relayer.Limit(l)); close(done) }()
 	t.Cleanup(func() { _ = r.relayer.Close(); <-done })
 	r.address = l.Addr().String()
 	return r
--- a/internal/entry/relayer/relayer.go
+++ b/internal/entry/relayer/relayer.go
@@ -24,9 +24,10 @@
 //		Configuration: func() (*validator.Index, bool) { ... },
 //	})
 //	server := r.Server()
-//	// serve; at a planned stop:
+//	err := server.Serve(r.Limit(listener))
+//	// at a planned stop:
 //	r.Unready()
-//	err := r.Drain(ctx)
+//	err = r.Drain(ctx)
 package relayer
 
 import (
@@ -162,8 +163,10 @@
 	return s
 }
 
-// Limit bounds the open connections of a listener.
+// Limit bounds the open connections of a listener, and lets a broken answer reset its
+// own.
 func (r *Relayer) Limit(l net.Listener) net.Listener {
+	l = listener{l}
 	if r.options.Connections == 0 {
 		return l
 	}
