--- /dev/null
+++ b/internal/member/registrar/age_test.go
@@ -0,0 +1,32 @@
+package registrar
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against departures that hosts give back to each other with a new age each time,
+// so that they are never forgotten.
+func TestDeparturesToldAgainAreForgotten(t *testing.T) {
+	now := mirrorStart
+	r := New(now, Host{Name: "a", Address: "a:1", Incarnation: 1}, WithLease(mirrorLease))
+	mirrors := []*Mirror{NewMirror(now, Host{Name: "w1"}, mirrorLease), NewMirror(now, Host{Name: "w2"}, mirrorLease)}
+	gone := live("u", 5)
+	gone.Leaving = true
+	r.Step(now, Announce{Upstream: gone})
+	list := []Departure{{UpstreamID: "u", Incarnation: 5, Leaving: true}}
+	// Each mirror in turn begins to follow the host: it tells what it knows, and gets what
+	// the host knows.
+	for i := range 12 {
+		now = now.Add(4 * time.Minute)
+		r.Step(now, Tick{})
+		m := mirrors[i%len(mirrors)]
+		r.Step(now, Depart{Departures: m.Departures(now)})
+		if len(r.upstreams) > 0 {
+			m.Depart(now, list)
+		}
+	}
+	assert.Equal(t, len(r.upstreams), 0, "kept %s after the upstream left", now.Sub(mirrorStart))
+}
