dispatcher: bars that have ended are dropped also where only the membership adds any

Change: ended bars are dropped when one is added.

Before: TestBarsOfTheMembershipAreForgotten '100 bars are kept, all but one of which have ended'.

--- a/internal/entry/dispatcher/bar.go
+++ b/internal/entry/dispatcher/bar.go
@@ -91,6 +91,7 @@
 	if known, ok := b.list[id]; ok && now.Before(known.until) && !e.supersedes(known) {
 		return false
 	}
+	b.forget(now)
 	if b.list == nil {
 		b.list = map[registrar.UpstreamID]barEntry{}
 	}
@@ -99,6 +100,16 @@
 	return true
 }
 
+// forget drops the bars that have ended. The caller holds mu.
+func (b *bars) forget(now time.Time) {
+	for id, e := range b.list {
+		if !now.Before(e.until) {
+			delete(b.list, id)
+		}
+	}
+	b.count.Store(int64(len(b.list)))
+}
+
 // supersedes reports whether the entry tells more than a known one that is in force.
 func (b barEntry) supersedes(known barEntry) bool {
 	switch {
@@ -131,17 +142,13 @@
 func (b *bars) all(now time.Time) []scheduler.Bar {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.forget(now)
 	var list []scheduler.Bar
 	for id, e := range b.list {
-		if !now.Before(e.until) {
-			delete(b.list, id)
-			continue
-		}
 		if !e.known {
 			list = append(list, e.bar(now, id))
 		}
 	}
-	b.count.Store(int64(len(b.list)))
 	return list
 }
 
