watcher: a departure that is heard during a call is told with the next one

Change: departures that the host hears itself are counted; only a call that could bring all of them counts.

Before: TestDepartureHeardDuringACallIsTold 'no call of 6 told that the second upstream leaves'.

--- a/internal/member/watcher/watcher.go
+++ b/internal/member/watcher/watcher.go
@@ -100,6 +100,9 @@
 	queue  []registrar.Action
 	// source is the host whose changes are followed.
 	source source
+	// heard counts the departures that this host has heard of itself, and told how many of
+	// them the last call that brought departures could bring.
+	heard, told int
 
 	delivery sync.Mutex
 	context  context.Context
@@ -182,6 +185,7 @@
 	w.queue = append(w.queue, news...)
 	if len(news) > 0 {
 		w.source.introduced = 0
+		w.heard++
 	}
 	w.mu.Unlock()
 	w.deliver()
@@ -298,6 +302,7 @@
 	defer w.mu.Unlock()
 	if w.source.address != address || w.source.introduced == 0 {
 		q.Departures = gossiper.EncodeDepartures(w.mirror.Departures(now))
+		w.told = w.heard
 	}
 	if w.source.address != address {
 		return q
@@ -351,8 +356,9 @@
 // introduced returns the epoch of the answer if that start of the other host knows all
 // departures that this one knows, and 0 otherwise. The caller holds mu.
 func (w *Watcher) introduced(address string, q *wire.MembersRequest, a *wire.MembersResponse) uint64 {
-	told := w.source.address == address && w.source.introduced == a.GetEpoch()
-	if told || len(q.GetDepartures()) > 0 || len(w.mirror.Departures(w.clock.Now())) == 0 {
+	known := w.source.address == address && w.source.introduced == a.GetEpoch()
+	brought := len(q.GetDepartures()) > 0 && w.told == w.heard
+	if known || brought || len(w.mirror.Departures(w.clock.Now())) == 0 {
 		return a.GetEpoch()
 	}
 	return 0
