registrar: a host that was parted learns what left more than ten seconds ago

An announcement that the parting had delayed listed the upstream there again.

Change: a host whose vector lists the first host of a departure with an older version is told it, whatever its age.

Before: TestHostPartedForLongLearnsDepartures 'listed again after 5s of exchanges'.

--- a/internal/member/registrar/registrar.go
+++ b/internal/member/registrar/registrar.go
@@ -30,8 +30,8 @@
 	// this bounds only announcements that were delayed on their way.
 	Retention = 10 * time.Minute
 	// Relay is how long departures are passed on, other than to hosts that ask
-	// for everything or have no news of this one yet. Any other host that missed
-	// them for so long has seen the lease end.
+	// for everything, have no news of this one yet or lack what their first host
+	// has told since.
 	Relay = 10 * time.Second
 	// HostRetention is how long a dead entry host stays in the vector.
 	HostRetention = time.Minute
@@ -480,7 +480,9 @@
 		remaining := e.Until.Sub(now)
 		switch {
 		case e.Upstream.Leaving:
-			if met && now.Sub(c.gone) > Relay {
+			version, listed := known[c.described.Origin]
+			lacks := listed && version < c.described.Version
+			if met && !lacks && now.Sub(c.gone) > Relay {
 				continue
 			}
 		case remaining <= 0 || !c.gone.IsZero():
