registrar, publisher: departures keep their age, and whole views tell all that are kept

Hosts that told each other a departure gave it a new age each time, so that it was never forgotten: memory grew, and an upstream without a start time could not come back under its ID. And whole views had the departures among the last 1,024 changes only: the leases of a large site's upstreams that end at once pushed the leaving ones out.

Change: a departure has the time since it was heard first, on the wire too, and is forgotten ten minutes after that, whoever tells it again.

--- a/internal/member/gossiper/encode.go
+++ b/internal/member/gossiper/encode.go
@@ -184,7 +184,7 @@
 func EncodeDepartures(list []registrar.Departure) []*wire.Departure {
 	all := make([]*wire.Departure, 0, len(list))
 	for _, d := range list {
-		all = append(all, &wire.Departure{Name: string(d.UpstreamID), Incarnation: uint64(d.Incarnation), Leaving: d.Leaving})
+		all = append(all, &wire.Departure{Name: string(d.UpstreamID), Incarnation: uint64(d.Incarnation), Leaving: d.Leaving, Age: d.Age.Milliseconds()})
 	}
 	return all
 }
@@ -195,6 +195,7 @@
 	for _, d := range list {
 		all = append(all, registrar.Departure{
 			UpstreamID: registrar.UpstreamID(d.GetName()), Incarnation: registrar.Incarnation(d.GetIncarnation()), Leaving: d.GetLeaving(),
+			Age: milliseconds(d.GetAge()),
 		})
 	}
 	return all
--- a/internal/member/publisher/bound_test.go
+++ b/internal/member/publisher/bound_test.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"testing"
 
+	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
@@ -13,7 +14,7 @@
 // Guards against a whole view that doesn't tell which upstreams leave after the leases of a
 // large site's upstreams have ended at once.
 func TestWholeViewTellsDeparturesAfterManyLeasesEnded(t *testing.T) {
-	j := newJournal(1)
+	j := newJournal(1, clockwork.NewFakeClock())
 	j.depart(registrar.Departure{UpstreamID: "leaving", Incarnation: 1, Leaving: true})
 	const upstreams = 1_100
 	for i := range upstreams {
--- a/internal/member/publisher/journal_test.go
+++ b/internal/member/publisher/journal_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
 	"github.com/amaranthcart/amaranthcart/internal/member/gossiper"
@@ -95,7 +96,7 @@
 }
 
 func newTestJournal(epoch uint64) *journal {
-	j := newJournal(epoch)
+	j := newJournal(epoch, clockwork.NewFakeClock())
 	return &j
 }
 
--- a/internal/member/publisher/publisher.go
+++ b/internal/member/publisher/publisher.go
@@ -133,7 +133,7 @@
 		logger:   o.Logger.Named("publisher"),
 		prints:   gossiper.NewPrintLog(),
 		started:  o.Clock.Now(),
-		journal:  newJournal(rand.Uint64()),
+		journal:  newJournal(rand.Uint64(), o.Clock),
 		changed:  make(chan struct{}),
 		watchers: map[registrar.HostName]watcher{},
 		stop:     make(chan struct{}),
--- a/internal/member/registrar/event.go
+++ b/internal/member/registrar/event.go
@@ -81,6 +81,8 @@
 	Incarnation Incarnation
 	// Leaving is false when the lease expired.
 	Leaving bool
+	// Age is the time since a departure was heard first, by any host.
+	Age time.Duration
 }
 
 // Ignored tells why an announcement had no effect.
@@ -188,6 +190,8 @@
 	Described Stamp
 	// Remaining is what is left of the lease.
 	Remaining time.Duration
+	// Age is the time since a departure was heard first, where that is known.
+	Age time.Duration
 }
 
 // UpstreamKey identifies one incarnation of an upstream in renewals.
--- a/internal/member/registrar/mirror.go
+++ b/internal/member/registrar/mirror.go
@@ -12,6 +12,9 @@
 	Incarnation Incarnation
 	// Leaving is false when the lease expired.
 	Leaving bool
+	// Age is the time since it was heard first, so that it is forgotten whoever tells it
+	// again.
+	Age time.Duration
 }
 
 // Copy is what an exchange tells of the view of another host.
@@ -138,7 +141,7 @@
 	m.forget(now)
 	list := make([]Departure, 0, len(m.departed))
 	for id, d := range m.departed {
-		list = append(list, Departure{UpstreamID: id, Incarnation: d.incarnation, Leaving: true})
+		list = append(list, Departure{UpstreamID: id, Incarnation: d.incarnation, Leaving: true, Age: now.Sub(d.at)})
 	}
 	return list
 }
@@ -204,7 +207,10 @@
 		return false
 	}
 	m.forget(now)
-	m.departed[d.UpstreamID] = departed{d.Incarnation, now}
+	if d.Age > Retention {
+		return false
+	}
+	m.departed[d.UpstreamID] = departed{d.Incarnation, now.Add(-d.Age)}
 	return true
 }
 
--- a/internal/member/registrar/registrar.go
+++ b/internal/member/registrar/registrar.go
@@ -232,16 +232,16 @@
 			delete(r.renewable, u.key)
 		}
 	case !now.Before(e.Until):
-		r.remove(now, u, e.Upstream)
+		r.remove(now, u, e.Upstream, 0)
 	default:
 		r.expectEnd(e.Until)
 	}
 }
 
-func (r *Registrar) remove(now time.Time, u *upstream, news Upstream) {
-	u.gone = now
+func (r *Registrar) remove(now time.Time, u *upstream, news Upstream, age time.Duration) {
+	u.gone = now.Add(-age)
 	r.dirty = true
-	r.act(Removed{UpstreamID: news.Name, Incarnation: news.Incarnation, Leaving: news.Leaving})
+	r.act(Removed{UpstreamID: news.Name, Incarnation: news.Incarnation, Leaving: news.Leaving, Age: age})
 }
 
 func (r *Registrar) announce(now time.Time, u Upstream) {
@@ -300,13 +300,13 @@
 // under way, and go to the other hosts as announcements do.
 func (r *Registrar) depart(now time.Time, list []Departure) {
 	for _, d := range list {
-		if d.UpstreamID == "" || d.Incarnation == 0 || !d.Leaving {
+		if d.UpstreamID == "" || d.Incarnation == 0 || !d.Leaving || d.Age > Retention {
 			continue
 		}
 		r.version++
 		stamp := Stamp{Origin: r.key, Version: r.version}
 		gone := Upstream{Name: d.UpstreamID, Incarnation: d.Incarnation, Leaving: true}
-		if why := r.apply(now, News{Upstream: gone, Stamp: stamp, Described: stamp}, now); why == "" {
+		if why := r.apply(now, News{Upstream: gone, Stamp: stamp, Described: stamp, Age: d.Age}, now); why == "" {
 			r.fresh = true
 		}
 	}
@@ -360,7 +360,7 @@
 	u.slot.store(&Entry{Upstream: n.Upstream, Until: until})
 	switch {
 	case n.Upstream.Leaving:
-		r.remove(now, u, n.Upstream)
+		r.remove(now, u, n.Upstream, n.Age)
 	default:
 		r.dirty = r.dirty || !live
 		u.gone = time.Time{}
