registrar: upstreams that have gone make room for those that announce themselves

Change: where there is no room, the upstream that has been gone for longest is forgotten. The view isn't built anew for the leaving of an upstream that wasn't live.

Before: TestDeparturesMakeRoom lists only the upstream that was there before. After: it passes.

--- a/internal/member/registrar/age_test.go
+++ b/internal/member/registrar/age_test.go
@@ -1,6 +1,7 @@
 package registrar
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -30,3 +31,18 @@
 	}
 	assert.Equal(t, len(r.upstreams), 0, "kept %s after the upstream left", now.Sub(mirrorStart))
 }
+
+// Guards against upstreams that are turned away because others, which need never have been
+// there, fill the memory with their leaving.
+func TestDeparturesMakeRoom(t *testing.T) {
+	now := mirrorStart
+	r := New(now, Host{Name: "a", Address: "a:1", Incarnation: 1}, WithLease(mirrorLease))
+	r.Step(now, Announce{Upstream: live("live", 1)})
+	for i := range MaxUpstreams {
+		now = now.Add(time.Microsecond)
+		r.Step(now, Announce{Upstream: Upstream{Name: UpstreamID(strconv.Itoa(i)), Incarnation: 1, Leaving: true}})
+	}
+	r.Step(now, Announce{Upstream: live("new", 1)})
+	assert.DeepEqual(t, names(r.Snapshot(), now), []string{"live", "new"})
+	assert.Equal(t, len(r.upstreams), MaxUpstreams)
+}
--- a/internal/member/registrar/registrar.go
+++ b/internal/member/registrar/registrar.go
@@ -239,8 +239,8 @@
 }
 
 func (r *Registrar) remove(now time.Time, u *upstream, news Upstream, age time.Duration) {
+	r.dirty = r.dirty || u.gone.IsZero()
 	u.gone = now.Add(-age)
-	r.dirty = true
 	r.act(Removed{UpstreamID: news.Name, Incarnation: news.Incarnation, Leaving: news.Leaving, Age: age})
 }
 
@@ -339,7 +339,7 @@
 		if !n.Upstream.Leaving && !now.Before(until) {
 			return Older
 		}
-		if len(r.upstreams) >= MaxUpstreams {
+		if len(r.upstreams) >= MaxUpstreams && !r.evict() {
 			return Overfull
 		}
 		u = &upstream{slot: &slot{}, gone: now}
@@ -370,6 +370,24 @@
 	return ""
 }
 
+// evict forgets the upstream that has been gone for longest and reports whether there was
+// one.
+func (r *Registrar) evict() bool {
+	var oldest UpstreamID
+	var since time.Time
+	for id, u := range r.upstreams {
+		if !u.gone.IsZero() && (since.IsZero() || u.gone.Before(since)) {
+			oldest, since = id, u.gone
+		}
+	}
+	if since.IsZero() {
+		return false
+	}
+	delete(r.renewable, r.upstreams[oldest].key)
+	delete(r.upstreams, oldest)
+	return true
+}
+
 func (r *Registrar) compare(u *upstream, n Upstream) Reason {
 	c := u.slot.load().Upstream
 	if r.faults.AcceptOlder {
