--- a/internal/entry/dispatcher/bar_test.go
+++ b/internal/entry/dispatcher/bar_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
@@ -194,12 +195,15 @@
 // one that is taken from an answer to another request.
 func TestLeavingInAnAnswerReachesTheMembership(t *testing.T) {
 	var told []registrar.Departure
-	view, all := newMembers(t, "a")
-	c := all["a"].cell
-	c.settings.Leave = func(d registrar.Departure) { told = append(told, d) }
-	engine := view.upstreams["engine"]
-	other := second(view, all)
-	c.Notice(Notice{Upstream: other, Leaving: true})
+	clock := clockwork.NewFakeClock()
+	local := NewLocal(scheduler.New(), clock)
+	defer local.Close()
+	c := &Cell{route: local, settings: Settings{
+		Local: local, Clock: clock, Logger: zap.NewNop(),
+		Leave: func(d registrar.Departure) { told = append(told, d) },
+	}}
+	engine := registrar.Upstream{Name: "engine", Incarnation: 3}
+	c.Notice(Notice{Upstream: registrar.Upstream{Name: "other", Incarnation: 1}, Leaving: true})
 	c.Notice(Notice{Upstream: engine, Own: true, Pause: time.Second})
 	assert.Equal(t, len(told), 0)
 	c.Notice(Notice{Upstream: engine, Own: true, Leaving: true})
