--- a/internal/member/gossiper/gossiper.go
+++ b/internal/member/gossiper/gossiper.go
@@ -271,7 +271,7 @@
 	actions := g.registrar.Step(now, e)
 	g.queue = append(g.queue, actions...)
 	g.mu.Unlock()
-	g.logBeliefs(now, before, e, actions)
+	g.logListing(now, before, e, actions)
 	g.deliver()
 	return actions
 }
--- a/internal/member/gossiper/belief.go
+++ b/internal/member/gossiper/listing.go
@@ -8,10 +8,10 @@
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
 )
 
-// logBeliefs writes a line for each decision on an upstream that is more than a renewal
+// logListing writes a line for each decision on an upstream that is more than a renewal
 // of its lease: what was said, by whom, and what came of it. The view is the one from
 // before the event.
-func (g *Gossiper) logBeliefs(now time.Time, before *registrar.View, e registrar.Event, actions []registrar.Action) {
+func (g *Gossiper) logListing(now time.Time, before *registrar.View, e registrar.Event, actions []registrar.Action) {
 	for _, a := range actions {
 		switch a := a.(type) {
 		case registrar.Changed:
--- a/internal/member/watcher/belief.go
+++ b/internal/member/watcher/listing.go
@@ -11,9 +11,9 @@
 // maxNames bounds the upstreams that a line names; of more it has the number.
 const maxNames = 16
 
-// logBeliefs writes a line when an answer changes which upstreams are listed. The view is
+// logListing writes a line when an answer changes which upstreams are listed. The view is
 // the one from before the answer.
-func (w *Watcher) logBeliefs(now time.Time, before *registrar.View, address string, full bool, actions []registrar.Action) {
+func (w *Watcher) logListing(now time.Time, before *registrar.View, address string, full bool, actions []registrar.Action) {
 	var listed, left, ended []string
 	for _, a := range actions {
 		switch a := a.(type) {
--- a/internal/member/watcher/watcher.go
+++ b/internal/member/watcher/watcher.go
@@ -346,7 +346,7 @@
 		w.source = source{address: address, epoch: a.GetEpoch(), number: a.GetNumber(), introduced: introduced}
 		before := w.mirror.Snapshot()
 		actions := w.mirror.Take(now, c)
-		w.logBeliefs(now, before, address, c.Full, actions)
+		w.logListing(now, before, address, c.Full, actions)
 		w.queue = append(w.queue, actions...)
 	}
 	w.mu.Unlock()
