amaranthd: the test of two owners waits for the renewals that it counts

Everything else held: the calls were stopped as soon as enough chats were answered, and renewals, each of which the control hosts record first, were slower then.

Change: the calls go on until more than 10 renewals are answered, for as long as the test waits for anything. What is demanded of them is unchanged.

--- a/cmd/amaranthd/cut_test.go
+++ b/cmd/amaranthd/cut_test.go
@@ -339,6 +339,11 @@
 	})
 	before := chats.Load()
 	d.waitFor("answers after the cut", func() bool { return chats.Load() > before+40 })
+	d.waitFor("renewals", func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return len(answers) > 10
+	})
 	close(done)
 	group.Wait()
 	counts := d.runs("shop-1")
