amaranthd: the test of a cut entry host begins once the hosts have met

Its log shows each of the three hosts as owner of the cell and no later change: they had not met when the cut began. A host that knows no other one is unready until three seconds after its start; the cut silenced the only one that entry-1 had heard of, and 1.5 s later it counted as alone.

Change: the test waits until the three agree on the owner before it cuts. What it demands is unchanged.

--- a/cmd/amaranthd/cut_test.go
+++ b/cmd/amaranthd/cut_test.go
@@ -203,6 +203,11 @@
 	for _, e := range d.entries {
 		d.waitUpstreams(e, 1)
 	}
+	// A host that has met no other one isn't ready for its first seconds.
+	d.waitFor("the hosts to meet", func() bool {
+		owner := d.view("entry-1").Owner
+		return owner != "" && d.view("entry-2").Owner == owner && d.view("entry-3").Owner == owner
+	})
 	// entry-1 loses control only, with refused connections; entry-3 loses
 	// control and its peers, silently.
 	n.Cut("entry-1", "control-1")
