--- a/internal/member/watcher/listing.go
+++ b/internal/member/watcher/listing.go
@@ -12,8 +12,12 @@
 const maxNames = 16
 
 // logListing writes a line when an answer changes which upstreams are listed. The view is
-// the one from before the answer.
+// the one from before the answer. Hundreds of hosts write one at the same time, so that it
+// is for the level debug.
 func (w *Watcher) logListing(now time.Time, before *registrar.View, address string, full bool, actions []registrar.Action) {
+	if !w.logger.Core().Enabled(zap.DebugLevel) {
+		return
+	}
 	var listed, left, ended []string
 	for _, a := range actions {
 		switch a := a.(type) {
@@ -32,7 +36,7 @@
 	if len(listed)+len(left)+len(ended) == 0 {
 		return
 	}
-	w.logger.Info("the listed upstreams have changed", zap.String("address", address), zap.Bool("full", full),
+	w.logger.Debug("the listed upstreams have changed", zap.String("address", address), zap.Bool("full", full),
 		names("listed", listed), names("left", left), names("ended", ended))
 }
 
