platform: typed fields of a JSON object are read in the decoder

platform/ is for translation. Behaviour and messages are the same; the tests of platform/ are unchanged.

--- /dev/null
+++ b/internal/config/decoder/fields.go
@@ -0,0 +1,82 @@
+package decoder
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// Fields gives the members of a JSON object whose unknown members don't matter, and
+// collects their faults. A member that is there twice is a fault.
+//
+//	f, err := decoder.ParseFields(body)
+//	name, slots := f.Text("name"), f.Number("slots", 100)
+//	err = f.Err()
+type Fields struct {
+	object *Node
+	faults []string
+}
+
+// ParseFields reads a JSON object.
+func ParseFields(data []byte) (*Fields, error) {
+	var problems Problems
+	n, ok := Parse(data, &problems)
+	if list := problems.List(); len(list) > 0 {
+		f := &Fields{}
+		for _, p := range list {
+			f.faults = append(f.faults, p.String())
+		}
+		return nil, f.Err()
+	}
+	if !ok || n.Kind != Object {
+		return nil, fmt.Errorf("the body is no JSON object")
+	}
+	return &Fields{object: n}, nil
+}
+
+// Has reports whether the field is there.
+func (f *Fields) Has(name string) bool { return f.object.Get(name) != nil }
+
+// Permit notes a fault when the field has another type.
+func (f *Fields) Permit(name string, kind Kind) {
+	if n := f.object.Get(name); n != nil && n.Kind != kind && n.Kind != Null {
+		f.faults = append(f.faults, fmt.Sprintf("%s: %s", name, n))
+	}
+}
+
+// Require returns the field as it was written, and notes a fault when it is missing or
+// has another type.
+func (f *Fields) Require(name string, kind Kind) string {
+	n := f.object.Get(name)
+	if n == nil {
+		f.faults = append(f.faults, name+": missing")
+		return ""
+	}
+	if n.Kind != kind {
+		f.faults = append(f.faults, fmt.Sprintf("%s: %s", name, n))
+		return ""
+	}
+	return n.Text
+}
+
+// Text returns a string that has to be there.
+func (f *Fields) Text(name string) string { return f.Require(name, String) }
+
+// Number returns a whole number from 0 to most that has to be there.
+func (f *Fields) Number(name string, most uint64) uint64 {
+	text := f.Require(name, Number)
+	n, err := strconv.ParseUint(text, 10, 64)
+	if text != "" && (err != nil || n > most) {
+		f.faults = append(f.faults, fmt.Sprintf("%s: %s", name, Shorten(text)))
+		return 0
+	}
+	return n
+}
+
+// Err joins the faults into one error.
+func (f *Fields) Err() error {
+	if len(f.faults) == 0 {
+		return nil
+	}
+	return fmt.Errorf("%s", strings.Join(f.faults, "; "))
+}
