--- a/internal/member/gossiper/witness.go
+++ b/internal/member/gossiper/witness.go
@@ -137,11 +137,16 @@
 	}), nil
 }
 
-// Announce passes an announcement on. The call isn't made again when it fails: the
-// upstream goes to another host then.
+// Announce passes an announcement on.
 func (c *caller) Announce(ctx context.Context, address string, q *wire.AnnounceRequest) (*wire.AnnounceResponse, error) {
-	client := wireconnect.NewPeerClient(c.clients.Client(address), dialer.URL(address), dialer.Options()...)
-	a, err := client.Announce(ctx, connect.NewRequest(q))
+	return SendAnnouncement(ctx, c.clients.Client(address), address, q)
+}
+
+// SendAnnouncement passes an announcement on to the host at the address. The call isn't
+// made again when it fails: the upstream announces itself again soon, or goes to another
+// host.
+func SendAnnouncement(ctx context.Context, d *dialer.Client, address string, q *wire.AnnounceRequest) (*wire.AnnounceResponse, error) {
+	a, err := wireconnect.NewPeerClient(d, dialer.URL(address), dialer.Options()...).Announce(ctx, connect.NewRequest(q))
 	if err != nil {
 		return nil, fmt.Errorf("announce an upstream to %s: %w", address, err)
 	}
--- a/internal/member/watcher/watcher.go
+++ b/internal/member/watcher/watcher.go
@@ -460,15 +460,9 @@
 	return a.Msg, nil
 }
 
-// Announce makes a call that is not made again when it fails: the upstream announces
-// itself again soon.
+// Announce passes an announcement on.
 func (n *network) Announce(ctx context.Context, address string, q *wire.AnnounceRequest) (*wire.AnnounceResponse, error) {
-	client := wireconnect.NewPeerClient(n.clients.Client(address), dialer.URL(address), dialer.Options()...)
-	a, err := client.Announce(ctx, connect.NewRequest(q))
-	if err != nil {
-		return nil, fmt.Errorf("announce an upstream to %s: %w", address, err)
-	}
-	return a.Msg, nil
+	return gossiper.SendAnnouncement(ctx, n.clients.Client(address), address, q)
 }
 
 // Close closes the connections.
