--- a/internal/entry/dispatcher/bar.go
+++ b/internal/entry/dispatcher/bar.go
@@ -91,12 +91,11 @@
 	if known, ok := b.list[id]; ok && now.Before(known.until) && !e.supersedes(known) {
 		return false
 	}
-	b.forget(now)
 	if b.list == nil {
 		b.list = map[registrar.UpstreamID]barEntry{}
 	}
 	b.list[id] = e
-	b.count.Store(int64(len(b.list)))
+	b.forget(now)
 	return true
 }
 
