gossiper, publisher: control hosts tell up to when they know what leaves

Cause: an answer to a watching host doesn't tell how old its view is, so that logs can't distinguish a host that was told late from one that was told by a control host which had not heard the others.

Change: a control host notes when it last began to learn all from each other one. It knows each departure that was acknowledged before the oldest of the exchanges that it needs: all others but as many as there are witnesses. The time goes with each answer, against the arrival of the request. No decision depends on it yet.

Ruled out: the age of the confirmation of the configuration as a measure; it stalls with the leader while news is exchanged, and the reverse.

--- a/internal/member/gossiper/gossiper.go
+++ b/internal/member/gossiper/gossiper.go
@@ -108,8 +108,9 @@
 	revisions Revisions
 	onAction  func(registrar.Action)
 	options   []registrar.Option
-	// witnesses is how many other hosts keep a departure before it is acknowledged.
-	witnesses int
+	// coverage has the number of other hosts that keep a departure before it is
+	// acknowledged.
+	coverage coverage
 
 	mu        sync.Mutex
 	registrar *registrar.Registrar
@@ -185,6 +186,7 @@
 		log:      zap.NewNop(),
 		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		slots:    make(chan struct{}, Concurrent),
+		coverage: coverage{hosts: map[registrar.HostName]covered{}},
 	}
 	if self.Cell != "" {
 		g.cell = self.Cell
@@ -207,6 +209,10 @@
 	return g
 }
 
+// Current is always true: each upstream has a lease of its own on a host that takes part
+// in the exchange of news.
+func (g *Gossiper) Current() bool { return true }
+
 // Seed replaces the addresses of hosts to ask first.
 func (g *Gossiper) Seed(addresses ...string) { g.peers.seed(addresses) }
 
@@ -295,6 +301,7 @@
 		if g.onAction != nil {
 			g.onAction(a)
 		}
+		g.coverage.observe(a)
 	}
 }
 
--- a/internal/member/gossiper/witness.go
+++ b/internal/member/gossiper/witness.go
@@ -28,7 +28,7 @@
 // WithWitnesses sets how many other hosts have to keep that an upstream leaves before
 // the upstream is told that it is known. An upstream doesn't say it again after that, so
 // it must outlive this host.
-func WithWitnesses(n int) Option { return func(g *Gossiper) { g.witnesses = n } }
+func WithWitnesses(n int) Option { return func(g *Gossiper) { g.coverage.witnesses = n } }
 
 // Announce applies the announcement of an upstream that reached this host. It
 // returns the status of the answer beside its body.
@@ -37,11 +37,11 @@
 	if !u.Leaving || status != http.StatusOK {
 		return status, reply
 	}
-	if kept := g.tellWitnesses(ctx, u); kept < g.witnesses {
+	if kept := g.tellWitnesses(ctx, u); kept < g.coverage.witnesses {
 		g.log.Warn("too few hosts keep that an upstream leaves; it has to say so again",
 			zap.String("upstream", string(u.Name)), zap.Uint64("incarnation", uint64(u.Incarnation)),
-			zap.Int("hosts", kept), zap.Int("wanted", g.witnesses))
-		return http.StatusServiceUnavailable, Reply{Reason: fmt.Sprintf("only %d of %d other hosts could be told", kept, g.witnesses)}
+			zap.Int("hosts", kept), zap.Int("wanted", g.coverage.witnesses))
+		return http.StatusServiceUnavailable, Reply{Reason: fmt.Sprintf("only %d of %d other hosts could be told", kept, g.coverage.witnesses)}
 	}
 	return status, reply
 }
@@ -50,7 +50,7 @@
 // keep it once they are enough, all have answered or the time has passed.
 func (g *Gossiper) tellWitnesses(ctx context.Context, u registrar.Upstream) int {
 	kept := 0
-	if g.witnesses == 0 {
+	if g.coverage.witnesses == 0 {
 		return kept
 	}
 	ctx, cancel := context.WithTimeout(ctx, witnessTime)
@@ -60,7 +60,7 @@
 		if a.GetStatus() == http.StatusOK || a.GetStatus() == http.StatusConflict {
 			kept++
 		}
-		return kept >= g.witnesses
+		return kept >= g.coverage.witnesses
 	})
 	return kept
 }
--- a/internal/member/gossiper/witness_test.go
+++ b/internal/member/gossiper/witness_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
@@ -104,3 +105,41 @@
 	assert.Assert(t, !live)
 	assert.Equal(t, a.Known(t.Context(), "hay"), registrar.Incarnation(3), "it is known after it has left")
 }
+
+// Guards against a time that runs ahead of what was handed to the hook: hosts that follow
+// this one would be told that they know a departure before they do.
+func TestKnownUntilFollowsTheHook(t *testing.T) {
+	m := &memory{nodes: map[string]*gossiper.Gossiper{}}
+	clock := clockwork.NewFakeClock()
+	var a *gossiper.Gossiper
+	var during []time.Time
+	hook := func(x registrar.Action) {
+		if r, ok := x.(registrar.Removed); ok && r.Leaving {
+			known, _ := a.KnownUntil()
+			during = append(during, known)
+		}
+	}
+	for i := range 3 {
+		name := fmt.Sprint("host-", i)
+		options := []gossiper.Option{gossiper.WithExchanger(m), gossiper.WithClock(clock), gossiper.WithWitnesses(1)}
+		if i == 0 {
+			options = append(options, gossiper.WithOnAction(hook))
+		}
+		g := gossiper.New(registrar.Host{Name: registrar.HostName(name), Address: name, Incarnation: 1}, options...)
+		defer g.Close()
+		m.nodes[name] = g
+	}
+	a = m.nodes["host-0"]
+	for range 2 {
+		a.Exchange(t.Context(), "host-1")
+	}
+	first, ok := a.KnownUntil()
+	assert.Assert(t, ok)
+	clock.Advance(time.Second)
+	m.nodes["host-1"].Depart(registrar.Departure{UpstreamID: "hay", Incarnation: 1, Leaving: true})
+	a.Exchange(t.Context(), "host-1")
+	assert.Equal(t, len(during), 1)
+	assert.Assert(t, during[0].Equal(first), "the time had moved by %s before the departure was handed over", during[0].Sub(first))
+	after, _ := a.KnownUntil()
+	assert.Equal(t, after.Sub(first), time.Second)
+}
--- a/internal/member/publisher/fuzz_test.go
+++ b/internal/member/publisher/fuzz_test.go
@@ -16,6 +16,8 @@
 // restorer applies what hosts bring to a registrar.
 type restorer struct{ *registrar.Registrar }
 
+func (r restorer) KnownUntil() (time.Time, bool) { return time.Time{}, false }
+
 func (r restorer) Watch(int) {}
 
 func (r restorer) Restore(e registrar.Restore) { r.Step(e.Began, e) }
--- a/internal/member/publisher/publisher.go
+++ b/internal/member/publisher/publisher.go
@@ -73,6 +73,9 @@
 	Restore(e registrar.Restore)
 	// Depart takes departures that another host knows.
 	Depart(list ...registrar.Departure)
+	// KnownUntil returns the time up to which each departure that any host has
+	// acknowledged is known and was observed, and false while that is not known.
+	KnownUntil() (time.Time, bool)
 }
 
 // Options configures a Publisher.
@@ -320,8 +323,7 @@
 // hold waits until there is something to tell or the time has passed. It returns false
 // when no answer can be given.
 func (p *Publisher) hold(ctx context.Context, q *wire.MembersRequest) bool {
-	spread := 1 + holdSpread*(2*rand.Float64()-1)
-	limit := p.clock.NewTimer(time.Duration(spread * float64(Hold)))
+	limit := p.clock.NewTimer(holdTime(q))
 	defer limit.Stop()
 	for {
 		p.mu.Lock()
@@ -344,6 +346,16 @@
 	}
 }
 
+// holdTime chooses for how long an answer may wait.
+func holdTime(q *wire.MembersRequest) time.Duration {
+	most := time.Duration((1 + holdSpread) * float64(Hold))
+	if asked := time.Duration(q.GetHold()) * time.Millisecond; asked > 0 {
+		most = min(most, asked)
+	}
+	const least = (1 - holdSpread) / (1 + holdSpread)
+	return time.Duration((least + (1-least)*rand.Float64()) * float64(most))
+}
+
 // answer tells what the asking host lacks.
 func (p *Publisher) answer(arrived time.Time, q *wire.MembersRequest) *wire.MembersResponse {
 	a := &wire.MembersResponse{}
@@ -351,14 +363,16 @@
 	if p.options.Fingerprints != nil {
 		a.Fingerprints = p.prints.Lacks(q.GetHost(), p.options.Fingerprints.Fingerprints(), p.clock.Now())
 	}
+	// Read before the journal, which has at least as much then.
+	known, current := p.options.Members.KnownUntil()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	a.Epoch = p.journal.epoch
-	known := q.GetNumber()
+	number := q.GetNumber()
 	if q.GetEpoch() != p.journal.epoch {
-		known = 0
+		number = 0
 	}
-	if known < p.hostsNumber {
+	if number < p.hostsNumber {
 		for _, h := range p.hosts {
 			a.Hosts = append(a.Hosts, gossiper.EncodeHost(registrar.HostNews{Host: h}))
 		}
@@ -370,10 +384,20 @@
 		a.Incomplete = true
 		return a
 	}
-	p.journal.tell(known, a)
+	if current {
+		ms := before(arrived, known)
+		a.Known = &ms
+	}
+	p.journal.tell(number, a)
 	return a
 }
 
+// before returns how many milliseconds a time lies before the arrival of a request, rounded
+// up, so that what it is of never becomes younger.
+func before(arrived, t time.Time) int64 {
+	return arrived.Sub(t).Milliseconds() + 1
+}
+
 // confirm adds the revision in force, with the time of its confirmation against the
 // arrival of the request: the asking host counts from when it sent that.
 func (p *Publisher) confirm(arrived time.Time, a *wire.MembersResponse) {
@@ -385,8 +409,6 @@
 	if c.Age < 0 {
 		return
 	}
-	// Rounded up, so that it never becomes younger.
-	before := c.Age - p.clock.Since(arrived)
-	ms := before.Milliseconds() + 1
+	ms := before(arrived, p.clock.Now().Add(-c.Age))
 	a.Confirmed = &ms
 }
--- a/internal/member/publisher/publisher_test.go
+++ b/internal/member/publisher/publisher_test.go
@@ -23,6 +23,14 @@
 	watchers  int
 	restored  []registrar.Restore
 	departed  []registrar.Departure
+	// known is the time up to which all departures are known, zero for never.
+	known time.Time
+}
+
+func (f *fakeMembers) KnownUntil() (time.Time, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.known, !f.known.IsZero()
 }
 
 func (f *fakeMembers) Snapshot() *registrar.View { return f.registrar.Snapshot() }
@@ -222,6 +230,45 @@
 	assert.Assert(t, a.Confirmed == nil)
 }
 
+// Guards against a view that becomes younger on its way: the asking host counts its age
+// from the start of its call.
+func TestAnswerTellsUpToWhenDeparturesAreKnown(t *testing.T) {
+	r := newRig(t)
+	r.settle()
+	a, err := r.ask(t, &wire.MembersRequest{Host: "w"})
+	assert.NilError(t, err)
+	assert.Assert(t, a.Known == nil, "it is told although it is not known")
+	for _, c := range []struct {
+		age, held time.Duration
+		before    int64
+	}{
+		{300 * time.Millisecond, 0, 301},
+		{300 * time.Millisecond, 200 * time.Millisecond, 101},
+		{100 * time.Millisecond, 400 * time.Millisecond, -299},
+		{1500 * time.Microsecond, time.Millisecond, 1},
+	} {
+		r.members.mu.Lock()
+		r.members.known = r.clock.Now().Add(-c.age)
+		r.members.mu.Unlock()
+		a := r.answer(r.clock.Now().Add(-c.held), &wire.MembersRequest{Host: "w"})
+		assert.Assert(t, a.Known != nil)
+		assert.Equal(t, a.GetKnown(), c.before, "%v", c)
+	}
+}
+
+// Guards against an answer that waits for longer than the asking host allows.
+func TestAskedHoldBoundsTheWait(t *testing.T) {
+	for _, c := range []struct {
+		asked int64
+		most  time.Duration
+	}{{0, Hold * 5 / 4}, {640, 640 * time.Millisecond}, {5000, Hold * 5 / 4}, {-1, Hold * 5 / 4}} {
+		for range 1000 {
+			d := holdTime(&wire.MembersRequest{Hold: c.asked})
+			assert.Assert(t, d > c.most/2 && d <= c.most, "asked for %d ms: %v", c.asked, d)
+		}
+	}
+}
+
 // Hosts that ask are counted, and those that stop or fall silent are not.
 func TestWatchersAreCounted(t *testing.T) {
 	r := newRig(t)
--- a/internal/member/registrar/event.go
+++ b/internal/member/registrar/event.go
@@ -106,7 +106,14 @@
 // incarnation, and that this host now uses one above it.
 type Outbid struct{ Incarnation Incarnation }
 
+// Merged tells that all that another host knew when the exchange began is known now.
+type Merged struct {
+	From  HostName
+	Began time.Time
+}
+
 func (Outbid) action()      {}
+func (Merged) action()      {}
 func (Changed) action()     {}
 func (Removed) action()     {}
 func (Ignored) action()     {}
--- a/internal/member/registrar/mirror.go
+++ b/internal/member/registrar/mirror.go
@@ -28,6 +28,9 @@
 	Departures []Departure
 	// Hosts are all live hosts that may own a cell; nil while they have not changed.
 	Hosts []Host
+	// Known is the time up to which all acknowledged departures are in the copy and those
+	// before it; zero when the other host can't tell.
+	Known time.Time
 }
 
 // fleetTime is how long a mirror goes on with a larger number of watching hosts than it
@@ -45,6 +48,8 @@
 	upstreams map[UpstreamID]*slot
 	hosts     map[HostName]Host
 	horizon   *horizon
+	// known is the time up to which all acknowledged departures are known.
+	known time.Time
 	// departed holds the upstreams that have left, whichever host has told so.
 	departed map[UpstreamID]departed
 	// watchers is the largest number of watching hosts that was told lately, and told
@@ -89,6 +94,9 @@
 		m.horizon.set(until)
 	}
 	m.ended = false
+	if c.Known.After(m.known) {
+		m.known = c.Known
+	}
 	changed := m.departAll(now, c.Departures)
 	for _, u := range c.Changed {
 		changed = m.change(u, until, c.Full) || changed
@@ -127,6 +135,10 @@
 	return m.actions
 }
 
+// KnownUntil returns the time up to which every departure that any host acknowledged is
+// known, or the zero time.
+func (m *Mirror) KnownUntil() time.Time { return m.known }
+
 // Depart takes departures that another way than the followed host has brought.
 func (m *Mirror) Depart(now time.Time, list []Departure) []Action {
 	m.actions = nil
--- a/internal/member/registrar/registrar.go
+++ b/internal/member/registrar/registrar.go
@@ -457,6 +457,7 @@
 			h.have = max(h.have, v)
 		}
 	}
+	r.act(Merged{From: m.From, Began: began})
 }
 
 func (r *Registrar) until(now, began time.Time, remaining time.Duration) time.Time {
--- a/internal/member/watcher/depart_test.go
+++ b/internal/member/watcher/depart_test.go
@@ -41,6 +41,8 @@
 	return nil, errNoHost
 }
 
+func (c *heardCaller) Reach(context.Context, string) error { return nil }
+
 func (c *heardCaller) Close() {}
 
 func (c *heardCaller) wasTold(id string) bool {
--- a/internal/member/watcher/leave_test.go
+++ b/internal/member/watcher/leave_test.go
@@ -172,6 +172,14 @@
 	return nil, errCut
 }
 
+// Reach implements Caller.
+func (c *cluster) Reach(_ context.Context, address string) error {
+	if c.running(address) == nil {
+		return errCut
+	}
+	return nil
+}
+
 // Close implements Caller.
 func (c *cluster) Close() {}
 
--- a/internal/member/watcher/watcher_test.go
+++ b/internal/member/watcher/watcher_test.go
@@ -49,8 +49,10 @@
 	self      registrar.Host
 	publisher *publisher.Publisher
 
-	mu        sync.Mutex
-	mirror    *registrar.Mirror
+	mu     sync.Mutex
+	mirror *registrar.Mirror
+	// deaf is since when the host hears nothing of the others; zero while it does.
+	deaf      time.Time
 	fault     fault
 	calls     int
 	announced []registrar.Upstream
@@ -59,6 +61,16 @@
 // Snapshot implements publisher.Members.
 func (h *controlHost) Snapshot() *registrar.View { return h.mirror.Snapshot() }
 
+// KnownUntil implements publisher.Members.
+func (h *controlHost) KnownUntil() (time.Time, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.deaf.IsZero() {
+		return time.Now(), true
+	}
+	return h.deaf, true
+}
+
 // Watch implements publisher.Members.
 func (h *controlHost) Watch(int) {}
 
@@ -153,6 +165,16 @@
 	f.hosts[addressOf(name)].fault = x
 }
 
+// deafen lets a host hear nothing of the others any more.
+func (f *fleet) deafen(address string) {
+	f.mu.Lock()
+	h := f.hosts[address]
+	f.mu.Unlock()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.deaf = time.Now()
+}
+
 var errCut = errors.New("no answer")
 
 // Members implements Caller.
@@ -178,6 +200,13 @@
 	if err != nil {
 		return nil, err
 	}
+	f.mu.Lock()
+	now := h.fault
+	f.mu.Unlock()
+	if now == silent {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	if x == loses && n%2 == 0 {
 		return nil, errCut
 	}
@@ -196,6 +225,16 @@
 	return &wire.AnnounceResponse{Status: http.StatusOK, Accepted: true}, nil
 }
 
+// Reach implements Caller. A host that is silent takes connections.
+func (f *fleet) Reach(_ context.Context, address string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if h := f.hosts[address]; h == nil || h.fault == refuses {
+		return errCut
+	}
+	return nil
+}
+
 // Close implements Caller.
 func (f *fleet) Close() {}
 
