watcher, dispatcher: a host sends nothing on a view that is too old

Callers saw requests lost at upstreams that had said they were leaving.

Cause: a host that watches sent on its last view for the whole lease of upstreams, 5.6 s, whatever the bound; the bound was not read from the settings.

Ruled out: a shorter lease, which would take all work away while control is lost; a second watched host, which halves the age and bounds nothing.

Change: a host counts up to when its view is known to hold each departure (the start of its call, and what the control host tells). It sends only while that is younger than the bound less 0.4 s for the way; a request waits for 0.5 s for a younger view and is refused then. It goes on with an old view while most control hosts take no connection or have just started: no view can be young then, and the host is not in touch. A host that answers with an old view is left for the next one; answers wait less where the bound is short, and a call that tells everything times out after 0.6 s.

--- a/internal/daemon/runner/adapter.go
+++ b/internal/daemon/runner/adapter.go
@@ -57,6 +57,9 @@
 	return m.members.Snapshot().Upstream(m.clock.Now(), id)
 }
 
+// Current reports whether the view is young enough to send new requests on.
+func (m membership) Current() bool { return m.members.Current() }
+
 // crashes adapts the scheduler's crash records to gossiper.Fingerprints.
 type crashes struct{ local *dispatcher.Local }
 
--- a/internal/daemon/runner/members.go
+++ b/internal/daemon/runner/members.go
@@ -30,6 +30,8 @@
 	Seed(addresses ...string)
 	// Depart tells the other hosts which upstreams have said that they leave.
 	Depart(list ...registrar.Departure)
+	// Current reports whether the view is young enough to send new requests on.
+	Current() bool
 	// Announcements takes the announcements of upstreams.
 	Announcements() http.Handler
 }
@@ -57,6 +59,7 @@
 	e.members = watcher.New(self, watcher.Options{
 		Seeds:        s.Seeds,
 		Lease:        time.Duration(s.Lease),
+		Leave:        time.Duration(s.Leave),
 		Fingerprints: crashes{e.local},
 		Revisions:    e.follower,
 		OnAction:     e.apply,
--- a/internal/entry/dispatcher/cell.go
+++ b/internal/entry/dispatcher/cell.go
@@ -59,6 +59,9 @@
 	Schedulers() int
 	// Upstream looks an upstream up.
 	Upstream(id registrar.UpstreamID) (registrar.Upstream, bool)
+	// Current reports whether the view is young enough to send new requests on: an
+	// upstream that it lists may have left otherwise.
+	Current() bool
 }
 
 // Settings configures a Cell.
@@ -133,13 +136,21 @@
 
 // Acquire implements Dispatcher. A slot at an upstream that this host stays away
 // from is declined: the owner may not have heard of it yet, or may have forgotten.
+// While the view is too old to send on, requests wait for a short time.
 func (c *Cell) Acquire(ctx context.Context, r scheduler.Request) (Slot, error) {
 	var left time.Duration
 	for range maxDeclined {
+		if !c.awaitView(ctx) {
+			return nil, c.outdated(ctx)
+		}
 		s, err := c.acquire(ctx, r)
 		if err != nil {
 			return nil, err
 		}
+		if !c.awaitView(ctx) {
+			s.Release(scheduler.Abandoned, 0)
+			return nil, c.outdated(ctx)
+		}
 		left = c.bars.left(c.settings.Clock.Now(), s.Upstream())
 		if left == 0 {
 			return s, nil
--- a/internal/entry/dispatcher/cell_test.go
+++ b/internal/entry/dispatcher/cell_test.go
@@ -31,6 +31,8 @@
 	owner     registrar.HostName
 	successor registrar.HostName
 	uncounted bool
+	// outdated is set while the view is too old to send on.
+	outdated  bool
 	addresses map[registrar.HostName]string
 	upstreams map[registrar.UpstreamID]registrar.Upstream
 }
@@ -56,6 +58,12 @@
 
 func (f *fakeMembership) Schedulers() int { return f.Hosts() }
 
+func (f *fakeMembership) Current() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.outdated
+}
+
 func (f *fakeMembership) Counted() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- /dev/null
+++ b/internal/entry/dispatcher/outdated_test.go
@@ -0,0 +1,71 @@
+package dispatcher
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
+)
+
+func (f *fakeMembership) setOutdated(on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.outdated = on
+}
+
+// Guards against requests that are granted an upstream which may have left long ago, and
+// against slots that refused requests keep.
+func TestOutdatedViewRefuses(t *testing.T) {
+	view, all := newMembers(t, "a")
+	view.setOutdated(true)
+	began := time.Now()
+	_, err := all["a"].cell.Acquire(t.Context(), request("r1"))
+	var refused *RefusedError
+	assert.Assert(t, errors.As(err, &refused), "%v", err)
+	assert.Equal(t, refused.Reason, scheduler.Outdated)
+	assert.Equal(t, refused.RetryAfter, viewRetry)
+	assert.Assert(t, time.Since(began) >= viewHold && time.Since(began) < 2*viewHold)
+	assert.Equal(t, all["a"].local.Used("engine"), 0)
+	view.setOutdated(false)
+	acquire(t, all["a"].cell, "r2").Release(scheduler.Completed, 1)
+}
+
+// Guards against refusals while the view is too old for a moment only.
+func TestRequestWaitsForAYoungerView(t *testing.T) {
+	view, all := newMembers(t, "a")
+	view.setOutdated(true)
+	timer := time.AfterFunc(viewHold/2, func() { view.setOutdated(false) })
+	defer timer.Stop()
+	acquire(t, all["a"].cell, "r1").Release(scheduler.Completed, 1)
+}
+
+// Guards against a request that has waited for its slot while the view grew old, and is
+// sent on that view.
+func TestViewIsLookedAtAfterTheGrant(t *testing.T) {
+	view, all := newMembers(t, "a")
+	var held []Slot
+	for range slots {
+		held = append(held, acquire(t, all["a"].cell, "holds"))
+	}
+	got := make(chan error, 1)
+	go func() {
+		s, err := all["a"].cell.Acquire(t.Context(), request("waits"))
+		if err == nil {
+			s.Release(scheduler.Completed, 1)
+		}
+		got <- err
+	}()
+	waitFor(t, "the request to wait", func() bool { return len(all["a"].cell.tickets()) == slots+1 })
+	view.setOutdated(true)
+	held[0].Release(scheduler.Completed, 1)
+	var refused *RefusedError
+	err := <-got
+	assert.Assert(t, errors.As(err, &refused) && refused.Reason == scheduler.Outdated, "%v", err)
+	for _, s := range held[1:] {
+		s.Release(scheduler.Completed, 1)
+	}
+	waitFor(t, "the slots to be free", func() bool { return all["a"].local.Used("engine") == 0 })
+}
--- a/internal/entry/receiver/hedge_test.go
+++ b/internal/entry/receiver/hedge_test.go
@@ -30,6 +30,7 @@
 func (alone) Address(registrar.HostName) (string, bool)           { return "", false }
 func (alone) Schedulers() int                                     { return 1 }
 func (alone) Counted() bool                                       { return true }
+func (alone) Current() bool                                       { return true }
 func (alone) Hosts() int                                          { return 1 }
 func (a alone) Upstream(id registrar.UpstreamID) (registrar.Upstream, bool) {
 	for _, u := range a {
--- /dev/null
+++ b/internal/member/watcher/age_test.go
@@ -0,0 +1,172 @@
+package watcher
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+)
+
+// bounded starts a host that watches with a bound on sends to upstreams that leave.
+func (f *fleet) bounded(name string, bound time.Duration) *Watcher {
+	f.t.Helper()
+	var seeds []string
+	for _, h := range f.list() {
+		seeds = append(seeds, h.self.Address)
+	}
+	self := registrar.Host{Name: registrar.HostName(name), Draining: true, Cell: "main"}
+	w := New(self, Options{Seeds: seeds, Lease: clusterLease, Leave: bound, Caller: f, Clock: clockwork.NewRealClock()})
+	w.Start()
+	f.t.Cleanup(w.Close)
+	return w
+}
+
+// settled waits until the host has a view that nothing excuses any more.
+func settled(t *testing.T, w *Watcher) {
+	t.Helper()
+	eventually(t, "a young view", 2*startTime, func() bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		now := time.Now()
+		return !now.Before(w.age.excused) && w.age.permits(now, w.mirror.KnownUntil())
+	})
+}
+
+// Guards against a bound that holds only while all are quick: whatever the hosts and the
+// network do, a view that is looked at SendTime before the upstream gets the request has
+// everything that was acknowledged a bound before that.
+func TestAgeOfViewAndWayAreWithinTheBound(t *testing.T) {
+	start := time.Date(2026, 12, 5, 9, 0, 0, 0, time.UTC)
+	for _, bound := range []time.Duration{2 * time.Second, 3 * time.Second, 5 * time.Second} {
+		a := newAge(start.Add(-time.Minute), bound)
+		for age := time.Duration(0); age <= 2*bound; age += 10 * time.Millisecond {
+			arrives := start.Add(SendTime)
+			acknowledged := start.Add(-age)
+			late := arrives.Sub(acknowledged) > bound
+			assert.Assert(t, !(late && a.permits(start, acknowledged)), "bound %v: sent on a view of %v", bound, age)
+		}
+	}
+}
+
+// Guards against a bound that is kept by refusing sound work: with control hosts that
+// answer in time the view stays young, and one that falls silent costs nothing.
+func TestViewStaysYoungWhileOneHostFallsSilent(t *testing.T) {
+	for _, bound := range []time.Duration{2 * time.Second, 3 * time.Second} {
+		a := newAge(time.Time{}, bound)
+		calm := heardTime + a.hold() + wayTime
+		assert.Assert(t, calm <= a.most, "bound %v: %v in calm, %v allowed", bound, calm, a.most)
+		assert.Assert(t, heardTime < time.Duration(oldShare*float64(a.most)), "bound %v: a sound host counts as old", bound)
+		// A request waits for half a second for the view of the next host.
+		silent := calm + wayTime - a.most
+		assert.Assert(t, silent < 400*time.Millisecond, "bound %v: requests wait for %v", bound, silent)
+	}
+}
+
+// Guards against requests that reach an upstream which left long ago: all control hosts
+// take connections and answer nobody, as when they have no processor time, while one of
+// them has acknowledged the departure.
+func TestNothingIsSentOnAnOldView(t *testing.T) {
+	for _, bound := range []time.Duration{2 * time.Second, 3 * time.Second} {
+		t.Run(bound.String(), func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, "a", "b", "c")
+			f.announce(engine("u1"))
+			w := f.bounded("w", bound)
+			eventually(t, "the upstream", startTime, knows(w, "u1"))
+			settled(t, w)
+			for _, n := range []string{"a", "b", "c"} {
+				f.set(n, silent)
+			}
+			f.announce(left(engine("u1")))
+			acknowledged := time.Now()
+			for time.Since(acknowledged) < bound+time.Second {
+				now := time.Now()
+				sends := w.Current() && knows(w, "u1")()
+				assert.Assert(t, !sends || now.Sub(acknowledged)+SendTime <= bound,
+					"a request may be sent %s after the acknowledgement", now.Sub(acknowledged))
+				time.Sleep(5 * time.Millisecond)
+			}
+			f.set("b", sound)
+			eventually(t, "a young view", 2*time.Second, w.Current)
+			assert.Assert(t, lacks(w, "u1")())
+		})
+	}
+}
+
+// Guards against a lost group of control hosts that takes all work with it: a host that
+// reaches none of them goes on with what it knows, for as long as its lease lasts.
+func TestLostControlHostsExcuseAnOldView(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, "a", "b", "c")
+	f.announce(engine("u1"))
+	w := f.bounded("w", 2*time.Second)
+	eventually(t, "the upstream", startTime, knows(w, "u1"))
+	settled(t, w)
+	f.set("a", refuses)
+	f.set("b", refuses)
+	f.set("c", silent)
+	lost := time.Now()
+	for time.Since(lost) < clusterLease-time.Second {
+		assert.Assert(t, w.Current(), "nothing is sent %s after most control hosts were lost", time.Since(lost))
+		time.Sleep(5 * time.Millisecond)
+	}
+	f.set("a", silent)
+	f.set("b", silent)
+	eventually(t, "the end of the excuse", 2*excuseTime, func() bool { return !w.Current() })
+}
+
+// Guards against a wave of refusals after all control hosts have started again at once:
+// they take connections before they know anything.
+func TestStartedControlHostsExcuseAnOldView(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, "a", "b", "c")
+	f.announce(engine("u1"))
+	w := f.bounded("w", 2*time.Second)
+	eventually(t, "the upstream", startTime, knows(w, "u1"))
+	settled(t, w)
+	for _, n := range []string{"a", "b", "c"} {
+		f.set(n, refuses)
+	}
+	time.Sleep(300 * time.Millisecond)
+	for _, n := range []string{"a", "b", "c"} {
+		f.start(n)
+	}
+	for began := time.Now(); time.Since(began) < 3*time.Second; time.Sleep(5 * time.Millisecond) {
+		assert.Assert(t, w.Current() && knows(w, "u1")(), "nothing is sent %s after the start", time.Since(began))
+	}
+}
+
+// Guards against a host that follows one which hears nothing of the others, while others
+// do.
+func TestHostWithAnOldViewIsLeft(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, "a", "b", "c")
+	f.announce(engine("u1"))
+	w := f.bounded("w", 2*time.Second)
+	eventually(t, "the upstream", startTime, knows(w, "u1"))
+	settled(t, w)
+	w.mu.Lock()
+	followed := w.source.address
+	w.mu.Unlock()
+	f.deafen(followed)
+	for began := time.Now(); time.Since(began) < 4*time.Second; time.Sleep(5 * time.Millisecond) {
+		assert.Assert(t, w.Current(), "the view is %s old, %s after its host heard the others last", w.Age(), time.Since(began))
+	}
+}
+
+// Guards against hosts that are forgotten one after the other, so that the last ones
+// count as the whole group.
+func TestLostHostsCountAsPartOfTheGroup(t *testing.T) {
+	start := time.Date(2026, 12, 5, 9, 0, 0, 0, time.UTC)
+	a := newAge(start, 2*time.Second)
+	for i, hosts := range []int{5, 4, 2, 2} {
+		a.count(start.Add(time.Duration(i)*time.Second), hosts)
+		assert.Equal(t, a.group, 5, fmt.Sprint(hosts, " hosts"))
+	}
+	a.count(start.Add(groupTime+time.Second), 2)
+	assert.Equal(t, a.group, 2)
+}
--- a/internal/member/watcher/watcher.go
+++ b/internal/member/watcher/watcher.go
@@ -19,6 +19,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"slices"
 	"sync"
 	"time"
@@ -42,13 +43,17 @@
 	// once, as while upstreams come up one after the other.
 	interval = 200 * time.Millisecond
 	// callTimeout bounds a call: the longest hold and the way.
-	callTimeout = publisher.Hold*5/4 + 350*time.Millisecond
+	callTimeout = publisher.Hold*5/4 + wayTime
+	// wayTime is for the way of a call whose answer waits, and wholeTimeout bounds one
+	// whose answer tells a whole view.
+	wayTime      = 350 * time.Millisecond
+	wholeTimeout = 600 * time.Millisecond
 	// briefTimeout bounds a call whose answer doesn't wait.
 	briefTimeout = 400 * time.Millisecond
 	// failedTime is how long a host that did not answer is asked last.
 	failedTime = 2 * time.Second
-	// minPause and maxPause bound the mean time before the next call after one has
-	// failed; it doubles with each that fails in a row.
+	// minPause and maxPause bound the mean time from the start of a call that fails to the
+	// next one; it doubles with each that fails in a row.
 	minPause = 20 * time.Millisecond
 	maxPause = 500 * time.Millisecond
 	// maxClients bounds the hosts to which connections are kept.
@@ -61,6 +66,8 @@
 type Caller interface {
 	Members(ctx context.Context, address string, q *wire.MembersRequest) (*wire.MembersResponse, error)
 	Announce(ctx context.Context, address string, q *wire.AnnounceRequest) (*wire.AnnounceResponse, error)
+	// Reach fails if the host takes no connection.
+	Reach(ctx context.Context, address string) error
 	Close()
 }
 
@@ -70,7 +77,10 @@
 	Seeds []string
 	// Lease is how long upstreams count as live after the start of the last call
 	// that was answered.
-	Lease        time.Duration
+	Lease time.Duration
+	// Leave is how long after the acknowledgement that an upstream leaves this host may
+	// send to it; 0 for no bound.
+	Leave        time.Duration
 	Fingerprints gossiper.Fingerprints
 	Revisions    gossiper.Revisions
 	// OnAction takes what changes, in order.
@@ -96,6 +106,7 @@
 
 	mu     sync.Mutex
 	mirror *registrar.Mirror
+	age    age
 	seeds  []string
 	queue  []registrar.Action
 	// source is the host whose changes are followed.
@@ -140,6 +151,7 @@
 		prints:  gossiper.NewPrintLog(),
 		caller:  o.Caller,
 		mirror:  registrar.NewMirror(o.Clock.Now(), self, o.Lease),
+		age:     newAge(o.Clock.Now(), o.Leave),
 		seeds:   slices.Clone(o.Seeds),
 	}
 	w.context, w.cancel = context.WithCancel(context.Background())
@@ -151,6 +163,7 @@
 	again := restarter.New(w.logger, w.clock)
 	w.group.Go(func() { again.Run(w.context, "following a view", w.follow) })
 	w.group.Go(func() { again.Run(w.context, "leases", w.expire) })
+	w.group.Go(func() { again.Run(w.context, "age of the view", w.attend) })
 }
 
 // Close tells the host that is followed that this one stops, and waits until nothing
@@ -202,7 +215,7 @@
 			t.fail(address, w.clock.Now())
 			failures++
 			w.logFailure(address, failures, err)
-			w.pause(jitter(min(minPause<<min(failures, 8), maxPause)))
+			w.pause(jitter(min(minPause<<min(failures, 8), maxPause)) - w.clock.Since(began))
 			continue
 		}
 		if failures > 0 {
@@ -263,11 +276,8 @@
 	if address == "" {
 		return errNoHost
 	}
-	timeout := callTimeout
-	if brief {
-		timeout = briefTimeout
-	}
 	q := w.request(began, address, brief)
+	timeout := w.timeout(q)
 	ctx, cancel := context.WithTimeout(w.context, timeout)
 	defer cancel()
 	a, err := w.caller.Members(ctx, address, q)
@@ -281,17 +291,51 @@
 		return errNoHost
 	case a.GetIncomplete() && !w.wanted():
 		return errIncomplete
+	case !brief && !a.GetIncomplete() && w.isOld(w.knownUntil(began, a)):
+		return errOld
 	}
 	return nil
 }
 
+// timeout bounds a call: the time for which its answer waits, and the way.
+func (w *Watcher) timeout(q *wire.MembersRequest) time.Duration {
+	hold := w.age.hold()
+	switch {
+	case q.GetBrief():
+		return briefTimeout
+	case hold == 0:
+		return callTimeout
+	case q.GetEpoch() == 0:
+		// The answer tells everything at once.
+		return wholeTimeout
+	}
+	return hold + wayTime
+}
+
+// knownUntil returns the time up to which the other host knew all acknowledged departures
+// when it answered a call.
+func (w *Watcher) knownUntil(began time.Time, a *wire.MembersResponse) time.Time {
+	if a.Known == nil {
+		return time.Time{}
+	}
+	// The call arrived after it began.
+	return began.Add(-time.Duration(a.GetKnown()) * time.Millisecond)
+}
+
+// isOld reports whether a view of that time is too old for its host to be followed.
+func (w *Watcher) isOld(known time.Time) bool { return w.age.isOld(w.clock.Now(), known) }
+
 var (
 	errNoHost     = fmt.Errorf("no host is known")
 	errIncomplete = fmt.Errorf("the host has started and does not know all upstreams yet")
+	errOld        = fmt.Errorf("the host has not heard the others lately")
 )
 
 func (w *Watcher) request(now time.Time, address string, brief bool) *wire.MembersRequest {
-	q := &wire.MembersRequest{Host: string(w.self.Name), Centre: string(w.self.Centre), Cell: string(w.self.Cell), Brief: brief}
+	q := &wire.MembersRequest{
+		Host: string(w.self.Name), Centre: string(w.self.Centre), Cell: string(w.self.Cell), Brief: brief,
+		Hold: w.age.hold().Milliseconds(),
+	}
 	if w.options.Revisions != nil {
 		q.Revision = w.options.Revisions.Confirmation().Revision
 	}
@@ -325,7 +369,10 @@
 
 // take applies an answer to the mirror.
 func (w *Watcher) take(began time.Time, address string, q *wire.MembersRequest, a *wire.MembersResponse) {
-	c := registrar.Copy{Began: began, Full: a.GetFull(), Departures: gossiper.DecodeDepartures(a.GetDepartures())}
+	c := registrar.Copy{
+		Began: began, Full: a.GetFull(), Known: w.knownUntil(began, a),
+		Departures: gossiper.DecodeDepartures(a.GetDepartures()),
+	}
 	for _, h := range a.GetHosts() {
 		c.Hosts = append(c.Hosts, gossiper.DecodeHost(h).Host)
 	}
@@ -334,6 +381,7 @@
 	}
 	w.mu.Lock()
 	now := w.clock.Now()
+	w.age.copied(now, c.Hosts, a.GetIncomplete())
 	introduced := w.introduced(address, q, a)
 	switch {
 	case q.GetBrief() || a.GetIncomplete():
@@ -465,5 +513,16 @@
 	return gossiper.SendAnnouncement(ctx, n.clients.Client(address), address, q)
 }
 
+// Reach opens a connection and closes it. Those that are kept may be dead, so that they
+// show nothing.
+func (n *network) Reach(ctx context.Context, address string) error {
+	d := net.Dialer{Control: dialer.SetUserTimeout}
+	c, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return fmt.Errorf("reach %s: %w", address, err)
+	}
+	return c.Close()
+}
+
 // Close closes the connections.
 func (n *network) Close() { n.clients.Close() }
--- a/internal/policy/scheduler/types.go
+++ b/internal/policy/scheduler/types.go
@@ -136,6 +136,9 @@
 	OutOfRetries Reason = "retries"
 	// Elsewhere means that another cell should be asked in place of this one.
 	Elsewhere Reason = "elsewhere"
+	// Outdated means that the host's view of the upstreams is too old: one of them may
+	// have left.
+	Outdated Reason = "outdated"
 )
 
 // Event is an input of the scheduler.
--- a/internal/settings/loader/load.go
+++ b/internal/settings/loader/load.go
@@ -33,6 +33,7 @@
 
 	maxBurst = 10_000
 	minLease = time.Second
+	minLeave = time.Second
 	maxLease = time.Minute
 )
 
@@ -198,6 +199,8 @@
 			p.Check(m.Address == s.Advertise, at+".address", m.Address, "this host's own address, "+s.Advertise)
 		}
 	}
+	leave := time.Duration(s.Leave)
+	p.Check(leave == 0 || leave >= minLeave && leave <= maxLease, "$.leave", s.Leave, fmt.Sprintf("0 (no bound) or a duration from %v to %v", minLeave, maxLease))
 	p.Check(s.Witnesses >= 0 && s.Witnesses < maxGroup, "$.witnesses", s.Witnesses, fmt.Sprintf("0 to %d", maxGroup-1))
 	p.Check(s.Voters >= 0 && s.Voters <= maxGroup, "$.voters", s.Voters, fmt.Sprintf("0 (the hosts in bootstrap) to %d", maxGroup))
 	if _, ok := names[s.Name]; !ok && s.Plays(Control) && s.Voters == 0 {
--- a/internal/settings/loader/settings.go
+++ b/internal/settings/loader/settings.go
@@ -83,6 +83,10 @@
 	// Witnesses is how many other hosts that may own a cell have to know that an
 	// upstream leaves before the upstream is told that it is known.
 	Witnesses int `json:"witnesses,omitempty"`
+	// Leave is how long after the acknowledgement that an upstream leaves requests may
+	// still be sent to it. A host that watches sends nothing while its view is older, but
+	// for the way; 0 for no bound.
+	Leave validator.Duration `json:"leave,omitempty"`
 	// Scheduler is the role of the hosts that own cells.
 	Scheduler Role `json:"scheduler,omitempty"`
 	// Lease is how long an upstream's announcement counts; the same on all
