relayer, forwarder: the view is looked at again before the first byte

Callers could see a request lost at an upstream that had left while the connection to it was made, or to which net/http sent it once more.

Cause: a request with its slot waits for its connection (0.3 s for a new one), and net/http sends one without a body again, at any time later, when a kept connection ends before the answer. Neither looked at what had left since the grant.

Change: the sender asks right before the first byte, for each connection; a request that must not go out is not sent, blames no upstream and goes to another one.

Before, with the question left out: TestUpstreamThatLeftDuringTheDialGets Nothing gets the answer of the upstream that left, on each kind of route; TestLeftUpstreamGetsNoSecondSending has a third request there.

--- a/internal/daemon/runner/entry.go
+++ b/internal/daemon/runner/entry.go
@@ -318,6 +318,14 @@
 	return e.cell.Notice
 }
 
+// permit is where the relayer asks whether a request may still be sent.
+func (e *entry) permit() func(registrar.Upstream) error {
+	if e.fleet != nil {
+		return e.fleet.Permit
+	}
+	return e.cell.Permit
+}
+
 func (e *entry) startReceiver(logger *zap.Logger) {
 	e.forwarder = forwarder.New(forwarder.Options{Dispatcher: e.dispatcher(), Clock: e.clock, Logger: logger, TLS: e.upstreams})
 	e.claimer = claimer.New(claimer.Options{
@@ -352,6 +360,7 @@
 		Clock:         e.clock,
 		Logger:        logger,
 		Metrics:       e.reporter.Registry(),
+		Permit:        e.permit(),
 		Notice:        e.notices(),
 		Report:        e.reporter.ReportRequest,
 	})
--- a/internal/entry/dispatcher/fleet.go
+++ b/internal/entry/dispatcher/fleet.go
@@ -93,6 +93,15 @@
 	return f.cell.Acquire(ctx, r)
 }
 
+// Permit tells why a request must not be sent to the upstream, if so. What leaves another
+// cell is known there.
+func (f *Fleet) Permit(u registrar.Upstream) error {
+	if u.Cell == "" || f.foreign(u.Cell) == "" {
+		return f.cell.Permit(u)
+	}
+	return nil
+}
+
 // Notice takes what an upstream said about new work. The owner of its cell is told.
 func (f *Fleet) Notice(n Notice) {
 	if n.Upstream.Cell == "" || f.foreign(n.Upstream.Cell) == "" {
--- a/internal/entry/forwarder/candidate.go
+++ b/internal/entry/forwarder/candidate.go
@@ -264,6 +264,8 @@
 // unsent classifies the error of an attempt that got no connection.
 func unsent(err error) scheduler.Outcome {
 	switch {
+	case errors.Is(err, ErrWithheld):
+		return scheduler.Abandoned
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return scheduler.Unreachable
 	case connectTimedOut(err):
--- a/internal/entry/forwarder/once.go
+++ b/internal/entry/forwarder/once.go
@@ -10,7 +10,6 @@
 	"math"
 	"net"
 	"net/http"
-	"sync/atomic"
 
 	"github.com/sourcegraph/conc"
 
@@ -29,12 +28,16 @@
 	if err != nil {
 		return nil, err
 	}
-	return t.forwarder.pool.once(ctx, t.slot.Upstream(), request, &t.sent)
+	ready := func() error {
+		t.sent.Store(true)
+		return nil
+	}
+	return t.forwarder.pool.once(ctx, t.slot.Upstream(), request, ready)
 }
 
-// once sends the request on a connection of its own; sent is set before the
-// first byte may leave.
-func (p *pool) once(ctx context.Context, u registrar.Upstream, request *http.Request, sent *atomic.Bool) (*http.Response, error) {
+// once sends the request on a connection of its own; ready is called before the
+// first byte may leave, and none does when it fails.
+func (p *pool) once(ctx context.Context, u registrar.Upstream, request *http.Request, ready func() error) (*http.Response, error) {
 	request.Close = true
 	connection, err := p.open(ctx, u)
 	if err != nil {
@@ -46,7 +49,11 @@
 		_ = lower.Close()
 		return nil, context.Cause(ctx)
 	}
-	sent.Store(true)
+	if err := ready(); err != nil {
+		stop()
+		_ = lower.Close()
+		return nil, err
+	}
 	x := &exchange{connection: lower, stop: stop}
 	// The upstream may answer before it has read the whole body.
 	x.group.Go(func() { x.written = request.Write(connection) })
--- a/internal/entry/forwarder/sender.go
+++ b/internal/entry/forwarder/sender.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptrace"
 	"regexp"
@@ -43,20 +45,49 @@
 	// Once gives the request a connection of its own, so that no part of it can
 	// be sent twice and no answer to an earlier request be read.
 	Once bool
+	// Permit is asked when a connection has been made, and the request is not sent on it
+	// when it fails; nil for no question.
+	Permit func() error
 	// Sent is set before the first byte may leave.
 	Sent atomic.Bool
+	// withheld is why the request was not sent on a connection.
+	withheld atomic.Pointer[error]
+	// stop ends the attempt.
+	stop context.CancelCauseFunc
 	// pooled is the connection of an attempt that has none of its own.
 	pooled atomic.Pointer[httptrace.GotConnInfo]
 	// resent is set when net/http sent the request on a further connection.
 	resent atomic.Bool
 }
 
-// connected notes the connection on which the request is sent.
+// ErrWithheld is the error of an attempt that was not permitted any more when it had its
+// connection.
+var ErrWithheld = errors.New("the request was not sent on its connection")
+
+// ready is called before the first byte may leave.
+func (a *Attempt) ready() error {
+	if a.Permit != nil {
+		if err := a.Permit(); err != nil {
+			err = fmt.Errorf("%w: %w", ErrWithheld, err)
+			a.withheld.Store(&err)
+			return err
+		}
+	}
+	a.Sent.Store(true)
+	return nil
+}
+
+// connected notes the connection on which the request is sent. One on which it must not be
+// sent is closed: net/http would write to it otherwise.
 func (a *Attempt) connected(i httptrace.GotConnInfo) {
+	if err := a.ready(); err != nil {
+		a.stop(err)
+		_ = withoutTLS(i.Conn).Close()
+		return
+	}
 	if a.pooled.Swap(&i) != nil {
 		a.resent.Store(true)
 	}
-	a.Sent.Store(true)
 }
 
 // Reused reports whether earlier requests were sent on the connection, so that an answer
@@ -96,6 +127,9 @@
 func (s *Sender) Send(ctx context.Context, a *Attempt) (*http.Response, error) {
 	a.Request.GetBody = nil
 	response, err := s.send(ctx, a)
+	if withheld := a.withheld.Load(); withheld != nil && err != nil {
+		return nil, *withheld
+	}
 	if err != nil && ctx.Err() == nil {
 		s.distrust.note(s.pool.clock.Now(), a.Upstream.Name, err)
 	}
@@ -104,8 +138,9 @@
 
 func (s *Sender) send(ctx context.Context, a *Attempt) (*http.Response, error) {
 	if a.Once {
-		return s.pool.once(ctx, a.Upstream, a.Request, &a.Sent)
+		return s.pool.once(ctx, a.Upstream, a.Request, a.ready)
 	}
+	ctx, a.stop = context.WithCancelCause(ctx)
 	return s.pool.pooled(ctx, a.Upstream, a.Request, a.connected)
 }
 
--- a/internal/entry/relayer/attempt.go
+++ b/internal/entry/relayer/attempt.go
@@ -142,7 +142,7 @@
 	if err != nil {
 		return notRun{cause: err}
 	}
-	a.send = forwarder.Attempt{Upstream: a.upstream, Request: request, Once: a.alone()}
+	a.send = forwarder.Attempt{Upstream: a.upstream, Request: request, Once: a.alone(), Permit: a.permit}
 	a.watch(ctx, left)
 	a.asked = c.relayer.clock.Now()
 	response, err := c.relayer.options.Sender.Send(ctx, &a.send)
@@ -153,6 +153,14 @@
 	return a.receive(ctx, response)
 }
 
+// permit tells why the request must not be sent, if so.
+func (a *attempt) permit() error {
+	if ask := a.call.relayer.options.Permit; ask != nil {
+		return ask(a.upstream)
+	}
+	return nil
+}
+
 // alone reports whether the request needs a connection of its own: it must run once, or
 // the upstream had it before, whose earlier answer has the same ID.
 func (a *attempt) alone() bool {
--- a/internal/entry/relayer/relayer.go
+++ b/internal/entry/relayer/relayer.go
@@ -47,6 +47,7 @@
 	"github.com/amaranthcart/amaranthcart/internal/config/validator"
 	"github.com/amaranthcart/amaranthcart/internal/entry/dispatcher"
 	"github.com/amaranthcart/amaranthcart/internal/entry/forwarder"
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
 	"github.com/amaranthcart/amaranthcart/internal/ops/reporter"
 )
 
@@ -88,6 +89,9 @@
 	Clock   clockwork.Clock
 	Logger  *zap.Logger
 	Metrics metrics.Registry
+	// Permit tells why a request must not be sent to an upstream, if so. It is asked right
+	// before the first byte; nil for no question.
+	Permit func(registrar.Upstream) error
 	// Notice takes what upstreams say about new work; it may be nil.
 	Notice func(dispatcher.Notice)
 	// Report takes the end of each request of a class; it may be nil.
--- /dev/null
+++ b/internal/entry/relayer/withheld_test.go
@@ -0,0 +1,113 @@
+package relayer
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
+)
+
+var errLeft = errors.New("the upstream has left")
+
+// Guards against a request that reaches an upstream which has left while the connection to
+// it was made: it goes to another one, which costs no attempt and blames nobody.
+func TestUpstreamThatLeftDuringTheDialGetsNothing(t *testing.T) {
+	for _, path := range []string{"/once/x", "/single/x", "/idempotent/x", "/resumable/x"} {
+		t.Run(path, func(t *testing.T) {
+			r := newRig(t, says(200, "left"), says(200, "sold"))
+			asked := 0
+			r.relayer.options.Permit = func(u registrar.Upstream) error {
+				asked++
+				if u.Name == "upstream-1" {
+					return errLeft
+				}
+				return nil
+			}
+			a := r.call(path)
+			assert.Equal(t, a.status, 200)
+			assert.Equal(t, a.body, "sold")
+			assert.Equal(t, r.runs(), 1)
+			assert.Equal(t, asked, 2)
+			assert.DeepEqual(t, r.dispatcher.outcomes, []scheduler.Outcome{scheduler.Abandoned, scheduler.Completed})
+		})
+	}
+}
+
+// Guards against an answer that promises less than is true: a request that was sent nowhere
+// may come again.
+func TestWithheldRequestIsRefused(t *testing.T) {
+	for _, path := range []string{"/once/x", "/resumable/x"} {
+		t.Run(path, func(t *testing.T) {
+			r := newRig(t, says(200, "left"))
+			r.relayer.options.Permit = func(registrar.Upstream) error { return errLeft }
+			a := r.call(path)
+			assert.Equal(t, a.status, http.StatusServiceUnavailable)
+			assert.Equal(t, r.runs(), 0)
+		})
+	}
+}
+
+// Guards against a request that net/http sends once more, seconds later, to an upstream
+// that has left: it had closed a kept connection on reading the request.
+func TestLeftUpstreamGetsNoSecondSending(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = l.Close() }()
+	var left atomic.Bool
+	var requests atomic.Int64
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			r := bufio.NewReader(c)
+			for {
+				q, err := http.ReadRequest(r)
+				if err != nil {
+					break
+				}
+				if requests.Add(1) > 1 {
+					left.Store(true)
+					break
+				}
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Signed: y\r\nContent-Length: 0\r\n\r\n", q.Header.Get("X-Id"))
+			}
+			_ = c.Close()
+		}
+	}()
+	r := newRig(t)
+	r.add(l.Addr().String())
+	r.relayer.options.Permit = func(registrar.Upstream) error {
+		if left.Load() {
+			return errLeft
+		}
+		return nil
+	}
+	get := func(id string) int {
+		q, err := http.NewRequest(http.MethodGet, "http://"+r.address+"/idempotent/x", nil)
+		assert.NilError(t, err)
+		q.Host = "shop.example"
+		q.Header.Set("X-Id", id)
+		q.Header.Set("X-Key", "secret")
+		response, err := http.DefaultTransport.RoundTrip(q)
+		assert.NilError(t, err)
+		assert.NilError(t, response.Body.Close())
+		return response.StatusCode
+	}
+	assert.Equal(t, get("id-0"), 200)
+	assert.Equal(t, get("id-1"), http.StatusBadGateway)
+	assert.Equal(t, requests.Load(), int64(2), "the request was sent again")
+	assert.NilError(t, l.Close())
+	<-served
+}
