relayer: a planned stop answers what is open before it ends

Reported by operators: in a planned stop of one entry host requests that came late were passed on and cut at its end without an answer.

Can it happen here: yes, in two ways. A request whose body came late was passed on whatever its time limit; and what was open at the end of the stop, sent or still waiting for a slot, was cut off with its connection. A request on a connection that was silent until after the listener closed is not passed on: net/http ends the connection at once (TestRequestOnASilentConnectionIsNotPassedOn passed before, too).

Change: once the listener is closed, a request that may outlast the stop is refused as not run; a quarter of a second before the end, what is open gets the answer that is true: 503 where nothing was sent, 504 otherwise.

Before: TestEndOfAPlannedStopAnswersWhatIsOpen and TestLateRequestOfAPlannedStopIsNotCutOff fail on each kind of route ('unexpected EOF'; 200 in place of 503). After: both pass.

--- a/internal/entry/relayer/attempt.go
+++ b/internal/entry/relayer/attempt.go
@@ -417,7 +417,7 @@
 		return scheduler.Silent
 	case errors.Is(cause, errPreempted):
 		return scheduler.Preempted
-	case errors.Is(context.Cause(ctx), errTimeout):
+	case errors.Is(context.Cause(ctx), errTimeout), errors.Is(context.Cause(ctx), errStopping):
 		return scheduler.Abandoned
 	case slices.ContainsFunc(badAnswers, func(bad error) bool { return errors.Is(cause, bad) }):
 		return scheduler.Failed
--- a/internal/entry/relayer/call.go
+++ b/internal/entry/relayer/call.go
@@ -36,14 +36,21 @@
 	// maxUnsent bounds the upstreams to which no connection could be made for one
 	// request.
 	maxUnsent = 2
+	// codeTimeout and codeStopping name what ends a request before its answer.
+	codeTimeout  = "timeout"
+	codeStopping = "stopping"
 	// statusClientGone is for logs only; nobody reads the answer.
 	statusClientGone = 499
 	// drawBits is the resolution of the draw among the pools of a route.
 	drawBits = 53
 )
 
-// errTimeout ends a request at the timeout of its route.
-var errTimeout = errors.New("the timeout of the route has passed")
+var (
+	// errTimeout ends a request at the timeout of its route.
+	errTimeout = errors.New("the timeout of the route has passed")
+	// errStopping ends a request at the end of a planned stop.
+	errStopping = errors.New("this host stops")
+)
 
 // call is one request of a caller.
 type call struct {
@@ -113,12 +120,27 @@
 	if !c.read() || !c.resolve() {
 		return
 	}
+	if c.relayer.outlasts(c.deadline) {
+		c.refuse(http.StatusServiceUnavailable, codeStopping, staleRetry)
+		return
+	}
 	ctx, cancel := context.WithDeadlineCause(c.request.Context(), c.deadline, errTimeout)
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	defer context.AfterFunc(c.relayer.stopping, func() { end(errStopping) })()
 	c.prepare()
 	c.run(ctx)
 }
 
+// ended names what has ended the request.
+func ended(ctx context.Context) string {
+	if errors.Is(context.Cause(ctx), errStopping) {
+		return codeStopping
+	}
+	return codeTimeout
+}
+
 // resolve finds route and organisation, and answers requests that have none.
 func (c *call) resolve() bool {
 	x, fresh := c.relayer.awaitConfiguration(c.request.Context())
@@ -332,8 +354,10 @@
 			status = http.StatusTooManyRequests
 		}
 		c.refuse(status, c.code, refusal.RetryAfter)
+	case ended(ctx) == codeStopping:
+		c.refuse(http.StatusServiceUnavailable, codeStopping, staleRetry)
 	default:
-		c.refuse(http.StatusServiceUnavailable, "timeout", 0)
+		c.refuse(http.StatusServiceUnavailable, codeTimeout, 0)
 	}
 }
 
@@ -359,7 +383,7 @@
 	case !c.mayHaveRun:
 		c.refuse(http.StatusServiceUnavailable, "not_run", staleRetry)
 	case ctx.Err() != nil:
-		c.refuse(http.StatusGatewayTimeout, "timeout", 0)
+		c.refuse(http.StatusGatewayTimeout, ended(ctx), 0)
 	default:
 		c.refuse(http.StatusBadGateway, "upstream_failed", 0)
 	}
--- a/internal/entry/relayer/harness_test.go
+++ b/internal/entry/relayer/harness_test.go
@@ -63,8 +63,9 @@
 	mu        sync.Mutex
 	upstreams []registrar.Upstream
 	refusal   *dispatcher.RefusedError
-	// waits is set when repeated requests get no slot before their deadline.
-	waits bool
+	// waits is set when repeated requests get no slot before their deadline, and full when
+	// none does.
+	waits, full bool
 	// preempted asks all slots to give way.
 	preempted chan struct{}
 	asked     []scheduler.Request
@@ -73,7 +74,7 @@
 }
 
 func (d *fakeDispatcher) Acquire(ctx context.Context, r scheduler.Request) (dispatcher.Slot, error) {
-	if d.waits && r.Retry {
+	if d.full || d.waits && r.Retry {
 		<-ctx.Done()
 		return nil, context.Cause(ctx)
 	}
--- a/internal/entry/relayer/relayer.go
+++ b/internal/entry/relayer/relayer.go
@@ -65,6 +65,9 @@
 	// and servedPart is the one in so many that is logged beyond.
 	servedLines = 200
 	servedPart  = 10
+	// lastAnswer is the time before the end of a planned stop at which requests that are
+	// still open get the answer that is true then.
+	lastAnswer = 250 * time.Millisecond
 	// drainPoll is how often a planned stop looks for open requests.
 	drainPoll = 20 * time.Millisecond
 )
@@ -115,7 +118,12 @@
 	// confirmed is set once the configuration has been confirmed.
 	confirmed atomic.Bool
 	draining  atomic.Bool
-	buffers   buffers
+	// last is the time at which a planned stop answers what is open; nil before it.
+	last atomic.Pointer[time.Time]
+	// stopping ends at that time.
+	stopping context.Context
+	stop     context.CancelFunc
+	buffers  buffers
 
 	mu      sync.Mutex
 	servers []*http.Server
@@ -143,6 +151,7 @@
 		repeats:  metrics.GetOrRegisterCounter("relayer.repeats", o.Metrics),
 		latency:  metrics.GetOrRegisterTimer("relayer.latency", o.Metrics),
 	}
+	r.stopping, r.stop = context.WithCancel(context.Background())
 	_ = o.Metrics.Register("relayer.open", metrics.NewFunctionalGauge(r.open.Load))
 	return r
 }
@@ -198,10 +207,18 @@
 func (r *Relayer) Open() int { return int(r.open.Load()) }
 
 // Drain stops listening, closes idle connections and waits for the open
-// requests.
+// requests. Those that a connection still brings are served if they end before the
+// deadline of ctx in any case, and refused otherwise. Shortly before it, each that is
+// open gets its answer: that it has not run, or that nobody knows.
 func (r *Relayer) Drain(ctx context.Context) error {
 	r.unready.Store(true)
 	r.draining.Store(true)
+	if end, ok := ctx.Deadline(); ok {
+		last := end.Add(-lastAnswer)
+		r.last.Store(&last)
+		timer := r.clock.AfterFunc(last.Sub(r.clock.Now()), r.stop)
+		defer timer.Stop()
+	}
 	r.logger.Info("draining", zap.Int64("open", r.open.Load()))
 	r.mu.Lock()
 	servers := r.servers
@@ -214,6 +231,13 @@
 	return r.wait(ctx)
 }
 
+// outlasts reports whether a request with the deadline may be open when a planned stop
+// ends.
+func (r *Relayer) outlasts(deadline time.Time) bool {
+	last := r.last.Load()
+	return last != nil && deadline.After(*last)
+}
+
 // wait waits until no request is open.
 func (r *Relayer) wait(ctx context.Context) error {
 	for r.open.Load() > 0 {
@@ -237,6 +261,7 @@
 	for _, s := range servers {
 		_ = s.Close()
 	}
+	r.stop()
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	err := r.wait(ctx)
