journaler: a part of a frame that a full disk has taken is cut off

A disk that takes a part of a write before it is full made the error final: the control host stopped its log for good, and only a restart of the process brought it back.

Change: the part is cut off the log, and the frame is written again once there is room.

Before: TestFullDisksInTurn, with room for 1 or 700 bytes, has no answer to a change after 30 s in groups of 3 and of 5; TestFullDiskAtEveryByte fails at the first byte of a frame.

--- /dev/null
+++ b/internal/control/coordinator/disk_test.go
@@ -0,0 +1,66 @@
+package coordinator
+
+import (
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/amaranthcart/amaranthcart/internal/storage/journaler"
+)
+
+// TestFullDisksInTurn guards against a group that refuses changes, or leaves them
+// unanswered, after the disk of each host has been full for a while, one after another: a
+// host writes again without a restart, and the group goes on while the disk of its leader
+// is full.
+func TestFullDisksInTurn(t *testing.T) {
+	for _, size := range []int{3, 5} {
+		// A disk takes nothing, or a part of the next write.
+		for _, room := range []int{0, 1, 700} {
+			t.Run(fmt.Sprint(size, " hosts, room for ", room, " bytes"), func(t *testing.T) {
+				t.Parallel()
+				c := newCluster(t, size)
+				disks := make([]*journaler.Memory, size)
+				var failures atomic.Int32
+				for i, h := range c.hosts {
+					h.stop(t)
+					disks[i] = journaler.NewMemory()
+					h.settings.Disk, h.settings.Compact = disks[i], 4000
+					h.settings.Fatal = func(error) { failures.Add(1) }
+				}
+				for _, h := range c.hosts {
+					h.start(t, nil)
+				}
+				revision := uint64(0)
+				change := func(h *host) {
+					t.Helper()
+					began := time.Now()
+					apply(t, h, fmt.Sprint("c", revision), revision, strings.Repeat("x", 500)+fmt.Sprint(revision))
+					revision++
+					assert.Assert(t, time.Since(began) < callTimeout, "change %d took %s", revision, time.Since(began))
+				}
+				change(c.hosts[0])
+				// Each host once, and then whoever leads.
+				for turn := range 2 * size {
+					i := turn
+					if turn >= size {
+						i = c.leader()
+					}
+					disks[i].Bound(room)
+					for range 3 {
+						change(c.hosts[(i+1)%size])
+					}
+					disks[i].Bound(-1)
+					change(c.hosts[i])
+				}
+				for range 10 {
+					change(c.hosts[0])
+				}
+				assert.Equal(t, failures.Load(), int32(0), "hosts have stopped")
+			})
+		}
+	}
+}
--- a/internal/storage/journaler/journal.go
+++ b/internal/storage/journaler/journal.go
@@ -23,8 +23,8 @@
 //
 // A failed write or sync is final. The kernel may have dropped the dirty pages
 // and reports success for the next sync, so that a retry would acknowledge
-// lost data. Every later call returns the first error. The exception is a full disk
-// that took nothing: Write returns ErrFull and may be called again.
+// lost data. Every later call returns the first error. The exception is a full disk:
+// Write returns ErrFull and may be called again.
 //
 // # Usage
 //
@@ -48,7 +48,7 @@
 	"github.com/amaranthcart/amaranthcart/internal/rpc/record"
 )
 
-// ErrFull is returned by Write when the disk took nothing for want of room. The same
+// ErrFull is returned by Write when the disk had no room. The same
 // changes may be written again later.
 var ErrFull = errors.New("disk is full")
 
@@ -93,8 +93,10 @@
 
 // Journal writes to the data folder. It is used by one goroutine at a time.
 type Journal struct {
-	folder   Folder
-	file     File
+	folder Folder
+	file   File
+	// size is that of the whole frames in file, in bytes.
+	size     int64
 	segments []segment
 	failure  error
 	buffer   []byte
@@ -221,6 +223,7 @@
 	if j.file, err = j.folder.Append(g.name()); err != nil {
 		return fmt.Errorf("open log: %w", err)
 	}
+	j.size = int64(offset)
 	if s.Cut = len(data) - offset; s.Cut == 0 {
 		return nil
 	}
@@ -288,8 +291,7 @@
 }
 
 // refused marks the error of a write that changed nothing because the disk is
-// full. It must not be used for a sync, whose failure leaves open what is on disk,
-// nor where a part of a log frame was written.
+// full. It must not be used for a sync, whose failure leaves open what is on disk.
 func refused(err error) error {
 	if errors.Is(err, syscall.ENOSPC) {
 		return fmt.Errorf("%w: %w", ErrFull, err)
@@ -337,11 +339,10 @@
 		return err
 	}
 	j.buffer = appendFrame(j.buffer[:0], payload)
-	if n, err := j.file.Write(j.buffer); err != nil && n == 0 {
-		return refused(err)
-	} else if err != nil {
-		return err
+	if _, err := j.file.Write(j.buffer); err != nil {
+		return j.takeBack(err)
 	}
+	j.size += int64(len(j.buffer))
 	g := &j.segments[len(j.segments)-1]
 	for _, e := range entries {
 		g.last = max(g.last, e.Index)
@@ -349,6 +350,19 @@
 	return j.file.Sync()
 }
 
+// takeBack cuts off the part of a frame that a full disk has taken, so that the frame can
+// be written whole once there is room.
+func (j *Journal) takeBack(cause error) error {
+	err := refused(cause)
+	if !errors.Is(err, ErrFull) {
+		return err
+	}
+	if cut := j.file.Truncate(j.size); cut != nil {
+		return fmt.Errorf("%w; cut off a part of a frame: %w", cause, cut)
+	}
+	return err
+}
+
 // compact writes the snapshot, starts a new log file and removes the files
 // that the snapshot covers.
 func (j *Journal) compact(s *record.Snapshot, reset bool) error {
@@ -410,7 +424,7 @@
 			return err
 		}
 	}
-	j.file = f
+	j.file, j.size = f, 0
 	j.segments = append(j.segments, g)
 	return nil
 }
--- a/internal/storage/journaler/journal_test.go
+++ b/internal/storage/journaler/journal_test.go
@@ -283,3 +283,47 @@
 	assert.Equal(t, stored.Vote.Term, uint64(2))
 	assert.Equal(t, len(stored.Entries), 2)
 }
+
+// TestFullDiskAtEveryByte guards against a replica that has to start again, or doubles or
+// loses entries, because the disk was full: within a frame, a vote, a snapshot or a new log
+// file. What was refused is written once there is room, by the same process.
+func TestFullDiskAtEveryByte(t *testing.T) {
+	vote := &record.Vote{Id: 7, Name: "a", Term: 2}
+	cases := []struct {
+		name  string
+		saves []Save
+		want  string
+	}{
+		{"entries", []Save{{Entries: entries(1, 4, 6)}}, " 1.1 2.1 3.1 4.1 5.1 6.1"},
+		{"vote", []Save{{Vote: vote}}, " 1.1 2.1 3.1"},
+		{"vote and entries that replace others", []Save{{Vote: vote, Entries: entries(2, 3, 4)}}, " 1.1 2.1 3.2 4.2"},
+		{"snapshot between entries", []Save{{Entries: entries(1, 4, 5)}, {Snapshot: &record.Snapshot{Index: 2, Term: 1, Data: []byte("state")}}, {Entries: entries(1, 6, 6)}}, "[2.1] 3.1 4.1 5.1 6.1"},
+		{"snapshot in place of the log", []Save{{Vote: vote, Snapshot: &record.Snapshot{Index: 9, Term: 2, Data: []byte("state")}, Reset: true, Entries: entries(2, 10, 10)}}, "[9.2] 10.2"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			for room, refused := 0, true; refused; room++ {
+				disk := NewMemory()
+				j, _, err := Open(disk, "a", identity)
+				assert.NilError(t, err)
+				assert.NilError(t, j.Write([]Save{{Entries: entries(1, 1, 3)}}))
+				disk.Bound(room)
+				err = j.Write(c.saves)
+				refused = err != nil
+				if refused {
+					assert.ErrorIs(t, err, ErrFull, "room for %d bytes", room)
+					assert.ErrorIs(t, j.Write(c.saves), ErrFull, "room for %d bytes", room)
+				}
+				disk.Bound(-1)
+				if refused {
+					assert.NilError(t, j.Write(c.saves), "room for %d bytes", room)
+				}
+				disk.Crash(rand.New(rand.NewPCG(1, uint64(room))))
+				_, stored, err := Open(disk, "a", identity)
+				assert.NilError(t, err, "room for %d bytes", room)
+				assert.Equal(t, describe(stored), c.want, "room for %d bytes", room)
+				assert.Equal(t, stored.Cut, 0, "room for %d bytes", room)
+			}
+		})
+	}
+}
--- a/internal/storage/journaler/memory.go
+++ b/internal/storage/journaler/memory.go
@@ -21,8 +21,10 @@
 	current map[string]*image
 	durable map[string]*image
 	// epoch grades open files: those of an earlier epoch return errors.
-	epoch    int
-	full     bool
+	epoch int
+	full  bool
+	// room is how many bytes may still be written; less than 0 for no bound.
+	room     int
 	failing  bool
 	ignoring bool
 }
@@ -36,7 +38,7 @@
 
 // NewMemory returns an empty folder.
 func NewMemory() *Memory {
-	return &Memory{current: map[string]*image{}, durable: map[string]*image{}}
+	return &Memory{current: map[string]*image{}, durable: map[string]*image{}, room: -1}
 }
 
 // FailSync makes every later sync fail.
@@ -53,6 +55,24 @@
 	m.full = on
 }
 
+// Bound leaves room for so many bytes, of which a write that doesn't fit takes what there
+// is; less than 0 for no bound.
+func (m *Memory) Bound(room int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.room = room
+}
+
+// take returns how many of n bytes fit. The caller holds mu.
+func (m *Memory) take(n int) int {
+	if m.room < 0 {
+		return n
+	}
+	n = min(n, m.room)
+	m.room -= n
+	return n
+}
+
 // IgnoreSync makes every later sync succeed without effect, like a disk that
 // lies. It exists to show that the fault tests notice lost writes.
 func (m *Memory) IgnoreSync(on bool) {
@@ -110,7 +130,7 @@
 func (m *Memory) Create(name string) (File, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.full {
+	if m.full || m.room == 0 {
 		return nil, syscall.ENOSPC
 	}
 	i := &image{}
@@ -210,8 +230,12 @@
 	if f.folder.full {
 		return 0, syscall.ENOSPC
 	}
-	f.image.data = append(f.image.data, p...)
-	return len(p), nil
+	n := f.folder.take(len(p))
+	f.image.data = append(f.image.data, p[:n]...)
+	if n < len(p) {
+		return n, syscall.ENOSPC
+	}
+	return n, nil
 }
 
 // Sync makes the content durable.
