--- a/internal/member/publisher/publisher.go
+++ b/internal/member/publisher/publisher.go
@@ -57,10 +57,10 @@
 	// keepDepartures bounds the changes for which departures are remembered. A host
 	// that asks for older ones gets everything.
 	keepDepartures = 1024
-	// maxAge is the age of the confirmed revision from which on this host counts as
-	// cut off from the others: it doesn't know their news, revisions among them, which
-	// have to be in force everywhere within seconds. A confirmation each second reaches
-	// all hosts that exchange news within another half.
+	// maxAge is the age of the confirmed revision, and of the news of the others, from
+	// which on this host counts as cut off from them: it doesn't know their revisions,
+	// which have to be in force everywhere within seconds. A confirmation each second
+	// reaches all hosts that exchange news within another half.
 	maxAge = 2 * time.Second
 )
 
@@ -311,13 +311,21 @@
 }
 
 // cutOff reports whether this host has lost the others, and how old its last
-// confirmation is. Before the first revision there is none.
+// confirmation is. Before the first revision there is none. While it still hears enough of
+// the others, a confirmation that is late is that of all of them.
 func (p *Publisher) cutOff() (time.Duration, bool) {
 	if p.options.Revisions == nil {
 		return 0, false
 	}
 	c := p.options.Revisions.Confirmation()
-	return c.Age, c.Revision > 0 && c.Age > maxAge
+	unconfirmed := c.Revision > 0 && c.Age > maxAge
+	return c.Age, unconfirmed && !p.hearsOthers()
+}
+
+// hearsOthers reports whether this host has exchanged news with enough of the others.
+func (p *Publisher) hearsOthers() bool {
+	known, ok := p.options.Members.KnownUntil()
+	return ok && p.clock.Since(known) <= maxAge
 }
 
 // hold waits until there is something to tell or the time has passed. It returns false
--- a/internal/member/publisher/publisher_test.go
+++ b/internal/member/publisher/publisher_test.go
@@ -181,6 +181,23 @@
 	assert.NilError(t, err)
 }
 
+// Guards against hosts that have no young view, and refuse all work, while no control host
+// confirms the configuration to the others: they still hear each other.
+func TestStalledConfirmationsHideNoView(t *testing.T) {
+	r := newRig(t)
+	r.settle()
+	r.revisions.set(gossiper.Confirmation{Revision: 3, Age: maxAge + time.Millisecond})
+	r.members.mu.Lock()
+	r.members.known = r.clock.Now().Add(-maxAge)
+	r.members.mu.Unlock()
+	a, err := r.ask(t, &wire.MembersRequest{Host: "w"})
+	assert.NilError(t, err)
+	assert.Assert(t, a.GetFull() && a.Known != nil)
+	r.clock.Advance(time.Millisecond)
+	_, err = r.ask(t, &wire.MembersRequest{Host: "w"})
+	assert.Equal(t, connect.CodeOf(err), connect.CodeUnavailable)
+}
+
 // Guards against revisions that reach watching hosts late because they wait for the
 // answer of a host on the small side of a cut. They have to be in force everywhere 2 s
 // after they were accepted, and 3 s after the cut.
