--- a/internal/daemon/runner/entry.go
+++ b/internal/daemon/runner/entry.go
@@ -361,6 +361,7 @@
 		Logger:        logger,
 		Metrics:       e.reporter.Registry(),
 		Permit:        e.permit(),
+		Age:           e.members.Age,
 		Notice:        e.notices(),
 		Report:        e.reporter.ReportRequest,
 	})
--- a/internal/daemon/runner/members.go
+++ b/internal/daemon/runner/members.go
@@ -32,6 +32,8 @@
 	Depart(list ...registrar.Departure)
 	// Current reports whether the view is young enough to send new requests on.
 	Current() bool
+	// Age returns how old the view is, negative while that is not known.
+	Age() time.Duration
 	// Announcements takes the announcements of upstreams.
 	Announcements() http.Handler
 }
--- a/internal/entry/relayer/attempt.go
+++ b/internal/entry/relayer/attempt.go
@@ -145,6 +145,7 @@
 	a.send = forwarder.Attempt{Upstream: a.upstream, Request: request, Once: a.alone(), Permit: a.permit}
 	a.watch(ctx, left)
 	a.asked = c.relayer.clock.Now()
+	c.noteView()
 	response, err := c.relayer.options.Sender.Send(ctx, &a.send)
 	if err != nil {
 		return a.lost(ctx, err)
--- a/internal/entry/relayer/call.go
+++ b/internal/entry/relayer/call.go
@@ -97,7 +97,16 @@
 	// predicted is the time to the first token that the scheduler predicted.
 	predicted time.Duration
 	retry     time.Duration
-	whole     bool
+	// view is how old the view of the upstreams was at the last sending.
+	view  time.Duration
+	whole bool
+}
+
+// noteView notes how old the view of the upstreams is.
+func (c *call) noteView() {
+	if c.relayer.options.Age != nil {
+		c.view = c.relayer.options.Age()
+	}
 }
 
 func newCall(r *Relayer, w http.ResponseWriter, q *http.Request) *call {
@@ -456,7 +465,7 @@
 	}
 	if c.upstream != "" {
 		fields = append(fields, zap.String("upstream", string(c.upstream)), zap.Int("attempts", c.attempts), zap.Int("unsent", c.unsent),
-			zap.Duration("queued", c.granted.Sub(c.arrived)), zap.Duration("predicted", c.predicted))
+			zap.Duration("queued", c.granted.Sub(c.arrived)), zap.Duration("predicted", c.predicted), zap.Duration("view", c.view))
 	}
 	if c.model {
 		fields = append(fields, zap.Int("prompt", c.ask.Prompt), zap.Int("limit", c.ask.Limit))
--- a/internal/entry/relayer/relayer.go
+++ b/internal/entry/relayer/relayer.go
@@ -95,6 +95,9 @@
 	// Permit tells why a request must not be sent to an upstream, if so. It is asked right
 	// before the first byte; nil for no question.
 	Permit func(registrar.Upstream) error
+	// Age returns how old the view of the upstreams is, for the log; nil where it isn't
+	// known.
+	Age func() time.Duration
 	// Notice takes what upstreams say about new work; it may be nil.
 	Notice func(dispatcher.Notice)
 	// Report takes the end of each request of a class; it may be nil.
--- a/internal/member/gossiper/coverage.go
+++ b/internal/member/gossiper/coverage.go
@@ -78,6 +78,16 @@
 	return oldest, !oldest.IsZero()
 }
 
+// Age returns how old the view of this host is: each departure that was acknowledged before
+// is in it. It is negative while that is not known.
+func (g *Gossiper) Age() time.Duration {
+	known, ok := g.KnownUntil()
+	if !ok {
+		return -1
+	}
+	return g.clock.Since(known)
+}
+
 // KnownUntil returns the time up to which this host knows each departure that any host
 // has acknowledged, and false while it doesn't know that. Everything up to then has been
 // handed to the hook for actions.
--- a/internal/member/watcher/age.go
+++ b/internal/member/watcher/age.go
@@ -114,12 +114,16 @@
 	return w.age.permits(w.clock.Now(), w.mirror.KnownUntil())
 }
 
-// Age returns how old the view of this host is: everything that was acknowledged before
-// is in it.
+// Age returns how old the view of this host is: each departure that was acknowledged before
+// is in it. It is negative while that is not known.
 func (w *Watcher) Age() time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.clock.Since(w.mirror.KnownUntil())
+	known := w.mirror.KnownUntil()
+	if known.IsZero() {
+		return -1
+	}
+	return w.clock.Since(known)
 }
 
 // attend looks for the other hosts while the view grows old, until Close.
