dispatcher: a hedge at an upstream that this host stays away from is declined

The same cause elsewhere: what this host knows of leaving was looked at for the first slot of a request only. An owner that has missed a departure could grant the upstream as the second attempt of an OpenAI call.

Before: TestBarredHedgeIsDeclined gets the hedge. After: it is declined, and the owner frees the slot.

--- a/internal/entry/dispatcher/bar.go
+++ b/internal/entry/dispatcher/bar.go
@@ -190,6 +190,11 @@
 	c.settings.Local.bar([]scheduler.Bar{e.bar(now, d.UpstreamID)})
 }
 
+// staysAway reports whether this host stays away from the upstream.
+func (c *Cell) staysAway(u registrar.Upstream) bool {
+	return c.bars.left(c.settings.Clock.Now(), u) > 0
+}
+
 // decline gives back a slot at an upstream that this host stays away from, and tells the
 // owner why.
 func (c *Cell) decline(s Slot, left time.Duration) {
--- a/internal/entry/dispatcher/bar_test.go
+++ b/internal/entry/dispatcher/bar_test.go
@@ -112,6 +112,30 @@
 	waitFor(t, "declined slots freed", func() bool { return all["a"].occupied() == 0 })
 }
 
+// Guards against a second attempt at an upstream that this host knows to leave: the owner
+// of the cell, which has missed that, grants it as a hedge.
+func TestBarredHedgeIsDeclined(t *testing.T) {
+	view, all := newMembers(t, "a")
+	other := second(view, all)
+	c := all["a"].cell
+	s := acquire(t, c, "r")
+	barred := other
+	if s.Upstream().Name == other.Name {
+		barred = view.upstreams["engine"]
+	}
+	c.bars.add(time.Now(), Notice{Upstream: barred, Leaving: true})
+	l := all["a"].local
+	l.mu.Lock()
+	l.deliver(scheduler.Hedge{ID: s.(*slot).identity(), Upstream: barred.Name})
+	l.mu.Unlock()
+	select {
+	case h := <-s.Hedged():
+		t.Fatalf("a hedge at %s", h.Upstream().Name)
+	default:
+	}
+	s.Release(scheduler.Completed, 1)
+}
+
 // Guards against work for an upstream that this host knows to leave, because the owner of
 // the cell has missed it: a grant is declined, and the owner learns why.
 func TestOwnerThatMissedALeavingIsDeclined(t *testing.T) {
--- a/internal/entry/dispatcher/cell.go
+++ b/internal/entry/dispatcher/cell.go
@@ -166,6 +166,7 @@
 	r.Origin = identify(r.ID)
 	r.ID = c.unique(r.Origin)
 	t := newTicket(r, c.settings.Clock, c.find, c.ended)
+	t.stays = c.staysAway
 	c.admit(t)
 	select {
 	case g := <-t.result:
--- a/internal/entry/dispatcher/ticket.go
+++ b/internal/entry/dispatcher/ticket.go
@@ -45,6 +45,8 @@
 	request scheduler.Request
 	clock   clockwork.Clock
 	find    finder
+	// stays reports whether this host stays away from an upstream; nil for none.
+	stays func(registrar.Upstream) bool
 
 	// order is held while the request is handed over and while news of it is
 	// reported, so that a route learns of the request before any news of it.
@@ -182,12 +184,26 @@
 	if len(t.slots) != 1 {
 		return t.slot(h.Upstream) != nil
 	}
-	if s := t.slots[0]; s.location() != h.Upstream {
-		s.hedged <- t.open(h.Upstream, h.Priority)
+	s := t.slots[0]
+	if s.location() == h.Upstream {
+		return true
 	}
+	if t.barred(h.Upstream) {
+		return false
+	}
+	s.hedged <- t.open(h.Upstream, h.Priority)
 	return true
 }
 
+// barred reports whether this host stays away from an upstream that it knows.
+func (t *ticket) barred(id registrar.UpstreamID) bool {
+	if t.stays == nil {
+		return false
+	}
+	u, ok := t.find(id)
+	return ok && t.stays(u)
+}
+
 func (t *ticket) open(id registrar.UpstreamID, priority int) *slot {
 	u, ok := t.find(id)
 	if !ok {
