watcher: an answer that was dropped is asked for again; short bounds; one share for aged views

* An answer that came later than a lease, as when the machine stood still, was dropped, but the next one told only what is newer: the host counted as up to date without the departures in it.
TestDroppedAnswerIsAskedForAgain failed before.
* A bound under 1.2 s would have refused all requests, and one under 1 s kept the process from starting (TestShortBoundIsNoReasonToRefuseAll, TestBoundsOfLeaving).
* The shares of the greatest age from which on a host is left (0.5) and looked for (0.6) are one (0.6): at 0.8 s of a bound of 2 s a sound host that hears three others in turn could be left.

--- a/internal/entry/relayer/call.go
+++ b/internal/entry/relayer/call.go
@@ -102,13 +102,6 @@
 	whole bool
 }
 
-// noteView notes how old the view of the upstreams is.
-func (c *call) noteView() {
-	if c.relayer.options.Age != nil {
-		c.view = c.relayer.options.Age()
-	}
-}
-
 func newCall(r *Relayer, w http.ResponseWriter, q *http.Request) *call {
 	return &call{relayer: r, writer: w, request: q, intent: r.options.Protocol.Intent(q), arrived: r.clock.Now()}
 }
@@ -448,6 +441,13 @@
 		zap.Int("attempt", c.attempts), zap.String("event", c.stream.last), zap.Error(cause))
 }
 
+// noteView notes how old the view of the upstreams is, for the log.
+func (c *call) noteView() {
+	if c.relayer.options.Age != nil {
+		c.view = c.relayer.options.Age()
+	}
+}
+
 // logEnd writes one line for each request: what decided it and how it ended.
 func (r *Relayer) logEnd(c *call, now time.Time) {
 	fields := []zap.Field{
--- a/internal/member/gossiper/coverage.go
+++ b/internal/member/gossiper/coverage.go
@@ -55,7 +55,7 @@
 }
 
 // knownUntil returns the time up to which each departure that any host acknowledged is
-// known here, and false while that is not known. Others is the number of other live hosts.
+// known here, and false while that is not known.
 func (c *coverage) knownUntil(now time.Time) (time.Time, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/member/watcher/age.go
+++ b/internal/member/watcher/age.go
@@ -13,20 +13,21 @@
 )
 
 const (
-	// SendTime is the longest way from the last look at the view to the upstream: the
+	// sendTime is the longest way from the last look at the view to the upstream: the
 	// wait for this host's processor and the queue of its link.
-	SendTime = 400 * time.Millisecond
+	sendTime = 400 * time.Millisecond
 	// holdShare is the part of the greatest age of a view for which an answer may wait at
 	// most, and heardTime the time in which a sound host has heard enough of the others.
 	holdShare = 0.4
 	heardTime = 3 * gossiper.Interval * 5 / 4
 	// minHold bounds how often a host asks where the bound is short.
 	minHold = 100 * time.Millisecond
-	// oldShare is the part of it from which on the view of a host that answers is too
-	// old to follow.
-	oldShare = 0.5
-	// reachShare is the part of it from which on the other hosts are looked for.
-	reachShare = 0.6
+	// agedShare is the part of the greatest age from which on the host that told the view
+	// is left for another one, and this host looks for all of them.
+	agedShare = 0.6
+	// leastAge is the age that is allowed whatever the bound: younger views are the
+	// exception, and a host without one serves nobody.
+	leastAge = heardTime + wayTime + minHold
 	// reachTimeout bounds the start of a connection that only shows that a host is there.
 	reachTimeout = 500 * time.Millisecond
 	// excuseTime is how long a sign that the hosts that may own a cell are lost, or have
@@ -43,7 +44,7 @@
 // age judges whether a view is young enough to send on.
 //
 // A departure that is acknowledged must be obeyed within the bound. This host has looked
-// at its view by SendTime before a request reaches the upstream, so that the view must not
+// at its view by sendTime before a request reaches the upstream, so that the view must not
 // be older than the rest of the bound: everything that was acknowledged before is in it.
 //
 // While most of the hosts that may own a cell can't be reached, or have just started, no
@@ -66,7 +67,7 @@
 	if bound == 0 {
 		return age{}
 	}
-	return age{most: max(bound-SendTime, bound/2), excused: now.Add(startExcuse)}
+	return age{most: max(bound-sendTime, leastAge), excused: now.Add(startExcuse)}
 }
 
 // permits reports whether a view of that time may be sent on.
@@ -97,12 +98,9 @@
 	return max(min(time.Duration(holdShare*float64(a.most)), a.most-heardTime-wayTime), minHold)
 }
 
-// isOld reports whether a view of that time is too old to be followed.
-func (a *age) isOld(now, known time.Time) bool { return a.exceeds(now, known, oldShare) }
-
-// exceeds reports whether a view is older than a part of the greatest age.
-func (a *age) exceeds(now, known time.Time, part float64) bool {
-	return a.most > 0 && now.Sub(known) > time.Duration(part*float64(a.most))
+// isAged reports whether a view of that time is so old that another one has to be found.
+func (a *age) isAged(now, known time.Time) bool {
+	return a.most > 0 && now.Sub(known) > time.Duration(agedShare*float64(a.most))
 }
 
 // Current reports whether the view of this host is young enough to send new requests to
@@ -150,7 +148,7 @@
 	defer w.mu.Unlock()
 	hosts := w.mirror.Hosts()
 	w.age.count(w.clock.Now(), len(hosts))
-	if !w.age.exceeds(w.clock.Now(), w.mirror.KnownUntil(), reachShare) {
+	if !w.age.isAged(w.clock.Now(), w.mirror.KnownUntil()) {
 		return nil
 	}
 	var all []string
--- a/internal/member/watcher/age_test.go
+++ b/internal/member/watcher/age_test.go
@@ -8,7 +8,9 @@
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
+	"github.com/amaranthcart/amaranthcart/internal/member/gossiper"
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/wire"
 )
 
 // bounded starts a host that watches with a bound on sends to upstreams that leave.
@@ -37,14 +39,14 @@
 }
 
 // Guards against a bound that holds only while all are quick: whatever the hosts and the
-// network do, a view that is looked at SendTime before the upstream gets the request has
+// network do, a view that is looked at sendTime before the upstream gets the request has
 // everything that was acknowledged a bound before that.
 func TestAgeOfViewAndWayAreWithinTheBound(t *testing.T) {
 	start := time.Date(2026, 12, 5, 9, 0, 0, 0, time.UTC)
 	for _, bound := range []time.Duration{2 * time.Second, 3 * time.Second, 5 * time.Second} {
 		a := newAge(start.Add(-time.Minute), bound)
 		for age := time.Duration(0); age <= 2*bound; age += 10 * time.Millisecond {
-			arrives := start.Add(SendTime)
+			arrives := start.Add(sendTime)
 			acknowledged := start.Add(-age)
 			late := arrives.Sub(acknowledged) > bound
 			assert.Assert(t, !(late && a.permits(start, acknowledged)), "bound %v: sent on a view of %v", bound, age)
@@ -59,7 +61,7 @@
 		a := newAge(time.Time{}, bound)
 		calm := heardTime + a.hold() + wayTime
 		assert.Assert(t, calm <= a.most, "bound %v: %v in calm, %v allowed", bound, calm, a.most)
-		assert.Assert(t, heardTime < time.Duration(oldShare*float64(a.most)), "bound %v: a sound host counts as old", bound)
+		assert.Assert(t, heardTime < time.Duration(agedShare*float64(a.most)), "bound %v: a sound host counts as old", bound)
 		// A request waits for half a second for the view of the next host.
 		silent := calm + wayTime - a.most
 		assert.Assert(t, silent < 400*time.Millisecond, "bound %v: requests wait for %v", bound, silent)
@@ -86,7 +88,7 @@
 			for time.Since(acknowledged) < bound+time.Second {
 				now := time.Now()
 				sends := w.Current() && knows(w, "u1")()
-				assert.Assert(t, !sends || now.Sub(acknowledged)+SendTime <= bound,
+				assert.Assert(t, !sends || now.Sub(acknowledged)+sendTime <= bound,
 					"a request may be sent %s after the acknowledgement", now.Sub(acknowledged))
 				time.Sleep(5 * time.Millisecond)
 			}
@@ -170,3 +172,31 @@
 	a.count(start.Add(groupTime+time.Second), 2)
 	assert.Equal(t, a.group, 2)
 }
+
+// Guards against a host that counts as up to date although it has dropped an answer: it came
+// after a lease, as when the machine stood still, and the next one tells only what is newer.
+func TestDroppedAnswerIsAskedForAgain(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	w := New(registrar.Host{Name: "w", Cell: "main"}, Options{Lease: clusterLease, Leave: 2 * time.Second, Caller: &heardCaller{told: map[string]bool{}, during: func() {}}, Clock: clock})
+	defer w.Close()
+	known := int64(0)
+	answer := &wire.MembersResponse{Epoch: 7, Number: 3, Known: &known, Departures: gossiper.EncodeDepartures([]registrar.Departure{{UpstreamID: "u1", Incarnation: 1, Leaving: true}})}
+	q := &wire.MembersRequest{Host: "w", Epoch: 7, Number: 2}
+	began := clock.Now()
+	clock.Advance(clusterLease)
+	w.take(began, "a:1", q, answer)
+	assert.Assert(t, w.mirror.KnownUntil().IsZero())
+	assert.Equal(t, w.request(clock.Now(), "a:1", false).GetEpoch(), uint64(0), "the next answer tells only what is newer")
+	w.take(clock.Now(), "a:1", q, answer)
+	assert.Equal(t, w.request(clock.Now(), "a:1", false).GetNumber(), uint64(3))
+}
+
+// Guards against a host that serves nobody because the bound is shorter than the time in
+// which control hosts hear each other.
+func TestShortBoundIsNoReasonToRefuseAll(t *testing.T) {
+	start := time.Date(2026, 12, 5, 9, 0, 0, 0, time.UTC)
+	for _, bound := range []time.Duration{100 * time.Millisecond, time.Second} {
+		a := newAge(start.Add(-time.Minute), bound)
+		assert.Assert(t, a.permits(start, start.Add(-heardTime-a.hold())), "bound %v", bound)
+	}
+}
--- a/internal/member/watcher/watcher.go
+++ b/internal/member/watcher/watcher.go
@@ -291,8 +291,8 @@
 		return errNoHost
 	case a.GetIncomplete() && !w.wanted():
 		return errIncomplete
-	case !brief && !a.GetIncomplete() && w.isOld(w.knownUntil(began, a)):
-		return errOld
+	case !brief && !a.GetIncomplete() && w.age.isAged(w.clock.Now(), w.knownUntil(began, a)):
+		return errAged
 	}
 	return nil
 }
@@ -322,13 +322,10 @@
 	return began.Add(-time.Duration(a.GetKnown()) * time.Millisecond)
 }
 
-// isOld reports whether a view of that time is too old for its host to be followed.
-func (w *Watcher) isOld(known time.Time) bool { return w.age.isOld(w.clock.Now(), known) }
-
 var (
 	errNoHost     = fmt.Errorf("no host is known")
 	errIncomplete = fmt.Errorf("the host has started and does not know all upstreams yet")
-	errOld        = fmt.Errorf("the host has not heard the others lately")
+	errAged       = fmt.Errorf("the host has not heard the others lately")
 )
 
 func (w *Watcher) request(now time.Time, address string, brief bool) *wire.MembersRequest {
@@ -396,6 +393,10 @@
 		actions := w.mirror.Take(now, c)
 		w.logListing(now, before, address, c.Full, actions)
 		w.queue = append(w.queue, actions...)
+		if !now.Before(began.Add(w.options.Lease)) {
+			// The answer was too late to be taken, so that no change refers to it.
+			w.source.epoch, w.source.number = 0, 0
+		}
 	}
 	w.mu.Unlock()
 	w.deliver()
--- a/internal/settings/loader/load.go
+++ b/internal/settings/loader/load.go
@@ -33,7 +33,7 @@
 
 	maxBurst = 10_000
 	minLease = time.Second
-	minLeave = time.Second
+	minLeave = 100 * time.Millisecond
 	maxLease = time.Minute
 )
 
