platform, scheduler: engines are told a tenant's priority before that of the route

Cause, by the code: there are four tiers, and the places of tenant and route are added, so that a lot-appraisal of the first tenants and a bid-hint of the second ones share a tier. Engines were told the tier, and of equals they preempt the newest: the appraisal, although its tenant goes before. Not the loss of the hosts whose requests the owner counts.

Ruled out: more tiers in the scheduler; admission, floors and fair shares are by tier, and nothing shows that they need more.

Change: a class has an urgency beside its tier, which engines are told: the place of the tenant, then that of the route, in ten steps.

--- a/builder/class.go
+++ b/builder/class.go
@@ -68,6 +68,12 @@
 	return func(p *ClassPart) { p.class.Wait = validator.Duration(d) }
 }
 
+// Urgency is what engines are told in place of the tier, from 1 for the most urgent to
+// 10. It orders classes that share a tier.
+func Urgency(place int) ClassOption {
+	return func(p *ClassPart) { p.class.Urgency = place }
+}
+
 // Floor keeps a share of the grants, 0 to 1, for the class while it has
 // work. It does not count against waiting work of tier 0.
 func Floor(share float64) ClassOption {
--- a/internal/config/validator/decode.go
+++ b/internal/config/validator/decode.go
@@ -115,6 +115,7 @@
 		c.duration(at+".total", v.Total, MaxTarget, true)
 		c.Check(v.Total == 0 || v.Total >= v.First, at+".total", v.Total, "at least first, "+time.Duration(v.First).String())
 		c.duration(at+".wait", v.Wait, MaxWait, false)
+		c.Check(v.Urgency >= 0 && v.Urgency <= MaxUrgency, at+".urgency", v.Urgency, fmt.Sprintf("0 (the tier) to %d", MaxUrgency))
 		c.Check(v.Floor >= 0 && v.Floor <= 1, at+".floor", v.Floor, "0 to 1")
 		floors += max(v.Floor, 0)
 	}
--- a/internal/config/validator/decode_test.go
+++ b/internal/config/validator/decode_test.go
@@ -61,7 +61,7 @@
 		{"trailing data", valid, valid + "x", `$: found a syntax error at line 12, column 2 (invalid character 'x' after top-level value); allowed: one JSON object`},
 		{"size", valid, valid + strings.Repeat(" ", validator.MaxSize), `$: found 1049223 bytes; allowed: at most 1048576 bytes`},
 		{"several", `"tier": 3`, `"tier": "low", "prio": [1]`, `$.classes[1].tier: found "low"; allowed: a whole number
-$.classes[1].prio: found [1]; allowed: no such field; the fields are name, tier, first, gap, total, wait, floor, late`},
+$.classes[1].prio: found [1]; allowed: no such field; the fields are name, tier, urgency, first, gap, total, wait, floor, late`},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			d, problems := validator.Decode([]byte(strings.Replace(valid, c.old, c.new, 1)))
--- a/internal/config/validator/document.go
+++ b/internal/config/validator/document.go
@@ -72,10 +72,16 @@
 	Loads int `json:"loads,omitempty"`
 }
 
+// MaxUrgency is the least urgency of a class.
+const MaxUrgency = 10
+
 // Class is a kind of request with its latency targets.
 type Class struct {
 	Name ClassName `json:"name"`
 	Tier Tier      `json:"tier"`
+	// Urgency is what engines are told in place of the tier, from 1 for the most urgent;
+	// 0 tells them the tier. It orders classes that share one.
+	Urgency int `json:"urgency,omitempty"`
 	// First is the target for the first token; zero means no target.
 	First Duration `json:"first,omitempty"`
 	// Gap is the target for the mean time between tokens.
--- a/internal/policy/scheduler/hedge.go
+++ b/internal/policy/scheduler/hedge.go
@@ -58,7 +58,7 @@
 		p.hedges.take()
 		s.start(now, a.request, u)
 		u.spend(now)
-		s.actions = append(s.actions, Hedge{ID: a.request.ID, Upstream: u.Name, Priority: int(a.request.class.tier)})
+		s.actions = append(s.actions, Hedge{ID: a.request.ID, Upstream: u.Name, Priority: a.request.class.priority})
 	}
 }
 
--- a/internal/policy/scheduler/queue.go
+++ b/internal/policy/scheduler/queue.go
@@ -422,5 +422,5 @@
 		p.protect(a)
 	}
 	p.rates[r.class.tier].add(now)
-	s.actions = append(s.actions, Grant{ID: r.ID, Upstream: u.Name, Priority: int(r.class.tier), Predicted: a.predicted()})
+	s.actions = append(s.actions, Grant{ID: r.ID, Upstream: u.Name, Priority: r.class.priority, Predicted: a.predicted()})
 }
--- a/internal/policy/scheduler/request.go
+++ b/internal/policy/scheduler/request.go
@@ -117,8 +117,10 @@
 
 // class is a request class with its targets as durations.
 type class struct {
-	name                    validator.ClassName
-	tier                    validator.Tier
+	name validator.ClassName
+	tier validator.Tier
+	// priority is what engines are told, from 0 for the most urgent.
+	priority                int
 	first, gap, total, wait time.Duration
 	floor                   float64
 	// tightness compares the target for the time between tokens with that of the
@@ -143,6 +145,10 @@
 	if k.wait <= 0 {
 		k.wait = defaultWait
 	}
+	k.priority = int(k.tier)
+	if c.Urgency > 0 {
+		k.priority = c.Urgency - 1
+	}
 	return k
 }
 
