--- /dev/null
+++ b/internal/member/watcher/call.go
@@ -0,0 +1,171 @@
+package watcher
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/amaranthcart/amaranthcart/internal/member/gossiper"
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/wire"
+)
+
+// ask makes a call and takes its answer.
+func (w *Watcher) ask(began time.Time, address string, brief bool) error {
+	if address == "" {
+		return errNoHost
+	}
+	q := w.request(began, address, brief)
+	timeout := w.timeout(q)
+	ctx, cancel := context.WithTimeout(w.context, timeout)
+	defer cancel()
+	a, err := w.caller.Members(ctx, address, q)
+	if err != nil {
+		return err
+	}
+	w.take(began, address, q, a)
+	w.learn(began, address, a)
+	switch {
+	case brief && len(a.GetHosts()) == 0:
+		return errNoHost
+	case a.GetIncomplete() && !w.wanted():
+		return errIncomplete
+	case !brief && !a.GetIncomplete() && w.age.isAged(w.clock.Now(), w.knownUntil(began, a)):
+		return errAged
+	}
+	return nil
+}
+
+// timeout bounds a call: the time for which its answer waits, and the way.
+func (w *Watcher) timeout(q *wire.MembersRequest) time.Duration {
+	hold := w.age.hold()
+	switch {
+	case q.GetBrief():
+		return briefTimeout
+	case hold == 0:
+		return callTimeout
+	case q.GetEpoch() == 0:
+		// The answer tells everything at once.
+		return wholeTimeout
+	}
+	return hold + wayTime
+}
+
+// knownUntil returns the time up to which the other host knew all acknowledged departures
+// when it answered a call.
+func (w *Watcher) knownUntil(began time.Time, a *wire.MembersResponse) time.Time {
+	if a.Known == nil {
+		return time.Time{}
+	}
+	// The call arrived after it began.
+	return began.Add(-time.Duration(a.GetKnown()) * time.Millisecond)
+}
+
+var (
+	errNoHost     = fmt.Errorf("no host is known")
+	errIncomplete = fmt.Errorf("the host has started and does not know all upstreams yet")
+	errAged       = fmt.Errorf("the host has not heard the others lately")
+)
+
+func (w *Watcher) request(now time.Time, address string, brief bool) *wire.MembersRequest {
+	q := &wire.MembersRequest{
+		Host: string(w.self.Name), Centre: string(w.self.Centre), Cell: string(w.self.Cell), Brief: brief,
+		Hold: w.age.hold().Milliseconds(),
+	}
+	if w.options.Revisions != nil {
+		q.Revision = w.options.Revisions.Confirmation().Revision
+	}
+	if w.options.Fingerprints != nil {
+		q.Fingerprints = w.prints.Lacks(address, w.options.Fingerprints.Fingerprints(), now)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.source.address != address || w.source.introduced == 0 {
+		q.Departures = gossiper.EncodeDepartures(w.mirror.Departures(now))
+		w.told = w.heard
+	}
+	if w.source.address != address {
+		return q
+	}
+	q.Epoch, q.Number = w.source.epoch, w.source.number
+	if w.source.wanted {
+		w.addRoster(now, q)
+	}
+	return q
+}
+
+// addRoster adds the upstreams that this host knows. The caller holds mu.
+func (w *Watcher) addRoster(now time.Time, q *wire.MembersRequest) {
+	list, left := w.mirror.Roster(now)
+	q.Remaining = left.Milliseconds()
+	for _, u := range list {
+		q.Upstreams = append(q.Upstreams, gossiper.EncodeUpstream(registrar.News{Upstream: u}))
+	}
+}
+
+// take applies an answer to the mirror.
+func (w *Watcher) take(began time.Time, address string, q *wire.MembersRequest, a *wire.MembersResponse) {
+	c := registrar.Copy{
+		Began: began, Full: a.GetFull(), Known: w.knownUntil(began, a),
+		Departures: gossiper.DecodeDepartures(a.GetDepartures()),
+	}
+	for _, h := range a.GetHosts() {
+		c.Hosts = append(c.Hosts, gossiper.DecodeHost(h).Host)
+	}
+	for _, u := range a.GetUpstreams() {
+		c.Changed = append(c.Changed, gossiper.DecodeUpstream(u).Upstream)
+	}
+	w.mu.Lock()
+	now := w.clock.Now()
+	w.age.copied(now, c.Hosts, a.GetIncomplete())
+	introduced := w.introduced(address, q, a)
+	switch {
+	case q.GetBrief() || a.GetIncomplete():
+		asked := w.source.wanted && w.source.address == address
+		w.source = source{address: address, introduced: introduced}
+		_, left := w.mirror.Roster(now)
+		w.source.wanted = a.GetIncomplete() && !asked && left > 0
+		w.queue = append(w.queue, w.mirror.TakeHosts(now, c.Hosts)...)
+	default:
+		w.source = source{address: address, epoch: a.GetEpoch(), number: a.GetNumber(), introduced: introduced}
+		before := w.mirror.Snapshot()
+		actions := w.mirror.Take(now, c)
+		w.logListing(now, before, address, c.Full, actions)
+		w.queue = append(w.queue, actions...)
+		if !now.Before(began.Add(w.options.Lease)) {
+			// The answer was too late to be taken, so that no change refers to it.
+			w.source.epoch, w.source.number = 0, 0
+		}
+	}
+	w.mu.Unlock()
+	w.deliver()
+}
+
+// introduced returns the epoch of the answer if that start of the other host knows all
+// departures that this one knows, and 0 otherwise. The caller holds mu.
+func (w *Watcher) introduced(address string, q *wire.MembersRequest, a *wire.MembersResponse) uint64 {
+	known := w.source.address == address && w.source.introduced == a.GetEpoch()
+	brought := len(q.GetDepartures()) > 0 && w.told == w.heard
+	if known || brought || len(w.mirror.Departures(w.clock.Now())) == 0 {
+		return a.GetEpoch()
+	}
+	return 0
+}
+
+// learn takes what the answer tells of the configuration and of crashes.
+func (w *Watcher) learn(began time.Time, address string, a *wire.MembersResponse) {
+	if prints := a.GetFingerprints(); len(prints) > 0 && w.options.Fingerprints != nil {
+		w.options.Fingerprints.MergeFingerprints(prints)
+	}
+	if w.options.Revisions == nil || a.GetRevision() == 0 {
+		return
+	}
+	c := gossiper.Confirmation{Revision: a.GetRevision(), Check: a.GetCheck(), Age: -1}
+	if a.Confirmed != nil {
+		// One that came after the request counts from then on, which is later than
+		// this host's start of the call.
+		at := began.Add(-time.Duration(a.GetConfirmed()) * time.Millisecond)
+		began, c.Age = at, 0
+	}
+	w.options.Revisions.Learn(address, began, c)
+}
--- a/internal/member/watcher/watcher.go
+++ b/internal/member/watcher/watcher.go
@@ -17,14 +17,11 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
-	"net"
 	"slices"
 	"sync"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/jonboulle/clockwork"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
@@ -35,7 +32,6 @@
 	"github.com/amaranthcart/amaranthcart/internal/ops/restarter"
 	"github.com/amaranthcart/amaranthcart/internal/rpc/dialer"
 	"github.com/amaranthcart/amaranthcart/internal/rpc/wire"
-	"github.com/amaranthcart/amaranthcart/internal/rpc/wire/wireconnect"
 )
 
 const (
@@ -271,166 +267,6 @@
 	return w.source.wanted
 }
 
-// ask makes a call and takes its answer.
-func (w *Watcher) ask(began time.Time, address string, brief bool) error {
-	if address == "" {
-		return errNoHost
-	}
-	q := w.request(began, address, brief)
-	timeout := w.timeout(q)
-	ctx, cancel := context.WithTimeout(w.context, timeout)
-	defer cancel()
-	a, err := w.caller.Members(ctx, address, q)
-	if err != nil {
-		return err
-	}
-	w.take(began, address, q, a)
-	w.learn(began, address, a)
-	switch {
-	case brief && len(a.GetHosts()) == 0:
-		return errNoHost
-	case a.GetIncomplete() && !w.wanted():
-		return errIncomplete
-	case !brief && !a.GetIncomplete() && w.age.isAged(w.clock.Now(), w.knownUntil(began, a)):
-		return errAged
-	}
-	return nil
-}
-
-// timeout bounds a call: the time for which its answer waits, and the way.
-func (w *Watcher) timeout(q *wire.MembersRequest) time.Duration {
-	hold := w.age.hold()
-	switch {
-	case q.GetBrief():
-		return briefTimeout
-	case hold == 0:
-		return callTimeout
-	case q.GetEpoch() == 0:
-		// The answer tells everything at once.
-		return wholeTimeout
-	}
-	return hold + wayTime
-}
-
-// knownUntil returns the time up to which the other host knew all acknowledged departures
-// when it answered a call.
-func (w *Watcher) knownUntil(began time.Time, a *wire.MembersResponse) time.Time {
-	if a.Known == nil {
-		return time.Time{}
-	}
-	// The call arrived after it began.
-	return began.Add(-time.Duration(a.GetKnown()) * time.Millisecond)
-}
-
-var (
-	errNoHost     = fmt.Errorf("no host is known")
-	errIncomplete = fmt.Errorf("the host has started and does not know all upstreams yet")
-	errAged       = fmt.Errorf("the host has not heard the others lately")
-)
-
-func (w *Watcher) request(now time.Time, address string, brief bool) *wire.MembersRequest {
-	q := &wire.MembersRequest{
-		Host: string(w.self.Name), Centre: string(w.self.Centre), Cell: string(w.self.Cell), Brief: brief,
-		Hold: w.age.hold().Milliseconds(),
-	}
-	if w.options.Revisions != nil {
-		q.Revision = w.options.Revisions.Confirmation().Revision
-	}
-	if w.options.Fingerprints != nil {
-		q.Fingerprints = w.prints.Lacks(address, w.options.Fingerprints.Fingerprints(), now)
-	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.source.address != address || w.source.introduced == 0 {
-		q.Departures = gossiper.EncodeDepartures(w.mirror.Departures(now))
-		w.told = w.heard
-	}
-	if w.source.address != address {
-		return q
-	}
-	q.Epoch, q.Number = w.source.epoch, w.source.number
-	if w.source.wanted {
-		w.addRoster(now, q)
-	}
-	return q
-}
-
-// addRoster adds the upstreams that this host knows. The caller holds mu.
-func (w *Watcher) addRoster(now time.Time, q *wire.MembersRequest) {
-	list, left := w.mirror.Roster(now)
-	q.Remaining = left.Milliseconds()
-	for _, u := range list {
-		q.Upstreams = append(q.Upstreams, gossiper.EncodeUpstream(registrar.News{Upstream: u}))
-	}
-}
-
-// take applies an answer to the mirror.
-func (w *Watcher) take(began time.Time, address string, q *wire.MembersRequest, a *wire.MembersResponse) {
-	c := registrar.Copy{
-		Began: began, Full: a.GetFull(), Known: w.knownUntil(began, a),
-		Departures: gossiper.DecodeDepartures(a.GetDepartures()),
-	}
-	for _, h := range a.GetHosts() {
-		c.Hosts = append(c.Hosts, gossiper.DecodeHost(h).Host)
-	}
-	for _, u := range a.GetUpstreams() {
-		c.Changed = append(c.Changed, gossiper.DecodeUpstream(u).Upstream)
-	}
-	w.mu.Lock()
-	now := w.clock.Now()
-	w.age.copied(now, c.Hosts, a.GetIncomplete())
-	introduced := w.introduced(address, q, a)
-	switch {
-	case q.GetBrief() || a.GetIncomplete():
-		asked := w.source.wanted && w.source.address == address
-		w.source = source{address: address, introduced: introduced}
-		_, left := w.mirror.Roster(now)
-		w.source.wanted = a.GetIncomplete() && !asked && left > 0
-		w.queue = append(w.queue, w.mirror.TakeHosts(now, c.Hosts)...)
-	default:
-		w.source = source{address: address, epoch: a.GetEpoch(), number: a.GetNumber(), introduced: introduced}
-		before := w.mirror.Snapshot()
-		actions := w.mirror.Take(now, c)
-		w.logListing(now, before, address, c.Full, actions)
-		w.queue = append(w.queue, actions...)
-		if !now.Before(began.Add(w.options.Lease)) {
-			// The answer was too late to be taken, so that no change refers to it.
-			w.source.epoch, w.source.number = 0, 0
-		}
-	}
-	w.mu.Unlock()
-	w.deliver()
-}
-
-// introduced returns the epoch of the answer if that start of the other host knows all
-// departures that this one knows, and 0 otherwise. The caller holds mu.
-func (w *Watcher) introduced(address string, q *wire.MembersRequest, a *wire.MembersResponse) uint64 {
-	known := w.source.address == address && w.source.introduced == a.GetEpoch()
-	brought := len(q.GetDepartures()) > 0 && w.told == w.heard
-	if known || brought || len(w.mirror.Departures(w.clock.Now())) == 0 {
-		return a.GetEpoch()
-	}
-	return 0
-}
-
-// learn takes what the answer tells of the configuration and of crashes.
-func (w *Watcher) learn(began time.Time, address string, a *wire.MembersResponse) {
-	if prints := a.GetFingerprints(); len(prints) > 0 && w.options.Fingerprints != nil {
-		w.options.Fingerprints.MergeFingerprints(prints)
-	}
-	if w.options.Revisions == nil || a.GetRevision() == 0 {
-		return
-	}
-	c := gossiper.Confirmation{Revision: a.GetRevision(), Check: a.GetCheck(), Age: -1}
-	if a.Confirmed != nil {
-		// One that came after the request counts from then on, which is later than
-		// this host's start of the call.
-		at := began.Add(-time.Duration(a.GetConfirmed()) * time.Millisecond)
-		began, c.Age = at, 0
-	}
-	w.options.Revisions.Learn(address, began, c)
-}
-
 // expire ends the lease when no host answers.
 func (w *Watcher) expire() {
 	t := w.clock.NewTicker(beat)
@@ -488,42 +324,3 @@
 		w.logger.Debug("a host was not told goodbye", zap.String("address", address), zap.Error(err))
 	}
 }
-
-// network makes calls over the network.
-type network struct{ clients *dialer.Pool }
-
-func newNetwork(t dialer.TLS) *network {
-	return &network{clients: dialer.NewPool(maxClients, dialer.WithTLS(t))}
-}
-
-// Members makes a call. After a failure the connection may be silent for good, so that
-// the next call uses another one.
-func (n *network) Members(ctx context.Context, address string, q *wire.MembersRequest) (*wire.MembersResponse, error) {
-	d := n.clients.Client(address)
-	client := wireconnect.NewPeerClient(d, dialer.URL(address), dialer.Options()...)
-	a, err := client.Members(ctx, connect.NewRequest(q))
-	if err != nil {
-		d.Renew()
-		return nil, fmt.Errorf("ask %s for its view: %w", address, err)
-	}
-	return a.Msg, nil
-}
-
-// Announce passes an announcement on.
-func (n *network) Announce(ctx context.Context, address string, q *wire.AnnounceRequest) (*wire.AnnounceResponse, error) {
-	return gossiper.SendAnnouncement(ctx, n.clients.Client(address), address, q)
-}
-
-// Reach opens a connection and closes it. Those that are kept may be dead, so that they
-// show nothing.
-func (n *network) Reach(ctx context.Context, address string) error {
-	d := net.Dialer{Control: dialer.SetUserTimeout}
-	c, err := d.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return fmt.Errorf("reach %s: %w", address, err)
-	}
-	return c.Close()
-}
-
-// Close closes the connections.
-func (n *network) Close() { n.clients.Close() }
