--- a/internal/entry/relayer/harness_test.go
+++ b/internal/entry/relayer/harness_test.go
@@ -240,6 +240,21 @@
 	broken error
 }
 
+// get makes a call without a body, which net/http may send again, on a connection that may
+// be kept, and returns the status of its answer.
+func (r *rig) get(path, id string) int {
+	r.t.Helper()
+	q, err := http.NewRequest(http.MethodGet, "http://"+r.address+path, nil)
+	assert.NilError(r.t, err)
+	q.Host = "shop.example"
+	q.Header.Set("X-Id", id)
+	q.Header.Set("X-Key", "secret")
+	response, err := http.DefaultTransport.RoundTrip(q)
+	assert.NilError(r.t, err)
+	assert.NilError(r.t, response.Body.Close())
+	return response.StatusCode
+}
+
 func (r *rig) call(path string, headers ...string) reply {
 	r.t.Helper()
 	q, err := http.NewRequest(http.MethodPost, "http://"+r.address+path, strings.NewReader("a request"))
--- a/internal/entry/relayer/refusal_test.go
+++ b/internal/entry/relayer/refusal_test.go
@@ -349,19 +349,8 @@
 	}()
 	r := newRig(t)
 	r.add(l.Addr().String())
-	get := func(id string) int {
-		q, err := http.NewRequest(http.MethodGet, "http://"+r.address+"/resumable/x", nil)
-		assert.NilError(t, err)
-		q.Host = "shop.example"
-		q.Header.Set("X-Id", id)
-		q.Header.Set("X-Key", "secret")
-		response, err := http.DefaultTransport.RoundTrip(q)
-		assert.NilError(t, err)
-		assert.NilError(t, response.Body.Close())
-		return response.StatusCode
-	}
-	assert.Equal(t, get("id-0"), http.StatusServiceUnavailable)
-	status := get("id-1")
+	assert.Equal(t, r.get("/resumable/x", "id-0"), http.StatusServiceUnavailable)
+	status := r.get("/resumable/x", "id-1")
 	select {
 	case id := <-ran:
 		assert.Equal(t, id, "id-1")
--- a/internal/entry/relayer/withheld_test.go
+++ b/internal/entry/relayer/withheld_test.go
@@ -94,19 +94,8 @@
 		}
 		return nil
 	}
-	get := func(id string) int {
-		q, err := http.NewRequest(http.MethodGet, "http://"+r.address+"/idempotent/x", nil)
-		assert.NilError(t, err)
-		q.Host = "shop.example"
-		q.Header.Set("X-Id", id)
-		q.Header.Set("X-Key", "secret")
-		response, err := http.DefaultTransport.RoundTrip(q)
-		assert.NilError(t, err)
-		assert.NilError(t, response.Body.Close())
-		return response.StatusCode
-	}
-	assert.Equal(t, get("id-0"), 200)
-	assert.Equal(t, get("id-1"), http.StatusBadGateway)
+	assert.Equal(t, r.get("/idempotent/x", "id-0"), 200)
+	assert.Equal(t, r.get("/idempotent/x", "id-1"), http.StatusBadGateway)
 	assert.Equal(t, requests.Load(), int64(2), "the request was sent again")
 	assert.NilError(t, l.Close())
 	<-served
--- a/internal/member/watcher/age.go
+++ b/internal/member/watcher/age.go
@@ -124,21 +124,12 @@
 	return w.clock.Since(known)
 }
 
-// attend looks for the other hosts while the view grows old, until Close.
+// attend looks for the other hosts while the view grows old.
 func (w *Watcher) attend() {
-	t := w.clock.NewTicker(beat)
-	defer t.Stop()
-	for {
-		select {
-		case <-w.context.Done():
-			return
-		case <-t.Chan():
-			if addresses := w.lookFor(); len(addresses) > 0 {
-				w.reachOut(addresses)
-			}
-			w.logAge()
-		}
+	if addresses := w.lookFor(); len(addresses) > 0 {
+		w.reachOut(addresses)
 	}
+	w.logAge()
 }
 
 // lookFor lists the hosts that may own a cell if the view is so old that this host has to
--- a/internal/member/watcher/watcher.go
+++ b/internal/member/watcher/watcher.go
@@ -54,7 +54,7 @@
 	maxPause = 500 * time.Millisecond
 	// maxClients bounds the hosts to which connections are kept.
 	maxClients = 64
-	// beat is how often the lease is looked at.
+	// beat is how often the lease and the age of the view are looked at.
 	beat = 250 * time.Millisecond
 )
 
@@ -158,8 +158,8 @@
 func (w *Watcher) Start() {
 	again := restarter.New(w.logger, w.clock)
 	w.group.Go(func() { again.Run(w.context, "following a view", w.follow) })
-	w.group.Go(func() { again.Run(w.context, "leases", w.expire) })
-	w.group.Go(func() { again.Run(w.context, "age of the view", w.attend) })
+	w.group.Go(func() { again.Run(w.context, "leases", func() { w.onBeat(w.expire) }) })
+	w.group.Go(func() { again.Run(w.context, "age of the view", func() { w.onBeat(w.attend) }) })
 }
 
 // Close tells the host that is followed that this one stops, and waits until nothing
@@ -267,8 +267,8 @@
 	return w.source.wanted
 }
 
-// expire ends the lease when no host answers.
-func (w *Watcher) expire() {
+// onBeat calls a function again and again until Close.
+func (w *Watcher) onBeat(f func()) {
 	t := w.clock.NewTicker(beat)
 	defer t.Stop()
 	for {
@@ -276,22 +276,27 @@
 		case <-w.context.Done():
 			return
 		case <-t.Chan():
-			w.mu.Lock()
-			ended := w.mirror.Expire(w.clock.Now())
-			w.queue = append(w.queue, ended...)
-			if len(ended) > 0 {
-				// Nothing is left that changes could refer to.
-				w.source.epoch, w.source.number = 0, 0
-			}
-			w.mu.Unlock()
-			if len(ended) > 0 {
-				w.logger.Warn("no host has told its view for the time of a lease; all upstreams count as lost", zap.Int("upstreams", len(ended)))
-			}
-			w.deliver()
+			f()
 		}
 	}
 }
 
+// expire ends the lease when no host answers.
+func (w *Watcher) expire() {
+	w.mu.Lock()
+	ended := w.mirror.Expire(w.clock.Now())
+	w.queue = append(w.queue, ended...)
+	if len(ended) > 0 {
+		// Nothing is left that changes could refer to.
+		w.source.epoch, w.source.number = 0, 0
+	}
+	w.mu.Unlock()
+	if len(ended) > 0 {
+		w.logger.Warn("no host has told its view for the time of a lease; all upstreams count as lost", zap.Int("upstreams", len(ended)))
+	}
+	w.deliver()
+}
+
 // deliver hands queued actions to the hook in the order in which they arose.
 func (w *Watcher) deliver() {
 	w.delivery.Lock()
