--- a/internal/entry/relayer/harness_test.go
+++ b/internal/entry/relayer/harness_test.go
@@ -66,6 +66,8 @@
 	// waits is set when repeated requests get no slot before their deadline, and full when
 	// none does.
 	waits, full bool
+	// waiting counts the requests that get no slot.
+	waiting atomic.Int64
 	// preempted asks all slots to give way.
 	preempted chan struct{}
 	asked     []scheduler.Request
@@ -75,6 +77,7 @@
 
 func (d *fakeDispatcher) Acquire(ctx context.Context, r scheduler.Request) (dispatcher.Slot, error) {
 	if d.full || d.waits && r.Retry {
+		d.waiting.Add(1)
 		<-ctx.Done()
 		return nil, context.Cause(ctx)
 	}
