scheduler: a request that missed its target waits once

Cause: the list of waiting requests of a class kept the entries of requests that no longer waited, as long as they were not at its front, and took an entry as valid when the request waited and its wait had begun at the same time. A request that missed its target leaves the queue and enters it again with the same begin, so its old entry became valid beside the new one. Whoever went through the waiting requests refused it twice; the second time removed another request from the heap, or an index beyond its end.

Change: a request that leaves the queue leaves this list, too.

TestLateRequestWaitsOnce failed before with the same panic (index out of range [8] with length 8).

--- a/internal/policy/scheduler/admission.go
+++ b/internal/policy/scheduler/admission.go
@@ -227,14 +227,13 @@
 func (s *Scheduler) expireWaits(now time.Time, p *pool) {
 	// The fixed order keeps benchmark runs reproducible: each refusal draws a
 	// random retry time.
-	for _, c := range slices.SortedFunc(maps.Keys(p.waitStarts), byName) {
-		p.trimWaitStarts(c)
-		for _, a := range slices.Clone(p.waitStarts[c]) {
-			if now.Sub(a.queued) < c.wait {
+	for _, c := range slices.SortedFunc(maps.Keys(p.waits), byName) {
+		for _, r := range slices.Clone(p.waits[c]) {
+			if now.Sub(r.queued) < c.wait {
 				break
 			}
-			if a.valid() && a.request.Emitted == 0 {
-				s.refuseWaiting(now, a.request)
+			if r.Emitted == 0 {
+				s.refuseWaiting(now, r)
 			}
 		}
 	}
--- a/internal/policy/scheduler/queue.go
+++ b/internal/policy/scheduler/queue.go
@@ -24,8 +24,8 @@
 	name      validator.PoolName
 	upstreams []*upstream
 	tiers     [validator.LowestTier + 1]tier
-	// waitStarts lists the waiting requests of each class, oldest first.
-	waitStarts map[*class][]waitStart
+	// waits lists the waiting requests of each class, oldest first.
+	waits map[*class][]*request
 	parked     []*request
 	waiting    int
 	retries    retryBudget
@@ -64,15 +64,6 @@
 	comparedAt time.Time
 }
 
-// waitStart records when a request began to wait. It becomes invalid once that wait
-// has ended.
-type waitStart struct {
-	request *request
-	queued  time.Time
-}
-
-func (a waitStart) valid() bool { return a.request.waiting && a.request.queued.Equal(a.queued) }
-
 // tier holds the waiting requests of a tier by organisation.
 type tier struct{ queues []*organisationQueue }
 
@@ -149,7 +140,7 @@
 func (s *Scheduler) pool(name validator.PoolName) *pool {
 	p := s.pools[name]
 	if p == nil {
-		p = &pool{name: name, reading: newReading(), reported: defaultPerToken, waitStarts: make(map[*class][]waitStart), credits: make(map[*class]float64)}
+		p = &pool{name: name, reading: newReading(), reported: defaultPerToken, waits: make(map[*class][]*request), credits: make(map[*class]float64)}
 		for _, u := range s.upstreams {
 			if !u.gone && u.Serves(name) {
 				p.upstreams = append(p.upstreams, u)
@@ -185,7 +176,7 @@
 		r.organisation.debt[level] = max(r.organisation.debt[level], s.virtualTime[level])
 	}
 	heap.Push(l, r)
-	p.addWaitStart(r)
+	p.addWait(r)
 	p.waiting++
 	p.queued[level]++
 	if s.memory[p.name] > 0 {
@@ -219,7 +210,7 @@
 		p.suspects[r.class.tier]--
 	}
 	r.waiting = false
-	p.trimWaitStarts(r.class)
+	p.removeWait(r)
 }
 
 func (p *pool) removeFromQueue(r *request) {
@@ -264,42 +255,43 @@
 	p.parked = p.parked[:0]
 }
 
-// addWaitStart inserts the request into the list of its class by the start of its
-// wait. Every request is the youngest, except one that was preempted before its
-// first token.
-func (p *pool) addWaitStart(r *request) {
-	list := p.waitStarts[r.class]
+// addWait inserts the request into the list of its class by the start of its wait.
+// Every request is the youngest, except one that waits again: after a preemption
+// before its first token, or because it missed its target.
+func (p *pool) addWait(r *request) {
+	list := p.waits[r.class]
 	i := len(list)
 	for i > 0 && list[i-1].queued.After(r.queued) {
 		i--
 	}
-	p.waitStarts[r.class] = slices.Insert(list, i, waitStart{request: r, queued: r.queued})
+	p.waits[r.class] = slices.Insert(list, i, r)
 }
 
-// trimWaitStarts drops the requests at the front of the list that no longer wait.
-func (p *pool) trimWaitStarts(c *class) {
-	list := p.waitStarts[c]
-	i := 0
-	for i < len(list) && !list[i].valid() {
-		list[i] = waitStart{}
-		i++
-	}
-	if i == len(list) {
-		delete(p.waitStarts, c)
+// removeWait removes the request from the list of its class.
+func (p *pool) removeWait(r *request) {
+	list := p.waits[r.class]
+	switch i := slices.Index(list, r); {
+	case i < 0:
 		return
+	case len(list) == 1:
+		delete(p.waits, r.class)
+	case i == 0:
+		list[0] = nil
+		p.waits[r.class] = list[1:]
+	default:
+		p.waits[r.class] = slices.Delete(list, i, i+1)
 	}
-	p.waitStarts[c] = list[i:]
 }
 
 // overdue returns the request, of any tier, that has waited longest among those
 // that are close to the maximum wait of their class, or nil when there is none.
 func (p *pool) overdue(now time.Time) *request {
 	var oldest *request
-	for c, list := range p.waitStarts {
-		if len(list) == 0 || list[0].request.parked || now.Sub(list[0].queued) < c.overdue() {
+	for c, list := range p.waits {
+		if list[0].parked || now.Sub(list[0].queued) < c.overdue() {
 			continue
 		}
-		r := list[0].request
+		r := list[0]
 		if oldest == nil || r.queued.Before(oldest.queued) || r.queued.Equal(oldest.queued) && earlier(r, oldest) {
 			oldest = r
 		}
@@ -337,11 +329,11 @@
 	var best *request
 	most := 0.0
 	for c, credit := range p.credits {
-		list := p.waitStarts[c]
-		if credit < 1 || len(list) == 0 || list[0].request.parked || c.tier > 0 && p.queued[0] > 0 {
+		list := p.waits[c]
+		if credit < 1 || len(list) == 0 || list[0].parked || c.tier > 0 && p.queued[0] > 0 {
 			continue
 		}
-		r := list[0].request
+		r := list[0]
 		if best == nil || credit > most || credit == most && earlier(r, best) {
 			best, most = r, credit
 		}
@@ -351,7 +343,7 @@
 
 // credit counts a grant to a class against the floors of all classes that wait.
 func (p *pool) credit(granted *class) {
-	for c, list := range p.waitStarts {
+	for c, list := range p.waits {
 		if c.floor > 0 && len(list) > 0 {
 			p.credits[c] = min(p.credits[c]+c.floor, maxCredit)
 		}
--- a/internal/policy/scheduler/quota_test.go
+++ b/internal/policy/scheduler/quota_test.go
@@ -458,3 +458,32 @@
 	f.step(Tick{})
 	assert.Equal(t, len(f.s.limits), 0)
 }
+
+// TestLateRequestWaitsOnce guards against a request that is refused twice because it is
+// listed twice among the waiting ones after it missed its target: the second time took
+// another request from the queue, or panicked, so that the actions of the tick were lost.
+func TestLateRequestWaitsOnce(t *testing.T) {
+	f := newQuotaRig(t, 0, "a")
+	d := document()
+	d.Classes = append(d.Classes, validator.Class{Name: "late", Tier: 1, First: validator.Duration(time.Second), Wait: validator.Duration(20 * time.Second), Late: true})
+	f.step(Configure{d})
+	f.limit(1)
+	for i := range 12 {
+		f.step(ask(fmt.Sprint("r", i), "late", "small"))
+	}
+	for range 100 {
+		f.now = f.now.Add(TickInterval)
+		f.step(Tick{})
+	}
+	f.limit(0.1)
+	f.now = f.now.Add(TickInterval)
+	f.step(Tick{})
+	seen := map[RequestID]bool{}
+	for _, a := range f.refused {
+		assert.Assert(t, !seen[a.ID], "%s was refused twice", a.ID)
+		seen[a.ID] = true
+	}
+	assert.Assert(t, len(f.refused) > 0)
+	assert.Equal(t, f.s.pools["m"].waiting, len(f.s.waitingIn(f.s.pools["m"])))
+	assert.Equal(t, len(f.refused)+len(f.granted)+f.s.pools["m"].waiting, 12)
+}
--- a/internal/policy/scheduler/request.go
+++ b/internal/policy/scheduler/request.go
@@ -251,7 +251,7 @@
 		r.due = s.due(r)
 	}
 	for _, p := range s.pools {
-		clear(p.waitStarts)
+		clear(p.waits)
 		clear(p.credits)
 	}
 	slices.SortFunc(waiting, func(a, b *request) int {
--- a/internal/policy/scheduler/upstream.go
+++ b/internal/policy/scheduler/upstream.go
@@ -207,12 +207,8 @@
 // waitingIn lists the waiting requests of a pool, ordered by ID.
 func (s *Scheduler) waitingIn(p *pool) []*request {
 	var list []*request
-	for _, ages := range p.waitStarts {
-		for _, g := range ages {
-			if g.valid() {
-				list = append(list, g.request)
-			}
-		}
+	for _, waits := range p.waits {
+		list = append(list, waits...)
 	}
 	slices.SortFunc(list, func(a, b *request) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	return list
