--- a/internal/entry/relayer/call.go
+++ b/internal/entry/relayer/call.go
@@ -445,7 +445,20 @@
 func (r *Relayer) logRepeat(c *call, a *attempt, cause error) {
 	r.logger.Info("attempt failed; trying another upstream",
 		zap.String("request", c.intent.ID), zap.String("upstream", string(a.upstream.Name)),
-		zap.Int("attempt", c.attempts), zap.String("event", c.stream.lastID), zap.Error(cause))
+		zap.Int("attempt", c.attempts), zap.String("event", c.stream.lastID), zap.Strings("parts", c.loggedParts()), zap.Error(cause))
+}
+
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 16
+
+// loggedParts lists the parts of the prompt in the form of log lines, so that the parts
+// that failed requests have in common can be found.
+func (c *call) loggedParts() []string {
+	var list []string
+	for _, id := range c.slotRequest.Prefix[:min(len(c.slotRequest.Prefix), maxLoggedParts)] {
+		list = append(list, strconv.FormatUint(id, 16))
+	}
+	return list
 }
 
 // noteView records the age of the view of the upstreams for the log.
@@ -492,6 +505,9 @@
 	if c.cause != nil {
 		fields = append(fields, zap.Error(c.cause))
 	}
+	if parts := c.loggedParts(); len(parts) > 0 {
+		fields = append(fields, zap.Strings("parts", parts))
+	}
 	if c.mayHaveRun || c.status == statusClientGone {
 		r.failures.Inc(1)
 		r.logger.Info("request failed", fields...)
