scheduler: blame the part that crashed requests have in common

Cause: the crash records know whole requests by the hash of their content, so that no crash told anything about the next request with the part. The class of fault: an identity that is finer than the cause.

Change: the new package attributor keeps the crashes of each part of a prompt. An answer refutes them, a second round of crashes blames the part, and requests with it are refused at once (poisonous_part) and taken from engines that still read them. Parts that were in the same crashes are told apart by requests with one of them, which run alone; recent answers, losses at the same moment, and crashes by a single organisation weigh less. The losses that a blamed part explains are no longer held against other requests.

The golden list of metrics has one more line, the new reason of refusals.

--- a/internal/entry/dispatcher/fleet.go
+++ b/internal/entry/dispatcher/fleet.go
@@ -157,7 +157,14 @@
 // isFinal reports whether the refusal of another cell holds in every cell.
 func isFinal(err error) bool {
 	var refused *RefusedError
-	return errors.As(err, &refused) && (refused.Reason == scheduler.Poisonous || refused.Reason == scheduler.OverLimit)
+	if !errors.As(err, &refused) {
+		return false
+	}
+	switch refused.Reason {
+	case scheduler.Poisonous, scheduler.PoisonousPart, scheduler.OverLimit:
+		return true
+	}
+	return false
 }
 
 // acquireFrom acquires a slot from the cell r.Spilled.
--- a/internal/entry/dispatcher/local.go
+++ b/internal/entry/dispatcher/local.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -433,6 +434,8 @@
 			zap.Float64("before", float64(e.Before)), zap.Float64("rate", float64(e.Rate)),
 			zap.Duration("age", l.clock.Since(e.At)), zap.Float64("share", e.Part))
 		l.limitChanged(e.Limit)
+	case scheduler.Withhold:
+		l.logWithhold(e)
 	case scheduler.ReadingSpeed:
 		l.logger.Info("the estimate of the time that engines take to read a prompt token has changed",
 			zap.String("pool", string(e.Pool)), zap.Duration("before", e.Before), zap.Duration("after", e.After), zap.Int("tokens", e.Tokens))
@@ -449,6 +452,21 @@
 	}
 }
 
+// logWithhold logs a new verdict on a part of prompts with the crashes that led to it.
+func (l *Local) logWithhold(w scheduler.Withhold) {
+	fields := []zap.Field{zap.String("pool", string(w.Part.Pool)), zap.String("part", strconv.FormatUint(w.Part.Hash, 16))}
+	if !w.Blamed {
+		l.logger.Info("requests with a part of a prompt are no longer withheld", fields...)
+		return
+	}
+	var crashes []string
+	for _, c := range w.Crashes {
+		crashes = append(crashes, fmt.Sprintf("%s at %s by %s", c.Process.Upstream, c.At.UTC().Format(time.RFC3339Nano), c.Organisation))
+	}
+	l.logger.Warn("requests with a part of a prompt crash upstreams; they are withheld",
+		append(fields, zap.Strings("crashes", crashes), zap.Time("until", w.Until))...)
+}
+
 // granted records a granted slot and passes it to its request, or to declined when nobody
 // takes it.
 func (l *Local) granted(id scheduler.RequestID, u registrar.UpstreamID, a scheduler.Action) {
--- a/internal/entry/forwarder/errors.go
+++ b/internal/entry/forwarder/errors.go
@@ -107,6 +107,8 @@
 		e.Type = "invalid_request_error"
 		e.RetryAfter = 0
 		e.Message = "this request has crashed upstreams and is not run again"
+	case scheduler.PoisonousPart:
+		e.Message = "requests with a part of this prompt have crashed upstreams and are not run for now"
 	case scheduler.OutOfRetries:
 		e.Message = "the upstream failed and the retry budget is spent"
 	default:
--- a/internal/ops/reporter/class.go
+++ b/internal/ops/reporter/class.go
@@ -25,7 +25,7 @@
 
 // reasons are the values of the label reason besides otherReason.
 var reasons = []scheduler.Reason{
-	scheduler.Overloaded, scheduler.NoUpstream, scheduler.OverLimit, scheduler.Poisonous, scheduler.OutOfRetries,
+	scheduler.Overloaded, scheduler.NoUpstream, scheduler.OverLimit, scheduler.Poisonous, scheduler.PoisonousPart, scheduler.OutOfRetries,
 }
 
 // otherReason is the label of refusals for other reasons, such as an unconfirmed
--- a/internal/ops/reporter/reporter_test.go
+++ b/internal/ops/reporter/reporter_test.go
@@ -88,6 +88,7 @@
 amaranth_refusals_total{class="chat",reason="other"} 1
 amaranth_refusals_total{class="chat",reason="overloaded"} 1
 amaranth_refusals_total{class="chat",reason="poisonous"} 0
+amaranth_refusals_total{class="chat",reason="poisonous_part"} 0
 amaranth_refusals_total{class="chat",reason="retries"} 0
 amaranth_refusals_total{class="chat",reason="unavailable"} 0
 amaranth_requests_total{class="chat",result="abandoned"} 1
--- a/internal/policy/detector/detector.go
+++ b/internal/policy/detector/detector.go
@@ -348,9 +348,9 @@
 	}
 }
 
-// MarkAlive clears the crashes that were recorded for a process which has proved to
-// be alive.
-func (d *Detector) MarkAlive(p Process) {
+// ClearCrashes clears the crashes that were recorded for a process which has proved to
+// be alive, or was lost for a reason that is known.
+func (d *Detector) ClearCrashes(p Process) {
 	for _, r := range d.records {
 		for i := range r.crashes {
 			if r.crashes[i].process == p {
--- a/internal/policy/scheduler/crash.go
+++ b/internal/policy/scheduler/crash.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/amaranthcart/amaranthcart/internal/policy/attributor"
 	"github.com/amaranthcart/amaranthcart/internal/policy/detector"
 )
 
@@ -24,11 +25,12 @@
 // was lost.
 func (s *Scheduler) connectionLost(now time.Time, a *attempt) {
 	s.detector.ConnectionLost(now, a.request.Fingerprint, a.process)
+	s.attributor.Lost(now, &a.evidence)
 	if u := a.upstream; a.process == u.process() {
 		u.connectionLostAt = now
 		u.markDown()
 	}
-	s.refusePoisonous(now)
+	s.reviewCrashes(now)
 }
 
 // refuteCrash returns an upstream to service that shows activity after a connection
@@ -39,7 +41,8 @@
 	}
 	u.connectionLostAt = time.Time{}
 	u.down = false
-	s.detector.MarkAlive(u.process())
+	s.detector.ClearCrashes(u.process())
+	s.attributor.MarkAlive(u.process())
 }
 
 // markDown keeps new work from an upstream until it has announced itself for some
@@ -78,26 +81,29 @@
 // become poisonous.
 func (s *Scheduler) processCrashed(now time.Time, p detector.Process) {
 	s.detector.Crashed(now, p)
-	s.refusePoisonous(now)
+	s.attributor.ProcessLost(now, p)
+	if u := s.upstreams[p.Upstream]; u != nil {
+		for _, a := range u.attempts {
+			if a.process == p {
+				s.attributor.Lost(now, &a.evidence)
+			}
+		}
+	}
+	s.reviewCrashes(now)
 }
 
-func (s *Scheduler) learn(now time.Time, records []detector.Record) {
-	for _, r := range records {
+// PartRecords returns what this scheduler knows about parts of prompts that crash
+// upstreams, to be sent to other hosts.
+func (s *Scheduler) PartRecords(now time.Time) []attributor.Record { return s.attributor.Records(now) }
+
+func (s *Scheduler) learn(now time.Time, e Learn) {
+	for _, r := range e.Records {
 		s.detector.Merge(now, r)
 	}
-	s.refusePoisonous(now)
-}
-
-func (s *Scheduler) refusePoisonous(now time.Time) {
-	for _, p := range s.pools {
-		for _, r := range s.waitingIn(p) {
-			if s.detector.Verdict(now, r.Fingerprint) == detector.Poisonous {
-				s.dequeue(r)
-				s.refuse(r.ID, Poisonous, s.poisonTime())
-				s.settle(r)
-			}
-		}
+	for _, r := range e.Parts {
+		s.attributor.Merge(now, r)
 	}
+	s.reviewCrashes(now)
 }
 
 // detectorEnd translates an outcome into what it tells the detector about the
--- a/internal/policy/scheduler/explain.go
+++ b/internal/policy/scheduler/explain.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
-	"github.com/amaranthcart/amaranthcart/internal/policy/detector"
 )
 
 // Decision tells what would happen to a request that is submitted now.
@@ -60,8 +59,8 @@
 // retry budgets, bars or early refusals.
 func (s *Scheduler) Explain(now time.Time, sent Request) Explanation {
 	var explanation Explanation
-	if s.detector.Verdict(now, sent.Fingerprint) == detector.Poisonous {
-		return Explanation{Decision: Refused, Reason: Poisonous}
+	if reason, _ := s.condemned(now, &sent, partsOf(sent)); reason != "" {
+		return Explanation{Decision: Refused, Reason: reason}
 	}
 	p := s.pools[sent.Pool]
 	if p == nil || !p.live() {
--- a/internal/policy/scheduler/hedge.go
+++ b/internal/policy/scheduler/hedge.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/amaranthcart/amaranthcart/internal/config/validator"
-	"github.com/amaranthcart/amaranthcart/internal/policy/detector"
 )
 
 const (
@@ -116,7 +115,7 @@
 		return false
 	}
 	usual := s.estimator.Start(r.class.name, hedgeQuantile)
-	return usual > 0 && now.Sub(a.granted) > usual && s.detector.Verdict(now, r.Fingerprint) == detector.Clean
+	return usual > 0 && now.Sub(a.granted) > usual && !s.suspect(now, r)
 }
 
 // hedgeTarget returns the least loaded upstream for a hedge, or nil when there is
@@ -132,7 +131,7 @@
 		}
 		free += u.Slots - len(u.attempts)
 		if r.attempt(u.Name) != nil || r.avoids(u.Name) || s.barred(now, u, r) || u.starting() > 0 || s.topTierWaits(u) ||
-			!s.detector.Permits(now, r.Fingerprint, u.process(), true) {
+			!s.permits(now, u, r, true) {
 			continue
 		}
 		if load := u.load(now, p.typicalGap); best == nil || load < least {
--- a/internal/policy/scheduler/load.go
+++ b/internal/policy/scheduler/load.go
@@ -7,7 +7,6 @@
 
 	"github.com/amaranthcart/amaranthcart/internal/config/validator"
 	"github.com/amaranthcart/amaranthcart/internal/member/summarizer"
-	"github.com/amaranthcart/amaranthcart/internal/policy/detector"
 )
 
 // Forecast predicts what the cell can do for a request that has no slot yet.
@@ -81,13 +80,14 @@
 // Forecast predicts what the cell can do for a request, without submitting it.
 func (s *Scheduler) Forecast(now time.Time, sent Request) Forecast {
 	r := &request{Request: sent, class: s.class(sent.Class), organisation: s.organisations[sent.Organisation]}
+	reason, _ := s.condemned(now, &sent, partsOf(sent))
 	if r.Arrived.IsZero() || r.Arrived.After(now) {
 		r.Arrived = now
 	}
 	forecast := Forecast{
 		Tier:    r.class.tier,
 		Allowed: min(s.due(r).Sub(now), r.class.wait),
-		Final:   s.detector.Verdict(now, sent.Fingerprint) == detector.Poisonous,
+		Final:   reason != "",
 	}
 	if p := s.pools[sent.Pool]; p != nil {
 		forecast.Live = p.countAccepting()
--- a/internal/policy/scheduler/move.go
+++ b/internal/policy/scheduler/move.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"github.com/amaranthcart/amaranthcart/internal/policy/detector"
 )
 
 const (
@@ -52,7 +50,7 @@
 	if a.firstTokenAt.IsZero() || a.moving || !r.Repeatable || r.Whole || r.class.tier > 0 || len(r.attempts) > 1 {
 		return false
 	}
-	if s.detector.Verdict(now, r.Fingerprint) != detector.Clean {
+	if s.suspect(now, r) {
 		return false
 	}
 	left := s.estimator.Remaining(r.class.name, r.Request.Organisation, r.Emitted+a.tokens)
--- a/internal/policy/scheduler/placement.go
+++ b/internal/policy/scheduler/placement.go
@@ -6,7 +6,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/amaranthcart/amaranthcart/internal/config/validator"
-	"github.com/amaranthcart/amaranthcart/internal/policy/detector"
 )
 
 const (
@@ -57,7 +56,7 @@
 // so do requests of classes whose answers may pause, because elsewhere they would
 // delay streams. Other requests go where the queue is short.
 func (s *Scheduler) place(now time.Time, r *request) *upstream {
-	if s.unsettled && s.detector.Verdict(now, r.Fingerprint) == detector.Suspect {
+	if s.unsettled && s.suspect(now, r) {
 		return nil
 	}
 	best, shortQueue := s.cheapest(now, r)
@@ -103,7 +102,7 @@
 // the request from the engines in r.obstacle.
 func (s *Scheduler) cheapest(now time.Time, r *request) (best, shortQueue *upstream) {
 	p := r.pool
-	unrestricted := s.detector.Unrestricted(now, r.Fingerprint)
+	unrestricted := s.unrestricted(now, r)
 	ramps := p.ramps()
 	grade := s.bestGrade(now, r, unrestricted)
 	r.obstacle = p.obstacle(now)
@@ -135,7 +134,7 @@
 	if !u.acceptsWork() || len(r.attempts) > 0 && r.attempt(u.Name) != nil || s.barred(now, u, r) || u.exhausted(now) {
 		return false
 	}
-	return unrestricted || s.detector.Permits(now, r.Fingerprint, u.process(), false)
+	return unrestricted || s.permits(now, u, r, false)
 }
 
 // Bits of the grade of an upstream for a request; each bit outweighs those before
--- a/internal/policy/scheduler/preemption.go
+++ b/internal/policy/scheduler/preemption.go
@@ -152,7 +152,7 @@
 	var best *attempt
 	least := 0
 	for _, u := range p.upstreams {
-		if !u.replaceable(now, p, c) || s.barred(now, u, urgent) || !s.detector.Permits(now, urgent.Fingerprint, u.process(), false) {
+		if !u.replaceable(now, p, c) || s.barred(now, u, urgent) || !s.permits(now, u, urgent, false) {
 			continue
 		}
 		for _, a := range u.attempts {
--- a/internal/policy/scheduler/queue.go
+++ b/internal/policy/scheduler/queue.go
@@ -25,11 +25,11 @@
 	upstreams []*upstream
 	tiers     [validator.LowestTier + 1]tier
 	// waits lists the waiting requests of each class, oldest first.
-	waits map[*class][]*request
-	parked     []*request
-	waiting    int
-	retries    retryBudget
-	hedges     hedgeBudget
+	waits   map[*class][]*request
+	parked  []*request
+	waiting int
+	retries retryBudget
+	hedges  hedgeBudget
 	// queued is the number of waiting requests of each tier.
 	queued [validator.LowestTier + 1]int
 	// suspects is the number of those that are suspects, which run alone after a
--- a/internal/policy/scheduler/request.go
+++ b/internal/policy/scheduler/request.go
@@ -7,6 +7,7 @@
 
 	"github.com/amaranthcart/amaranthcart/internal/config/validator"
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"github.com/amaranthcart/amaranthcart/internal/policy/attributor"
 	"github.com/amaranthcart/amaranthcart/internal/policy/detector"
 	"golang.org/x/time/rate"
 )
@@ -46,6 +47,8 @@
 	// suspect is set when the request had been in flight at a crash before it was
 	// submitted.
 	suspect bool
+	// parts are the parts of the request that may crash upstreams.
+	parts []attributor.Part
 	// obstacle tells what prevented the last try to place the request.
 	obstacle Obstacle
 	index    int
@@ -98,6 +101,8 @@
 	// preempted.
 	protected bool
 	process   detector.Process
+	// evidence is the attempt as the attributor knows it.
+	evidence attributor.Attempt
 	// unreadTokens is the number of prompt tokens that the engine had to read,
 	// weighted for the memory in use, and memory the number of tokens that the
 	// attempt takes in the engine's memory.
--- a/internal/policy/scheduler/scheduler.go
+++ b/internal/policy/scheduler/scheduler.go
@@ -6,6 +6,7 @@
 
 	"github.com/amaranthcart/amaranthcart/internal/config/validator"
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"github.com/amaranthcart/amaranthcart/internal/policy/attributor"
 	"github.com/amaranthcart/amaranthcart/internal/policy/detector"
 	"github.com/amaranthcart/amaranthcart/internal/policy/estimator"
 )
@@ -36,6 +37,8 @@
 	// memory is the KV cache size of an engine in tokens, by model.
 	memory      map[validator.PoolName]int
 	detector    *detector.Detector
+	attributor  *attributor.Attributor
+	beginnings  []beginning
 	estimator   *estimator.Estimator
 	virtualTime [validator.LowestTier + 1]float64
 	actions     []Action
@@ -69,6 +72,7 @@
 		retryBurst:    DefaultRetryBurst,
 		memory:        make(map[validator.PoolName]int),
 		detector:      detector.New(),
+		attributor:    attributor.New(),
 		estimator:     estimator.New(),
 	}
 	for _, o := range options {
@@ -109,7 +113,7 @@
 	case Portion:
 		s.setLimitShare(now, e.Part)
 	case Learn:
-		s.learn(now, e.Records)
+		s.learn(now, e)
 	case Settle:
 		s.unsettled = !e.Settled
 		s.refuseStranded(now)
@@ -117,6 +121,9 @@
 		s.hosts = max(e.Hosts, 1)
 	case Tick:
 		s.detector.Expire(now)
+		s.reviewBeginnings(now)
+		s.attributor.Expire(now)
+		s.reportVerdicts()
 		s.expire(now)
 		s.expireInterruptions(now)
 		s.expireBars(now)
@@ -149,9 +156,9 @@
 			return
 		}
 	}
-	verdict := s.detector.Verdict(now, sent.Fingerprint)
-	if verdict == detector.Poisonous {
-		s.refuse(sent.ID, Poisonous, s.poisonTime())
+	parts := partsOf(sent)
+	if reason, after := s.condemned(now, &sent, parts); reason != "" {
+		s.refuse(sent.ID, reason, after)
 		return
 	}
 	p := s.pool(sent.Pool)
@@ -174,7 +181,8 @@
 	}
 	r.pool = p
 	r.resubmit(now, sent)
-	r.suspect = verdict == detector.Suspect
+	r.parts = parts
+	r.suspect = s.suspect(now, r)
 	if interrupted && !record.queued.IsZero() {
 		r.queued = record.queued
 	}
@@ -200,7 +208,7 @@
 
 // open creates the record of a request that is about to wait or run.
 func (s *Scheduler) open(now time.Time, sent Request, p *pool, o *organisation) *request {
-	r := &request{Request: sent, pool: p, organisation: o, class: s.class(sent.Class)}
+	r := &request{Request: sent, pool: p, organisation: o, class: s.class(sent.Class), parts: partsOf(sent)}
 	if r.Arrived.IsZero() || r.Arrived.After(now) {
 		r.Arrived = now
 	}
@@ -235,7 +243,9 @@
 	}
 	a := s.start(now, r, u)
 	a.adopted, a.cacheUnknown = true, true
+	a.evidence.Granted = time.Time{}
 	if !e.Unread {
+		s.attributor.Ended(now, &a.evidence, false)
 		a.finishReading()
 		s.reviewReading(now, u)
 	}
@@ -259,6 +269,7 @@
 func (s *Scheduler) firstToken(now time.Time, e FirstToken) {
 	if a := s.attempt(e.ID, e.Upstream); a != nil && a.firstTokenAt.IsZero() {
 		a.firstTokenAt = now
+		s.answerBegun(now, a)
 		s.noteActivity(now, a.upstream)
 		s.observeReading(now, a)
 		a.upstream.firstTokens++
@@ -277,6 +288,7 @@
 	s.noteActivity(now, a.upstream)
 	if a.firstTokenAt.IsZero() && e.Tokens > 0 {
 		a.firstTokenAt, a.reported = now, now
+		s.answerBegun(now, a)
 		a.upstream.firstTokens++
 		s.observeReading(now, a)
 	}
@@ -333,6 +345,8 @@
 func (s *Scheduler) start(now time.Time, r *request, u *upstream) *attempt {
 	a := &attempt{request: r, upstream: u, granted: now, process: u.process()}
 	s.detector.Started(r.Fingerprint, a.process)
+	a.evidence = attributor.Attempt{Parts: r.parts, Organisation: r.Request.Organisation, Process: a.process, Version: u.version, Granted: now}
+	s.attributor.Started(now, &a.evidence)
 	u.prefixes.add(r.Prefix)
 	s.beginReading(now, a)
 	r.attempts = append(r.attempts, a)
@@ -353,6 +367,7 @@
 	r := a.request
 	if o != Crashed {
 		s.detector.Ended(now, r.Fingerprint, a.process, detectorEnd(o))
+		s.endEvidence(now, a, o)
 	}
 	r.attempts = remove(r.attempts, a)
 	a.upstream.attempts = remove(a.upstream.attempts, a)
--- a/internal/policy/scheduler/types.go
+++ b/internal/policy/scheduler/types.go
@@ -21,6 +21,7 @@
 
 	"github.com/amaranthcart/amaranthcart/internal/config/validator"
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"github.com/amaranthcart/amaranthcart/internal/policy/attributor"
 	"github.com/amaranthcart/amaranthcart/internal/policy/detector"
 )
 
@@ -84,6 +85,9 @@
 	// Fingerprint identifies the content of the request. It is empty when crashes
 	// of the request are not tracked.
 	Fingerprint string
+	// Parts holds the hashes of the parts of the request that other requests may
+	// share, when these are not the blocks of Prefix.
+	Parts []uint64
 	// Arrived is the time at which the entry host received the request.
 	Arrived time.Time
 }
@@ -136,6 +140,9 @@
 	OverLimit Reason = "limited"
 	// Poisonous means that the request has crashed upstreams.
 	Poisonous Reason = "poisonous"
+	// PoisonousPart means that requests with a part of the request's prompt have
+	// crashed upstreams.
+	PoisonousPart Reason = "poisonous_part"
 	// OutOfRetries means that the retry budget of the pool is spent.
 	OutOfRetries Reason = "retries"
 	// Elsewhere means that the request should be sent to another cell instead.
@@ -208,8 +215,12 @@
 	Blocks      []Block
 }
 
-// Learn reports what other hosts know about requests that crash upstreams.
-type Learn struct{ Records []detector.Record }
+// Learn reports what other hosts know about requests that crash upstreams, and about
+// the parts that these have in common.
+type Learn struct {
+	Records []detector.Record
+	Parts   []attributor.Record
+}
 
 // Settle tells whether this scheduler is known to be the only one of the cell, and
 // to have learned of the cell's upstreams and of the crashes that other hosts saw.
@@ -318,6 +329,8 @@
 	// SlowUpstream means that the rest of the answer takes less time on another
 	// upstream.
 	SlowUpstream Cause = "slow"
+	// BlamedPart means that the request has a part that crashes upstreams.
+	BlamedPart Cause = "part"
 )
 
 // Silence reports that nothing has been received for too long from an upstream that
--- a/internal/policy/scheduler/upstream.go
+++ b/internal/policy/scheduler/upstream.go
@@ -7,7 +7,7 @@
 
 	"github.com/amaranthcart/amaranthcart/internal/config/validator"
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
-	"github.com/amaranthcart/amaranthcart/internal/policy/detector"
+	"github.com/amaranthcart/amaranthcart/internal/policy/attributor"
 )
 
 // staleAnnouncements is the number of announcements that can still be on their way
@@ -58,6 +58,8 @@
 	// pendingRead is the predicted reading time of the attempts without a token,
 	// for each tier.
 	pendingRead [validator.LowestTier + 1]time.Duration
+	// version is the hash of Versions.
+	version attributor.Version
 	// nameHash is the hash of the name, or 0 until it is first needed.
 	nameHash uint64
 	// readShare is the recent share of time for which the engine was reading, as of
@@ -78,7 +80,9 @@
 	quota *quota
 }
 
-func newUpstream(u registrar.Upstream) *upstream { return &upstream{Upstream: u} }
+func newUpstream(u registrar.Upstream) *upstream {
+	return &upstream{Upstream: u, version: versionOf(u.Versions)}
+}
 
 // free reports whether the upstream can take another request now.
 func (u *upstream) free() bool {
@@ -115,6 +119,7 @@
 		u.firstTokens = 0
 	}
 	u.Upstream = news
+	u.version = versionOf(news.Versions)
 	u.gone = false
 }
 
@@ -263,8 +268,8 @@
 	if s.memory[p.name] > 0 {
 		return s.place(now, r)
 	}
-	unrestricted := s.detector.Unrestricted(now, r.Fingerprint)
-	if s.unsettled && s.detector.Verdict(now, r.Fingerprint) == detector.Suspect {
+	unrestricted := s.unrestricted(now, r)
+	if s.unsettled && s.suspect(now, r) {
 		return nil
 	}
 	avoidable, fast, active := false, false, false
@@ -282,7 +287,7 @@
 		if !u.usable(ramps) || avoidable && r.avoids(u.Name) || r.attempt(u.Name) != nil || active && u.isSilent(now) || s.barred(now, u, r) || u.exhausted(now) {
 			continue
 		}
-		if !unrestricted && !s.detector.Permits(now, r.Fingerprint, u.process(), false) {
+		if !unrestricted && !s.permits(now, u, r, false) {
 			continue
 		}
 		if fast && !u.suits(now, r.class, p.typicalGap) {
