dispatcher: all hosts know the parts that crash upstreams

A change of the owner forgot which parts had crashed upstreams, so that the next owner lost as many engines again.

Change: the crash records that hosts exchange (heartbeats of links, gossip, the answers of control hosts) carry records of parts: at most 32, with ages in place of times, and the answers that refute them, so that a stale record restores nothing. A host that reports a slot in use tells since when it holds it, so that the crash of an attempt that the last owner granted counts as a round. Suspects of both kinds run apart from each other, on the engine with the fewest other requests. A crash at the same moment as the loss of others counts one round less, for whole requests as well.

--- a/internal/daemon/runner/adapter.go
+++ b/internal/daemon/runner/adapter.go
@@ -1,14 +1,12 @@
 package runner
 
 import (
-	"slices"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 
 	"github.com/amaranthcart/amaranthcart/internal/entry/dispatcher"
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
-	"github.com/amaranthcart/amaranthcart/internal/policy/detector"
 	"github.com/amaranthcart/amaranthcart/internal/rpc/wire"
 )
 
@@ -64,18 +62,20 @@
 func (m membership) Current() bool { return m.members.Current() }
 
 // crashes adapts the scheduler's crash records to gossiper.Fingerprints.
-type crashes struct{ local *dispatcher.Local }
+type crashes struct {
+	local *dispatcher.Local
+	clock clockwork.Clock
+}
 
 // Fingerprints returns the settled crash records of this host.
 func (c crashes) Fingerprints() []*wire.Fingerprint {
-	records := c.local.Crashes()
-	records = slices.DeleteFunc(records, func(r detector.Record) bool { return !r.Settled() })
-	return dispatcher.EncodeCrashes(records)
+	now := c.clock.Now()
+	return dispatcher.EncodeCrashes(c.local.Crashes().Settled(now), now)
 }
 
 // MergeFingerprints adds the crash records of another host to those of the scheduler.
 func (c crashes) MergeFingerprints(list []*wire.Fingerprint) {
-	if records := dispatcher.DecodeCrashes(list); len(records) > 0 {
+	if records := dispatcher.DecodeCrashes(list, c.clock.Now()); !records.Empty() {
 		c.local.Learn(records)
 	}
 }
--- a/internal/entry/dispatcher/link.go
+++ b/internal/entry/dispatcher/link.go
@@ -369,7 +369,7 @@
 // take handles a message of the owner.
 func (l *link) take(m *wire.DispatchResponse) {
 	if len(m.Fingerprints) > 0 {
-		l.settings.Local.Learn(DecodeCrashes(m.Fingerprints))
+		l.settings.Local.Learn(DecodeCrashes(m.Fingerprints, l.settings.Clock.Now()))
 	}
 	for _, e := range decodeLimits(m.Limits, l.settings.Clock.Now()) {
 		l.settings.Local.recordLimit(e)
@@ -431,7 +431,7 @@
 // sendCrashes reports the crashes that this host knows of to the owner, ahead of the
 // requests that are handed over.
 func (l *link) sendCrashes() {
-	known := EncodeCrashes(l.settings.Local.Crashes())
+	known := EncodeCrashes(l.settings.Local.Crashes(), l.settings.Clock.Now())
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.pending.crashes = known
--- a/internal/entry/dispatcher/local.go
+++ b/internal/entry/dispatcher/local.go
@@ -16,7 +16,6 @@
 	"github.com/amaranthcart/amaranthcart/internal/config/validator"
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
 	"github.com/amaranthcart/amaranthcart/internal/ops/restarter"
-	"github.com/amaranthcart/amaranthcart/internal/policy/detector"
 	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
 )
 
@@ -302,7 +301,7 @@
 		return
 	}
 	o.hold(id)
-	l.step(scheduler.Adopt{Request: r, Upstream: id, Unread: h.unread})
+	l.step(scheduler.Adopt{Request: r, Upstream: id, Unread: h.unread, Granted: h.granted})
 }
 
 // report implements route.
@@ -491,18 +490,19 @@
 }
 
 // Crashes returns what the scheduler knows about requests that crash upstreams.
-func (l *Local) Crashes() []detector.Record {
+func (l *Local) Crashes() CrashRecords {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.scheduler.Crashes(l.clock.Now())
+	now := l.clock.Now()
+	return CrashRecords{Requests: l.scheduler.Crashes(now), Parts: l.scheduler.PartRecords(now)}
 }
 
 // Learn passes what other hosts know about requests that crash upstreams to the
 // scheduler.
-func (l *Local) Learn(records []detector.Record) {
+func (l *Local) Learn(records CrashRecords) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.step(scheduler.Learn{Records: records})
+	l.step(scheduler.Learn{Records: records.Requests, Parts: records.Parts})
 }
 
 // Explain returns what the scheduler would do with a request.
--- a/internal/entry/dispatcher/message.go
+++ b/internal/entry/dispatcher/message.go
@@ -31,6 +31,11 @@
 		Spilled:      string(r.Spilled),
 		Busy:         r.Busy,
 		Rescue:       r.Rescue,
+		Parts:        r.Parts,
+	}
+	if !held.granted.IsZero() {
+		age := max(now.Sub(held.granted).Milliseconds(), 0)
+		m.Granted = &age
 	}
 	for _, end := range r.Ends {
 		m.Ends = append(m.Ends, uint32(max(end, 0)))
@@ -61,6 +66,7 @@
 		Spilled:      registrar.CellName(m.Spilled),
 		Busy:         m.Busy,
 		Rescue:       m.Rescue,
+		Parts:        m.Parts,
 		Arrived:      now.Add(-time.Duration(max(m.Age, 0)) * time.Millisecond),
 	}
 	for _, end := range m.Ends {
@@ -72,6 +78,15 @@
 	return r
 }
 
+// decodeHolding returns the slot that the request of a message holds.
+func decodeHolding(m *wire.SlotRequest, now time.Time) holding {
+	h := holding{upstream: registrar.UpstreamID(m.Held), unread: m.Unread}
+	if m.Granted != nil {
+		h.granted = now.Add(-milliseconds(*m.Granted))
+	}
+	return h
+}
+
 // encodeProgress converts an event of an attempt to a message, which is empty for other
 // events.
 func encodeProgress(e scheduler.Event) *wire.SlotProgress {
--- a/internal/entry/dispatcher/server.go
+++ b/internal/entry/dispatcher/server.go
@@ -298,12 +298,14 @@
 }
 
 // addCrashes adds the known crashes to a message whose refusals need them: those that
-// send the request to another cell, and those of a poisonous request for the other hosts
-// of a foreign cell.
+// send the request to another cell, and for the other hosts of a foreign cell those of a
+// request that crashes upstreams.
 func (n *session) addCrashes(m *wire.DispatchResponse) *wire.DispatchResponse {
 	for _, r := range m.Refusals {
-		if reason := scheduler.Reason(r.Reason); reason == scheduler.Elsewhere || reason == scheduler.Poisonous && n.foreign {
-			m.Fingerprints = EncodeCrashes(n.server.settings.Local.Crashes())
+		reason := scheduler.Reason(r.Reason)
+		crashes := reason == scheduler.Poisonous || reason == scheduler.PoisonousPart
+		if reason == scheduler.Elsewhere || crashes && n.foreign {
+			m.Fingerprints = EncodeCrashes(n.server.settings.Local.Crashes(), n.clock().Now())
 			break
 		}
 	}
@@ -319,7 +321,7 @@
 	}
 	now := n.clock().Now()
 	if len(m.Fingerprints) > 0 {
-		n.server.settings.Local.Learn(DecodeCrashes(m.Fingerprints))
+		n.server.settings.Local.Learn(DecodeCrashes(m.Fingerprints, now))
 	}
 	n.server.settings.Local.setBars(decodeBars(n.host, m.Bars))
 	n.recordLimits(m.Limits, now)
@@ -353,7 +355,7 @@
 		return
 	}
 	n.confirmSlot(r.ID, registrar.UpstreamID(m.Held))
-	l.adopt(r, holding{upstream: registrar.UpstreamID(m.Held), unread: m.Unread}, n.notify)
+	l.adopt(r, decodeHolding(m, now), n.notify)
 }
 
 // freeLostGrants frees the orphaned slots of a request that waits at its host: their
--- a/internal/entry/dispatcher/ticket.go
+++ b/internal/entry/dispatcher/ticket.go
@@ -37,6 +37,8 @@
 	upstream registrar.UpstreamID
 	// unread is set until the upstream has returned the first token.
 	unread bool
+	// granted is when the slot was granted, or the zero time if that is not known.
+	granted time.Time
 }
 
 // finder looks up an upstream in this host's view.
@@ -119,7 +121,7 @@
 	notify := t.sink(t.epoch)
 	held := make([]holding, 0, len(t.slots))
 	for _, s := range t.slots {
-		held = append(held, holding{upstream: s.upstreamID(), unread: !s.begun})
+		held = append(held, holding{upstream: s.upstreamID(), unread: !s.begun, granted: s.granted})
 	}
 	t.mu.Unlock()
 	for _, h := range held {
@@ -232,7 +234,8 @@
 	s.preempted = make(chan struct{})
 	s.gone = make(chan struct{})
 	s.hedged = make(chan Slot, 1)
-	s.reported = t.clock.Now()
+	s.granted = t.clock.Now()
+	s.reported = s.granted
 	t.slots = append(t.slots, s)
 	return s
 }
@@ -293,6 +296,7 @@
 	upstream  registrar.Upstream
 	priority  int
 	predicted time.Duration
+	granted   time.Time
 	preempted chan struct{}
 	gone      chan struct{}
 	hedged    chan Slot
--- a/internal/member/gossiper/fingerprints.go
+++ b/internal/member/gossiper/fingerprints.go
@@ -50,9 +50,14 @@
 	return &FingerprintLog{entries: map[string]fingerprintEntry{}, sent: map[string]sentMark{}}
 }
 
-// contentOf returns a hash of the content of a fingerprint, without its age.
+// contentOf returns a hash of the content of a fingerprint, without ages.
 func contentOf(p *wire.Fingerprint) uint64 {
-	return xxhash.Sum64String(strings.Join(p.GetUpstreams(), " ")) + uint64(p.GetCrashes())
+	h := xxhash.New()
+	_, _ = h.WriteString(strings.Join(p.GetUpstreams(), " "))
+	for _, c := range p.GetPart().GetCrashes() {
+		_, _ = h.WriteString(" " + c.GetUpstream())
+	}
+	return h.Sum64() + uint64(p.GetCrashes())
 }
 
 // TakeUnsent returns the fingerprints of the list that have not been sent to the peer, the
--- a/internal/policy/attributor/attributor.go
+++ b/internal/policy/attributor/attributor.go
@@ -54,7 +54,7 @@
 	// answered ones.
 	maxRecent = 8192
 	// maxRecords bounds the parts on record. A caller can send any number of parts.
-	maxRecords = 1024
+	maxRecords = 512
 	// lossMemory is how long a lost process is remembered.
 	lossMemory = time.Minute
 )
@@ -90,10 +90,12 @@
 	// Granted is when the attempt began. It is zero for an attempt that began under
 	// another scheduler.
 	Granted time.Time
+	// Alone is set when the request has to run alone for another reason than its parts.
+	Alone bool
 
-	// running is set while the upstream has neither answered nor been lost, and alone
-	// if the request was a suspect at its start.
-	running, alone bool
+	// running is set while the upstream has neither answered nor been lost, and trial if
+	// the attempt runs alone.
+	running, trial bool
 }
 
 // Pending reports whether the upstream has neither begun to answer nor been lost.
@@ -171,7 +173,7 @@
 		return Clean, 0
 	}
 	until := a.blamedUntil(r, here)
-	if !now.Before(until) || !concerns(here, o) || !containsAll(parts, a.companions(p, crashes)) {
+	if !now.Before(until) || !concerns(here, o) || a.ambiguous(p, crashes, parts) {
 		return Suspect, 0
 	}
 	return Blamed, until.Sub(now)
@@ -181,8 +183,11 @@
 // other pending attempt has its suspected parts, and its process runs no other suspect.
 func (a *Attributor) Permits(now time.Time, t Attempt) bool {
 	verdict, _ := a.Verdict(now, t.Parts, t.Organisation, t.Version)
-	if verdict != Suspect {
-		return verdict == Clean
+	if verdict == Blamed {
+		return false
+	}
+	if verdict == Clean && !t.Alone {
+		return true
 	}
 	if a.trials[t.Process] > 0 {
 		return false
@@ -204,8 +209,8 @@
 	for _, p := range t.Parts {
 		a.pending[p]++
 	}
-	if verdict, _ := a.Verdict(now, t.Parts, t.Organisation, t.Version); verdict != Clean {
-		t.alone = true
+	if verdict, _ := a.Verdict(now, t.Parts, t.Organisation, t.Version); verdict != Clean || t.Alone {
+		t.trial = true
 		a.trials[t.Process]++
 	}
 }
@@ -363,7 +368,7 @@
 			delete(a.pending, p)
 		}
 	}
-	if !t.alone {
+	if !t.trial {
 		return
 	}
 	if a.trials[t.Process]--; a.trials[t.Process] <= 0 {
--- a/internal/policy/attributor/exchange.go
+++ b/internal/policy/attributor/exchange.go
@@ -9,8 +9,7 @@
 const (
 	// MaxShared is the number of records that a host passes on.
 	MaxShared = 32
-	// settleTime is the age from which a crash is passed on. A process that has lost only
-	// one connection proves to be alive before that.
+	// settleTime is the age from which a crash is certain.
 	settleTime = 300 * time.Millisecond
 )
 
@@ -23,17 +22,25 @@
 	Proven bool
 }
 
+// Settled reports whether the crashes of the record are certain, which they are once the
+// last one is old enough: a process that has lost only one connection proves to be alive
+// before that.
+func (r Record) Settled(now time.Time) bool {
+	return !slices.ContainsFunc(r.Crashes, func(c Crash) bool { return now.Sub(c.At) < settleTime })
+}
+
 // Records returns the records that other hosts should know, those with the most crashes
 // first. Once a record was passed on, its refutation is, too.
 func (a *Attributor) Records(now time.Time) []Record {
 	var list []Record
 	for p, r := range a.records {
+		if !r.shared && !r.suspected(r.crashes) {
+			continue
+		}
 		out := Record{Part: p, Proven: r.proven, Answers: slices.Clone(r.answers)}
 		for _, c := range a.unexplained(p, r) {
-			if now.Sub(c.At) >= settleTime {
-				c.Overlaps = c.Overlaps || a.overlaps(r, c)
-				out.Crashes = append(out.Crashes, c)
-			}
+			c.Overlaps = c.Overlaps || a.overlaps(r, c)
+			out.Crashes = append(out.Crashes, c)
 		}
 		if len(out.Crashes) > 0 || r.shared {
 			list = append(list, out)
@@ -44,13 +51,24 @@
 	})
 	list = list[:min(len(list), MaxShared)]
 	for _, r := range list {
-		a.records[r.Part].shared = true
+		if r.Settled(now) {
+			a.records[r.Part].shared = true
+		}
 	}
 	return list
 }
 
 // Merge adds what another host knows.
-func (a *Attributor) Merge(now time.Time, news Record) {
+func (a *Attributor) Merge(now time.Time, news []Record) {
+	for _, r := range news {
+		a.merge(now, r)
+	}
+	if len(news) > 0 {
+		a.explain()
+	}
+}
+
+func (a *Attributor) merge(now time.Time, news Record) {
 	if a.records[news.Part] == nil && len(news.Crashes) == 0 {
 		return
 	}
@@ -66,7 +84,6 @@
 		c.At = earlier(c.At, now)
 		r.add(c)
 	}
-	a.explain()
 }
 
 func earlier(a, b time.Time) time.Time {
--- a/internal/policy/attributor/explanation.go
+++ b/internal/policy/attributor/explanation.go
@@ -33,7 +33,7 @@
 		r := a.records[p]
 		crashes := a.unexplained(p, r)
 		until := a.latestBlame(r, crashes)
-		if until.IsZero() || len(a.companions(p, crashes)) > 0 {
+		if until.IsZero() || a.ambiguous(p, crashes, nil) {
 			continue
 		}
 		for _, c := range crashes {
@@ -60,7 +60,7 @@
 func (a *Attributor) blamedParts() []Part {
 	var list []Part
 	for p, r := range a.records {
-		if !a.latestBlame(r, r.crashes).IsZero() {
+		if len(r.crashes) >= blamedRounds+r.grace() && !a.latestBlame(r, r.crashes).IsZero() {
 			list = append(list, p)
 		}
 	}
@@ -133,17 +133,16 @@
 	})
 }
 
-// companions lists the suspected parts that were in all of the crashes of another part,
-// and so may be their reason in its place.
-func (a *Attributor) companions(p Part, crashes []Crash) []Part {
-	var list []Part
+// ambiguous reports whether a suspected part outside the given ones was in all of the
+// crashes of a part, and so may be their reason in its place.
+func (a *Attributor) ambiguous(p Part, crashes []Crash, parts []Part) bool {
 	for q, r := range a.records {
-		if q == p || len(r.crashes) < len(crashes) {
+		if q == p || len(r.crashes) < len(crashes) || !covers(r.crashes, crashes) || slices.Contains(parts, q) {
 			continue
 		}
 		if other := a.unexplained(q, r); r.suspected(other) && covers(other, crashes) {
-			list = append(list, q)
+			return true
 		}
 	}
-	return list
+	return false
 }
--- a/internal/policy/attributor/record.go
+++ b/internal/policy/attributor/record.go
@@ -27,11 +27,11 @@
 	// refutedTime is how long the record of a refuted part is kept, so that older
 	// records of other hosts don't restore it.
 	refutedTime = 30 * time.Second
-	// maxCrashes is the number of crashes that the record of a part keeps.
-	maxCrashes = 8
-	// maxVersions is the number of versions for which a record tells that a part is
+	// MaxCrashes is the number of crashes that the record of a part keeps.
+	MaxCrashes = 8
+	// MaxVersions is the number of versions for which a record tells that a part is
 	// sound.
-	maxVersions = 4
+	MaxVersions = 4
 )
 
 // Crash is the loss of a process that had not begun to answer a request with a part.
@@ -74,7 +74,7 @@
 	}
 	r.crashes = append(r.crashes, c)
 	slices.SortFunc(r.crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
-	if extra := len(r.crashes) - maxCrashes; extra > 0 {
+	if extra := len(r.crashes) - MaxCrashes; extra > 0 {
 		r.crashes = slices.Delete(r.crashes, 0, extra)
 	}
 }
@@ -94,7 +94,7 @@
 		}
 	}
 	r.answers = append(r.answers, Answer{v, at})
-	if len(r.answers) > maxVersions {
+	if len(r.answers) > MaxVersions {
 		r.answers = slices.Delete(r.answers, 0, 1)
 	}
 }
@@ -170,10 +170,6 @@
 	return false
 }
 
-func containsAll(parts, some []Part) bool {
-	return !slices.ContainsFunc(some, func(p Part) bool { return !slices.Contains(parts, p) })
-}
-
 // covers reports whether all processes of some were lost in crashes, too.
 func covers(crashes, some []Crash) bool {
 	return !slices.ContainsFunc(some, func(c Crash) bool {
--- a/internal/policy/detector/detector.go
+++ b/internal/policy/detector/detector.go
@@ -46,6 +46,10 @@
 	// engine may crash shortly after a caller gave up, and a resent request must
 	// not reach another upstream before such a crash is known.
 	lingerTime = 2 * time.Second
+	// overlapTime is the time between two losses that may have a cause in common, and
+	// lossMemory how long a loss is remembered.
+	overlapTime = 500 * time.Millisecond
+	lossMemory  = time.Minute
 	// confirmTime is the age from which a crash counts as certain. A process that
 	// has lost only one connection proves to be alive before that.
 	confirmTime = 300 * time.Millisecond
@@ -101,6 +105,8 @@
 type crash struct {
 	process Process
 	cleared bool
+	// at is zero for a crash that another host reported.
+	at time.Time
 }
 
 type record struct {
@@ -118,12 +124,17 @@
 	return n
 }
 
-func (r *record) add(p Process) {
-	if !slices.ContainsFunc(r.crashes, func(c crash) bool { return c.process == p }) {
-		r.crashes = append(r.crashes, crash{process: p})
+// add records a crash; at is zero when it is not known when it happened.
+func (r *record) add(at time.Time, p Process) {
+	if !r.includes(p) {
+		r.crashes = append(r.crashes, crash{process: p, at: at})
 	}
 }
 
+func (r *record) includes(p Process) bool {
+	return slices.ContainsFunc(r.crashes, func(c crash) bool { return c.process == p })
+}
+
 // flight holds the attempts of a fingerprint that are in flight: the number running
 // on each process, and the times until which withdrawn attempts linger.
 type flight struct {
@@ -165,6 +176,8 @@
 	retention time.Duration
 	records   map[string]*record
 	flights   map[string]*flight
+	// losses holds the times at which processes were lost.
+	losses map[Process]time.Time
 }
 
 // Option configures a new Detector.
@@ -182,6 +195,7 @@
 		retention: DefaultRetention,
 		records:   make(map[string]*record),
 		flights:   make(map[string]*flight),
+		losses:    make(map[Process]time.Time),
 	}
 	for _, o := range options {
 		o(d)
@@ -199,7 +213,32 @@
 	if r == nil || !now.Before(r.expires) {
 		return Clean
 	}
-	return Verdict(min(r.count(), crashLimit))
+	return Verdict(min(d.count(r), crashLimit))
+}
+
+// count returns the number of crashes that count against a record. One less counts when
+// a process without the request was lost at about the same time: the reason may be
+// another one, such as a rack that loses power.
+func (d *Detector) count(r *record) int {
+	n := r.count()
+	if n >= crashLimit && d.overlaps(r) {
+		n--
+	}
+	return n
+}
+
+// overlaps reports whether a process without the request was lost at about the same time
+// as one of its crashes.
+func (d *Detector) overlaps(r *record) bool {
+	for p, at := range d.losses {
+		if r.includes(p) {
+			continue
+		}
+		if slices.ContainsFunc(r.crashes, func(c crash) bool { return !c.cleared && c.at.Sub(at).Abs() <= overlapTime }) {
+			return true
+		}
+	}
+	return false
 }
 
 // Permits reports whether an attempt may start on the process; hedge tells whether
@@ -216,7 +255,7 @@
 	case Poisonous:
 		return false
 	case Suspect:
-		return (f == nil || f.empty()) && !d.hostsSuspect(now, p)
+		return (f == nil || f.empty()) && !d.HostsSuspect(now, p)
 	}
 	if f == nil || f.answered {
 		return true
@@ -233,8 +272,8 @@
 	return d.flights[fingerprint] == nil && d.Verdict(now, fingerprint) == Clean
 }
 
-// hostsSuspect reports whether a suspect is in flight on the process.
-func (d *Detector) hostsSuspect(now time.Time, p Process) bool {
+// HostsSuspect reports whether a suspect is in flight on the process.
+func (d *Detector) HostsSuspect(now time.Time, p Process) bool {
 	for fingerprint := range d.records {
 		f := d.flights[fingerprint]
 		if f == nil || d.Verdict(now, fingerprint) == Clean {
@@ -301,7 +340,7 @@
 // clearSuspect clears the crashes of a suspect. Poisonous records stay.
 func (d *Detector) clearSuspect(fingerprint string) {
 	r := d.records[fingerprint]
-	if r == nil || r.count() >= crashLimit {
+	if r == nil || d.count(r) >= crashLimit {
 		return
 	}
 	for i := range r.crashes {
@@ -313,6 +352,7 @@
 // fingerprints in flight there at once, before their own attempts are reported, and
 // removes these attempts.
 func (d *Detector) Crashed(now time.Time, p Process) {
+	d.lost(now, p)
 	for fingerprint, f := range d.flights {
 		f.expire(now)
 		if _, lingers := f.lingering[p]; f.running[p] == 0 && !lingers {
@@ -333,6 +373,7 @@
 // to be alive. The other fingerprints in flight there are not suspects, since their
 // connections have not ended.
 func (d *Detector) ConnectionLost(now time.Time, fingerprint string, p Process) {
+	d.lost(now, p)
 	if fingerprint == "" {
 		return
 	}
@@ -351,6 +392,7 @@
 // ClearCrashes clears the crashes that were recorded for a process which has proved to
 // be alive, or was lost for a reason that is known.
 func (d *Detector) ClearCrashes(p Process) {
+	delete(d.losses, p)
 	for _, r := range d.records {
 		for i := range r.crashes {
 			if r.crashes[i].process == p {
@@ -360,9 +402,16 @@
 	}
 }
 
+// lost notes when a process was lost.
+func (d *Detector) lost(now time.Time, p Process) {
+	if _, known := d.losses[p]; !known {
+		d.losses[p] = now
+	}
+}
+
 func (d *Detector) suspect(now time.Time, fingerprint string, p Process) {
 	r := d.record(now, fingerprint)
-	r.add(p)
+	r.add(now, p)
 	r.expires = now.Add(d.retention)
 }
 
@@ -383,7 +432,7 @@
 	}
 	r := d.record(now, news.Fingerprint)
 	for _, p := range news.Crashes {
-		r.add(p)
+		r.add(time.Time{}, p)
 	}
 	if expires.After(r.expires) {
 		r.expires = expires
@@ -404,6 +453,7 @@
 				out.Crashes = append(out.Crashes, c.process)
 			}
 		}
+		out.Crashes = out.Crashes[:d.count(r)]
 		list = append(list, out)
 	}
 	slices.SortFunc(list, func(a, b Record) int { return strings.Compare(a.Fingerprint, b.Fingerprint) })
@@ -422,4 +472,9 @@
 			delete(d.flights, fingerprint)
 		}
 	}
+	for p, at := range d.losses {
+		if now.Sub(at) > lossMemory {
+			delete(d.losses, p)
+		}
+	}
 }
--- a/internal/policy/scheduler/crash.go
+++ b/internal/policy/scheduler/crash.go
@@ -100,9 +100,7 @@
 	for _, r := range e.Records {
 		s.detector.Merge(now, r)
 	}
-	for _, r := range e.Parts {
-		s.attributor.Merge(now, r)
-	}
+	s.attributor.Merge(now, e.Parts)
 	s.reviewCrashes(now)
 }
 
--- a/internal/policy/scheduler/part.go
+++ b/internal/policy/scheduler/part.go
@@ -105,8 +105,25 @@
 
 // permits reports whether the crash records allow the request on the upstream.
 func (s *Scheduler) permits(now time.Time, u *upstream, r *request, hedge bool) bool {
-	return s.detector.Permits(now, r.Fingerprint, u.process(), hedge) &&
-		(s.attributor.Empty() || s.attributor.Permits(now, attributor.Attempt{Parts: r.parts, Organisation: r.Request.Organisation, Process: u.process(), Version: u.version}))
+	if !s.detector.Permits(now, r.Fingerprint, u.process(), hedge) {
+		return false
+	}
+	if s.attributor.Empty() || !s.suspect(now, r) {
+		return true
+	}
+	return !s.detector.HostsSuspect(now, u.process()) && s.attributor.Permits(now, s.evidence(now, u, r))
+}
+
+// evidence returns an attempt of the request that begins now as the attributor knows it.
+func (s *Scheduler) evidence(now time.Time, u *upstream, r *request) attributor.Attempt {
+	return attributor.Attempt{
+		Parts:        r.parts,
+		Organisation: r.Request.Organisation,
+		Process:      u.process(),
+		Version:      u.version,
+		Granted:      now,
+		Alone:        s.detector.Verdict(now, r.Fingerprint) != detector.Clean,
+	}
 }
 
 // reviewCrashes applies what the last crash, or the crashes that other hosts know of,
--- a/internal/policy/scheduler/part_test.go
+++ b/internal/policy/scheduler/part_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -49,15 +50,16 @@
 func newCrashFleet(t *testing.T, engines int, deadly ...uint64) *crashFleet {
 	f := &crashFleet{t: t, now: start, deadly: deadly, runs: map[registrar.UpstreamID][]*run{}, back: map[registrar.UpstreamID]time.Time{},
 		incarnation: map[registrar.UpstreamID]registrar.Incarnation{}, open: map[RequestID]Request{}}
-	f.replaceScheduler()
+	f.replaceScheduler(nil)
 	for i := range engines {
 		f.observe(registrar.UpstreamID(fmt.Sprint("e", i)))
 	}
 	return f
 }
 
-// replaceScheduler starts a scheduler that knows nothing, as the next owner of a cell.
-func (f *crashFleet) replaceScheduler() {
+// replaceScheduler starts the scheduler of the next owner of a cell. It learns what the
+// last one knew, unless that is nil, before it adopts the slots in use.
+func (f *crashFleet) replaceScheduler(last *Scheduler) {
 	f.s = New(WithSeed(1))
 	d := document()
 	d.Models = []validator.Model{{Name: "m", Memory: 400_000}}
@@ -70,11 +72,21 @@
 			f.step(Observe{e})
 		}
 	}
+	if last != nil {
+		f.learn(last)
+	}
+	waiting := maps.Clone(f.open)
 	for _, u := range f.upstreams() {
 		for _, r := range f.runs[u] {
-			f.step(Adopt{Request: r.request, Upstream: u, Unread: !r.begun})
+			f.step(Adopt{Request: r.request, Upstream: u, Unread: !r.begun, Granted: r.granted})
+			delete(waiting, r.request.ID)
 		}
 	}
+	for _, id := range slices.Sorted(maps.Keys(waiting)) {
+		r := waiting[id]
+		r.Moved = true
+		f.step(Submit{r})
+	}
 }
 
 func (f *crashFleet) upstreams() []registrar.UpstreamID {
@@ -115,7 +127,14 @@
 	for _, a := range append([]Action(nil), f.s.Step(f.now, e)...) {
 		switch a := a.(type) {
 		case Grant:
+			if _, gone := f.back[a.Upstream]; gone {
+				f.step(Finished{ID: a.ID, Upstream: a.Upstream, Outcome: ConnectionRefused})
+				f.retry(f.open[a.ID])
+				continue
+			}
 			f.runs[a.Upstream] = append(f.runs[a.Upstream], &run{request: f.open[a.ID], granted: f.now})
+		case Withhold:
+			f.t.Logf("%v: part %d blamed %v for %d crashes", f.now.Sub(start), a.Part.Hash, a.Blamed, len(a.Crashes))
 		case Hedge:
 			f.step(Finished{ID: a.ID, Upstream: a.Upstream, Outcome: Abandoned})
 		case Preempt:
@@ -123,6 +142,7 @@
 		case Refuse:
 			if r := f.open[a.ID]; !f.isDeadly(r) {
 				f.soundRefused++
+				f.t.Logf("%v: sound request %s refused: %s, retry after %v", f.now.Sub(start), a.ID, a.Reason, a.RetryAfter)
 			}
 			delete(f.open, a.ID)
 		}
@@ -139,34 +159,46 @@
 	r := f.runs[p.Upstream][i].request
 	f.runs[p.Upstream] = slices.Delete(f.runs[p.Upstream], i, i+1)
 	f.step(Finished{ID: p.ID, Upstream: p.Upstream, Outcome: Preempted})
-	r.Retry = true
-	f.open[r.ID] = r
-	f.step(Submit{r})
+	f.retry(r)
 }
 
-// crash ends an engine and sends its requests again.
-func (f *crashFleet) crash(u registrar.UpstreamID) {
-	f.crashes++
-	lost := f.runs[u]
-	f.runs[u] = nil
-	f.back[u] = f.now.Add(restartTime)
-	for _, r := range lost {
-		tokens := 0
-		if r.begun {
-			tokens = 10
+// crash ends engines at the same moment and sends their requests again.
+func (f *crashFleet) crash(engines ...registrar.UpstreamID) {
+	var lost []Request
+	for _, u := range engines {
+		if _, gone := f.back[u]; gone {
+			continue
+		}
+		f.crashes++
+		f.back[u] = f.now.Add(restartTime)
+	}
+	for _, u := range engines {
+		runs := f.runs[u]
+		f.runs[u] = nil
+		for _, r := range runs {
+			tokens := 0
+			if r.begun {
+				tokens = 10
+			}
+			f.step(Finished{ID: r.request.ID, Upstream: u, Outcome: Crashed, Tokens: tokens})
+			lost = append(lost, r.request)
 		}
-		f.step(Finished{ID: r.request.ID, Upstream: u, Outcome: Crashed, Tokens: tokens})
 	}
 	for _, r := range lost {
-		if !f.isDeadly(r.request) {
+		if !f.isDeadly(r) {
 			f.soundLost++
 		}
-		r.request.Retry = true
-		f.open[r.request.ID] = r.request
-		f.step(Submit{r.request})
+		f.retry(r)
 	}
 }
 
+// retry submits a request again.
+func (f *crashFleet) retry(r Request) {
+	r.Retry = true
+	f.open[r.ID] = r
+	f.step(Submit{r})
+}
+
 // pass advances the time in ticks.
 func (f *crashFleet) pass(d time.Duration) {
 	for end := f.now.Add(d); f.now.Before(end); {
@@ -231,3 +263,154 @@
 	assert.Equal(t, f.answered, sound)
 	assert.Equal(t, len(f.open), 0)
 }
+
+// learn passes what another scheduler knows to the fleet's.
+func (f *crashFleet) learn(from *Scheduler) {
+	f.step(Learn{Records: from.Crashes(f.now), Parts: from.PartRecords(f.now)})
+}
+
+// TestCrashingPart guards, for different parts and mishaps, against a part that costs more
+// engines than the users allow, and against sound requests that are refused because they
+// share parts with it. While a part is withheld each further request with it is refused,
+// so that the bound holds however many come.
+func TestCrashingPart(t *testing.T) {
+	const second = 44
+	for name, c := range map[string]struct {
+		deadly []uint64
+		// engines is the number of engines; most is the largest number of them that may
+		// be lost: eight for each deadly part, by the rule, and those with another cause.
+		engines, most int
+		// bad returns the parts of a request with a deadly part, and good those of a sound
+		// one.
+		bad, good func(i int) []uint64
+		// organisation returns the organisation that sends the i-th request with a deadly
+		// part.
+		organisation func(i int) string
+		// mishap happens after each step.
+		mishap func(f *crashFleet, i int)
+	}{
+		"between a class's part and the own one": {engines: 9, most: 8},
+		"the first part of few requests": {engines: 9, most: 8,
+			bad: func(int) []uint64 { return []uint64{deadlyPart} }},
+		"the first part of many requests": {engines: 9, most: 8,
+			bad:  func(int) []uint64 { return []uint64{deadlyPart, organisationPart} },
+			good: func(int) []uint64 { return []uint64{organisationPart} }},
+		"always with a rare part": {engines: 9, most: 8,
+			bad: func(int) []uint64 { return []uint64{classPart, 77, deadlyPart} },
+			good: func(i int) []uint64 {
+				if i%30 == 0 {
+					return []uint64{classPart, 77}
+				}
+				return []uint64{classPart}
+			}},
+		"two parts at once": {deadly: []uint64{deadlyPart, second}, engines: 12, most: 16,
+			bad: func(i int) []uint64 { return []uint64{classPart, []uint64{deadlyPart, second}[i%2]} }},
+		"requests of many organisations": {engines: 9, most: 8,
+			organisation: func(i int) string { return fmt.Sprint("o", i) }},
+		"a change of the owner that knows the records": {engines: 9, most: 8,
+			mishap: func(f *crashFleet, i int) {
+				if i == 25 || i == 28 || i == 60 {
+					f.replaceScheduler(f.s)
+				}
+			}},
+		"a change of the owner that hears of them later": {engines: 9, most: 8,
+			mishap: func(f *crashFleet, i int) {
+				if i == 60 {
+					last := f.s
+					f.replaceScheduler(nil)
+					defer f.learn(last)
+				}
+			}},
+		"crashes with another cause": {engines: 24, most: 8 + 15,
+			mishap: func(f *crashFleet, i int) {
+				if i == 40 || i == 70 || i == 100 {
+					f.crash(f.upstreams()[:5]...)
+				}
+			}},
+		"no crash but those with another cause": {deadly: []uint64{}, engines: 24, most: 18,
+			mishap: func(f *crashFleet, i int) {
+				if i == 40 || i == 43 || i == 46 {
+					f.crash(f.upstreams()[i%4*6 : i%4*6+6]...)
+				}
+			}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if c.deadly == nil {
+				c.deadly = []uint64{deadlyPart}
+			}
+			f := newCrashFleet(t, c.engines, c.deadly...)
+			sound := 0
+			for i := range 200 {
+				good := []uint64{classPart, organisationPart}
+				if c.good != nil {
+					good = c.good(i)
+				}
+				for _, o := range []string{"small", "large"} {
+					f.send(o, good...)
+					sound++
+				}
+				if i >= 20 && i%3 == 0 {
+					bad := []uint64{classPart, organisationPart, deadlyPart}
+					if c.bad != nil {
+						bad = c.bad(i)
+					}
+					organisation := []string{"small", "large"}[i/3%2]
+					if c.organisation != nil {
+						organisation = c.organisation(i)
+					}
+					if f.send(organisation, bad...); len(c.deadly) == 0 {
+						sound++
+					}
+				}
+				if c.mishap != nil {
+					c.mishap(f, i)
+				}
+				f.pass(100 * time.Millisecond)
+			}
+			f.pass(20 * time.Second)
+			t.Logf("%d engines and %d sound attempts lost", f.crashes, f.soundLost)
+			assert.Assert(t, f.crashes <= c.most, "%d engines were lost", f.crashes)
+			assert.Equal(t, f.soundRefused, 0)
+			assert.Equal(t, f.answered, sound)
+			assert.Equal(t, len(f.open), 0)
+		})
+	}
+}
+
+// TestAccusedPart guards against a caller that gets the part of another one withheld by
+// sending it together with a request that crashes upstreams.
+func TestAccusedPart(t *testing.T) {
+	const victims = 55
+	f := newCrashFleet(t, 9)
+	sound := 0
+	for i := range 100 {
+		f.deadly = append(f.deadly, uint64(5000+i))
+		if i%5 == 0 {
+			f.send("small", victims, uint64(5000+i))
+		}
+		if i%20 == 19 {
+			f.send("large", victims)
+			sound++
+		}
+		f.pass(200 * time.Millisecond)
+	}
+	f.pass(20 * time.Second)
+	assert.Equal(t, f.soundRefused, 0)
+	assert.Equal(t, f.answered, sound)
+}
+
+// TestWithheldPartIsTakenFromEngines guards against engines that are lost after the
+// verdict, because they were still reading requests with the part.
+func TestWithheldPartIsTakenFromEngines(t *testing.T) {
+	f := newCrashFleet(t, 6, deadlyPart)
+	f.send("small", deadlyPart)
+	f.pass(50 * time.Millisecond)
+	f.send("large", deadlyPart)
+	f.pass(2 * time.Second)
+	f.deadly = nil
+	for range 3 {
+		f.send("other", deadlyPart)
+	}
+	assert.Equal(t, len(f.open), 0, "they are refused at once")
+	assert.Assert(t, f.crashes <= 4, "%d engines were lost", f.crashes)
+}
--- a/internal/policy/scheduler/placement.go
+++ b/internal/policy/scheduler/placement.go
@@ -40,6 +40,9 @@
 	// target can be met: repeated reading takes engine time from all requests,
 	// while waiting for the engine that holds the prompt delays only this one.
 	readWeight = 2.5
+	// bystanderCost is the cost of each request that runs beside one that may crash the
+	// engine.
+	bystanderCost = time.Second
 	// minShared is the number of shared tokens from which a request waits until
 	// another one has read them. Reading fewer tokens again takes less time than
 	// the wait.
@@ -117,6 +120,9 @@
 		}
 		backlog := u.backlogFor(now, r.class.tier)
 		cost := s.startCost(now, u, r, backlog)
+		if !unrestricted {
+			cost += time.Duration(len(u.attempts)) * bystanderCost
+		}
 		if best == nil || cost < least {
 			best, least = u, cost
 		}
--- a/internal/policy/scheduler/scheduler.go
+++ b/internal/policy/scheduler/scheduler.go
@@ -243,7 +243,7 @@
 	}
 	a := s.start(now, r, u)
 	a.adopted, a.cacheUnknown = true, true
-	a.evidence.Granted = time.Time{}
+	a.evidence.Granted = e.Granted
 	if !e.Unread {
 		s.attributor.Ended(now, &a.evidence, false)
 		a.finishReading()
@@ -345,7 +345,7 @@
 func (s *Scheduler) start(now time.Time, r *request, u *upstream) *attempt {
 	a := &attempt{request: r, upstream: u, granted: now, process: u.process()}
 	s.detector.Started(r.Fingerprint, a.process)
-	a.evidence = attributor.Attempt{Parts: r.parts, Organisation: r.Request.Organisation, Process: a.process, Version: u.version, Granted: now}
+	a.evidence = s.evidence(now, u, r)
 	s.attributor.Started(now, &a.evidence)
 	u.prefixes.add(r.Prefix)
 	s.beginReading(now, a)
--- a/internal/policy/scheduler/types.go
+++ b/internal/policy/scheduler/types.go
@@ -174,6 +174,8 @@
 	// Unread is set when the upstream has not sent a token yet, which means that it
 	// is still reading the prompt.
 	Unread bool
+	// Granted is when the slot was granted, or the zero time if that is not known.
+	Granted time.Time
 }
 
 // Cancel withdraws a request that waits or runs.
