forwarder, relayer: requests on all paths tell their parts

Change: the messages of a conversation are parts, at any position (the first 12 and the last 4); other prompts have the blocks of their prefix; requests of plain services have their method and path, and their body.

--- a/internal/entry/forwarder/generation.go
+++ b/internal/entry/forwarder/generation.go
@@ -87,6 +87,8 @@
 	prompt     string
 	choices    int
 	resumable  bool
+	// messages are those of a conversation.
+	messages []json.RawMessage
 }
 
 // knownFields are the fields that the forwarder reads.
@@ -171,6 +173,7 @@
 			return &RequestError{Param: name, Message: "messages must be a list with at least one message"}
 		}
 		g.resumable = true
+		g.messages = messages
 		return nil
 	}
 	// Lists of prompts and token IDs are passed to the engine, but their answers
@@ -258,6 +261,27 @@
 	return hex.EncodeToString(h.Sum(nil))
 }
 
+const (
+	// maxFirstParts and maxLastParts bound the messages of a conversation that are tracked
+	// as parts. The first ones are the instructions that many conversations share.
+	maxFirstParts = 12
+	maxLastParts  = 4
+)
+
+// Parts returns the hashes of the messages of a conversation, which other conversations
+// may share at any position. It returns nil for other prompts, whose parts are the blocks
+// of the prefix.
+func (g *Generation) Parts() []uint64 {
+	var list []uint64
+	for i, m := range g.messages {
+		if i >= maxFirstParts && i < len(g.messages)-maxLastParts {
+			continue
+		}
+		list = append(list, xxhash.Sum64(m))
+	}
+	return list
+}
+
 // Prefix returns the chained hashes of the prompt's complete blocks, up to
 // maxPrefixBlocks of them.
 func (g *Generation) Prefix() []uint64 {
--- a/internal/entry/receiver/generation.go
+++ b/internal/entry/receiver/generation.go
@@ -76,6 +76,7 @@
 				Prompt:       g.PromptTokens(),
 				Limit:        g.Limit,
 				Prefix:       g.Prefix(),
+				Parts:        g.Parts(),
 				Repeatable:   true,
 				Fingerprint:  g.Fingerprint(),
 				Arrived:      c.arrived,
--- a/internal/entry/relayer/call.go
+++ b/internal/entry/relayer/call.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -245,6 +246,9 @@
 	if c.route.Repeat == validator.Resumable {
 		c.stream.lastID = c.intent.LastEventID
 	}
+	if !c.model {
+		c.slotRequest.Parts = c.plainParts()
+	}
 	end := 0
 	for _, p := range c.intent.Prompt {
 		end += p.Tokens
@@ -262,6 +266,17 @@
 	return strconv.FormatUint(h.Sum64(), 16)
 }
 
+// plainParts returns the hashes of what a request of a plain service may share with
+// others that crash the same upstreams: what it addresses, and its body.
+func (c *call) plainParts() []uint64 {
+	path, _, _ := strings.Cut(c.request.RequestURI, "?")
+	list := []uint64{xxhash.Sum64String(c.request.Method + " " + path)}
+	if len(c.body) > 0 {
+		list = append(list, xxhash.Sum64(c.body))
+	}
+	return list
+}
+
 // run makes attempts until the request is answered.
 func (c *call) run(ctx context.Context) {
 	for {
