--- a/internal/entry/relayer/call.go
+++ b/internal/entry/relayer/call.go
@@ -463,14 +463,18 @@
 		zap.Int("attempt", c.attempts), zap.String("event", c.stream.lastID), zap.Strings("parts", c.loggedParts()), zap.Error(cause))
 }
 
-// maxLoggedParts bounds the parts of a prompt in a log line.
+// maxLoggedParts bounds the parts of a request in a log line.
 const maxLoggedParts = 16
 
-// loggedParts lists the parts of the prompt in the form of log lines, so that the parts
+// loggedParts lists the parts of the request in the form of log lines, so that the parts
 // that failed requests have in common can be found.
 func (c *call) loggedParts() []string {
+	parts := c.slotRequest.Parts
+	if len(parts) == 0 {
+		parts = c.slotRequest.Prefix
+	}
 	var list []string
-	for _, id := range c.slotRequest.Prefix[:min(len(c.slotRequest.Prefix), maxLoggedParts)] {
+	for _, id := range parts[:min(len(parts), maxLoggedParts)] {
 		list = append(list, strconv.FormatUint(id, 16))
 	}
 	return list
--- a/internal/policy/attributor/record.go
+++ b/internal/policy/attributor/record.go
@@ -21,7 +21,7 @@
 	// crashes multiplies the time by blameGrowth, up to maxBlameTime.
 	firstBlameTime = 15 * time.Second
 	blameGrowth    = 4
-	maxBlameTime   = time.Hour
+	maxBlameTime   = 24 * time.Hour
 	// suspicionTime is how long a part that is not blamed stays suspected.
 	suspicionTime = 5 * time.Minute
 	// refutedTime is how long the record of a refuted part is kept, so that older
