applier: a restored replica knows the highest version

The class of fault: state that is derived from what is dropped.

TestRestoreKeepsTheHighestVersion failed before (OUTCOME_ACCEPTED in place of OUTCOME_OVERTAKEN at the restored replica).

--- a/internal/control/applier/applier.go
+++ b/internal/control/applier/applier.go
@@ -274,6 +274,7 @@
 		Audit:     s.audit[:len(s.audit):len(s.audit)],
 		Changes:   s.changes.list(), Claims: s.claims.list(),
 		Leases: s.leases.list(), Fence: s.leases.lastFence, Term: s.leases.term,
+		Version: s.version,
 	}}
 }
 
@@ -298,7 +299,8 @@
 		return nil, fmt.Errorf("decode state: %w", err)
 	}
 	s := New()
-	s.time, s.revision, s.revisions = p.Time, p.Revision, p.Revisions
+	s.time, s.revision, s.revisions, s.version = p.Time, p.Revision, p.Revisions, p.Version
+	// States of earlier versions of the program don't tell the highest version.
 	for _, r := range p.Revisions {
 		s.version = max(s.version, r.Version)
 	}
--- a/internal/control/applier/applier_test.go
+++ b/internal/control/applier/applier_test.go
@@ -248,3 +248,28 @@
 	assert.NilError(t, err)
 	assert.Assert(t, bytes.Equal(a, b), "seed %d", seed)
 }
+
+// TestRestoreKeepsTheHighestVersion guards against replicas that diverge: one that was
+// restored from a snapshot accepted a version that the others had overtaken, once the
+// revision with the highest version was no longer among those that are kept.
+func TestRestoreKeepsTheHighestVersion(t *testing.T) {
+	s, index := New(), uint64(0)
+	apply := func(s *State, c *record.Command) *wire.ApplyResponse {
+		return s.Apply(command(t, index, time.Duration(index)*time.Second, c)).Apply
+	}
+	versioned := func(id string, version uint64) *record.Command {
+		c := change(id, 0, id)
+		c.GetApply().Request.Version = version
+		return c
+	}
+	index++
+	assert.Equal(t, apply(s, versioned("first", 9)).Outcome, wire.ApplyResponse_OUTCOME_ACCEPTED)
+	for i := range maximumRevisions {
+		index++
+		assert.Equal(t, apply(s, change(fmt.Sprint("c", i), uint64(i)+1, fmt.Sprint(i))).Outcome, wire.ApplyResponse_OUTCOME_ACCEPTED)
+	}
+	restored := reload(t, s)
+	index++
+	assert.Equal(t, apply(s, versioned("late", 5)).Outcome, wire.ApplyResponse_OUTCOME_OVERTAKEN)
+	assert.Equal(t, apply(restored, versioned("late", 5)).Outcome, wire.ApplyResponse_OUTCOME_OVERTAKEN)
+}
