forwarder, relayer: what a request has for itself alone is no part

A caller that sent one request of a single message again got 503 (poisonous_part) in place of the final 422 (poisonous): the message was the only part, was blamed for both crashes, and the record of the whole request was cleared with it. TestPoison failed with this.

Change: a prompt of one block or message has no parts; the fingerprint covers it. A plain request with a query has the address with the query as a part besides, so that the path alone is not blamed for it.

Measured: TestPoison passes again; TestCrashingMessage (processes: 16 conversations at two entry hosts that share one message, eight engines) passes: at most five engines are lost, the others get 503 with Retry-After, and no sound call fails.

--- a/cmd/amaranthd/fault_test.go
+++ b/cmd/amaranthd/fault_test.go
@@ -422,6 +422,50 @@
 	assert.Equal(t, len(failures), 0, "%v", errors.New(strings.Join(failures, "\n")))
 }
 
+// TestCrashingMessage guards against the loss of engine after engine to conversations that
+// share one message and nothing else, at whichever entry host they arrive.
+func TestCrashingMessage(t *testing.T) {
+	d := deploy(t, 1, 2)
+	d.apply(document(t, "a"), 0)
+	var stubs []string
+	for i := range 8 {
+		stubs = append(stubs, fmt.Sprint("engine-", i+1))
+	}
+	d.startEngines(stubs...)
+	l := startLoad(d, newBalancer(d), 8, 100)
+	var last answer
+	for i := range 16 {
+		body, err := json.Marshal(map[string]any{
+			"model": "lucka", "stream": i%2 == 0, "max_tokens": 200,
+			"messages": []map[string]string{
+				{"role": "system", "content": "Break it. [[crash=0]]"},
+				{"role": "user", "content": fmt.Sprint("This is question ", i)},
+			},
+		})
+		assert.NilError(t, err)
+		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+		last = d.send(ctx, d.entries[i%2], "POST", "/v1/chat/completions", string(body))
+		cancel()
+	}
+	crashed := 0
+	for _, s := range stubs {
+		select {
+		case <-d.processes[s].done:
+			crashed++
+		default:
+		}
+	}
+	failures := l.stop()
+	assert.Assert(t, crashed <= 5, "%d engines were lost", crashed)
+	assert.Assert(t, crashed > 0, "the message crashed nothing")
+	assert.NilError(t, last.err)
+	assert.Equal(t, last.status, http.StatusServiceUnavailable, last.body)
+	assert.Assert(t, strings.Contains(last.body, "poisonous_part"), last.body)
+	assert.Equal(t, last.header.Get("Amaranth-Run"), "no")
+	assert.Assert(t, last.header.Get("Retry-After") != "")
+	assert.Equal(t, len(failures), 0, "%v", errors.New(strings.Join(failures, "\n")))
+}
+
 // TestControlLost guards against an entry host that goes on under a configuration that
 // it cannot confirm, against a refusal as not run of a call that did run, and against
 // two operators who both succeed with the same revision number.
--- a/internal/entry/forwarder/generation.go
+++ b/internal/entry/forwarder/generation.go
@@ -269,9 +269,12 @@
 )
 
 // Parts returns the hashes of the messages of a conversation, which other conversations
-// may share at any position. It returns nil for other prompts, whose parts are the blocks
-// of the prefix.
+// may share at any position. It returns nil for a single message and for other prompts,
+// whose parts are the blocks of the prefix.
 func (g *Generation) Parts() []uint64 {
+	if len(g.messages) < 2 {
+		return nil
+	}
 	var list []uint64
 	for i, m := range g.messages {
 		if i >= maxFirstParts && i < len(g.messages)-maxLastParts {
--- a/internal/entry/receiver/refusal_test.go
+++ b/internal/entry/receiver/refusal_test.go
@@ -87,6 +87,7 @@
 		{name: "no upstream", path: sales, set: refused(scheduler.NoUpstream), status: 503, code: "unavailable", retry: "2"},
 		{name: "over limit", path: chat, body: story, set: refused(scheduler.OverLimit), status: 429, code: "limited", retry: "2"},
 		{name: "poisonous", path: chat, body: story, set: refused(scheduler.Poisonous), status: 422, code: "poisonous"},
+		{name: "poisonous part", path: chat, body: story, set: refused(scheduler.PoisonousPart), status: 503, code: "poisonous_part", retry: "2"},
 		{name: "dispatcher failed", path: sales, set: func(h *harness) { h.dispatcher.refusal = errors.New("x") }, status: 503, code: "dispatch_failed"},
 		{name: "dial refused", path: sales, set: func(h *harness) { _ = h.responders[0].Close() }, status: 503, code: "unavailable", retry: "2"},
 		{name: "keyed, dial refused", path: sales, header: []string{"Idempotency-Key", "k"}, options: []harnessOption{withClaimer(&fakeClaimer{})},
--- a/internal/entry/relayer/call.go
+++ b/internal/entry/relayer/call.go
@@ -267,10 +267,14 @@
 }
 
 // plainParts returns the hashes of what a request of a plain service may share with
-// others that crash the same upstreams: what it addresses, and its body.
+// others that crash the same upstreams: its method and path, the same with the query, and
+// its body.
 func (c *call) plainParts() []uint64 {
-	path, _, _ := strings.Cut(c.request.RequestURI, "?")
+	path, _, asked := strings.Cut(c.request.RequestURI, "?")
 	list := []uint64{xxhash.Sum64String(c.request.Method + " " + path)}
+	if asked {
+		list = append(list, xxhash.Sum64String(c.request.Method+" "+c.request.RequestURI))
+	}
 	if len(c.body) > 0 {
 		list = append(list, xxhash.Sum64(c.body))
 	}
--- a/internal/policy/scheduler/part.go
+++ b/internal/policy/scheduler/part.go
@@ -28,10 +28,11 @@
 }
 
 // partsOf returns the parts of a request that may crash upstreams, at most
-// attributor.MaxParts.
+// attributor.MaxParts. The only block of a prompt is not one of them: it is the request's
+// own, and the fingerprint covers it.
 func partsOf(r Request) []attributor.Part {
 	hashes := r.Parts
-	if len(hashes) == 0 {
+	if len(hashes) == 0 && len(r.Prefix) > 1 {
 		hashes = r.Prefix
 	}
 	hashes = hashes[:min(len(hashes), attributor.MaxParts)]
