--- a/internal/entry/relayer/call.go
+++ b/internal/entry/relayer/call.go
@@ -6,11 +6,9 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"go.uber.org/zap"
 
 	"github.com/amaranthcart/amaranthcart/internal/config/validator"
 	"github.com/amaranthcart/amaranthcart/internal/entry/dispatcher"
@@ -257,30 +255,6 @@
 	}
 }
 
-// fingerprint identifies the content of the request, because one that crashes upstreams
-// is retried by callers under other IDs.
-func (c *call) fingerprint() string {
-	h := xxhash.New()
-	_, _ = h.WriteString(c.request.Method + " " + c.request.RequestURI + " " + c.intent.Key + " ")
-	_, _ = h.Write(c.body)
-	return strconv.FormatUint(h.Sum64(), 16)
-}
-
-// plainParts returns the hashes of what a request of a plain service may share with
-// others that crash the same upstreams: its method and path, the same with the query, and
-// its body.
-func (c *call) plainParts() []uint64 {
-	path, _, asked := strings.Cut(c.request.RequestURI, "?")
-	list := []uint64{xxhash.Sum64String(c.request.Method + " " + path)}
-	if asked {
-		list = append(list, xxhash.Sum64String(c.request.Method+" "+c.request.RequestURI))
-	}
-	if len(c.body) > 0 {
-		list = append(list, xxhash.Sum64(c.body))
-	}
-	return list
-}
-
 // run makes attempts until the request is answered.
 func (c *call) run(ctx context.Context) {
 	for {
@@ -459,83 +433,3 @@
 	}
 	c.relayer.options.Report(v)
 }
-
-// logRepeat logs why a request is sent to another upstream.
-func (r *Relayer) logRepeat(c *call, a *attempt, cause error) {
-	r.logger.Info("attempt failed; trying another upstream",
-		zap.String("request", c.intent.ID), zap.String("upstream", string(a.upstream.Name)),
-		zap.Int("attempt", c.attempts), zap.String("event", c.stream.lastID), zap.Strings("parts", c.loggedParts()), zap.Error(cause))
-}
-
-// maxLoggedParts bounds the parts of a request in a log line.
-const maxLoggedParts = 16
-
-// loggedParts lists the parts of the request in the form of log lines, so that the parts
-// that failed requests have in common can be found.
-func (c *call) loggedParts() []string {
-	parts := c.slotRequest.Parts
-	if len(parts) == 0 {
-		parts = c.slotRequest.Prefix
-	}
-	var list []string
-	for _, id := range parts[:min(len(parts), maxLoggedParts)] {
-		list = append(list, strconv.FormatUint(id, 16))
-	}
-	return list
-}
-
-// noteView records the age of the view of the upstreams for the log.
-func (c *call) noteView() {
-	if c.relayer.options.ViewAge != nil {
-		c.viewAge = c.relayer.options.ViewAge()
-	}
-}
-
-// logEnd writes one log line for each request that tells what decided it and how it
-// ended.
-func (r *Relayer) logEnd(c *call, now time.Time) {
-	fields := []zap.Field{
-		zap.String("request", c.intent.ID), zap.Int("status", c.status),
-		zap.Duration("took", now.Sub(c.arrived)),
-	}
-	if c.route != nil {
-		fields = append(fields, zap.String("route", string(c.route.Name)), zap.String("pool", string(c.slotRequest.Pool)))
-	}
-	if c.organisation != nil {
-		fields = append(fields, zap.String("organisation", string(c.organisation.Name)))
-	}
-	if c.class != nil {
-		fields = append(fields, zap.String("class", string(c.class.Name)), zap.Int("tier", int(c.class.Tier)))
-	}
-	if c.upstream != "" {
-		fields = append(fields, zap.String("upstream", string(c.upstream)), zap.Int("attempts", c.attempts), zap.Int("unsent", c.unsent),
-			zap.Duration("queued", c.grantedAt.Sub(c.arrived)), zap.Duration("predicted", c.predicted), zap.Duration("view", c.viewAge))
-	}
-	if c.model {
-		fields = append(fields, zap.Int("prompt", c.slotRequest.Prompt), zap.Int("limit", c.slotRequest.Limit))
-	}
-	if !c.firstAt.IsZero() {
-		fields = append(fields, zap.Duration("first", c.firstAt.Sub(c.arrived)), zap.Int("events", c.stream.events))
-	}
-	if c.code == "" {
-		r.served.Info("request served", fields...)
-		return
-	}
-	fields = append(fields, zap.String("code", c.code), zap.Bool("ran", c.mayHaveRun))
-	if c.retry > 0 {
-		fields = append(fields, zap.Duration("retry", c.retry))
-	}
-	if c.cause != nil {
-		fields = append(fields, zap.Error(c.cause))
-	}
-	if parts := c.loggedParts(); len(parts) > 0 {
-		fields = append(fields, zap.Strings("parts", parts))
-	}
-	if c.mayHaveRun || c.status == statusClientGone {
-		r.failures.Inc(1)
-		r.logger.Info("request failed", fields...)
-		return
-	}
-	r.refusals.Inc(1)
-	r.logger.Info("request refused", fields...)
-}
--- a/internal/policy/attributor/attributor.go
+++ b/internal/policy/attributor/attributor.go
@@ -87,8 +87,7 @@
 	Organisation validator.OrganisationName
 	Process      detector.Process
 	Version      Version
-	// Granted is when the attempt began. It is zero for an attempt that began under
-	// another scheduler.
+	// Granted is when the attempt began, or the zero time if that is not known.
 	Granted time.Time
 	// Alone is set when the request has to run alone for another reason than its parts.
 	Alone bool
@@ -179,16 +178,21 @@
 	return Blamed, until.Sub(now)
 }
 
+// MustRunAlone reports whether an attempt, if it starts, has to run without other suspects.
+func (a *Attributor) MustRunAlone(now time.Time, t Attempt) bool {
+	verdict, _ := a.Verdict(now, t.Parts, t.Organisation, t.Version)
+	return verdict != Clean || t.Alone
+}
+
 // Permits reports whether an attempt may start. An attempt of a suspect may when no
 // other pending attempt has its suspected parts, and its process runs no other suspect.
 func (a *Attributor) Permits(now time.Time, t Attempt) bool {
-	verdict, _ := a.Verdict(now, t.Parts, t.Organisation, t.Version)
-	if verdict == Blamed {
-		return false
-	}
-	if verdict == Clean && !t.Alone {
+	if !a.MustRunAlone(now, t) {
 		return true
 	}
+	if verdict, _ := a.Verdict(now, t.Parts, t.Organisation, t.Version); verdict == Blamed {
+		return false
+	}
 	if a.trials[t.Process] > 0 {
 		return false
 	}
@@ -209,7 +213,7 @@
 	for _, p := range t.Parts {
 		a.pending[p]++
 	}
-	if verdict, _ := a.Verdict(now, t.Parts, t.Organisation, t.Version); verdict != Clean || t.Alone {
+	if a.MustRunAlone(now, *t) {
 		t.trial = true
 		a.trials[t.Process]++
 	}
--- a/internal/policy/scheduler/part.go
+++ b/internal/policy/scheduler/part.go
@@ -109,10 +109,14 @@
 	if !s.detector.Permits(now, r.Fingerprint, u.process(), hedge) {
 		return false
 	}
-	if s.attributor.Empty() || !s.suspect(now, r) {
+	if s.attributor.Empty() {
 		return true
 	}
-	return !s.detector.HostsSuspect(now, u.process()) && s.attributor.Permits(now, s.evidence(now, u, r))
+	t := s.evidence(now, u, r)
+	if !s.attributor.Permits(now, t) {
+		return false
+	}
+	return !s.attributor.MustRunAlone(now, t) || !s.detector.HostsSuspect(now, u.process())
 }
 
 // evidence returns an attempt of the request that begins now as the attributor knows it.
