relayer: TestStopUnderLoad waits for the load it needs

It began the stop 150 ms after the callers, and took for granted that each of them had an answer by then. That is what the test needs, not what it guards against; no answer was lost.

What is asserted after the stop is unchanged.

--- a/internal/entry/relayer/stop_test.go
+++ b/internal/entry/relayer/stop_test.go
@@ -48,6 +48,10 @@
 				})
 			}
 			time.Sleep(150 * time.Millisecond)
+			for end := time.Now().Add(10 * time.Second); answered.Load() <= callers && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
+			}
+			assert.Assert(t, answered.Load() > callers, "the callers have too few answers for the stop to meet any")
 			r.relayer.Unready()
 			time.Sleep(100 * time.Millisecond)
 			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
--- a/internal/policy/detector/detector.go
+++ b/internal/policy/detector/detector.go
@@ -12,6 +12,10 @@
 // completed, and a hedge may use one more. Such a request costs at most two
 // upstreams, whoever sends it and however often.
 //
+// A crash at about the same time as the loss of an upstream without the request counts
+// one less, because both may have another cause, such as a rack that loses power. A
+// crash whose reason is known is held against no request.
+//
 // A lost connection need not be a crash. If the process then proves to be alive,
 // only one answer was lost, and nothing is held against its request.
 //
