dispatcher, relayer: log where and how long a request was scheduled

The logs could not tell a request that waited for an owner from one that nobody scheduled, nor a repeat from an attempt that never reached its upstream. Each host logs when another host schedules its requests; the line at the end of a request has the scheduler that was asked last, the number of moves and the waits.

--- a/internal/entry/dispatcher/cell.go
+++ b/internal/entry/dispatcher/cell.go
@@ -171,6 +171,7 @@
 	t := newTicket(r, c.settings.Clock, c.find, c.ended)
 	t.isBarred = c.isBarred
 	c.admit(t)
+	defer c.record(ctx, t)
 	select {
 	case g := <-t.result:
 		return c.result(t, g)
@@ -507,6 +508,9 @@
 		l.limit(c.settings.Local.knownLimits()...)
 	}
 	held, waiting := c.byHolding()
+	c.settings.Logger.Info("the requests of this host are scheduled by another host now",
+		zap.String("from", string(c.schedulerOf(from))), zap.String("to", string(c.schedulerOf(to))),
+		zap.Int("held", len(held)), zap.Int("waiting", len(waiting)))
 	var left []scheduler.RequestID
 	for _, t := range append(held, waiting...) {
 		if t.move(to) {
--- a/internal/entry/dispatcher/ticket.go
+++ b/internal/entry/dispatcher/ticket.go
@@ -61,8 +61,10 @@
 	mu sync.Mutex
 	// route is where the request is scheduled now. Actions from an earlier route carry a
 	// lower epoch and are ignored. It changes only with orderMu held.
-	route  route
-	epoch  int
+	route route
+	epoch int
+	// asked is when the route got the request.
+	asked  time.Time
 	slots  []*slot
 	closed bool
 	result chan grant
@@ -117,6 +119,7 @@
 		return false
 	}
 	t.route = to
+	t.asked = t.clock.Now()
 	t.epoch++
 	notify := t.sink(t.epoch)
 	held := make([]holding, 0, len(t.slots))
--- a/internal/entry/relayer/call.go
+++ b/internal/entry/relayer/call.go
@@ -98,7 +98,11 @@
 	predicted time.Duration
 	retry     time.Duration
 	// viewAge is how old the view of the upstreams was when the request was last sent.
-	viewAge  time.Duration
+	viewAge time.Duration
+	// configured is how long the request waited for a confirmed configuration.
+	configured time.Duration
+	// trace tells where the request was last scheduled.
+	trace    dispatcher.Trace
 	complete bool
 }
 
@@ -148,6 +152,7 @@
 // deadline. If that fails, it refuses the request and returns false.
 func (c *call) resolve() bool {
 	x, fresh := c.relayer.awaitConfiguration(c.request.Context())
+	c.configured = c.relayer.clock.Since(c.arrived)
 	if !fresh || x == nil {
 		c.refuse(http.StatusServiceUnavailable, "stale_configuration", staleRetry)
 		return false
@@ -257,6 +262,7 @@
 
 // run makes attempts until the request is answered.
 func (c *call) run(ctx context.Context) {
+	ctx = dispatcher.WithTrace(ctx, &c.trace)
 	for {
 		ask := c.slotRequest
 		ask.Avoid = c.relayer.options.Sender.Avoid(ask.Avoid)
--- a/internal/entry/relayer/log.go
+++ b/internal/entry/relayer/log.go
@@ -11,7 +11,7 @@
 func (r *Relayer) logRepeat(c *call, a *attempt, cause error) {
 	r.logger.Info("attempt failed; trying another upstream",
 		zap.String("request", c.intent.ID), zap.String("upstream", string(a.upstream.Name)),
-		zap.Int("attempt", c.attempts), zap.String("event", c.stream.lastID), zap.Strings("parts", c.loggedParts()), zap.Error(cause))
+		zap.Int("attempt", c.attempts), zap.Bool("sent", a.send.Sent.Load()), zap.String("event", c.stream.lastID), zap.Strings("parts", c.loggedParts()), zap.Error(cause))
 }
 
 // maxLoggedParts bounds the parts of a request in a log line.
@@ -58,6 +58,10 @@
 		fields = append(fields, zap.String("upstream", string(c.upstream)), zap.Int("attempts", c.attempts), zap.Int("unsent", c.unsent),
 			zap.Duration("queued", c.grantedAt.Sub(c.arrived)), zap.Duration("predicted", c.predicted), zap.Duration("view", c.viewAge))
 	}
+	if c.trace.Scheduler != "" {
+		fields = append(fields, zap.String("scheduler", string(c.trace.Scheduler)), zap.Int("moves", c.trace.Moves),
+			zap.Duration("asked", now.Sub(c.trace.Asked)), zap.Duration("configured", c.configured))
+	}
 	if c.model {
 		fields = append(fields, zap.Int("prompt", c.slotRequest.Prompt), zap.Int("limit", c.slotRequest.Limit))
 	}
