scheduler: every arrival beyond a request's first counts in one budget

Users saw more repeats in 10 s than they allow.

The budget is a token bucket that only first submissions fill and that is charged when a repeat is granted, or when an attempt is asked to go on elsewhere. A scheduler can pass what it has saved to another one; one that starts beside others begins with nothing. What never reached an upstream is paid back.

TestRetryBudget wanted attempts after a crash or preemption to be free, which is the fault. It wants them to count now, with and without first submissions.

--- a/internal/policy/scheduler/hedge.go
+++ b/internal/policy/scheduler/hedge.go
@@ -53,7 +53,7 @@
 			return
 		}
 		u := s.hedgeTarget(now, a.request)
-		if u == nil {
+		if u == nil || !p.retries.take() {
 			continue
 		}
 		p.hedges.take()
--- a/internal/policy/scheduler/move.go
+++ b/internal/policy/scheduler/move.go
@@ -36,9 +36,8 @@
 			continue
 		}
 		for _, a := range u.attempts {
-			if a.request.pool == p && s.movable(now, a) {
+			if a.request.pool == p && s.movable(now, a) && s.ask(a, SlowUpstream, "") {
 				a.moving = true
-				s.actions = append(s.actions, Preempt{ID: a.request.ID, Upstream: u.Name, Cause: SlowUpstream})
 				return
 			}
 		}
--- a/internal/policy/scheduler/preemption.go
+++ b/internal/policy/scheduler/preemption.go
@@ -30,12 +30,11 @@
 		urgent := p.urgent(now, level)
 		for _, r := range urgent[min(p.preempting, len(urgent)):] {
 			a := s.victim(now, r)
-			if a == nil {
+			if a == nil || !s.ask(a, Precedence, r.ID) {
 				continue
 			}
 			a.preempted = true
 			p.preempting++
-			s.actions = append(s.actions, Preempt{ID: a.request.ID, Upstream: a.upstream.Name, Cause: Precedence, Urgent: r.ID})
 		}
 	}
 }
@@ -53,39 +52,6 @@
 	}
 }
 
-// interruption is kept for a request that was preempted or lost in a crash until it
-// is submitted again. The new submission does not count as a retry, because neither
-// the caller nor the request is the cause, and the number of slots bounds the
-// number of interruptions.
-type interruption struct{ queued, until time.Time }
-
-// interrupt records the interruption of an attempt. For a request without a token
-// it keeps the time at which the wait began, so that preemption does not prolong
-// the wait beyond its bound.
-func (s *Scheduler) interrupt(now time.Time, a *attempt, o Outcome) {
-	switch o {
-	case Preempted, Crashed, ConnectionRefused, ConnectTimeout:
-	default:
-		if !a.preempted {
-			return
-		}
-	}
-	r := a.request
-	record := interruption{until: now.Add(leaseTime)}
-	if o != Crashed && a.tokens+r.Emitted == 0 {
-		record.queued = r.queued
-	}
-	s.interrupted[r.origin()] = record
-}
-
-func (s *Scheduler) expireInterruptions(now time.Time) {
-	for id, i := range s.interrupted {
-		if now.After(i.until) {
-			delete(s.interrupted, id)
-		}
-	}
-}
-
 // urgent returns the waiting requests of a tier for which the slots that become
 // free by themselves come too late.
 func (p *pool) urgent(now time.Time, level validator.Tier) []*request {
--- a/internal/policy/scheduler/queue.go
+++ b/internal/policy/scheduler/queue.go
@@ -28,8 +28,13 @@
 	waits   map[*class][]*request
 	parked  []*request
 	waiting int
-	retries retryBudget
-	hedges  hedgeBudget
+	retries *retryBudget
+	// repeats is the number of waiting requests whose next attempt the retry budget will
+	// be charged for.
+	repeats int
+	// served is set once the pool has had an upstream.
+	served bool
+	hedges hedgeBudget
 	// queued is the number of waiting requests of each tier.
 	queued [validator.LowestTier + 1]int
 	// suspects is the number of those that are suspects, which run alone after a
@@ -140,10 +145,11 @@
 func (s *Scheduler) pool(name validator.PoolName) *pool {
 	p := s.pools[name]
 	if p == nil {
-		p = &pool{name: name, reading: newReading(), reported: defaultPerToken, waits: make(map[*class][]*request), credits: make(map[*class]float64)}
+		p = &pool{name: name, reading: newReading(), reported: defaultPerToken, retries: s.budget(name), waits: make(map[*class][]*request), credits: make(map[*class]float64)}
 		for _, u := range s.upstreams {
 			if !u.gone && u.Serves(name) {
 				p.upstreams = append(p.upstreams, u)
+				p.served = true
 			}
 		}
 		sortUpstreams(p.upstreams)
@@ -186,6 +192,9 @@
 	if r.suspect {
 		p.suspects[level]++
 	}
+	if r.repeat && !r.prepaid {
+		p.repeats++
+	}
 	r.waiting = true
 }
 
@@ -209,6 +218,9 @@
 	if r.suspect {
 		p.suspects[r.class.tier]--
 	}
+	if r.repeat && !r.prepaid {
+		p.repeats--
+	}
 	r.waiting = false
 	p.removeWait(r)
 }
@@ -420,6 +432,7 @@
 	p.credit(r.class)
 	s.dequeue(r)
 	a := s.start(now, r, u)
+	a.paid, r.prepaid = r.payRepeat(), false
 	u.spend(now)
 	p.grantsSinceOverdue++
 	if overdue {
--- a/internal/policy/scheduler/request.go
+++ b/internal/policy/scheduler/request.go
@@ -47,6 +47,9 @@
 	// suspect is set when the request had been in flight at a crash before it was
 	// submitted.
 	suspect bool
+	// repeat is set when the next attempt is an arrival beyond the request's first, and
+	// prepaid when the retry budget has been charged for it already.
+	repeat, prepaid bool
 	// parts are the parts of the request that may crash upstreams.
 	parts []attributor.Part
 	// obstacle tells what prevented the last try to place the request.
@@ -97,6 +100,9 @@
 	// moving is set when the attempt was asked to continue on another upstream
 	// because its own became slow.
 	moving bool
+	// paid is set when the attempt is a repeat that the retry budget was charged for,
+	// and nextPaid when it was charged for the attempt that follows this one.
+	paid, nextPaid bool
 	// protected is set for attempts that were overdue when granted; these are not
 	// preempted.
 	protected bool
--- a/internal/policy/scheduler/scheduler.go
+++ b/internal/policy/scheduler/scheduler.go
@@ -31,9 +31,13 @@
 	limitShare float64
 	unsettled  bool
 	// hosts is the number of schedulers among which the cell is divided.
-	hosts      int
-	retryShare float64
-	retryBurst float64
+	hosts int
+	// retryShare is the number of repeats that each first submission allows, and
+	// retryBurst the number that the whole cell saves up in a pool. retryPart is this
+	// scheduler's part of that, and retryStart what a new budget begins with.
+	retryShare, retryBurst, retryPart, retryStart float64
+	// budgets are the retry budgets of the pools that have had an upstream.
+	budgets map[validator.PoolName]*retryBudget
 	// memory is the KV cache size of an engine in tokens, by model.
 	memory      map[validator.PoolName]int
 	detector    *detector.Detector
@@ -70,6 +74,9 @@
 		hosts:         1,
 		retryShare:    DefaultRetryShare,
 		retryBurst:    DefaultRetryBurst,
+		retryPart:     1,
+		retryStart:    DefaultRetryBurst,
+		budgets:       make(map[validator.PoolName]*retryBudget),
 		memory:        make(map[validator.PoolName]int),
 		detector:      detector.New(),
 		attributor:    attributor.New(),
@@ -119,6 +126,13 @@
 		s.refuseStranded(now)
 	case Divide:
 		s.hosts = max(e.Hosts, 1)
+		s.divideRetries(s.hosts)
+	case Deposit:
+		s.deposit(e)
+	case Withdraw:
+		s.withdraw(e)
+	case RetryPart:
+		s.retryPart = e.Part
 	case Tick:
 		s.detector.Expire(now)
 		s.reviewBeginnings(now)
@@ -169,10 +183,11 @@
 	}
 	record, interrupted := s.interrupted[sent.origin()]
 	delete(s.interrupted, sent.origin())
-	if !resumed {
-		p.retries.addFirst(s.retryShare)
-		p.hedges.addFirst()
-	} else if !interrupted && !sent.Moved && !p.retries.take(s.retryBurst/float64(s.hosts)) {
+	repeat := sent.repeats(record, interrupted)
+	switch {
+	case !resumed && !repeat:
+		s.addFirst(p)
+	case repeat && !record.paid && !sent.Moved && !p.retries.left(p.repeats+1):
 		s.refuse(sent.ID, OutOfRetries, leaseTime)
 		return
 	}
@@ -183,6 +198,7 @@
 	r.resubmit(now, sent)
 	r.parts = parts
 	r.suspect = s.suspect(now, r)
+	r.repeat, r.prepaid = repeat, record.paid
 	if interrupted && !record.queued.IsZero() {
 		r.queued = record.queued
 	}
--- a/internal/policy/scheduler/scheduler_test.go
+++ b/internal/policy/scheduler/scheduler_test.go
@@ -193,15 +193,14 @@
 	assert.Assert(t, low >= 5 && low <= 15, "low-tier work got %d of 200 slots", low)
 }
 
-// TestRetryBudget guards against retries that multiply a failure, and against
-// requests lost in a crash or preempted that are refused for lack of a retry
-// budget.
+// TestRetryBudget guards against retries that multiply a failure, whatever ended the
+// attempts before.
 func TestRetryBudget(t *testing.T) {
 	for _, c := range []struct {
 		outcome Outcome
 		fresh   int
 		want    int
-	}{{Failed, 0, 10}, {Failed, 50, 15}, {Crashed, 0, 40}, {Preempted, 0, 40}} {
+	}{{Failed, 0, 10}, {Failed, 50, 15}, {Crashed, 0, 10}, {Crashed, 50, 15}, {Preempted, 0, 10}, {Preempted, 50, 15}} {
 		s, granted := New(), 0
 		s.Step(start, Configure{Document: document()})
 		s.Step(start, Observe{engine("a", 100)})
--- a/internal/policy/scheduler/silence.go
+++ b/internal/policy/scheduler/silence.go
@@ -112,7 +112,8 @@
 	if !r.Rescue || a.preempted || r.pool.countAccepting() < 2 {
 		return
 	}
-	a.preempted = true
-	r.pool.preempting++
-	s.actions = append(s.actions, Preempt{ID: r.ID, Upstream: a.upstream.Name, Cause: SilentUpstream})
+	if s.ask(a, SilentUpstream, "") {
+		a.preempted = true
+		r.pool.preempting++
+	}
 }
--- a/internal/policy/scheduler/types.go
+++ b/internal/policy/scheduler/types.go
@@ -64,8 +64,12 @@
 	Whole bool
 	// Retry marks a further attempt of the same caller request.
 	Retry bool
+	// Unsent marks a further attempt of a request of which nothing has been sent to an
+	// upstream, so that the attempt is no repeat.
+	Unsent bool
 	// Moved marks a request that an earlier owner of the cell has already admitted.
-	// It is not counted against limits and budgets again.
+	// It is not refused because of limits for new requests or a spent retry budget,
+	// but waits until the budget allows its repeat.
 	Moved bool
 	// Cell is the cell in which the last attempt ran. It is empty before the first
 	// attempt.
@@ -302,6 +306,8 @@
 	// SharedReading means that the best engine was already reading a shared part of
 	// the prompt for another request.
 	SharedReading Obstacle = "shared"
+	// NoRetries means that the retry budget allowed no further repeat.
+	NoRetries Obstacle = "retries"
 	// RateLimited means that the rate limits of the upstreams allowed no further
 	// request.
 	RateLimited Obstacle = "rate"
--- a/internal/policy/scheduler/upstream.go
+++ b/internal/policy/scheduler/upstream.go
@@ -204,8 +204,12 @@
 // prune removes a pool that has neither upstreams nor waiting requests, so that
 // unknown names take no memory.
 func (s *Scheduler) prune(p *pool) {
-	if len(p.upstreams) == 0 && p.waiting == 0 {
-		delete(s.pools, p.name)
+	if len(p.upstreams) > 0 || p.waiting > 0 {
+		return
+	}
+	delete(s.pools, p.name)
+	if !p.served {
+		delete(s.budgets, p.name)
 	}
 }
 
@@ -237,6 +241,7 @@
 	i := slices.Index(p.upstreams, u)
 	switch {
 	case serves && i < 0:
+		p.served = true
 		p.upstreams = append(p.upstreams, u)
 		sortUpstreams(p.upstreams)
 	case !serves && i >= 0:
@@ -265,6 +270,10 @@
 // when there is no other.
 func (s *Scheduler) choose(now time.Time, r *request) *upstream {
 	p := r.pool
+	if !r.mayRepeat() {
+		r.obstacle = NoRetries
+		return nil
+	}
 	if s.memory[p.name] > 0 {
 		return s.place(now, r)
 	}
