scheduler: silence is judged only where it can be heard; a wait goes on elsewhere

Each verdict ended live attempts. Now only a scheduler of the whole cell judges, from when it has that, by the attempts of hosts that have been heard for 1.2 s.

Before: TestLoneSchedulerJudgesNoSilence and TestNextOwnerHearsTheHostsFirst failed; the other two tests use what is new here.

--- a/internal/policy/scheduler/request.go
+++ b/internal/policy/scheduler/request.go
@@ -62,6 +62,9 @@
 	sent.Arrived = r.Arrived
 	r.Request = sent
 	r.queued = now
+	if !sent.Waiting.IsZero() && sent.Waiting.Before(now) {
+		r.queued = sent.Waiting
+	}
 	r.obstacle = Unconsidered
 }
 
--- a/internal/policy/scheduler/scheduler.go
+++ b/internal/policy/scheduler/scheduler.go
@@ -30,8 +30,13 @@
 	// scheduler may use.
 	limitShare float64
 	unsettled  bool
-	// hosts is the number of schedulers among which the cell is divided.
-	hosts int
+	// hosts is the number of schedulers among which the cell is divided, and wholeSince
+	// is when this one last got the whole cell.
+	hosts      int
+	wholeSince time.Time
+	// unheard holds the hosts that were not heard within silenceTimeout, and when that
+	// was noticed last.
+	unheard map[registrar.HostName]time.Time
 	// retryShare is the number of repeats that each first submission allows, and
 	// retryBurst the number that the whole cell saves up in a pool. retryPart is this
 	// scheduler's part of that, and retryStart what a new budget begins with.
@@ -71,6 +76,7 @@
 		leaving:       make(map[registrar.UpstreamID]bar),
 		limits:        make(map[registrar.UpstreamID]*knownLimit),
 		limitShare:    1,
+		unheard:       make(map[registrar.HostName]time.Time),
 		hosts:         1,
 		retryShare:    DefaultRetryShare,
 		retryBurst:    DefaultRetryBurst,
@@ -125,8 +131,7 @@
 		s.unsettled = !e.Settled
 		s.refuseStranded(now)
 	case Divide:
-		s.hosts = max(e.Hosts, 1)
-		s.divideRetries(s.hosts)
+		s.divide(now, max(e.Hosts, 1))
 	case Deposit:
 		s.deposit(e)
 	case Withdraw:
@@ -144,6 +149,7 @@
 		s.reviewLimits(now)
 		s.refuseStranded(now)
 		s.updateTypicalGaps(now)
+		s.recordUnheard(now, e.Unheard)
 		s.checkSilence(now)
 		for _, p := range s.pools {
 			s.reportSpeed(p)
--- a/internal/policy/scheduler/silence.go
+++ b/internal/policy/scheduler/silence.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
 )
 
 const (
@@ -57,21 +59,25 @@
 // silenceDeadline returns the time at which the upstream counts as silent. An
 // upstream that generates nothing shows no activity until it has read a prompt, and
 // prompts may be long.
-func (u *upstream) silenceDeadline() time.Time {
-	if gap, generates := u.leastGap(); generates {
-		return u.lastActivity.Add(max(silenceTimeout, silentGaps*gap))
+func (s *Scheduler) silenceDeadline(now time.Time, u *upstream) time.Time {
+	last := u.lastActivity
+	if last.Before(s.wholeSince) {
+		last = s.wholeSince
+	}
+	if gap, generates := s.leastGap(now, u); generates {
+		return last.Add(max(silenceTimeout, silentGaps*gap))
 	}
-	if u.readingUntil.Before(u.lastActivity) {
-		return u.lastActivity.Add(silenceTimeout)
+	if u.readingUntil.Before(last) {
+		return last.Add(silenceTimeout)
 	}
 	return u.readingUntil.Add(silenceTimeout)
 }
 
 // leastGap returns the shortest target time between tokens among the answers that
-// the upstream generates, and whether it generates any.
-func (u *upstream) leastGap() (gap time.Duration, generates bool) {
+// the upstream generates for hosts that are heard, and whether it generates any.
+func (s *Scheduler) leastGap(now time.Time, u *upstream) (gap time.Duration, generates bool) {
 	for _, a := range u.attempts {
-		if a.firstTokenAt.IsZero() {
+		if a.firstTokenAt.IsZero() || !s.hears(now, a) {
 			continue
 		}
 		if !generates || a.request.class.gap < gap {
@@ -82,26 +88,57 @@
 	return gap, generates
 }
 
-// expectsActivity reports whether the upstream runs requests that should show
-// activity. Long answers that are not streamed show none.
-func (u *upstream) expectsActivity() bool {
-	return slices.ContainsFunc(u.attempts, func(a *attempt) bool { return a.request.Rescue })
+// expectsActivity reports whether the upstream runs requests, of hosts that are heard,
+// that should show activity. Long answers that are not streamed show none.
+func (s *Scheduler) expectsActivity(now time.Time, u *upstream) bool {
+	return slices.ContainsFunc(u.attempts, func(a *attempt) bool { return a.request.Rescue && s.hears(now, a) })
+}
+
+// hears reports whether the host of an attempt has been heard for long enough that
+// activity of the attempt would have been reported.
+func (s *Scheduler) hears(now time.Time, a *attempt) bool {
+	unheard, ok := s.unheard[a.request.Host]
+	return !ok || now.Sub(unheard) >= silenceTimeout
+}
+
+// recordUnheard records the hosts that are not heard at present.
+func (s *Scheduler) recordUnheard(now time.Time, hosts []registrar.HostName) {
+	for _, h := range hosts {
+		s.unheard[h] = now
+	}
+	for h, at := range s.unheard {
+		if now.Sub(at) >= silenceTimeout {
+			delete(s.unheard, h)
+		}
+	}
+}
+
+// divide sets the number of hosts among which the cell is divided. A scheduler that gets
+// the whole cell hears of the activity of running attempts from then on.
+func (s *Scheduler) divide(now time.Time, hosts int) {
+	if hosts == 1 && s.hosts > 1 {
+		s.wholeSince = now
+	}
+	s.hosts = hosts
+	s.divideRetries(hosts)
 }
 
-// checkSilence finds upstreams with work that have fallen silent. Only the
-// scheduler sees the requests of all hosts: a single host cannot tell a silent
+// checkSilence finds upstreams with work that have fallen silent. Only a scheduler of
+// the whole cell sees the requests of all hosts: a single host cannot tell a silent
 // engine from a busy one.
 func (s *Scheduler) checkSilence(now time.Time) {
 	for _, u := range s.upstreams {
 		if s.crashSuspected(now, u) {
 			s.confirmCrash(now, u)
 		}
-		if now.Before(u.silenceDeadline()) || u.isSilent(now) || !u.expectsActivity() {
+		if s.hosts > 1 || now.Before(s.silenceDeadline(now, u)) || u.isSilent(now) || !s.expectsActivity(now, u) {
 			continue
 		}
 		s.markSilent(now, u)
 		for _, a := range u.attempts {
-			s.rescue(a)
+			if s.hears(now, a) {
+				s.rescue(a)
+			}
 		}
 	}
 }
--- a/internal/policy/scheduler/silence_test.go
+++ b/internal/policy/scheduler/silence_test.go
@@ -115,3 +115,63 @@
 	f.pass(silenceTimeout + 2*TickInterval)
 	assert.Equal(t, f.silences["engine-0"], 1)
 }
+
+// TestLoneSchedulerJudgesNoSilence guards against entry hosts without an owner that end
+// live attempts: each sees its own requests alone, and took sound engines for silent.
+func TestLoneSchedulerJudgesNoSilence(t *testing.T) {
+	f := newEngineFleet(t, 2)
+	f.step(Divide{Hosts: 9})
+	id := f.hint()
+	f.first(id)
+	f.pass(4 * silenceTimeout)
+	assert.Equal(t, f.preempts[id], 0)
+}
+
+// TestNextOwnerHearsTheHostsFirst guards against a next owner that ends attempts because
+// of the time before the hosts reported them.
+func TestNextOwnerHearsTheHostsFirst(t *testing.T) {
+	f := newEngineFleet(t, 2)
+	f.step(Divide{Hosts: 9})
+	id := f.hint()
+	f.first(id)
+	f.pass(2 * silenceTimeout)
+	f.step(Divide{Hosts: 1})
+	f.pass(silenceTimeout - 2*TickInterval)
+	assert.Equal(t, f.preempts[id], 0)
+	f.pass(4 * TickInterval)
+	assert.Equal(t, f.preempts[id], 1, "an engine that says nothing at all has to be noticed")
+}
+
+// TestUnheardHostsTellNothingOfSilence guards against an owner that is cut off from the
+// hosts and takes all engines for silent.
+func TestUnheardHostsTellNothingOfSilence(t *testing.T) {
+	f := newEngineFleet(t, 2)
+	f.step(Submit{Request{ID: "r", Pool: "m", Class: "hint", Prompt: 1_200, Limit: 200, Rescue: true, Host: "h", Arrived: f.now}})
+	f.first("r")
+	for range 4 * silenceTimeout / TickInterval {
+		f.now = f.now.Add(TickInterval)
+		f.step(Tick{Unheard: []registrar.HostName{"h"}})
+	}
+	assert.Equal(t, f.preempts["r"], 0)
+	f.pass(silenceTimeout - 2*TickInterval)
+	assert.Equal(t, f.preempts["r"], 0, "the host has only just been heard again")
+	f.pass(4 * TickInterval)
+	assert.Equal(t, f.preempts["r"], 1)
+}
+
+// TestWaitGoesOnAtTheNextScheduler guards against requests that wait to the end of their
+// time because each scheduler that takes them over counts their wait anew.
+func TestWaitGoesOnAtTheNextScheduler(t *testing.T) {
+	began, now := start, start
+	for range 4 {
+		s := New()
+		s.Step(now, Configure{Document: document()})
+		s.Step(now, Observe{engine("a", 1)})
+		s.Step(now, ask("running", "top", "small"))
+		e := ask("r", "top", "small")
+		e.Request.Waiting, e.Request.Moved = began, true
+		s.Step(now, e)
+		assert.Equal(t, s.requests["r"].queued, began)
+		now = now.Add(300 * time.Millisecond)
+	}
+}
--- a/internal/policy/scheduler/types.go
+++ b/internal/policy/scheduler/types.go
@@ -94,6 +94,9 @@
 	Parts []uint64
 	// Arrived is the time at which the entry host received the request.
 	Arrived time.Time
+	// Waiting is when the present wait for a slot began; zero if it begins with the
+	// submission. It goes on when another scheduler takes the request over.
+	Waiting time.Time
 }
 
 // origin returns the ID of the caller's request.
@@ -241,7 +244,11 @@
 type Divide struct{ Hosts int }
 
 // Tick lets the scheduler do its periodic work.
-type Tick struct{}
+type Tick struct {
+	// Unheard lists the hosts with running attempts that can't be heard at present, so
+	// that they can't report the activity of upstreams.
+	Unheard []registrar.HostName
+}
 
 func (Configure) event()  {}
 func (Observe) event()    {}
