scheduler: a tick compares a bounded number of pairs

The owner of the large site's cell had no processor time left during a crest, so that its links, views and part of the control group were late and other hosts took it for lost.

A tick tries as many as 16,000 pairs allow: the most urgent requests and those that were tried longest ago. Before, TestTickComparesABoundedNumberOfPairs counted 285 requests tried in one tick, now at most 50 and the overdue heads.

--- a/internal/policy/scheduler/crest_test.go
+++ b/internal/policy/scheduler/crest_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -76,3 +77,42 @@
 	assert.Equal(t, len(u.unreadAttempts), 0)
 	assert.Equal(t, fmt.Sprint(u.pendingRead), "[0s 0s 0s 0s]")
 }
+
+// TestTickComparesABoundedNumberOfPairs guards against an owner of a large cell that has no
+// processor time left during a crest, so that other hosts take it for lost: a tick with
+// 320 engines and 400 waiting requests took longer than the time to the next one.
+func TestTickComparesABoundedNumberOfPairs(t *testing.T) {
+	const engines = 320
+	f, _ := crestFleet(engines, 5, 400)
+	most := tickBudget / engines
+	assert.Assert(t, f.s.pools["m"].waiting > 4*most)
+	waiting := func() map[RequestID]bool {
+		all := map[RequestID]bool{}
+		for _, r := range f.s.waitingIn(f.s.pools["m"]) {
+			all[r.ID] = true
+		}
+		return all
+	}
+	left := waiting()
+	for range 400/(most/2) + 1 {
+		f.now = f.now.Add(TickInterval)
+		list := f.s.waitingIn(f.s.pools["m"])
+		if len(list) == 0 {
+			break
+		}
+		urgent := slices.MinFunc(list, byUrgency)
+		f.step(Tick{})
+		tried := 0
+		for _, r := range f.s.waitingIn(f.s.pools["m"]) {
+			if r.tried.Equal(f.now) {
+				tried++
+				delete(left, r.ID)
+			}
+		}
+		assert.Assert(t, tried <= most+len(f.s.pools["m"].waits), "%d requests tried", tried)
+		assert.Assert(t, !urgent.waiting || urgent.tried.Equal(f.now), "the most urgent request was not tried")
+	}
+	for id := range waiting() {
+		assert.Assert(t, !left[id], "%s was never tried", id)
+	}
+}
--- a/internal/policy/scheduler/placement.go
+++ b/internal/policy/scheduler/placement.go
@@ -62,6 +62,7 @@
 	if s.unsettled && s.suspect(now, r) {
 		return nil
 	}
+	r.tried = now
 	best, shortQueue := s.cheapest(now, r)
 	if best != shortQueue {
 		r.obstacle = LongReading
--- a/internal/policy/scheduler/queue.go
+++ b/internal/policy/scheduler/queue.go
@@ -414,6 +414,11 @@
 // dispatch grants free slots to the waiting requests in order.
 func (s *Scheduler) dispatch(now time.Time, p *pool) {
 	s.unpark(p)
+	s.dispatchQueued(now, p)
+}
+
+// dispatchQueued grants free slots to the waiting requests that are not parked.
+func (s *Scheduler) dispatchQueued(now time.Time, p *pool) {
 	for p.waiting > len(p.parked) && p.free(now) {
 		r, overdue := p.next(now)
 		u := s.choose(now, r)
--- a/internal/policy/scheduler/quota.go
+++ b/internal/policy/scheduler/quota.go
@@ -1,11 +1,9 @@
 package scheduler
 
 import (
-	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/amaranthcart/amaranthcart/internal/config/validator"
@@ -203,9 +201,7 @@
 // left.
 func (s *Scheduler) mostUrgent(p *pool) []*request {
 	list := s.waitingIn(p)
-	slices.SortFunc(list, func(a, b *request) int {
-		return cmp.Or(cmp.Compare(a.class.tier, b.class.tier), a.due.Compare(b.due), strings.Compare(string(a.ID), string(b.ID)))
-	})
+	slices.SortFunc(list, byUrgency)
 	return list
 }
 
--- a/internal/policy/scheduler/request.go
+++ b/internal/policy/scheduler/request.go
@@ -52,8 +52,9 @@
 	repeat, prepaid bool
 	// parts are the parts of the request that may crash upstreams.
 	parts []attributor.Part
-	// obstacle tells what prevented the last try to place the request.
+	// obstacle tells what prevented the last try to place the request, at the time tried.
 	obstacle Obstacle
+	tried    time.Time
 	index    int
 }
 
--- a/internal/policy/scheduler/scheduler.go
+++ b/internal/policy/scheduler/scheduler.go
@@ -153,7 +153,7 @@
 		s.checkSilence(now)
 		for _, p := range s.pools {
 			s.reportSpeed(p)
-			s.dispatch(now, p)
+			s.dispatchTick(now, p)
 			s.refuseBeyondQuota(now, p)
 			s.preempt(now, p)
 			s.hedge(now, p)
