relayer: waits end in time; an upstream that another process replaced is gone for all

Callers got no answer at all from requests that waited to the end of their time.

An answer 421 says that another process listens at the address. The scheduler hears of it as of a refused connection, and the request goes on. An attempt of which nothing was sent is no repeat.

--- a/internal/entry/relayer/attempt.go
+++ b/internal/entry/relayer/attempt.go
@@ -45,6 +45,7 @@
 	errUnattributed  = errors.New("the refusal names no request, and the connection has carried other requests")
 	errResent        = errors.New("the upstream refused the request after it may have run it")
 	errUnsigned      = errors.New("the answer is not signed by an upstream, or names no request")
+	errMisdirected   = errors.New("another process than the upstream's answers at its address")
 	errStatusOnly    = errors.New("the upstream refused by status code alone")
 	errEncoded       = errors.New("the answer is encoded")
 	errPreempted     = errors.New("the scheduler preempted the attempt")
@@ -285,6 +286,8 @@
 		return failed{cause: errUnattributed}
 	case reply.NotRun && a.send.Resent():
 		return failed{cause: errResent}
+	case reply.NotRun && response.StatusCode == http.StatusMisdirectedRequest:
+		return notRun{refused: true, cause: errMisdirected}
 	case reply.NotRun:
 		return notRun{refused: true, cause: fmt.Errorf("upstream refused with status %d", response.StatusCode)}
 	case !reply.Signed || reply.ID == "":
@@ -415,6 +418,9 @@
 	case callerGone:
 		return scheduler.Abandoned
 	case notRun:
+		if errors.Is(r.cause, errMisdirected) {
+			return scheduler.Misdirected
+		}
 		return forwarder.Unsent(r.cause)
 	case wholeAnswer:
 		return scheduler.Failed
--- a/internal/entry/relayer/call.go
+++ b/internal/entry/relayer/call.go
@@ -33,8 +33,15 @@
 	// holdPoll is how often a waiting request checks the configuration again.
 	holdPoll = 20 * time.Millisecond
 	// maxUnsent bounds, for one request, the attempts that ended before anything was
-	// sent, mostly because no connection could be made.
+	// sent, mostly because no connection could be made, and those that another process
+	// rejected.
 	maxUnsent = 2
+	// waitShare is the part of a caller's time that a request may wait for its first
+	// attempt. What is left then is needed for the answer.
+	waitShare = 0.75
+	// answerMargin is the time before its deadline at which a request that still waits for
+	// a further attempt gets its final answer, so that the answer arrives in time.
+	answerMargin = 50 * time.Millisecond
 	// codeTimeout and codeStopping are the error codes of requests that end before they
 	// have a response.
 	codeTimeout  = "timeout"
@@ -73,8 +80,10 @@
 	// slotRequest describes the request to the scheduler.
 	slotRequest scheduler.Request
 	// attempts counts the upstreams to which the request was sent, and unsent the
-	// attempts that ended before anything was sent.
+	// attempts that ended before anything was sent or that another process rejected.
 	attempts, unsent int
+	// sent is set once anything of the request may have reached an upstream.
+	sent bool
 	// addresses are the upstream addresses to which the request was sent.
 	addresses []string
 	// mayHaveRun is set once an upstream may have run the request without its response
@@ -151,7 +160,7 @@
 // resolve finds the route, organisation and class of the request and computes its
 // deadline. If that fails, it refuses the request and returns false.
 func (c *call) resolve() bool {
-	x, fresh := c.relayer.awaitConfiguration(c.request.Context())
+	x, fresh := c.relayer.awaitConfiguration(c.request.Context(), c.lastWait(c.intent.MaxWait))
 	c.configured = c.relayer.clock.Since(c.arrived)
 	if !fresh || x == nil {
 		c.refuse(http.StatusServiceUnavailable, "stale_configuration", staleRetry)
@@ -181,9 +190,27 @@
 	return true
 }
 
+// lastWait returns when a request with the time limit stops waiting for its first attempt;
+// the zero time if it has no limit.
+func (c *call) lastWait(limit time.Duration) time.Time {
+	if limit <= 0 {
+		return time.Time{}
+	}
+	return c.arrived.Add(time.Duration(waitShare * float64(limit)))
+}
+
+// waitEnd returns when the request stops waiting for its next attempt.
+func (c *call) waitEnd() time.Time {
+	if c.attempts+c.unsent == 0 {
+		return c.lastWait(c.deadline.Sub(c.arrived))
+	}
+	return c.deadline.Add(-answerMargin)
+}
+
 // awaitConfiguration returns the configuration in force and whether it is confirmed.
-// While it isn't, the request waits for up to startHold or staleHold.
-func (r *Relayer) awaitConfiguration(ctx context.Context) (*validator.Index, bool) {
+// While it isn't, the request waits for up to startHold or staleHold, and not beyond last
+// unless that is zero.
+func (r *Relayer) awaitConfiguration(ctx context.Context, last time.Time) (*validator.Index, bool) {
 	x, fresh := r.options.Configuration()
 	if fresh {
 		r.confirmed.Store(true)
@@ -193,7 +220,11 @@
 	if r.confirmed.Load() {
 		hold = staleHold
 	}
-	for end := r.clock.Now().Add(hold); !fresh && r.clock.Now().Before(end); {
+	end := r.clock.Now().Add(hold)
+	if !last.IsZero() && last.Before(end) {
+		end = last
+	}
+	for !fresh && r.clock.Now().Before(end) {
 		select {
 		case <-ctx.Done():
 			return nil, false
@@ -266,7 +297,7 @@
 	for {
 		ask := c.slotRequest
 		ask.Avoid = c.relayer.options.Sender.Avoid(ask.Avoid)
-		slot, err := c.relayer.options.Dispatcher.Acquire(ctx, ask)
+		slot, err := c.acquire(ctx, ask)
 		if err != nil {
 			c.endWithoutSlot(ctx, err)
 			return
@@ -277,18 +308,36 @@
 		c.upstream, c.predicted = slot.Upstream().Name, slot.Predicted()
 		a := newAttempt(c, slot)
 		result := a.run(ctx)
-		if a.send.Sent.Load() {
-			c.attempts++
-			c.addresses = append(c.addresses, a.upstream.Address)
-		} else {
-			c.unsent++
-		}
+		c.count(a, result)
 		if c.settle(ctx, a, result) {
 			return
 		}
 	}
 }
 
+// acquire waits for a slot as long as the request can still be served in its time.
+func (c *call) acquire(ctx context.Context, ask scheduler.Request) (dispatcher.Slot, error) {
+	ctx, cancel := context.WithDeadline(ctx, c.waitEnd())
+	defer cancel()
+	return c.relayer.options.Dispatcher.Acquire(ctx, ask)
+}
+
+// count counts an attempt that has ended. One that another process than the upstream's
+// rejected doesn't use up the route's attempts.
+func (c *call) count(a *attempt, r result) {
+	if !a.send.Sent.Load() {
+		c.unsent++
+		return
+	}
+	c.sent = true
+	c.addresses = append(c.addresses, a.upstream.Address)
+	if n, ok := r.(notRun); ok && errors.Is(n.cause, errMisdirected) {
+		c.unsent++
+		return
+	}
+	c.attempts++
+}
+
 // settle decides what follows from the result of an attempt and reports whether the
 // request has been answered.
 func (c *call) settle(ctx context.Context, a *attempt, r result) bool {
@@ -334,7 +383,7 @@
 	if c.stream.begun && (c.route.Repeat != validator.Resumable || c.stream.events == 0 || c.stream.unresumable.Load()) {
 		return false
 	}
-	c.slotRequest.Retry = true
+	c.slotRequest.Retry, c.slotRequest.Unsent = true, !c.sent
 	if !errors.Is(c.cause, errForeignAnswer) {
 		c.slotRequest.Avoid = append(c.slotRequest.Avoid, a.upstream.Name)
 	}
@@ -364,7 +413,7 @@
 	case endCode(ctx) == codeStopping:
 		c.refuse(http.StatusServiceUnavailable, codeStopping, staleRetry)
 	default:
-		c.refuse(http.StatusServiceUnavailable, codeTimeout, 0)
+		c.refuse(http.StatusServiceUnavailable, codeTimeout, staleRetry)
 	}
 }
 
@@ -389,7 +438,7 @@
 		return c.deliver(*c.failure)
 	case !c.mayHaveRun:
 		c.refuse(http.StatusServiceUnavailable, "not_run", staleRetry)
-	case ctx.Err() != nil:
+	case ctx.Err() != nil || errors.Is(c.cause, context.DeadlineExceeded):
 		c.refuse(http.StatusGatewayTimeout, endCode(ctx), 0)
 	default:
 		c.refuse(http.StatusBadGateway, "upstream_failed", 0)
--- a/internal/policy/scheduler/crash.go
+++ b/internal/policy/scheduler/crash.go
@@ -110,7 +110,7 @@
 	switch o {
 	case Completed:
 		return detector.Answered
-	case Failed, Preempted, ConnectionRefused, ConnectTimeout:
+	case Failed, Preempted, ConnectionRefused, ConnectTimeout, Misdirected:
 		return detector.Stopped
 	default:
 		return detector.Withdrawn
--- a/internal/policy/scheduler/retry.go
+++ b/internal/policy/scheduler/retry.go
@@ -180,7 +180,7 @@
 		r.pool.retries.refund(s.retryLimit())
 	}
 	switch o {
-	case Preempted, Crashed, ConnectionRefused, ConnectTimeout:
+	case Preempted, Crashed, ConnectionRefused, ConnectTimeout, Misdirected:
 	default:
 		if !a.preempted && !a.moving {
 			return
--- a/internal/policy/scheduler/retry_test.go
+++ b/internal/policy/scheduler/retry_test.go
@@ -113,6 +113,26 @@
 	assert.Assert(t, asked <= DefaultRetryBurst+4, "%d attempts were ended", asked)
 }
 
+// TestAskedAttemptIsPaidForInAdvance guards against a request that is asked to leave its
+// upstream and then refused for want of a retry budget, because the scheduler knew it by
+// the ID of its last attempt.
+func TestAskedAttemptIsPaidForInAdvance(t *testing.T) {
+	f := newEngineFleet(t, 2)
+	for range DefaultRetryBurst - 1 {
+		assert.Assert(t, f.s.budget("m").take())
+	}
+	ask := Request{ID: "r/1", Origin: "r", Pool: "m", Class: "hint", Prompt: 1_200, Limit: 200, Rescue: true, Arrived: f.now}
+	f.step(Submit{ask})
+	f.first("r/1")
+	f.pass(2 * silenceTimeout)
+	assert.Equal(t, f.preempts["r/1"], 1)
+	assert.Assert(t, !f.s.budget("m").left(1))
+	f.step(Finished{ID: "r/1", Upstream: f.running["r/1"], Outcome: Preempted, Tokens: 5})
+	ask.ID, ask.Retry, ask.Emitted = "r/2", true, 5
+	f.step(Submit{ask})
+	assert.Assert(t, f.running["r/2"] != "")
+}
+
 // TestPoolKeepsItsBudgetWithoutUpstreams guards against a pool that has the whole budget
 // again once its last upstream has left and another one has come.
 func TestPoolKeepsItsBudgetWithoutUpstreams(t *testing.T) {
--- a/internal/policy/scheduler/scheduler.go
+++ b/internal/policy/scheduler/scheduler.go
@@ -343,7 +343,7 @@
 	switch e.Outcome {
 	case Crashed:
 		s.connectionLost(now, a)
-	case ConnectionRefused:
+	case ConnectionRefused, Misdirected:
 		if a.process == u.process() {
 			s.confirmCrash(now, u)
 		}
--- a/internal/policy/scheduler/types.go
+++ b/internal/policy/scheduler/types.go
@@ -132,6 +132,9 @@
 	// ConnectTimeout means that no connection could be made in time: nothing was
 	// sent, and the upstream or the network path to it may have failed.
 	ConnectTimeout
+	// Misdirected means that another process than the upstream's answered at its
+	// address and rejected the request: the upstream is gone.
+	Misdirected
 )
 
 // Reason tells why a request was refused.
