dispatcher: the hosts of a cell pass their parts of the retry budgets to its owner

Each next owner and each host that scheduled alone began with all that may be saved up. Now the hosts have equal parts: a host passes its part to the owner when it links, is told what that part is worth with the owner's messages, and takes it along when the link ends. What is saved up exists once. A host that starts begins with nothing. A host that has lost the cell ends its links at once.

It doesn't judge the silence of upstreams by the others.

TestPreemptedIsNoRetry and TestSpillStays wanted attempts after a preemption, and attempts in another cell, to be free, which is the fault; they want them counted now.

--- a/internal/entry/dispatcher/cell.go
+++ b/internal/entry/dispatcher/cell.go
@@ -168,6 +168,7 @@
 	// the next one of the same request.
 	r.Origin = boundedID(r.ID)
 	r.ID = c.attemptID(r.Origin)
+	r.Waiting = c.settings.Clock.Now()
 	t := newTicket(r, c.settings.Clock, c.find, c.ended)
 	t.isBarred = c.isBarred
 	c.admit(t)
@@ -356,6 +357,9 @@
 	owner, ok := s.owner()
 	owning := ok && owner == s.Host
 	if owning != f.owning {
+		if f.owning {
+			s.Local.signalOwnershipLost()
+		}
 		f.owning = owning
 		f.since = s.Clock.Now()
 		f.retryPause = 0
@@ -367,6 +371,7 @@
 	if owning || !ok {
 		f.closeLink()
 		f.updateRateShare()
+		f.updateRetryPart()
 		f.cell.reroute(s.Local)
 	} else {
 		f.connect(ctx, owner)
@@ -480,6 +485,7 @@
 	s := f.cell.settings
 	f.recordLinkEnd()
 	f.updateRateShare()
+	f.updateRetryPart()
 	f.cell.reroute(s.Local)
 	// The end of a call on a connection that has gone silent takes until a probe of the
 	// connection fails, which is too long to be without an owner.
@@ -504,8 +510,12 @@
 		l.sendCrashes()
 	}
 	c.sendBars(to)
+	if l, ok := from.(*link); ok {
+		c.settings.Local.deposit(l.endShare())
+	}
 	if l, ok := to.(*link); ok {
 		l.limit(c.settings.Local.knownLimits()...)
+		l.pass(c.settings.Local.takeRepeats())
 	}
 	held, waiting := c.byHolding()
 	c.settings.Logger.Info("the requests of this host are scheduled by another host now",
--- a/internal/entry/dispatcher/cell_test.go
+++ b/internal/entry/dispatcher/cell_test.go
@@ -31,6 +31,8 @@
 	owner     registrar.HostName
 	successor registrar.HostName
 	uncounted bool
+	// nonOwners is the number of hosts that may not own the cell.
+	nonOwners int
 	// outdated is set while the view is too old to send requests.
 	outdated  bool
 	addresses map[registrar.HostName]string
@@ -56,7 +58,11 @@
 	return a, ok
 }
 
-func (f *fakeMembership) Schedulers() int { return f.Hosts() }
+func (f *fakeMembership) Schedulers() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.addresses) - f.nonOwners
+}
 
 func (f *fakeMembership) Current() bool {
 	f.mu.Lock()
@@ -370,19 +376,31 @@
 	waitFor(t, "slots freed", func() bool { return all["a"].occupied() == 0 })
 }
 
-// TestPreemptedIsNoRetry guards against a preempted request that loses its place in the
-// queue, or is refused for want of a retry budget, because the scheduler knew it by the
-// ID of its last attempt.
-func TestPreemptedIsNoRetry(t *testing.T) {
+// TestPreemptedCountsAsRepeat guards against a preempted request whose further attempts
+// are not counted, and against one of which the scheduler loses count because each
+// attempt has an ID of its own: both hosts together have the budget once.
+func TestPreemptedCountsAsRepeat(t *testing.T) {
 	_, all := newMembers(t, "a", "b")
 	waitFor(t, "links", func() bool { return all["b"].linked() && all["a"].usesAllSlots() })
+	granted := 0
 	for _, m := range []*member{all["a"], all["b"]} {
 		r := request("long")
-		for i := range 100 {
+		for range 100 {
 			s, err := m.cell.Acquire(t.Context(), r)
-			assert.NilError(t, err, "attempt %d", i)
+			var refused *RefusedError
+			if errors.As(err, &refused) {
+				assert.Equal(t, refused.Reason, scheduler.OutOfRetries)
+				break
+			}
+			assert.NilError(t, err)
+			granted++
 			r.Emitted += 5
 			s.Release(scheduler.Preempted, 5)
+			if m == all["a"] && granted == 4 {
+				break
+			}
 		}
 	}
+	assert.Assert(t, granted <= 2+scheduler.DefaultRetryBurst, "%d attempts", granted)
+	assert.Assert(t, granted > scheduler.DefaultRetryBurst, "%d attempts", granted)
 }
--- a/internal/entry/dispatcher/fleet.go
+++ b/internal/entry/dispatcher/fleet.go
@@ -175,9 +175,6 @@
 	}
 	r.Origin = boundedID(r.ID)
 	r.ID = f.cell.attemptID(r.Origin)
-	// The own cell has admitted the first attempt; the other cell must not count further
-	// ones against its retries.
-	r.Moved = r.Retry || r.Emitted > 0
 	t := newTicket(r, f.settings.Clock, l.find, func(scheduler.RequestID) {})
 	l.sendCrashes()
 	t.move(l)
--- a/internal/entry/dispatcher/fleet_test.go
+++ b/internal/entry/dispatcher/fleet_test.go
@@ -363,8 +363,8 @@
 	assert.NilError(t, err)
 	s.Release(scheduler.Failed, 0)
 	west.cells.set(summary("east", east.address), summary("north", north.address))
-	// More attempts than the retry budget, which the other cell must not charge again.
-	for range 20 {
+	// Each further attempt is charged to the retry budget of the cell that grants it.
+	for range scheduler.DefaultRetryBurst {
 		r.Retry, r.Cell = true, s.Upstream().Cell
 		s, err = west.fleet.Acquire(t.Context(), r)
 		assert.NilError(t, err)
--- a/internal/entry/dispatcher/limit_test.go
+++ b/internal/entry/dispatcher/limit_test.go
@@ -270,7 +270,9 @@
 	e := scheduler.Limit{Upstream: "a", Incarnation: 1, Rate: 100, At: clock.Now()}
 	l := &link{settings: Settings{Clock: clock}, wake: make(chan struct{}, 1)}
 	l.limit(e)
-	n := newSession(&Server{settings: Settings{Clock: clock}}, "h")
+	local := NewLocal(scheduler.New(), clock)
+	defer local.Close()
+	n := newSession(&Server{settings: Settings{Clock: clock, Local: local}}, "h")
 	n.queueLimits(e)
 	clock.Advance(waited)
 	for _, list := range [][]*wire.SlotLimit{l.batch().Limits, n.batch().Limits} {
--- a/internal/entry/dispatcher/link.go
+++ b/internal/entry/dispatcher/link.go
@@ -10,6 +10,7 @@
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"github.com/amaranthcart/amaranthcart/internal/config/validator"
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
 	"github.com/amaranthcart/amaranthcart/internal/ops/restarter"
 	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
@@ -71,6 +72,9 @@
 	alarm   clockwork.Timer
 	due     time.Time
 
+	// share is this host's part of the retry budgets, as the owner last told it.
+	share map[validator.PoolName]float64
+
 	hello *wire.DispatchRequest
 	// accepted is closed once the owner has answered.
 	accepted chan struct{}
@@ -115,6 +119,7 @@
 	l.wake = make(chan struct{}, 1)
 	l.sinks = map[scheduler.RequestID]sink{}
 	l.waiting = map[scheduler.RequestID]bool{}
+	l.share = map[validator.PoolName]float64{}
 	l.alarm = s.Clock.AfterFunc(maxIdleSilence, l.checkAlarm)
 	client := wireconnect.NewPeerClient(s.Client, dialer.URL(address))
 	stream := client.Dispatch(ctx)
@@ -326,16 +331,25 @@
 		l.fail(err.Error())
 		return
 	}
+	quiet := l.settings.Clock.NewTimer(reportInterval)
+	defer quiet.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-l.wake:
+		case <-quiet.Chan():
+			// The owner has to tell a silent upstream from a host that it doesn't
+			// hear, so a host with requests there sends an empty message.
+			if !l.holds() {
+				continue
+			}
 		}
 		if err := stream.Send(l.batch()); err != nil {
 			l.fail(err.Error())
 			return
 		}
+		quiet.Reset(reportInterval)
 	}
 }
 
@@ -386,6 +400,7 @@
 		close(l.accepted)
 	}
 	l.lastHeard = l.settings.Clock.Now()
+	l.takeShare(m.Retries)
 	for _, a := range decodeActions(m) {
 		n, ok := l.sinks[a.id]
 		if !ok {
--- a/internal/entry/dispatcher/local.go
+++ b/internal/entry/dispatcher/local.go
@@ -83,6 +83,12 @@
 	hosts    int
 	settled  bool
 	notOwner func()
+	// ownershipLost is called once when this host owns the cell no more.
+	ownershipLost func()
+	// unheard lists the hosts that can't be heard.
+	unheard func() []registrar.HostName
+	// shares is the part of the retry budgets that each linked host has; nil without any.
+	shares atomic.Pointer[[]scheduler.Deposit]
 	// ownership is shared by the two sides of the cell on this host.
 	ownership ownership
 	// limitCount is the number of rate limits that the scheduler knows, for readers
@@ -120,6 +126,9 @@
 		requests:  map[scheduler.RequestID]*openRequest{},
 		hosts:     1,
 		notOwner:  func() {},
+		unheard:   func() []registrar.HostName { return nil },
+
+		ownershipLost: func() {},
 
 		limitChanged: func(scheduler.Limit) {},
 		wakeTicks:    make(chan struct{}, 1),
@@ -161,7 +170,8 @@
 func (l *Local) tickOnce() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.step(scheduler.Tick{})
+	l.step(scheduler.Tick{Unheard: l.unheard()})
+	l.publishShares()
 	l.spillStranded()
 	if len(l.requests) > 0 {
 		return scheduler.TickInterval
@@ -266,6 +276,21 @@
 	f()
 }
 
+// onOwnershipLost sets the function that is called when this host owns the cell no more.
+func (l *Local) onOwnershipLost(f func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ownershipLost = f
+}
+
+// signalOwnershipLost calls the function set by onOwnershipLost.
+func (l *Local) signalOwnershipLost() {
+	l.mu.Lock()
+	f := l.ownershipLost
+	l.mu.Unlock()
+	f()
+}
+
 // submit implements route.
 func (l *Local) submit(r scheduler.Request, n sink) {
 	l.mu.Lock()
--- a/internal/entry/dispatcher/message.go
+++ b/internal/entry/dispatcher/message.go
@@ -23,6 +23,7 @@
 		Whole:        r.Whole,
 		Retry:        r.Retry,
 		Moved:        r.Moved,
+		Unsent:       r.Unsent,
 		Fingerprint:  r.Fingerprint,
 		Emitted:      uint32(max(r.Emitted, 0)),
 		Age:          now.Sub(r.Arrived).Milliseconds(),
@@ -33,6 +34,9 @@
 		Rescue:       r.Rescue,
 		Parts:        r.Parts,
 	}
+	if !r.Waiting.IsZero() {
+		m.Waited = max(now.Sub(r.Waiting).Milliseconds(), 0)
+	}
 	if !held.granted.IsZero() {
 		age := max(now.Sub(held.granted).Milliseconds(), 0)
 		m.Granted = &age
@@ -61,6 +65,7 @@
 		Whole:        m.Whole,
 		Retry:        m.Retry,
 		Moved:        m.Moved,
+		Unsent:       m.Unsent,
 		Fingerprint:  m.Fingerprint,
 		Emitted:      int(m.Emitted),
 		Spilled:      registrar.CellName(m.Spilled),
@@ -69,6 +74,9 @@
 		Parts:        m.Parts,
 		Arrived:      now.Add(-time.Duration(max(m.Age, 0)) * time.Millisecond),
 	}
+	if m.Waited > 0 {
+		r.Waiting = now.Add(-milliseconds(m.Waited))
+	}
 	for _, end := range m.Ends {
 		r.Ends = append(r.Ends, int(end))
 	}
--- a/internal/entry/dispatcher/outbox.go
+++ b/internal/entry/dispatcher/outbox.go
@@ -51,6 +51,8 @@
 	bars []*wire.SlotBar
 	// limits are sent with the crashes. Their ages count up to when they are sent.
 	limits []scheduler.Limit
+	// retries is this host's part of the retry budgets. It is sent with the crashes.
+	retries []*wire.RetryShare
 	// complete is sent once entriesBefore, the number of entries queued ahead of it, is
 	// 0.
 	complete      bool
@@ -90,8 +92,8 @@
 // message before its reports. An ID is submitted once on a link, so only the next attempt
 // of a request has to wait for the message after the one that ends its last attempt.
 func (o *outbox) batch(now time.Time) *wire.DispatchRequest {
-	m := &wire.DispatchRequest{Fingerprints: o.crashes, Bars: o.bars, Limits: encodeLimits(o.limits, now)}
-	o.crashes, o.bars, o.limits = nil, nil, nil
+	m := &wire.DispatchRequest{Fingerprints: o.crashes, Bars: o.bars, Limits: encodeLimits(o.limits, now), Retries: o.retries}
+	o.crashes, o.bars, o.limits, o.retries = nil, nil, nil, nil
 	size, n := 0, 0
 	for n < len(o.entries) && size < maxBatch {
 		e := o.entries[n]
@@ -139,5 +141,5 @@
 }
 
 func (o *outbox) empty() bool {
-	return len(o.entries) == 0 && !o.complete && len(o.crashes) == 0 && len(o.bars) == 0 && len(o.limits) == 0
+	return len(o.entries) == 0 && !o.complete && len(o.crashes) == 0 && len(o.bars) == 0 && len(o.limits) == 0 && len(o.retries) == 0
 }
--- a/internal/entry/dispatcher/server.go
+++ b/internal/entry/dispatcher/server.go
@@ -5,12 +5,14 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
 	"github.com/jonboulle/clockwork"
 	"github.com/sourcegraph/conc/pool"
 
+	"github.com/amaranthcart/amaranthcart/internal/config/validator"
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
 	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
 	"github.com/amaranthcart/amaranthcart/internal/rpc/authenticator"
@@ -54,6 +56,8 @@
 	}
 	s.Local.onNotOwner(n.freeAllOrphans)
 	s.Local.onLimitChanged(n.broadcastLimit)
+	s.Local.onUnheard(n.unheard)
+	s.Local.onOwnershipLost(n.endSessions)
 	return n
 }
 
@@ -69,6 +73,20 @@
 	}
 }
 
+// endSessions ends all links once this host no longer owns the cell, so that their hosts
+// look for the next owner at once and take their parts of the retry budgets along.
+func (s *Server) endSessions() {
+	s.mu.Lock()
+	all := make([]*session, 0, len(s.sessions))
+	for _, n := range s.sessions {
+		all = append(all, n)
+	}
+	s.mu.Unlock()
+	for _, n := range all {
+		n.end()
+	}
+}
+
 // free ends the requests, which frees their slots.
 func (s *Server) free(kept orphans) {
 	for id := range kept {
@@ -135,6 +153,7 @@
 	defer s.replacing.Unlock()
 	n := newSession(s, h)
 	n.foreign = foreign
+	n.noteHeard()
 	s.mu.Lock()
 	earlier := s.sessions[h]
 	s.sessions[h] = n
@@ -209,6 +228,10 @@
 	pending *wire.DispatchResponse
 	// limits are sent with pending. Their ages count up to when they are sent.
 	limits []scheduler.Limit
+	// told is the host's part of the retry budgets, as it was last told.
+	told map[validator.PoolName]float64
+	// heardAt is when the last message of the host arrived.
+	heardAt atomic.Pointer[time.Time]
 	// queued counts the answers in pending. overflowed is set once an answer was dropped
 	// because there were too many.
 	queued     int
@@ -223,10 +246,17 @@
 		done:    make(chan struct{}),
 		open:    map[scheduler.RequestID]bool{},
 		pending: &wire.DispatchResponse{},
+		told:    map[validator.PoolName]float64{},
 		wake:    make(chan struct{}, 1),
 	}
 }
 
+// noteHeard records that a message of the host has arrived.
+func (n *session) noteHeard() {
+	now := n.clock().Now()
+	n.heardAt.Store(&now)
+}
+
 func (n *session) serve(ctx context.Context, stream *connect.BidiStream[wire.DispatchRequest, wire.DispatchResponse]) error {
 	g := pool.New().WithContext(ctx).WithCancelOnError().WithFirstError()
 	g.Go(func(ctx context.Context) error { return n.write(ctx, stream) })
@@ -243,6 +273,7 @@
 		if err != nil {
 			return errLinkEnded
 		}
+		n.noteHeard()
 		n.take(m)
 	}
 }
@@ -292,6 +323,7 @@
 	defer n.mu.Unlock()
 	m := n.pending
 	m.Limits = encodeLimits(n.limits, n.clock().Now())
+	m.Retries = n.newShares()
 	n.pending, n.limits = &wire.DispatchResponse{}, nil
 	n.queued = 0
 	return m
@@ -325,6 +357,9 @@
 	}
 	n.server.settings.Local.setBars(decodeBars(n.host, m.Bars))
 	n.recordLimits(m.Limits, now)
+	if !n.foreign {
+		n.server.settings.Local.deposit(decodeRepeats(m.Retries))
+	}
 	for _, r := range m.Submits {
 		n.submit(r, now)
 	}
@@ -506,7 +541,10 @@
 	n.mu.Lock()
 	ids := n.open
 	n.open, n.waiting = map[scheduler.RequestID]bool{}, 0
+	told := listRepeats(n.told)
+	clear(n.told)
 	n.mu.Unlock()
+	n.server.settings.Local.withdraw(told)
 	for id, held := range n.orphans {
 		n.server.orphan(n.host, id, held)
 	}
