dispatcher: an owner is replaced only when most hosts can't reach it, and not for longer

Each change moves all requests and was more work for hosts that were late already.

A link that works is kept.

TestDoubtOfOneHost set the doubt by hand beside a link that works; now its link fails as it does after a silence. New: TestFewHostsDontReplaceTheOwner, TestOwnerThatAnswersAgainIsNotReplaced, TestWorkingLinkIsKept.

--- a/internal/entry/dispatcher/beat_test.go
+++ b/internal/entry/dispatcher/beat_test.go
@@ -17,6 +17,12 @@
 	for _, n := range names {
 		m := all[n]
 		m.cell.Close()
+		view := m.cell.settings.Membership.(*fakeMembership)
+		view.mu.Lock()
+		if m.cell.settings.Standby {
+			view.nonOwners++
+		}
+		view.mu.Unlock()
 		s := m.cell.settings
 		s.Standby = false
 		m.cell = NewCell(s)
--- a/internal/entry/dispatcher/cell.go
+++ b/internal/entry/dispatcher/cell.go
@@ -295,6 +295,7 @@
 	t := c.settings.Clock.NewTimer(ownerCheckInterval)
 	defer t.Stop()
 	defer f.closeLink()
+	defer f.stopProbe()
 	for {
 		f.review(ctx)
 		t.Reset(f.interval())
@@ -339,6 +340,10 @@
 	retryPause time.Duration
 	// hostCount is the number of hosts that share the upstreams' rate limits.
 	hostCount hostCount
+	// probe is the link with which an acting owner tries to reach the owner, and probeAt
+	// the earliest time of the next one.
+	probe   *link
+	probeAt time.Time
 }
 
 // interval is the time to the next review.
@@ -376,6 +381,7 @@
 	} else {
 		f.connect(ctx, owner)
 	}
+	f.probeOwner(ctx)
 	f.freeOrphans()
 	f.surveyor.review(ctx, owning)
 }
@@ -421,17 +427,19 @@
 }
 
 // connect makes the link to the owner the route, once the owner has accepted it. Until
-// then requests are scheduled on this host.
+// then requests are scheduled on this host. A link that works is kept, whatever host the
+// view of this one names: the other end would say that it owns the cell no more, and the
+// views of hosts that follow different ones differ for a time.
 func (f *ownerTracker) connect(ctx context.Context, owner registrar.HostName) {
 	s := f.cell.settings
-	if f.link != nil && f.link.owner != owner {
+	if f.link != nil && f.link.owner != owner && !f.link.ready() {
 		f.closeLink()
 	}
 	if f.link == nil && !s.Clock.Now().Before(f.retryAt) {
 		f.open(ctx, owner)
 	}
 	if f.link != nil && f.link.ready() {
-		s.Local.ownership.confirmLoss(s.Clock.Now())
+		f.noteReached()
 		f.retryPause = 0
 		f.cell.reroute(f.link)
 		s.Local.setRateShare(0)
@@ -444,6 +452,18 @@
 	f.cell.reroute(s.Local)
 }
 
+// noteReached records which host has accepted the link: the one that was taken for lost,
+// or one that acts for it.
+func (f *ownerTracker) noteReached() {
+	s := f.cell.settings
+	now := s.Clock.Now()
+	if owner, ok := s.Membership.Owner(s.Cell); ok && f.link.owner == owner {
+		s.Local.ownership.ownerHeard(now, owner)
+		return
+	}
+	s.Local.ownership.confirmLoss(now)
+}
+
 // open opens a link to the owner and sets the time of the next attempt.
 func (f *ownerTracker) open(ctx context.Context, owner registrar.HostName) {
 	s := f.cell.settings
--- a/internal/entry/dispatcher/link.go
+++ b/internal/entry/dispatcher/link.go
@@ -93,7 +93,8 @@
 // openLink opens a link to the owner of this host's cell. It returns before the owner
 // accepts it.
 func openLink(ctx context.Context, s Settings, owner registrar.HostName, address string) *link {
-	l := &link{owner: owner, hello: &wire.DispatchRequest{Host: string(s.Host), Roams: s.AllowSpill, Standby: s.Standby}}
+	named, _ := s.Membership.Owner(s.Cell)
+	l := &link{owner: owner, hello: &wire.DispatchRequest{Host: string(s.Host), Roams: s.AllowSpill, Standby: s.Standby, Doubts: owner != named}}
 	l.open(ctx, s, address)
 	return l
 }
--- a/internal/entry/dispatcher/ownership.go
+++ b/internal/entry/dispatcher/ownership.go
@@ -12,11 +12,13 @@
 	// instead, and the owner in turn. The successor agrees once it can't reach the owner
 	// either.
 	suspicionTime = 700 * time.Millisecond
+	// doubtTime is how long a host counts that can't reach the owner. Such a host tries
+	// the owner and the successor in turn, at least once in this time.
+	doubtTime = time.Second
 	// reconnectTime is how long the owner has to accept a link in the meantime.
 	reconnectTime = 150 * time.Millisecond
-	// actingOwnerTime is how long the successor acts as the owner once another host has
-	// agreed that the owner is lost. If it is, the membership names the successor by
-	// then.
+	// actingOwnerTime is how long the successor acts at most while the owner answers
+	// nobody. If it is lost, the membership names the successor by then.
 	actingOwnerTime = 5 * time.Second
 )
 
@@ -29,6 +31,9 @@
 	suspected    registrar.HostName
 	since, until time.Time
 	confirmed    bool
+	// doubts holds the other hosts that said within doubtTime that they can't reach the
+	// owner.
+	doubts map[registrar.HostName]doubt
 	// reported lists the hosts that have reported the slots they hold since this host
 	// owns the cell.
 	reported map[registrar.HostName]bool
@@ -41,13 +46,68 @@
 	o.suspected, o.since, o.until, o.confirmed = owner, now, now.Add(suspicionTime), false
 }
 
-// successorDisagreed records that the successor does not take the owner for lost.
+// successorDisagreed records that the successor does not act for the owner.
 func (o *ownership) successorDisagreed(now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if !o.confirmed {
-		o.until = now
+	o.until, o.confirmed = now, false
+}
+
+// ownerHeard records that the owner has answered, so that nobody acts for it any longer.
+// It reports whether this host took it for lost.
+func (o *ownership) ownerHeard(now time.Time, owner registrar.HostName) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	lost := o.suspected == owner && now.Before(o.until)
+	if lost {
+		o.until, o.confirmed = now, false
 	}
+	return lost
+}
+
+// doubt tells when a host last said that it can't reach the owner, and whether it may own
+// the cell itself.
+type doubt struct {
+	at      time.Time
+	standby bool
+}
+
+// doubt records that another host can't reach the owner.
+func (o *ownership) doubt(now time.Time, h registrar.HostName, standby bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.doubts == nil {
+		o.doubts = map[registrar.HostName]doubt{}
+	}
+	for other, d := range o.doubts {
+		if now.Sub(d.at) > doubtTime {
+			delete(o.doubts, other)
+		}
+	}
+	o.doubts[h] = doubt{now, standby}
+}
+
+// agreed reports whether this host, which takes the owner for lost, may act for it: it
+// acts already, or most of the other hosts that may own the cell, or most of all hosts,
+// can't reach the owner. A few hosts without a path to the owner change nothing.
+func (o *ownership) agreed(now time.Time, schedulers, hosts int) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.confirmed {
+		return true
+	}
+	standbys, all := 1, 1
+	for _, d := range o.doubts {
+		if now.Sub(d.at) > doubtTime {
+			continue
+		}
+		all++
+		if d.standby {
+			standbys++
+		}
+	}
+	others := schedulers - 1
+	return 2*standbys > others && all > 1 || 2*all > hosts
 }
 
 // suspectAgain suspects an owner once more that has not accepted a link after the
@@ -112,7 +172,11 @@
 	if !ok || owner == s.Host || !s.Local.ownership.takenForLost(s.Clock.Now(), owner) {
 		return owner, ok
 	}
-	return s.Membership.Successor(s.Cell)
+	next, ok := s.Membership.Successor(s.Cell)
+	if next == s.Host && !s.Local.ownership.agreed(s.Clock.Now(), s.Membership.Schedulers(), s.Membership.Hosts()) {
+		return owner, true
+	}
+	return next, ok
 }
 
 // allReported reports whether all other hosts, except for an owner that is lost, have
--- a/internal/entry/dispatcher/ownership_test.go
+++ b/internal/entry/dispatcher/ownership_test.go
@@ -70,7 +70,7 @@
 	_, all, gates := newGatedMembers(t, "a", "b", "c")
 	waitFor(t, "links", func() bool { return all["b"].linked() && all["c"].linked() })
 	began := time.Now()
-	all["c"].local.ownership.suspect(began, "a")
+	all["c"].cell.lastLink.Load().failSilent()
 	waitFor(t, "c to leave a", func() bool { return !all["c"].linked() })
 	waitFor(t, "c to go back to a", func() bool { return all["c"].linked() })
 	assert.Assert(t, time.Since(began) < suspicionTime/2, "took %v", time.Since(began))
@@ -109,3 +109,57 @@
 	n := logs.FilterMessage("link to cell owner ended").Len()
 	assert.Assert(t, n > 1 && n <= attempts, "%d links in 2 s", n)
 }
+
+// Guards against a successor that acts as the owner because it and one other host have
+// no path to an owner that all others reach.
+func TestFewHostsDontReplaceTheOwner(t *testing.T) {
+	_, all := newMembers(t, "a", "b", "c", "d", "e")
+	view := all["a"].cell.settings.Membership.(*fakeMembership)
+	view.mu.Lock()
+	view.successor = "b"
+	view.mu.Unlock()
+	waitFor(t, "links", func() bool { return all["b"].linked() && all["c"].linked() && all["d"].linked() })
+	now := time.Now()
+	all["b"].local.ownership.suspect(now, "a")
+	all["b"].local.ownership.doubt(now, "c", true)
+	assert.Assert(t, !all["b"].server.owns(), "two of four other hosts")
+	all["b"].local.ownership.doubt(now, "d", true)
+	assert.Assert(t, all["b"].server.owns(), "three of four other hosts")
+}
+
+// Guards against a successor that acts for seconds beside an owner that stalled for a
+// moment and answers again.
+func TestOwnerThatAnswersAgainIsNotReplaced(t *testing.T) {
+	_, all, gates := newGatedMembers(t, "a", "b", "c", "d")
+	waitFor(t, "links", func() bool { return all["b"].linked() && all["c"].linked() && all["d"].linked() })
+	gates["a"].silent.Store(true)
+	waitFor(t, "the successor to act", func() bool { return all["b"].server.owns() && all["c"].linked() })
+	gates["a"].silent.Store(false)
+	began := time.Now()
+	waitFor(t, "one owner", func() bool { return !all["b"].server.owns() })
+	assert.Assert(t, time.Since(began) < actingOwnerTime/2, "took %v", time.Since(began))
+	waitFor(t, "links", func() bool { return all["b"].linked() && all["c"].linked() && all["d"].linked() })
+	assert.Equal(t, all["d"].cell.lastLink.Load().owner, registrar.HostName("a"))
+}
+
+// Guards against a host that leaves an owner which answers it because the control host
+// whose view it follows names another one.
+func TestWorkingLinkIsKept(t *testing.T) {
+	_, all := newMembers(t, "a", "b", "c")
+	waitFor(t, "links", func() bool { return all["b"].linked() && all["c"].linked() })
+	all["c"].cell.Close()
+	other := &fakeMembership{owner: "a", addresses: map[registrar.HostName]string{}, upstreams: map[registrar.UpstreamID]registrar.Upstream{}}
+	view := all["c"].cell.settings.Membership.(*fakeMembership)
+	for _, n := range []registrar.HostName{"a", "b", "c"} {
+		other.addresses[n], _ = view.Address(n)
+	}
+	s := all["c"].cell.settings
+	s.Membership = other
+	all["c"].cell = NewCell(s)
+	waitFor(t, "link", all["c"].linked)
+	first := all["c"].cell.lastLink.Load()
+	other.setOwner("b")
+	time.Sleep(10 * ownerCheckInterval)
+	assert.Assert(t, all["c"].linked())
+	assert.Equal(t, all["c"].cell.lastLink.Load(), first)
+}
--- a/internal/entry/dispatcher/server.go
+++ b/internal/entry/dispatcher/server.go
@@ -135,6 +135,9 @@
 	if name := authenticator.ClientName(ctx, authenticator.Entry); name != "" && name != hello.Host {
 		return connect.NewError(connect.CodePermissionDenied, fmt.Errorf("the certificate is that of entry host %s, the message that of %s", name, hello.Host))
 	}
+	if hello.Doubts {
+		s.settings.Local.ownership.doubt(s.settings.Clock.Now(), registrar.HostName(hello.Host), hello.Standby)
+	}
 	if !s.owns() {
 		return stream.Send(&wire.DispatchResponse{Moved: true})
 	}
