registrar: the owner of a cell has a term and stays until it is gone

The host that took the cell over last owns it now; a host takes a term higher than all that it knows when it becomes the owner and reaches most of the hosts that it knows, so that a minority's owner yields when the cut ends.

--- a/internal/member/gossiper/encode.go
+++ b/internal/member/gossiper/encode.go
@@ -9,6 +9,10 @@
 	"github.com/amaranthcart/amaranthcart/internal/rpc/wire"
 )
 
+// maxTerm bounds the term in another host's description. An owner in a higher one could
+// never be replaced.
+const maxTerm = 1 << 48
+
 // thousandths is the factor by which renewals scale the cache share to an integer.
 const thousandths = 1000
 
@@ -27,6 +31,7 @@
 		Age:         n.Age.Milliseconds(),
 		Described:   n.DescriptionVersion,
 		Watchers:    count(n.Host.Watchers),
+		Term:        n.Host.Term,
 	}
 }
 
@@ -44,6 +49,7 @@
 			Control:     h.GetControl(),
 			Revision:    h.GetRevision(),
 			Watchers:    int(min(h.GetWatchers(), math.MaxInt32)),
+			Term:        min(h.GetTerm(), maxTerm),
 		},
 		DescriptionVersion: h.GetDescribed(),
 		Age:                milliseconds(h.GetAge()),
--- a/internal/member/gossiper/gossiper.go
+++ b/internal/member/gossiper/gossiper.go
@@ -254,6 +254,11 @@
 	g.describe(func(d *registrar.Describe) { d.Draining = on })
 }
 
+// Claim tells the other hosts in which term this host has taken over its cell.
+func (g *Gossiper) Claim(term uint64) {
+	g.describe(func(d *registrar.Describe) { d.Term = term })
+}
+
 // Watch sets the number of hosts that follow the view of this one, for its description.
 func (g *Gossiper) Watch(watchers int) {
 	g.describe(func(d *registrar.Describe) { d.Watchers = watchers })
@@ -269,7 +274,7 @@
 func (g *Gossiper) describe(change func(*registrar.Describe)) {
 	g.mu.Lock()
 	s := g.registrar.Self().Host
-	d := registrar.Describe{Draining: s.Draining, Left: s.Left, Revision: s.Revision, Watchers: s.Watchers}
+	d := registrar.Describe{Draining: s.Draining, Left: s.Left, Revision: s.Revision, Watchers: s.Watchers, Term: s.Term}
 	change(&d)
 	g.queue = append(g.queue, g.registrar.Step(g.clock.Now(), d)...)
 	g.mu.Unlock()
--- a/internal/member/registrar/event.go
+++ b/internal/member/registrar/event.go
@@ -36,6 +36,8 @@
 	Revision uint64
 	// Watchers is the number of hosts that follow this host's view.
 	Watchers int
+	// Term is the term of this host as the owner of its cell; 0 if it never owned it.
+	Term uint64
 }
 
 // Restore carries the upstreams that another host knew before this one started.
@@ -156,6 +158,9 @@
 	// Watchers is the number of hosts that don't take part in the gossip exchange and
 	// follow the view of this one.
 	Watchers int
+	// Term is the term in which the host took over its cell; 0 if it never did. It is
+	// higher than that of each owner before.
+	Term uint64
 }
 
 // HostKey identifies one incarnation of an entry host in a version vector.
--- a/internal/member/registrar/host.go
+++ b/internal/member/registrar/host.go
@@ -15,6 +15,7 @@
 		r.scheduleExpiry(h.lastSeen.Add(HostTimeout + 1))
 	}
 	if silent > HostRetention {
+		r.dirty = true
 		delete(r.hosts, n)
 		delete(r.keys, h.key)
 	}
--- a/internal/member/registrar/registrar.go
+++ b/internal/member/registrar/registrar.go
@@ -490,7 +490,7 @@
 // describe changes the description of this host.
 func (r *Registrar) describe(e Describe) {
 	next := r.self
-	next.Draining, next.Left, next.Revision, next.Watchers = e.Draining, e.Left, e.Revision, e.Watchers
+	next.Draining, next.Left, next.Revision, next.Watchers, next.Term = e.Draining, e.Left, e.Revision, e.Watchers, e.Term
 	if next == r.self {
 		return
 	}
--- a/internal/member/registrar/view.go
+++ b/internal/member/registrar/view.go
@@ -34,6 +34,11 @@
 	hosts   []Host
 	// watchers is the number of hosts that only follow a view.
 	watchers int
+	// known counts the hosts that have not left, alive or not, and term is the highest
+	// term among them, which holders of them have.
+	known   int
+	term    uint64
+	holders int
 	// leaseEnd is when all leases of a mirror end; nil where each upstream has its own.
 	leaseEnd *sharedTime
 }
@@ -62,8 +67,14 @@
 	}
 	if !r.self.Left {
 		v.hosts = append(v.hosts, r.self)
+		v.known++
 	}
+	v.countTerm(r.self.Term)
 	for _, h := range r.hosts {
+		v.countTerm(h.Term)
+		if !h.Left {
+			v.known++
+		}
 		if h.up {
 			v.hosts = append(v.hosts, h.Host)
 		}
@@ -72,6 +83,16 @@
 	r.view.Store(v)
 }
 
+// countTerm counts the term of a host.
+func (v *View) countTerm(term uint64) {
+	switch {
+	case term > v.term:
+		v.term, v.holders = term, 1
+	case term == v.term:
+		v.holders++
+	}
+}
+
 // finishHosts sorts the hosts by name and sums up the watchers that they report.
 func (v *View) finishHosts() {
 	slices.SortFunc(v.hosts, byHostName)
@@ -145,10 +166,11 @@
 	return Host{}, false
 }
 
-// Owner returns the entry host that dispatches the cell: the one with the highest rendezvous
-// hash among the live hosts that are not draining. Hosts of other cells are eligible only if
-// there is no host of the cell itself and none without a cell. It returns "" if no host is
-// eligible.
+// Owner returns the entry host that dispatches the cell: the live host that took it over
+// last, and while none has, the one with the highest rendezvous hash. So a host that comes
+// back doesn't replace an owner that lives. Hosts that are draining are not eligible, and
+// hosts of other cells only if there is no host of the cell itself and none without a
+// cell. It returns "" if no host is eligible.
 func (v *View) Owner(c CellName) HostName {
 	if n := v.owner(c, func(h Host) bool { return h.Cell == c || h.Cell == "" }); n != "" {
 		return n
@@ -157,37 +179,64 @@
 }
 
 func (v *View) owner(c CellName, eligible func(Host) bool) HostName {
-	var best HostName
-	var highest uint64
+	var best candidate
 	b := make([]byte, 0, 64)
 	for _, h := range v.hosts {
 		if h.Draining || !eligible(h) {
 			continue
 		}
-		if s := rendezvous(b, c, h.Name); best == "" || s > highest {
-			best, highest = h.Name, s
+		if next := (candidate{h, rendezvous(b, c, h.Name)}); best.host.Name == "" || next.compare(best) > 0 {
+			best = next
 		}
 	}
-	return best
+	return best.host.Name
+}
+
+// candidate is a host that may own a cell, with its rendezvous hash for it.
+type candidate struct {
+	host   Host
+	weight uint64
+}
+
+// compare is greater than 0 if the cell should rather be owned by n than by o.
+func (n candidate) compare(o candidate) int {
+	return cmp.Or(cmp.Compare(n.host.Term, o.host.Term), cmp.Compare(n.weight, o.weight))
 }
 
 // Successors lists the hosts of the cell that would own it after the owner, the next one
 // first. Hosts without a cell are included.
 func (v *View) Successors(c CellName) []Host {
-	var list []Host
-	weight := map[HostName]uint64{}
+	var all []candidate
 	owner := v.Owner(c)
 	for _, h := range v.hosts {
 		if h.Draining || h.Name == owner || h.Cell != c && h.Cell != "" {
 			continue
 		}
-		weight[h.Name] = rendezvous(nil, c, h.Name)
-		list = append(list, h)
+		all = append(all, candidate{h, rendezvous(nil, c, h.Name)})
+	}
+	slices.SortFunc(all, func(a, b candidate) int { return b.compare(a) })
+	list := make([]Host, 0, len(all))
+	for _, n := range all {
+		list = append(list, n.host)
 	}
-	slices.SortFunc(list, func(a, b Host) int { return cmp.Compare(weight[b.Name], weight[a.Name]) })
 	return list
 }
 
+// Claim returns the term that this host has to take as the owner of the cell, and false if
+// there is none to take: it isn't the owner, has its term already, or reaches only a
+// minority of the hosts that it knows. A host that is cut off with a few others thus takes
+// no term that would replace the owner of the rest later.
+func (v *View) Claim(c CellName) (uint64, bool) {
+	self, ok := v.Host(v.self)
+	if !ok || v.Owner(c) != v.self || 2*len(v.hosts) <= v.known {
+		return 0, false
+	}
+	if self.Term > 0 && self.Term == v.term && v.holders == 1 {
+		return 0, false
+	}
+	return v.term + 1, true
+}
+
 // rendezvous returns the rendezvous hash of a host for a cell; b is used as scratch space.
 func rendezvous(b []byte, c CellName, h HostName) uint64 {
 	b = append(b[:0], c...)
