dispatcher: the owner of the cell gets fewer messages; a survey of engines in batches

The owner of a large cell had a message for each report on the progress of an attempt, twice a second for each running request, and a new owner asked 320 engines for their caches in the moment in which it takes over the requests of all hosts. Reports wait up to 0.2 s for others of their host now, and 40 engines are asked in 0.25 s.

--- a/internal/entry/dispatcher/link.go
+++ b/internal/entry/dispatcher/link.go
@@ -35,6 +35,12 @@
 	// well under the smallest first-token target, so that waiting requests still have
 	// time on this host's own part of the slots.
 	maxSilence = 400 * time.Millisecond
+	// flushInterval is how long reports on the progress of attempts wait for others, so
+	// that the owner gets a few messages a second from each host and not one for each
+	// attempt. After reportInterval without a message, a host with requests at the owner
+	// sends an empty one: the owner has to tell a silent upstream from a host that it
+	// doesn't hear.
+	flushInterval = 200 * time.Millisecond
 	// stallPeriods is the delay of a silence check, in heartbeat intervals, from which on
 	// this host itself must have stalled.
 	stallPeriods = 3
@@ -332,17 +338,22 @@
 		l.fail(err.Error())
 		return
 	}
-	quiet := l.settings.Clock.NewTimer(reportInterval)
-	defer quiet.Stop()
+	clock := l.settings.Clock
+	flush := clock.NewTimer(flushInterval)
+	defer flush.Stop()
+	sent := clock.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-l.wake:
-		case <-quiet.Chan():
-			// The owner has to tell a silent upstream from a host that it doesn't
-			// hear, so a host with requests there sends an empty message.
+		case <-flush.Chan():
 			if !l.holds() {
+				// A wake-up starts the timer again.
+				continue
+			}
+			if !l.hasReports() && clock.Since(sent) < reportInterval {
+				flush.Reset(flushInterval)
 				continue
 			}
 		}
@@ -350,7 +361,8 @@
 			l.fail(err.Error())
 			return
 		}
-		quiet.Reset(reportInterval)
+		sent = clock.Now()
+		flush.Reset(flushInterval)
 	}
 }
 
@@ -558,7 +570,9 @@
 	}
 	if l.canQueue() {
 		l.pending.report(m)
-		l.signal()
+		if m.Kind != wire.SlotProgress_KIND_PROGRESS {
+			l.signal()
+		}
 	}
 }
 
--- a/internal/entry/dispatcher/retry.go
+++ b/internal/entry/dispatcher/retry.go
@@ -191,3 +191,10 @@
 	defer l.mu.Unlock()
 	return len(l.sinks) > 0
 }
+
+// hasReports reports whether a message for the owner is queued.
+func (l *link) hasReports() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.pending.empty()
+}
--- a/internal/entry/dispatcher/survey.go
+++ b/internal/entry/dispatcher/survey.go
@@ -15,6 +15,9 @@
 	// surveyInterval is how often the owner looks for upstreams that it has not asked
 	// yet.
 	surveyInterval = 250 * time.Millisecond
+	// surveyBatch is the number of upstreams asked in a review. A new owner has to take
+	// over the requests of all hosts at the same time.
+	surveyBatch = 40
 	// surveyTimeout bounds one call. A later answer is of little use: the owner knows by
 	// then what it sent there itself.
 	surveyTimeout = time.Second
@@ -56,7 +59,11 @@
 		return
 	}
 	v.nextReview = now.Add(surveyInterval)
+	asked := 0
 	for _, u := range v.settings.Local.engines() {
+		if asked >= surveyBatch {
+			return
+		}
 		if known, ok := v.asked[u.Name]; ok && known == u.Incarnation {
 			continue
 		}
@@ -64,6 +71,7 @@
 			continue
 		}
 		v.asked[u.Name] = u.Incarnation
+		asked++
 		v.group.Go(func() { v.ask(ctx, u) })
 	}
 }
--- a/internal/policy/scheduler/queue.go
+++ b/internal/policy/scheduler/queue.go
@@ -29,9 +29,6 @@
 	parked  []*request
 	waiting int
 	retries *retryBudget
-	// repeats is the number of waiting requests whose next attempt the retry budget will
-	// be charged for.
-	repeats int
 	// served is set once the pool has had an upstream.
 	served bool
 	hedges hedgeBudget
@@ -192,9 +189,6 @@
 	if r.suspect {
 		p.suspects[level]++
 	}
-	if r.repeat && !r.prepaid {
-		p.repeats++
-	}
 	r.waiting = true
 }
 
@@ -218,9 +212,6 @@
 	if r.suspect {
 		p.suspects[r.class.tier]--
 	}
-	if r.repeat && !r.prepaid {
-		p.repeats--
-	}
 	r.waiting = false
 	p.removeWait(r)
 }
--- a/internal/policy/scheduler/retry.go
+++ b/internal/policy/scheduler/retry.go
@@ -33,12 +33,12 @@
 // submissions fill. Its unit is one repeat.
 type retryBudget struct{ saved float64 }
 
-// left reports whether the budget allows n repeats.
-func (b *retryBudget) left(n int) bool { return b.saved+retryMargin >= float64(n) }
+// left reports whether the budget allows a repeat.
+func (b *retryBudget) left() bool { return b.saved+retryMargin >= 1 }
 
 // take uses the budget for one repeat, and returns false when nothing is left.
 func (b *retryBudget) take() bool {
-	if !b.left(1) {
+	if !b.left() {
 		return false
 	}
 	b.saved--
@@ -143,7 +143,7 @@
 }
 
 // mayRepeat reports whether the retry budget allows the request its next attempt.
-func (r *request) mayRepeat() bool { return !r.repeat || r.prepaid || r.pool.retries.left(1) }
+func (r *request) mayRepeat() bool { return !r.repeat || r.prepaid || r.pool.retries.left() }
 
 // payRepeat takes the attempt that a request is granted from the retry budget.
 func (r *request) payRepeat() (paid bool) {
--- a/internal/policy/scheduler/scheduler.go
+++ b/internal/policy/scheduler/scheduler.go
@@ -193,7 +193,7 @@
 	switch {
 	case !resumed && !repeat:
 		s.addFirst(p)
-	case repeat && !record.paid && !sent.Moved && !p.retries.left(p.repeats+1):
+	case repeat && !record.paid && !sent.Moved && !p.retries.left():
 		s.refuse(sent.ID, OutOfRetries, leaseTime)
 		return
 	}
