dialer: replaced connections without calls end after 2 s

Each call that timed out replaced all connections of its host's client, and the old ones stayed open for the idle timeout of 30 s: close was asked for while the call that had timed out still used them. Hundreds of hosts that replace the connections to a late control host so take the memory and processor time that it lacks.

--- a/internal/rpc/dialer/dialer.go
+++ b/internal/rpc/dialer/dialer.go
@@ -38,6 +38,9 @@
 	// MaxMessage bounds a message in bytes. A whole view of the largest fleet
 	// that a registrar keeps takes a few megabytes.
 	MaxMessage = 16 << 20
+	// RetireDelay is the time after which replaced connections without calls are
+	// closed. The call that showed that a connection is silent has ended by then.
+	RetireDelay = 2 * time.Second
 	// IdleTimeout is the time without calls after which a connection is closed.
 	IdleTimeout = 30 * time.Second
 	// UnacknowledgedTimeout closes a connection whose data the other side has not
@@ -152,9 +155,13 @@
 }
 
 // Renew makes later calls use new connections. Open calls stay on the old ones, which
-// take no new calls.
+// take no new calls and are closed once they have none, after RetireDelay at the earliest:
+// hundreds of hosts that keep replaced connections to a host for IdleTimeout take up its
+// memory and file descriptors when it is late already.
 func (c *Client) Renew() {
-	c.inner.Swap(c.newHTTPClient()).CloseIdleConnections()
+	old := c.inner.Swap(c.newHTTPClient())
+	old.CloseIdleConnections()
+	time.AfterFunc(RetireDelay, old.CloseIdleConnections)
 }
 
 // Close closes connections that are not in use.
