scheduler: a host that starts brings its part of the retry budgets

With nothing saved up at a start, a group of two entry hosts refused the further attempts of streams whose engine was killed a second after the start (TestUpstreamKilled, TestPoison: 2 first submissions had paid for no repeat yet).

--- a/internal/daemon/runner/entry.go
+++ b/internal/daemon/runner/entry.go
@@ -146,14 +146,10 @@
 		inventory:  d.inventory,
 		client:     dialer.New(dialer.WithTLS(d.tls())),
 	}
-	policy := []scheduler.Option{
+	policy := scheduler.New(
 		scheduler.WithSeed(uint64(d.clock.Now().UnixNano())),
-		scheduler.WithRetryBudget(d.settings.Retries.Share, d.settings.Retries.Burst),
-	}
-	if !e.alone() {
-		policy = append(policy, scheduler.WithSpentRetries())
-	}
-	e.local = dispatcher.NewLocal(scheduler.New(policy...), d.clock, dispatcher.WithLogger(d.logger.Named("dispatcher")))
+		scheduler.WithRetryBudget(d.settings.Retries.Share, d.settings.Retries.Burst))
+	e.local = dispatcher.NewLocal(policy, d.clock, dispatcher.WithLogger(d.logger.Named("dispatcher")))
 	e.decode = d.decode
 	e.directory.set(e.settings.Control)
 	d.entry = e
--- a/internal/policy/scheduler/retry.go
+++ b/internal/policy/scheduler/retry.go
@@ -24,10 +24,6 @@
 	return func(s *Scheduler) { s.retryShare, s.retryBurst, s.retryStart = share, float64(burst), float64(burst) }
 }
 
-// WithSpentRetries makes the retry budgets begin with nothing saved up. A scheduler
-// that starts beside others, or after one, doesn't know what these have used.
-func WithSpentRetries() Option { return func(s *Scheduler) { s.retryStart = 0 } }
-
 // retryBudget limits the repeats of a pool: all arrivals at upstreams beyond the first
 // of each request, whatever the reason. It is a token bucket that only first
 // submissions fill. Its unit is one repeat.
@@ -70,13 +66,12 @@
 	}
 }
 
-// divideRetries cuts what is saved up to the part of one of the hosts among which the
-// cell is divided.
+// divideRetries cuts what is saved up, and what new budgets begin with, to the part of
+// one of the hosts among which the cell is divided. A scheduler that gets the whole cell
+// later begins with no more: it doesn't know what others have used.
 func (s *Scheduler) divideRetries(hosts int) {
 	s.retryPart = 1 / float64(hosts)
-	if hosts > 1 {
-		s.retryStart = 0
-	}
+	s.retryStart = min(s.retryStart, s.retryBurst/float64(hosts))
 	limit := s.retryLimit()
 	for _, b := range s.budgets {
 		b.saved = min(b.saved, limit)
