--- a/internal/daemon/runner/standby.go
+++ b/internal/daemon/runner/standby.go
@@ -94,7 +94,7 @@
 		if candidacy.offered != before {
 			e.members.Drain(!candidacy.offered)
 		}
-		if term, ok := e.members.Snapshot().Claim(e.settings.Cell); ok && candidacy.offered {
+		if term, ok := e.members.Snapshot().Claim(e.settings.Cell); ok && candidacy.offered && e.server.Owns() {
 			e.logger.Info("this host takes over the cell", zap.Uint64("term", term))
 			e.gossiper.Claim(term)
 		}
--- a/internal/entry/dispatcher/cell.go
+++ b/internal/entry/dispatcher/cell.go
@@ -457,6 +457,7 @@
 func (f *ownerTracker) noteReached() {
 	s := f.cell.settings
 	now := s.Clock.Now()
+	s.Local.ownership.follow(f.link.owner)
 	if owner, ok := s.Membership.Owner(s.Cell); ok && f.link.owner == owner {
 		s.Local.ownership.ownerHeard(now, owner)
 		return
@@ -503,6 +504,7 @@
 		return
 	}
 	s := f.cell.settings
+	s.Local.ownership.follow("")
 	f.recordLinkEnd()
 	f.updateRateShare()
 	f.updateRetryPart()
--- a/internal/entry/dispatcher/ownership.go
+++ b/internal/entry/dispatcher/ownership.go
@@ -34,6 +34,9 @@
 	// doubts holds the other hosts that said within doubtTime that they can't reach the
 	// owner.
 	doubts map[registrar.HostName]doubt
+	// followed is the host that has accepted the link of this one as the owner; empty
+	// without a link that works.
+	followed registrar.HostName
 	// reported lists the hosts that have reported the slots they hold since this host
 	// owns the cell.
 	reported map[registrar.HostName]bool
@@ -65,6 +68,21 @@
 	return lost
 }
 
+// follow records that another host has accepted the link of this one, or with an empty
+// name that there is no link.
+func (o *ownership) follow(h registrar.HostName) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.followed = h
+}
+
+// follows returns the host that acts as the owner on the link of this one.
+func (o *ownership) follows() (registrar.HostName, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.followed, o.followed != ""
+}
+
 // doubt tells when a host last said that it can't reach the owner, and whether it may own
 // the cell itself.
 type doubt struct {
@@ -166,9 +184,16 @@
 }
 
 // owner returns the owner of the cell: the one of the membership, or its successor while
-// this host takes that one for lost.
+// this host takes that one for lost. A host that the membership names doesn't take over
+// from one that still acts on its link: signs of life of a busy host may be late in the
+// membership.
 func (s Settings) owner() (registrar.HostName, bool) {
 	owner, ok := s.Membership.Owner(s.Cell)
+	if ok && owner == s.Host {
+		if other, linked := s.Local.ownership.follows(); linked {
+			return other, true
+		}
+	}
 	if !ok || owner == s.Host || !s.Local.ownership.takenForLost(s.Clock.Now(), owner) {
 		return owner, ok
 	}
--- a/internal/entry/dispatcher/ownership_test.go
+++ b/internal/entry/dispatcher/ownership_test.go
@@ -143,7 +143,8 @@
 }
 
 // Guards against a host that leaves an owner which answers it because the control host
-// whose view it follows names another one.
+// whose view it follows names another one, or because its own view does not list the owner
+// for a moment.
 func TestWorkingLinkIsKept(t *testing.T) {
 	_, all := newMembers(t, "a", "b", "c")
 	waitFor(t, "links", func() bool { return all["b"].linked() && all["c"].linked() })
@@ -158,8 +159,11 @@
 	all["c"].cell = NewCell(s)
 	waitFor(t, "link", all["c"].linked)
 	first := all["c"].cell.lastLink.Load()
-	other.setOwner("b")
-	time.Sleep(10 * ownerCheckInterval)
-	assert.Assert(t, all["c"].linked())
-	assert.Equal(t, all["c"].cell.lastLink.Load(), first)
+	for _, named := range []registrar.HostName{"b", "c"} {
+		other.setOwner(named)
+		time.Sleep(10 * ownerCheckInterval)
+		assert.Assert(t, all["c"].linked(), "the view names %s", named)
+		assert.Equal(t, all["c"].cell.lastLink.Load(), first)
+		assert.Assert(t, !all["c"].cell.settings.owns())
+	}
 }
--- a/internal/entry/dispatcher/server.go
+++ b/internal/entry/dispatcher/server.go
@@ -121,6 +121,9 @@
 
 func (s *Server) owns() bool { return s.settings.owns() }
 
+// Owns reports whether this host acts as the owner of the cell.
+func (s *Server) Owns() bool { return s.owns() }
+
 // Dispatch serves one link until it ends. It rejects a first message that names no host,
 // or another host than the peer's certificate does. On a host that isn't the owner it
 // answers that the cell has moved.
