--- a/internal/entry/dispatcher/survey.go
+++ b/internal/entry/dispatcher/survey.go
@@ -18,6 +18,9 @@
 	// surveyBatch is the number of upstreams asked in a review. A new owner has to take
 	// over the requests of all hosts at the same time.
 	surveyBatch = 40
+	// surveyCalls is the number of calls at a time. It bounds the memory that answers take,
+	// also those of upstreams that send bytes without end.
+	surveyCalls = 4
 	// surveyTimeout bounds one call. A later answer is of little use: the owner knows by
 	// then what it sent there itself.
 	surveyTimeout = time.Second
@@ -37,11 +40,13 @@
 	// earliest time of the next review.
 	asked      map[registrar.UpstreamID]registrar.Incarnation
 	nextReview time.Time
-	group      conc.WaitGroup
+	// calls holds one value for each call that is open.
+	calls chan struct{}
+	group conc.WaitGroup
 }
 
 func newSurveyor(s Settings) *surveyor {
-	return &surveyor{settings: s, asked: map[registrar.UpstreamID]registrar.Incarnation{}}
+	return &surveyor{settings: s, asked: map[registrar.UpstreamID]registrar.Incarnation{}, calls: make(chan struct{}, surveyCalls)}
 }
 
 // review asks the engines that have not been asked since this host owns the cell, or
@@ -78,6 +83,12 @@
 
 // ask asks one engine and passes its answer to the scheduler.
 func (v *surveyor) ask(ctx context.Context, u registrar.Upstream) {
+	select {
+	case v.calls <- struct{}{}:
+		defer func() { <-v.calls }()
+	case <-ctx.Done():
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, surveyTimeout)
 	defer cancel()
 	blocks, err := v.settings.Inventory.Kept(ctx, u)
--- a/internal/entry/dispatcher/survey_test.go
+++ b/internal/entry/dispatcher/survey_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -98,3 +100,41 @@
 	assert.Equal(t, ask(time.Second), 1)
 	assert.Equal(t, ask(time.Minute), 1)
 }
+
+// countingInventory counts the calls that are open at a time.
+type countingInventory struct{ open, most, calls atomic.Int64 }
+
+func (f *countingInventory) Kept(context.Context, registrar.Upstream) ([]scheduler.Block, error) {
+	n := f.open.Add(1)
+	defer f.open.Add(-1)
+	for most := f.most.Load(); n > most && !f.most.CompareAndSwap(most, n); {
+		most = f.most.Load()
+	}
+	f.calls.Add(1)
+	time.Sleep(time.Millisecond)
+	return nil, nil
+}
+
+// TestSurveyOfManyEngines guards against a new owner that reads the answers of hundreds of
+// engines at the same time.
+func TestSurveyOfManyEngines(t *testing.T) {
+	const engines = 100
+	clock := clockwork.NewFakeClock()
+	inventory := &countingInventory{}
+	local := NewLocal(scheduler.New(), clock)
+	defer local.Close()
+	d := document()
+	d.Models[0].Memory = 100_000
+	local.Configure(d)
+	for i := range engines {
+		local.Observe(registrar.Upstream{Name: registrar.UpstreamID(fmt.Sprint("engine-", i)), Models: []validator.PoolName{"m"}, Slots: 4, Incarnation: 1})
+	}
+	v := newSurveyor(Settings{Local: local, Clock: clock, Logger: zap.NewNop(), Inventory: inventory})
+	for range engines/surveyBatch + 1 {
+		clock.Advance(surveyInterval)
+		v.review(t.Context(), true)
+	}
+	v.close()
+	assert.Equal(t, inventory.calls.Load(), int64(engines))
+	assert.Assert(t, inventory.most.Load() <= surveyCalls)
+}
--- a/internal/order/sender/sender.go
+++ b/internal/order/sender/sender.go
@@ -40,6 +40,9 @@
 // maxResponse bounds the bytes that are read of a response body.
 const maxResponse = 64 << 10
 
+// maxHead bounds the head of a response in bytes.
+const maxHead = 64 << 10
+
 // orderBody is the JSON form of an order.
 type orderBody struct {
 	ID       issuer.OrderID `json:"id"`
@@ -84,7 +87,7 @@
 	}
 	s := &Sender{options: o}
 	s.client = &http.Client{
-		Transport: &http.Transport{DialContext: s.dial, DialTLSContext: s.dialTLS, DisableKeepAlives: true},
+		Transport: &http.Transport{DialContext: s.dial, DialTLSContext: s.dialTLS, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHead},
 		// A redirect could lead the order to another engine.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
