--- a/internal/entry/dispatcher/ownership.go
+++ b/internal/entry/dispatcher/ownership.go
@@ -9,8 +9,7 @@
 
 const (
 	// suspicionTime is how long a host that can't reach the owner asks its successor
-	// instead, and the owner in turn. The successor agrees once it can't reach the owner
-	// either.
+	// instead, and the owner in turn.
 	suspicionTime = 700 * time.Millisecond
 	// doubtTime is how long a host counts that can't reach the owner. Such a host tries
 	// the owner and the successor in turn, at least once in this time.
--- a/internal/policy/scheduler/retry.go
+++ b/internal/policy/scheduler/retry.go
@@ -78,7 +78,8 @@
 	}
 }
 
-// Deposit adds repeats that another scheduler of the cell has saved up.
+// Deposit adds repeats that another scheduler of the cell has saved up. It has no effect
+// for a pool that this one doesn't know.
 type Deposit struct {
 	Pool    validator.PoolName
 	Repeats float64
@@ -99,12 +100,18 @@
 func (RetryPart) event() {}
 
 func (s *Scheduler) deposit(e Deposit) {
+	if s.pools[e.Pool] == nil {
+		return
+	}
 	b := s.budget(e.Pool)
 	b.saved = min(b.saved+max(e.Repeats, 0), max(s.retryBurst, b.saved))
 }
 
 func (s *Scheduler) withdraw(e Withdraw) {
-	b := s.budget(e.Pool)
+	b := s.budgets[e.Pool]
+	if b == nil {
+		return
+	}
 	b.saved = max(b.saved-max(e.Repeats, 0), 0)
 }
 
