dispatcher: the scheduler's steps are counted by kind and logged when it is busy or late

Logs could not tell an owner that computes too much from one that gets no processor time, nor which events take its time. Each second in which steps take a fifth of the time or a tick is 60 ms late is logged with the steps and their time by kind of event.

--- a/internal/entry/dispatcher/local.go
+++ b/internal/entry/dispatcher/local.go
@@ -99,6 +99,7 @@
 	linkedHosts atomic.Int64
 	// limitChanged receives rate limits that have changed.
 	limitChanged func(scheduler.Limit)
+	effort       effort
 	// cellSelector is nil on a host that works with no other cell.
 	cellSelector CellSelector
 
@@ -153,23 +154,31 @@
 func (l *Local) tick() {
 	t := l.clock.NewTimer(scheduler.TickInterval)
 	defer t.Stop()
+	due := l.clock.Now().Add(scheduler.TickInterval)
 	for {
 		select {
 		case <-l.stop:
 			return
 		case <-l.wakeTicks:
 			t.Reset(scheduler.TickInterval)
+			due = l.clock.Now().Add(scheduler.TickInterval)
 			continue
 		case <-t.Chan():
 		}
-		t.Reset(l.tickOnce())
+		pause := l.tickOnce(due)
+		t.Reset(pause)
+		due = l.clock.Now().Add(pause)
 	}
 }
 
-// tickOnce lets time pass at the scheduler and returns the time until the next tick.
-func (l *Local) tickOnce() time.Duration {
+// tickOnce lets time pass at the scheduler, which was due at the given time, and returns
+// the time until the next tick.
+func (l *Local) tickOnce(due time.Time) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	now := l.clock.Now()
+	l.effort.addTick(now.Sub(due))
+	l.logEffort(now)
 	l.step(scheduler.Tick{Unheard: l.unheard()})
 	l.publishShares()
 	l.spillStranded()
@@ -415,6 +424,8 @@
 // a panic of the scheduler.
 func (l *Local) apply(now time.Time, e scheduler.Event) {
 	var actions []scheduler.Action
+	began := l.clock.Now()
+	defer func() { l.effort.add(e, l.clock.Since(began)) }()
 	if !l.restarter.Contain(fmt.Sprintf("scheduler, event %T", e), func() { actions = l.decide(now, e) }) {
 		l.reject(e)
 	}
