follower: the calls of all hosts to confirm the configuration have a bound

What callers saw: all requests refused for seconds while control hosts were late (stale_configuration). All hosts but the two askers of a cell now take turns: 150 attempts a second together, at two control hosts each, whatever the size of the fleet. The pause was drawn anew at each check, which made it shorter than meant; it is drawn once.

--- a/internal/config/follower/control.go
+++ b/internal/config/follower/control.go
@@ -30,11 +30,17 @@
 	// get normally reach all hosts of a cell earlier, so this happens only when the
 	// askers are cut off.
 	AskAge = 3 * time.Second
-	// AskSpread is the time after AskAge over which the calls of all hosts are
+	// AskSpread is the least time after AskAge over which the calls of all hosts are
 	// spread. AskAge, AskSpread, HedgeDelay and CallTimeout add up to less than
 	// LeaseDuration.
 	AskSpread = 800 * time.Millisecond
-	// RetryInterval is the mean time between attempts while none succeeds.
+	// AskRate is the number of attempts a second that all hosts of a cell but the askers
+	// make together at most, on average. Without it the calls of a large fleet keep
+	// control hosts late that are late already.
+	AskRate = 150
+	// AskTries is the number of control hosts that such a host asks in one attempt.
+	AskTries = 2
+	// RetryInterval is the least mean time between attempts while none succeeds.
 	RetryInterval = 500 * time.Millisecond
 	// SilenceTimeout is how long a stream may bring no message before it is replaced.
 	// Control sends a heartbeat every second.
@@ -51,8 +57,9 @@
 	// confirmed is the time of the confirmation that the delay was drawn for.
 	confirmed time.Time
 	// delay is the age of the confirmation at which this host asks.
-	delay   time.Duration
-	lastTry time.Time
+	delay time.Duration
+	// nextTry is the earliest time of the next attempt.
+	nextTry time.Time
 }
 
 // Rank is the place of this host among the hosts of its cell, counted from 0, and
@@ -71,7 +78,23 @@
 	}
 	n := math.Max(float64(r.Hosts), 2)
 	share := 1 + math.Log(math.Max(u, 1/n))/math.Log(n)
-	return AskAge + time.Duration(share*float64(AskSpread))
+	return AskAge + max(time.Duration(share*float64(AskSpread)), r.turn(u))
+}
+
+// turn returns the place of a host, for a random number u from 0 to 1, in the time that the
+// attempts of all hosts take at AskRate.
+func (r Rank) turn(u float64) time.Duration {
+	return time.Duration(u * float64(r.Hosts) / AskRate * float64(time.Second))
+}
+
+// retryPause returns the time between two attempts of a host while none succeeds, for a
+// random number u from 0 to 1. Hosts that are spread over the turns of all stay so.
+func (r Rank) retryPause(u float64) time.Duration {
+	pause := time.Duration((0.5 + u) * float64(RetryInterval))
+	if r.Place < Askers {
+		return pause
+	}
+	return max(pause, r.turn(1))
 }
 
 // due reports whether a host has to ask control now when its latest confirmation
@@ -84,10 +107,10 @@
 	if !confirmed.IsZero() && now.Sub(confirmed) < p.delay {
 		return false
 	}
-	if !p.lastTry.IsZero() && now.Sub(p.lastTry) < time.Duration((0.5+u)*float64(RetryInterval)) {
+	if now.Before(p.nextTry) {
 		return false
 	}
-	p.lastTry = now
+	p.nextTry = now.Add(r.retryPause(u))
 	return true
 }
 
@@ -117,8 +140,8 @@
 
 // confirm asks control hosts in turn, those that failed within the last lease
 // duration last, until one confirms. A host that takes longer than HedgeDelay counts
-// as failed, and the next one is asked as well. The map failed holds the time of each
-// host's last failure.
+// as failed, and the next one is asked as well; all but the askers ask AskTries of them.
+// The map failed holds the time of each host's last failure.
 func (f *Follower) confirm(turn int, failed map[string]time.Time) {
 	known := f.addresses()
 	order := make([]string, 0, len(known))
@@ -133,6 +156,9 @@
 		return 0
 	}
 	slices.SortStableFunc(order, func(a, b string) int { return lately(a) - lately(b) })
+	if f.rank().Place >= Askers {
+		order = order[:min(len(order), AskTries)]
+	}
 
 	ctx, cancel := context.WithCancel(f.context)
 	var calls conc.WaitGroup
