scheduler: a tick looks for a bounded number of victims, and for none without a budget

What callers saw: sale-records refused while their servers were idle, since the owner of the cell answered after 0.1 to 0.4 s or not at all. A tick now looks 8 times at most and stops when the budget is empty. TestTickLooksForABoundedNumberOfVictims uses a counter that is new.

--- a/internal/policy/scheduler/crest_test.go
+++ b/internal/policy/scheduler/crest_test.go
@@ -116,3 +116,20 @@
 		assert.Assert(t, !left[id], "%s was never tried", id)
 	}
 }
+
+// TestTickLooksForABoundedNumberOfVictims guards against ticks of a tenth of a second: each
+// of hundreds of urgent requests went over all attempts of 320 engines, also when the retry
+// budget allowed no attempt to go elsewhere.
+func TestTickLooksForABoundedNumberOfVictims(t *testing.T) {
+	f := urgentFleet(320, 400)
+	p := f.s.pools["m"]
+	assert.Assert(t, len(p.urgent(f.now, 1)) > 10*maxVictims)
+	f.step(Tick{})
+	assert.Assert(t, p.looks > 0 && p.looks <= maxVictims, "looked %d times", p.looks)
+	for p.retries.take() {
+		// Nothing is left of the budget.
+	}
+	f.now = f.now.Add(TickInterval)
+	f.step(Tick{})
+	assert.Equal(t, p.looks, 0)
+}
--- a/internal/policy/scheduler/placement_bench_test.go
+++ b/internal/policy/scheduler/placement_bench_test.go
@@ -110,3 +110,50 @@
 	}
 	return f, running
 }
+
+// urgentFleet returns engines whose slots are taken by repeatable requests of a lower tier
+// while requests of a higher tier wait that are about to miss their target.
+func urgentFleet(engines, waiting int) *engineFleet {
+	f := &engineFleet{
+		s: New(WithSeed(1), WithRetryBudget(0.2, 630)), now: time.Unix(1_700_000_000, 0),
+		running: map[RequestID]registrar.UpstreamID{}, refused: map[RequestID]Refuse{}, preempts: map[RequestID]int{},
+	}
+	second := validator.Duration(time.Second)
+	f.step(Configure{&validator.Document{
+		Classes: []validator.Class{
+			{Name: "appraisal", Tier: 1, First: 3 * second / 5, Gap: second / 2, Wait: 4 * second, Late: true},
+			{Name: "summary", Tier: 2, First: 3 * second / 2, Gap: second / 2, Wait: 4 * second, Late: true},
+		},
+		Models: []validator.Model{{Name: "m", Class: "summary", Memory: engineMemory}},
+	}})
+	f.step(Settle{Settled: true})
+	const slots = 3
+	for i := range engines {
+		f.step(Observe{registrar.Upstream{Name: registrar.UpstreamID(fmt.Sprintf("engine-%d", i)), Models: []validator.PoolName{"m"}, Slots: slots, Incarnation: 1, Sequence: 1}})
+	}
+	for i := 0; len(f.running) < engines*slots && i < 10*engines*slots; i++ {
+		id := RequestID(fmt.Sprint("run", i))
+		f.step(Submit{Request{ID: id, Pool: "m", Class: "summary", Prompt: 100, Limit: 50, Repeatable: true, Arrived: f.now}})
+		if f.running[id] != "" {
+			f.first(id)
+		}
+	}
+	for i := range waiting {
+		f.step(Submit{Request{ID: RequestID(fmt.Sprint("wait", i)), Pool: "m", Class: "appraisal", Prompt: 100, Limit: 50, Arrived: f.now}})
+	}
+	f.now = f.now.Add(400 * time.Millisecond)
+	return f
+}
+
+// BenchmarkUrgentTick measures a tick of the largest cell while many requests of a higher
+// tier wait for slots that lower tiers hold.
+func BenchmarkUrgentTick(b *testing.B) {
+	f := urgentFleet(320, 400)
+	for f.s.pools["m"].retries.take() {
+		// With an empty budget each tick begins with the same state.
+	}
+	b.ReportMetric(float64(f.s.pools["m"].waiting), "waiting")
+	for b.Loop() {
+		f.s.Step(f.now, Tick{})
+	}
+}
--- a/internal/policy/scheduler/preemption.go
+++ b/internal/policy/scheduler/preemption.go
@@ -18,17 +18,26 @@
 	// protectedPart is the part of a pool's slots on which overdue requests, once
 	// granted, cannot be preempted, so that they are not preempted again at once.
 	protectedPart = 0.05
+	// maxVictims is the number of waiting requests for which a tick looks for an attempt
+	// to preempt at most: each look goes over all attempts of the pool.
+	maxVictims = 8
 )
 
 // preempt asks attempts of lower tiers to free their slots for waiting requests
-// that would otherwise miss their target, at most one for each of them.
+// that would otherwise miss their target, at most one for each of them. It looks for none
+// while the retry budget allows no further attempt.
 func (s *Scheduler) preempt(now time.Time, p *pool) {
+	p.looks = 0
 	for level := range validator.LowestTier {
 		if p.queued[level] == 0 || p.repeatable == 0 {
 			continue
 		}
 		urgent := p.urgent(now, level)
 		for _, r := range urgent[min(p.preempting, len(urgent)):] {
+			if p.looks == maxVictims || !p.retries.left() {
+				return
+			}
+			p.looks++
 			a := s.victim(now, r)
 			if a == nil || !s.ask(a, Precedence, r.ID) {
 				continue
--- a/internal/policy/scheduler/queue.go
+++ b/internal/policy/scheduler/queue.go
@@ -60,6 +60,9 @@
 	preempting, protected int
 	// repeatable is the number of attempts whose requests may be repeated. Only
 	// these can be preempted.
+	// looks is the number of requests for which the last tick looked for an attempt to
+	// preempt.
+	looks int
 	repeatable int
 	// typicalGap is the median time between tokens over the upstreams.
 	typicalGap time.Duration
