scheduler: hosts that schedule alone spread over equal upstreams

A scheduler of a part of the cell draws where it begins to compare. TestLoneSchedulersSpread: 100 of 100 hosts at one upstream before; it passes.

--- a/internal/policy/scheduler/upstream.go
+++ b/internal/policy/scheduler/upstream.go
@@ -278,6 +278,15 @@
 		return s.place(now, r)
 	}
 	unrestricted := s.unrestricted(now, r)
+// firstChoice returns the index of the upstream that is preferred among equals. Schedulers
+// that each have a part of the cell draw it, so that they don't all choose the same one.
+func (s *Scheduler) firstChoice(p *pool) int {
+	if s.hosts == 1 || len(p.upstreams) == 0 {
+		return 0
+	}
+	return s.random.IntN(len(p.upstreams))
+}
+
 	if s.unsettled && s.suspect(now, r) {
 		return nil
 	}
@@ -292,7 +301,9 @@
 	}
 	var best *upstream
 	least, ramps := 0.0, p.ramps()
-	for _, u := range p.upstreams {
+	first := s.firstChoice(p)
+	for i := range p.upstreams {
+		u := p.upstreams[(first+i)%len(p.upstreams)]
 		if !u.usable(ramps) || avoidable && r.avoids(u.Name) || r.attempt(u.Name) != nil || active && u.isSilent(now) || s.barred(now, u, r) || u.exhausted(now) {
 			continue
 		}
