scheduler: a submission compares a bounded number of engines

In pools with more than 64 engines it now compares those that hold the shared part of the prompt (an index by block), the one that its hash prefers, and others with free slots in turn; sums over all engines are up to 5 ms old. Smaller pools compare all, as before.

--- a/internal/policy/scheduler/cache.go
+++ b/internal/policy/scheduler/cache.go
@@ -15,9 +15,18 @@
 	order list.List
 	// tokens is the total size of the blocks.
 	tokens int
+	// index lists the caches that hold a block, this one as that of owner; nil without
+	// one.
+	index blockIndex
+	owner *upstream
 }
 
 func (c *promptCache) clear() {
+	if c.index != nil {
+		for h := range c.blocks {
+			c.index.remove(h, c.owner)
+		}
+	}
 	c.blocks = nil
 	c.order.Init()
 	c.tokens = 0
@@ -122,6 +131,9 @@
 	}
 	c.blocks[hash] = c.order.PushFront(Block{Hash: hash, Tokens: tokens})
 	c.tokens += tokens
+	if c.index != nil {
+		c.index.add(hash, c.owner)
+	}
 }
 
 func (c *promptCache) drop(e *list.Element) {
@@ -129,6 +141,9 @@
 	c.order.Remove(e)
 	delete(c.blocks, b.Hash)
 	c.tokens -= b.Tokens
+	if c.index != nil {
+		c.index.remove(b.Hash, c.owner)
+	}
 }
 
 // blockCounts counts, for each prompt block that an engine is reading, the attempts
--- a/internal/policy/scheduler/crest_test.go
+++ b/internal/policy/scheduler/crest_test.go
@@ -133,3 +133,19 @@
 	f.step(Tick{})
 	assert.Equal(t, p.looks, 0)
 }
+
+// TestLargePoolComparesABoundedNumberOfEngines guards against submissions whose cost grows
+// with the engines, and against a request that doesn't meet the engine that holds its prompt.
+func TestLargePoolComparesABoundedNumberOfEngines(t *testing.T) {
+	f := benchFleet(1100)
+	first := longPrompt("first", 77_777, 9_000_001, f.now)
+	f.step(Submit{first})
+	f.first("first")
+	f.finish("first")
+	holder := f.running["first"]
+	second := longPrompt("second", 77_777, 9_000_002, f.now)
+	f.step(Submit{second})
+	assert.Equal(t, f.running["second"], holder)
+	r := &request{Request: longPrompt("third", 77_777, 9_000_003, f.now), pool: f.s.pools["m"]}
+	assert.Assert(t, len(f.s.candidates(r)) <= maxCandidates)
+}
--- a/internal/policy/scheduler/placement.go
+++ b/internal/policy/scheduler/placement.go
@@ -108,10 +108,11 @@
 	p := r.pool
 	unrestricted := s.unrestricted(now, r)
 	ramps := p.ramps()
-	grade := s.bestGrade(now, r, unrestricted)
+	candidates := s.candidates(r)
+	grade := s.bestGrade(now, r, candidates, unrestricted)
 	r.obstacle = p.obstacle(now)
 	var least, leastShortQueue time.Duration
-	for _, u := range p.upstreams {
+	for _, u := range candidates {
 		if !s.mayRun(now, u, r, unrestricted) || u.grade(now, r) != grade || !u.usable(ramps) {
 			continue
 		}
@@ -169,10 +170,10 @@
 	return grade
 }
 
-// bestGrade returns the lowest grade among the upstreams that may run the request.
-func (s *Scheduler) bestGrade(now time.Time, r *request, unrestricted bool) int {
+// bestGrade returns the lowest grade among the candidates that may run the request.
+func (s *Scheduler) bestGrade(now time.Time, r *request, candidates []*upstream, unrestricted bool) int {
 	best := gradeAvoided << 1
-	for _, u := range r.pool.upstreams {
+	for _, u := range candidates {
 		if s.mayRun(now, u, r, unrestricted) {
 			best = min(best, u.grade(now, r))
 		}
@@ -223,12 +224,21 @@
 	if n < 2 {
 		return 0
 	}
+	return affinity(r.Prefix[n-2], u.hash())
+}
+
+// hash returns the hash of the upstream's name.
+func (u *upstream) hash() uint64 {
 	if u.nameHash == 0 {
 		u.nameHash = xxhash.Sum64String(string(u.Name))
 	}
-	return float64(mix(mix(r.Prefix[n-2])^u.nameHash)>>11) / (1 << 53)
+	return u.nameHash
 }
 
+// affinity returns the number of upstream.affinity for the hashes of a shared part and of an
+// upstream's name.
+func affinity(part, name uint64) float64 { return float64(mix(mix(part)^name)>>11) / (1 << 53) }
+
 // mix spreads the bits of a number with the last steps of splitmix64.
 func mix(x uint64) uint64 {
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
@@ -269,27 +279,25 @@
 // Requests of lower tiers are not counted, since they must not be the reason for a
 // refusal.
 func (s *Scheduler) predictedWait(now time.Time, p *pool, r *request) time.Duration {
-	engines := 0
-	var sum time.Duration
-	for _, u := range p.upstreams {
-		if u.acceptsWork() && !u.isSilent(now) {
-			engines++
-			sum += u.backlogAbove(now, r.class.tier)
-		}
-	}
-	if engines == 0 {
+	reads := p.readSum(now, r.class.tier)
+	if reads.engines == 0 {
 		return 0
 	}
+	sum := reads.above
 	for i := range r.class.tier + 1 {
 		sum += p.pendingRead[i]
 	}
-	return sum / time.Duration(engines)
+	return sum / time.Duration(reads.engines)
 }
 
-// leastRead returns the shortest time that an engine needs to read the prompt.
+// leastRead returns the shortest time that an engine needs to read the prompt. In a large
+// pool only the engines that hold its shared part are compared.
 func (s *Scheduler) leastRead(r *request) time.Duration {
-	least := r.Prompt
-	for _, u := range r.pool.upstreams {
+	least, engines := r.Prompt, r.pool.upstreams
+	if len(engines) > maxCandidates {
+		engines = s.holders(s.compared[:0], r)
+	}
+	for _, u := range engines {
 		least = min(least, r.Prompt-u.cache.held(&r.Request))
 	}
 	return time.Duration(least) * r.pool.reading.perToken()
@@ -300,18 +308,9 @@
 func (s *Scheduler) crowdedEngines(now time.Time, r *request) bool {
 	p := r.pool
 	for level := r.class.tier + 1; level <= validator.LowestTier; level++ {
-		if p.pendingRead[level] > 0 || p.unreadTime(level) > 0 {
+		if p.pendingRead[level] > 0 || p.readSum(now, level).unread > 0 {
 			return false
 		}
 	}
 	return s.predictedWait(now, p, r) > time.Duration(crowdedPart*float64(r.class.wait))
 }
-
-// unreadTime returns the reading time that the engines still need for a tier.
-func (p *pool) unreadTime(level validator.Tier) time.Duration {
-	var sum time.Duration
-	for _, u := range p.upstreams {
-		sum += u.pendingRead[level]
-	}
-	return sum
-}
--- a/internal/policy/scheduler/queue.go
+++ b/internal/policy/scheduler/queue.go
@@ -23,7 +23,9 @@
 type pool struct {
 	name      validator.PoolName
 	upstreams []*upstream
-	tiers     [validator.LowestTier + 1]tier
+	// hashes are the hashes of the upstreams' names, in the same order.
+	hashes []uint64
+	tiers  [validator.LowestTier + 1]tier
 	// waits lists the waiting requests of each class, oldest first.
 	waits   map[*class][]*request
 	parked  []*request
@@ -58,15 +60,19 @@
 	// preempting is the number of attempts that were asked to free their slot and
 	// still hold it; protected is the number of attempts that are never asked.
 	preempting, protected int
-	// repeatable is the number of attempts whose requests may be repeated. Only
-	// these can be preempted.
 	// looks is the number of requests for which the last tick looked for an attempt to
 	// preempt.
 	looks int
+	// repeatable is the number of attempts whose requests may be repeated. Only
+	// these can be preempted.
 	repeatable int
 	// typicalGap is the median time between tokens over the upstreams.
 	typicalGap time.Duration
 	comparedAt time.Time
+	// turn is the index of the next engine that is compared in a large pool, and reads the
+	// last sums over all engines.
+	turn  int
+	reads [validator.LowestTier + 1]readSum
 }
 
 // tier holds the waiting requests of a tier by organisation.
@@ -152,7 +158,7 @@
 				p.served = true
 			}
 		}
-		sortUpstreams(p.upstreams)
+		p.order()
 		s.pools[name] = p
 	}
 	return p
--- a/internal/policy/scheduler/scheduler.go
+++ b/internal/policy/scheduler/scheduler.go
@@ -53,6 +53,10 @@
 	actions     []Action
 }
 
+	// cached lists the engines that hold each prompt block.
+	cached blockIndex
+	// compared is the memory of candidates.
+	compared []*upstream
 // Option configures a new Scheduler.
 type Option func(*Scheduler)
 
@@ -86,6 +90,7 @@
 		memory:        make(map[validator.PoolName]int),
 		detector:      detector.New(),
 		attributor:    attributor.New(),
+		cached:        make(blockIndex),
 		estimator:     estimator.New(),
 	}
 	for _, o := range options {
@@ -259,7 +264,7 @@
 	}
 	u := s.upstreams[id]
 	if u == nil {
-		u = newUpstream(registrar.Upstream{Name: id})
+		u = s.newUpstream(registrar.Upstream{Name: id})
 		u.gone = true
 		s.upstreams[id] = u
 	}
@@ -406,7 +411,7 @@
 	}
 	s.charge(r, r.cost(a.tokens)-a.charge)
 	if u := a.upstream; u.gone && len(u.attempts) == 0 && s.upstreams[u.Name] == u {
-		delete(s.upstreams, u.Name)
+		s.remove(u)
 	}
 }
 
--- a/internal/policy/scheduler/upstream.go
+++ b/internal/policy/scheduler/upstream.go
@@ -80,8 +80,10 @@
 	quota *quota
 }
 
-func newUpstream(u registrar.Upstream) *upstream {
-	return &upstream{Upstream: u, version: versionOf(u.Versions)}
+func (s *Scheduler) newUpstream(news registrar.Upstream) *upstream {
+	u := &upstream{Upstream: news, version: versionOf(news.Versions)}
+	u.cache.owner, u.cache.index = u, s.cached
+	return u
 }
 
 // free reports whether the upstream can take another request now.
@@ -139,7 +141,7 @@
 	news.Leaving = news.Leaving || s.isLeaving(news)
 	switch {
 	case u == nil:
-		u = newUpstream(news)
+		u = s.newUpstream(news)
 		s.upstreams[news.Name] = u
 	case u.older(news):
 		return
@@ -172,12 +174,18 @@
 		p.set(u, false)
 	}
 	if len(u.attempts) == 0 {
-		delete(s.upstreams, id)
+		s.remove(u)
 	}
 	s.refuseStranded(now)
 	s.dispatchAll(now, u)
 }
 
+// remove removes an upstream that is gone.
+func (s *Scheduler) remove(u *upstream) {
+	u.cache.clear()
+	delete(s.upstreams, u.Name)
+}
+
 // strandTime is how long a request without an upstream waits while the scheduler
 // may not have learned of all upstreams yet. Upstreams announce themselves every
 // second, and announcements reach all hosts of the cell within another half second.
@@ -243,14 +251,20 @@
 	case serves && i < 0:
 		p.served = true
 		p.upstreams = append(p.upstreams, u)
-		sortUpstreams(p.upstreams)
+		p.order()
 	case !serves && i >= 0:
 		p.upstreams = slices.Delete(p.upstreams, i, i+1)
+		p.hashes = slices.Delete(p.hashes, i, i+1)
 	}
 }
 
-func sortUpstreams(list []*upstream) {
-	slices.SortFunc(list, func(a, b *upstream) int { return strings.Compare(string(a.Name), string(b.Name)) })
+// order sorts the upstreams of the pool by name.
+func (p *pool) order() {
+	slices.SortFunc(p.upstreams, func(a, b *upstream) int { return strings.Compare(string(a.Name), string(b.Name)) })
+	p.hashes = p.hashes[:0]
+	for _, u := range p.upstreams {
+		p.hashes = append(p.hashes, u.hash())
+	}
 }
 
 // free reports whether the pool has an upstream that can take another request now.
@@ -264,6 +278,15 @@
 	return false
 }
 
+// firstChoice returns the index of the upstream that is preferred among equals. Schedulers
+// that each have a part of the cell draw it, so that they don't all choose the same one.
+func (s *Scheduler) firstChoice(p *pool) int {
+	if s.hosts == 1 || len(p.upstreams) == 0 {
+		return 0
+	}
+	return s.random.IntN(len(p.upstreams))
+}
+
 // choose returns the least loaded upstream that may run the request, or nil. An
 // upstream that holds the request's prefix may have a little more load. Upstreams
 // that failed the request, are silent or are too slow for the class are used only
@@ -278,15 +301,6 @@
 		return s.place(now, r)
 	}
 	unrestricted := s.unrestricted(now, r)
-// firstChoice returns the index of the upstream that is preferred among equals. Schedulers
-// that each have a part of the cell draw it, so that they don't all choose the same one.
-func (s *Scheduler) firstChoice(p *pool) int {
-	if s.hosts == 1 || len(p.upstreams) == 0 {
-		return 0
-	}
-	return s.random.IntN(len(p.upstreams))
-}
-
 	if s.unsettled && s.suspect(now, r) {
 		return nil
 	}
