scheduler: one that is late judges no silence

Ticks now tell how late they are; after one that is more than 0.1 s late, no silence is judged for silenceTimeout.

--- a/internal/entry/dispatcher/local.go
+++ b/internal/entry/dispatcher/local.go
@@ -183,7 +183,7 @@
 	l.effort.addTick(late)
 	l.lag.add(now, late)
 	l.logEffort(now)
-	l.step(scheduler.Tick{Unheard: l.unheard()})
+	l.step(scheduler.Tick{Unheard: l.unheard(), Late: late})
 	l.publishShares()
 	l.spillStranded()
 	if len(l.requests) > 0 {
--- a/internal/policy/scheduler/scheduler.go
+++ b/internal/policy/scheduler/scheduler.go
@@ -37,6 +37,8 @@
 	// unheard holds the hosts that were not heard within silenceTimeout, and when that
 	// was noticed last.
 	unheard map[registrar.HostName]time.Time
+	// lateAt is when a tick was last late by more than maxDelay.
+	lateAt time.Time
 	// retryShare is the number of repeats that each first submission allows, and
 	// retryBurst the number that the whole cell saves up in a pool. retryPart is this
 	// scheduler's part of that, and retryStart what a new budget begins with.
@@ -51,12 +53,12 @@
 	estimator   *estimator.Estimator
 	virtualTime [validator.LowestTier + 1]float64
 	actions     []Action
-}
-
 	// cached lists the engines that hold each prompt block.
 	cached blockIndex
 	// compared is the memory of candidates.
 	compared []*upstream
+}
+
 // Option configures a new Scheduler.
 type Option func(*Scheduler)
 
@@ -88,9 +90,9 @@
 		retryStart:    DefaultRetryBurst,
 		budgets:       make(map[validator.PoolName]*retryBudget),
 		memory:        make(map[validator.PoolName]int),
+		cached:        make(blockIndex),
 		detector:      detector.New(),
 		attributor:    attributor.New(),
-		cached:        make(blockIndex),
 		estimator:     estimator.New(),
 	}
 	for _, o := range options {
@@ -155,6 +157,7 @@
 		s.refuseStranded(now)
 		s.updateTypicalGaps(now)
 		s.recordUnheard(now, e.Unheard)
+		s.recordDelay(now, e.Late)
 		s.checkSilence(now)
 		for _, p := range s.pools {
 			s.reportSpeed(p)
--- a/internal/policy/scheduler/silence.go
+++ b/internal/policy/scheduler/silence.go
@@ -23,6 +23,9 @@
 	// mean that one host is cut off: each host avoids the upstream after its own
 	// timeout.
 	connectTimeoutLimit = 2
+	// maxDelay is the delay of a tick from which on the scheduler judges no silence for
+	// silenceTimeout: the reports of activity are as late.
+	maxDelay = 5 * TickInterval
 )
 
 // noteActivity records that something was received from the upstream.
@@ -97,6 +100,9 @@
 // hears reports whether the host of an attempt has been heard for long enough that
 // activity of the attempt would have been reported.
 func (s *Scheduler) hears(now time.Time, a *attempt) bool {
+	if len(s.unheard) == 0 {
+		return true
+	}
 	unheard, ok := s.unheard[a.request.Host]
 	return !ok || now.Sub(unheard) >= silenceTimeout
 }
@@ -113,6 +119,19 @@
 	}
 }
 
+// recordDelay records by how much a tick was late.
+func (s *Scheduler) recordDelay(now time.Time, late time.Duration) {
+	if late > maxDelay {
+		s.lateAt = now
+	}
+}
+
+// hearsInTime reports whether this scheduler has read its input in time for long enough to
+// judge silence.
+func (s *Scheduler) hearsInTime(now time.Time) bool {
+	return s.hosts == 1 && (s.lateAt.IsZero() || now.Sub(s.lateAt) >= silenceTimeout)
+}
+
 // divide sets the number of hosts among which the cell is divided. A scheduler that gets
 // the whole cell hears of the activity of running attempts from then on.
 func (s *Scheduler) divide(now time.Time, hosts int) {
@@ -125,13 +144,13 @@
 
 // checkSilence finds upstreams with work that have fallen silent. Only a scheduler of
 // the whole cell sees the requests of all hosts: a single host cannot tell a silent
-// engine from a busy one.
+// engine from a busy one. Neither can a scheduler that is late.
 func (s *Scheduler) checkSilence(now time.Time) {
 	for _, u := range s.upstreams {
 		if s.crashSuspected(now, u) {
 			s.confirmCrash(now, u)
 		}
-		if s.hosts > 1 || now.Before(s.silenceDeadline(now, u)) || u.isSilent(now) || !s.expectsActivity(now, u) {
+		if !s.hearsInTime(now) || now.Before(s.silenceDeadline(now, u)) || u.isSilent(now) || !s.expectsActivity(now, u) {
 			continue
 		}
 		s.markSilent(now, u)
--- a/internal/policy/scheduler/types.go
+++ b/internal/policy/scheduler/types.go
@@ -251,6 +251,9 @@
 	// Unheard lists the hosts with running attempts that can't be heard at present, so
 	// that they can't report the activity of upstreams.
 	Unheard []registrar.HostName
+	// Late is how much later than planned the tick begins. Events of other hosts wait as
+	// long.
+	Late time.Duration
 }
 
 func (Configure) event()  {}
