scheduler: one that is late refuses nothing as overloaded

Within silenceTimeout of a late tick, requests of pools without engine memory wait instead, and end as before when they can't begin in their time.

--- a/internal/policy/scheduler/admission.go
+++ b/internal/policy/scheduler/admission.go
@@ -148,8 +148,9 @@
 	if s.memory[p.name] > 0 {
 		return s.crowdedEngines(now, r)
 	}
+	// Slots are held longer while this scheduler reads the reports of their ends late.
 	n := p.ahead(level)
-	if n < crowdMinimum || p.meanHold == 0 {
+	if n < crowdMinimum || p.meanHold == 0 || s.wasLate(now) {
 		return false
 	}
 	allowed := min(r.due.Sub(now), r.class.wait)
--- a/internal/policy/scheduler/overload_test.go
+++ b/internal/policy/scheduler/overload_test.go
@@ -6,6 +6,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/amaranthcart/amaranthcart/internal/config/validator"
+	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
 )
 
 // TestHopelessBehindResumed guards against requests that have missed their target
@@ -58,3 +61,33 @@
 	assert.Equal(t, formatActions(s.Step(now, done("one", "b", Completed))), "lost0>b")
 	assert.Equal(t, formatActions(s.Step(now, done("two", "b", Completed))), "fresh>b")
 }
+
+// TestLateSchedulerRefusesNothingAsOverloaded guards against a scheduler that takes its own
+// delay for a lack of slots: it learns late of the ends of requests, so that slots seem to
+// be held for longer than they are.
+func TestLateSchedulerRefusesNothingAsOverloaded(t *testing.T) {
+	refused := func(late time.Duration) int {
+		s := New(WithSeed(1))
+		s.Step(start, Configure{Document: document()})
+		s.Step(start, Observe{registrar.Upstream{Name: "ledger-0", Services: []validator.PoolName{"ledger"}, Slots: 1, Incarnation: 1, Sequence: 1}})
+		now, n := start, 0
+		submit := func(i int) {
+			r := Request{ID: RequestID(fmt.Sprint("r", i)), Pool: "ledger", Class: "top", Organisation: "small", Arrived: now}
+			for _, a := range s.Step(now, Submit{r}) {
+				if _, ok := a.(Refuse); ok {
+					n++
+				}
+			}
+		}
+		submit(0)
+		now = now.Add(time.Minute)
+		s.Step(now, Finished{ID: "r0", Upstream: "ledger-0", Outcome: Completed})
+		s.Step(now, Tick{Late: late})
+		for i := range 4 * crowdMinimum {
+			submit(i + 1)
+		}
+		return n
+	}
+	assert.Assert(t, refused(0) > 0)
+	assert.Equal(t, refused(time.Second), 0)
+}
--- a/internal/policy/scheduler/silence.go
+++ b/internal/policy/scheduler/silence.go
@@ -126,10 +126,9 @@
 	}
 }
 
-// hearsInTime reports whether this scheduler has read its input in time for long enough to
-// judge silence.
-func (s *Scheduler) hearsInTime(now time.Time) bool {
-	return s.hosts == 1 && (s.lateAt.IsZero() || now.Sub(s.lateAt) >= silenceTimeout)
+// wasLate reports whether this scheduler was late within silenceTimeout.
+func (s *Scheduler) wasLate(now time.Time) bool {
+	return !s.lateAt.IsZero() && now.Sub(s.lateAt) < silenceTimeout
 }
 
 // divide sets the number of hosts among which the cell is divided. A scheduler that gets
@@ -150,7 +149,7 @@
 		if s.crashSuspected(now, u) {
 			s.confirmCrash(now, u)
 		}
-		if !s.hearsInTime(now) || now.Before(s.silenceDeadline(now, u)) || u.isSilent(now) || !s.expectsActivity(now, u) {
+		if s.hosts > 1 || s.wasLate(now) || now.Before(s.silenceDeadline(now, u)) || u.isSilent(now) || !s.expectsActivity(now, u) {
 			continue
 		}
 		s.markSilent(now, u)
