--- a/internal/entry/dispatcher/late_test.go
+++ b/internal/entry/dispatcher/late_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -20,13 +21,13 @@
 
 // newServiceMembers returns a cell with an owner, "a", and other hosts, whose five upstreams
 // of the service have six slots each.
-func newServiceMembers(t *testing.T, others int) (*fakeMembership, map[registrar.HostName]*member) {
+func newServiceMembers(t *testing.T, others int, wrap func(net.Listener) net.Listener) map[registrar.HostName]*member {
 	t.Helper()
 	names := []registrar.HostName{"a"}
 	for i := range others {
 		names = append(names, registrar.HostName(fmt.Sprint("host", i)))
 	}
-	view, all := newMembers(t, names...)
+	view, all := startMembers(t, slots, wrap, names...)
 	for i := range 5 {
 		u := registrar.Upstream{Name: registrar.UpstreamID(fmt.Sprint("ledger-", i)), Services: []validator.PoolName{ledger}, Slots: 6, Incarnation: 1}
 		view.upstreams[u.Name] = u
@@ -42,9 +43,12 @@
 		}
 		return all["a"].usesAllSlots()
 	})
-	return view, all
+	return all
 }
 
+// unchanged is a wrap of newServiceMembers.
+func unchanged(l net.Listener) net.Listener { return l }
+
 // delayScheduler holds the lock of a host's scheduler for most of the time until the test
 // ends or stop is called: whatever passes the scheduler waits up to d.
 func delayScheduler(t *testing.T, l *Local, d time.Duration) (stop func()) {
@@ -76,7 +80,7 @@
 		patience = 600 * time.Millisecond
 		duration = 2 * time.Second
 	)
-	_, all := newServiceMembers(t, hosts)
+	all := newServiceMembers(t, hosts, unchanged)
 	defer delayScheduler(t, all["a"].local, 200*time.Millisecond)()
 	time.Sleep(time.Second)
 	var sent, served atomic.Int64
@@ -141,3 +145,39 @@
 	}
 	s.Release(scheduler.Completed, 10)
 }
+
+// TestShortWorkAfterTheLossOfTheOwner guards against a service without service while its
+// hosts find out that the owner is lost: the time is bounded by the silence after which a
+// link fails.
+func TestShortWorkAfterTheLossOfTheOwner(t *testing.T) {
+	var gates []*gate
+	all := newServiceMembers(t, 3, func(l net.Listener) net.Listener {
+		g := &gate{Listener: l, open: map[net.Conn]bool{}}
+		gates = append(gates, g)
+		return g
+	})
+	cell := all["host0"].cell
+	longest, worked := time.Duration(0), 0
+	for i := range 100 {
+		if i == 20 {
+			for _, g := range gates {
+				g.silent.Store(true)
+			}
+		}
+		r := request(fmt.Sprint("r", i))
+		r.Pool, r.Whole = ledger, true
+		ctx, cancel := context.WithTimeout(t.Context(), 2*maxSilence)
+		s, err := cell.Acquire(ctx, r)
+		cancel()
+		longest = max(longest, time.Since(r.Arrived))
+		if err != nil {
+			continue
+		}
+		worked++
+		time.Sleep(10 * time.Millisecond)
+		s.Release(scheduler.Completed, 0)
+	}
+	assert.Equal(t, worked, 100)
+	assert.Assert(t, longest <= maxSilence, "a request waited %s", longest)
+	t.Logf("the longest wait took %s", longest)
+}
