dispatcher: slots kept for a listed host whose link broke end after 15 s

They were kept until the host reported or was gone. One that lives and opens no further link here, since it follows another host or schedules alone, kept them for ever: of a service with 30 slots each counts.

--- a/internal/entry/dispatcher/cell_test.go
+++ b/internal/entry/dispatcher/cell_test.go
@@ -344,6 +344,29 @@
 	assert.Equal(t, all["a"].occupied(), 0)
 }
 
+// TestListedHostKeepsNoSlotsForEver guards against slots of a service that nobody gets again,
+// because a host that lives opens no further link here.
+func TestListedHostKeepsNoSlotsForEver(t *testing.T) {
+	_, all := newMembers(t, "a", "b")
+	waitFor(t, "links", func() bool { return all["b"].linked() && all["a"].usesAllSlots() })
+	acquire(t, all["b"].cell, "r")
+	waitFor(t, "held", func() bool { return all["a"].occupied() == 1 })
+	all["b"].cell.Close()
+	server := all["a"].server
+	waitFor(t, "link ended", func() bool {
+		server.mu.Lock()
+		defer server.mu.Unlock()
+		return len(server.orphans["b"]) == 1 && server.sessions["b"] == nil
+	})
+	server.expireOrphans("b", listedOrphanTime)
+	assert.Equal(t, all["a"].occupied(), 1)
+	server.mu.Lock()
+	server.orphanedAt["b"] = time.Now().Add(-listedOrphanTime)
+	server.mu.Unlock()
+	server.expireOrphans("b", listedOrphanTime)
+	assert.Equal(t, all["a"].occupied(), 0)
+}
+
 // TestHostDownBeforeLink guards against slots that leak when a host is declared dead
 // before its link is seen to break, and when a second link of a host is opened before the
 // first has ended.
--- a/internal/entry/dispatcher/server.go
+++ b/internal/entry/dispatcher/server.go
@@ -23,6 +23,10 @@
 // after its link broke. A live host opens the next link well before.
 const orphanTime = 1500 * time.Millisecond
 
+// listedOrphanTime is the same for a host that the membership lists. Such a host may be out
+// of reach and run its requests on, or schedule alone or at another host.
+const listedOrphanTime = 15 * time.Second
+
 // Server answers the slot requests of other hosts while this host owns the cell. Its
 // Dispatch method implements the Peer service.
 type Server struct {
@@ -187,15 +191,17 @@
 	// The membership reports when a host that may own a cell is gone. For other hosts,
 	// and for one that went down before its link broke, the end of the link is the only
 	// sign.
+	kept := listedOrphanTime
 	if _, alive := s.settings.Membership.Address(n.host); !alive {
-		s.settings.Clock.AfterFunc(orphanTime, func() { s.expireOrphans(n.host) })
+		kept = orphanTime
 	}
+	s.settings.Clock.AfterFunc(kept, func() { s.expireOrphans(n.host, kept) })
 }
 
-// expireOrphans frees the slots of a host that has had no link for orphanTime.
-func (s *Server) expireOrphans(h registrar.HostName) {
+// expireOrphans frees the slots of a host that has had no link for the given time.
+func (s *Server) expireOrphans(h registrar.HostName, kept time.Duration) {
 	s.mu.Lock()
-	gone := s.sessions[h] == nil && s.settings.Clock.Since(s.orphanedAt[h]) >= orphanTime
+	gone := s.sessions[h] == nil && s.settings.Clock.Since(s.orphanedAt[h]) >= kept
 	if gone {
 		delete(s.orphanedAt, h)
 	}
