--- a/internal/entry/claimer/claimer.go
+++ b/internal/entry/claimer/claimer.go
@@ -22,6 +22,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -47,8 +48,11 @@
 	// claimTimeout bounds all attempts to commit a claim. It allows for the election of
 	// a new control leader.
 	claimTimeout = 3 * time.Second
-	// retryInterval is the delay before all control hosts are tried again.
-	retryInterval = 50 * time.Millisecond
+	// retryInterval is the mean delay before all control hosts are tried again. It doubles
+	// with each round that fails, up to maxRetryInterval, so that the calls of many hosts
+	// don't keep control hosts late.
+	retryInterval    = 50 * time.Millisecond
+	maxRetryInterval = 400 * time.Millisecond
 	// pollInterval is how often a resend asks for the result of the running call.
 	pollInterval = 200 * time.Millisecond
 	// waitBound is how long a resend waits for the running call.
@@ -323,12 +327,12 @@
 	}
 	ctx, cancel := clockwork.WithTimeout(ctx, c.clock, limit)
 	defer cancel()
-	for {
+	for pause := retryInterval; ; pause = min(2*pause, maxRetryInterval) {
 		err := c.callEach(ctx, call)
 		if err == nil {
 			return nil
 		}
-		if connect.CodeOf(err) == connect.CodeInvalidArgument || !c.sleep(ctx, retryInterval) {
+		if connect.CodeOf(err) == connect.CodeInvalidArgument || !c.sleep(ctx, pause/2+rand.N(pause)) {
 			return err
 		}
 	}
