--- a/internal/entry/dispatcher/outdated_test.go
+++ b/internal/entry/dispatcher/outdated_test.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"context"
 	"errors"
 	"testing"
 	"time"
@@ -69,3 +70,31 @@
 	}
 	waitFor(t, "the slots to be free", func() bool { return all["a"].local.Used("engine") == 0 })
 }
+
+// TestWaitsEndWithTheTimeOfTheRequest guards against requests that are held to the end of
+// their callers' time where they wait for a current view, or for an owner that is late.
+func TestWaitsEndWithTheTimeOfTheRequest(t *testing.T) {
+	const patience = 150 * time.Millisecond
+	for name, delay := range map[string]func(view *fakeMembership, owner *member) (stop func()){
+		"view": func(view *fakeMembership, _ *member) func() {
+			view.setOutdated(true)
+			return func() { view.setOutdated(false) }
+		},
+		"owner": func(_ *fakeMembership, owner *member) func() {
+			owner.local.mu.Lock()
+			return owner.local.mu.Unlock
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			view, all := newMembers(t, "a", "b")
+			waitFor(t, "link", func() bool { return all["b"].linked() && all["a"].usesAllSlots() })
+			defer delay(view, all["a"])()
+			ctx, cancel := context.WithTimeout(t.Context(), patience)
+			defer cancel()
+			began := time.Now()
+			_, err := all["b"].cell.Acquire(ctx, request("r"))
+			assert.Assert(t, errors.Is(err, context.DeadlineExceeded), "%v", err)
+			assert.Assert(t, time.Since(began) < 2*patience, "after %s", time.Since(began))
+		})
+	}
+}
