--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -9,10 +9,14 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
+
+	"github.com/sourcegraph/conc"
 )
 
 // binary is the program of the deploy file.
@@ -43,6 +47,7 @@
 	dir       string
 	network   string
 	ports     ports
+	signals   conc.WaitGroup
 	mu        sync.Mutex
 	processes map[string]*exec.Cmd
 }
@@ -59,8 +64,20 @@
 			return nil, err
 		}
 	}
-	f.ports.internal, err = freeRange(f.host(0))
-	return f, err
+	if f.ports.internal, err = freeRange(f.host(0)); err != nil {
+		return nil, err
+	}
+	f.signals.Go(f.endOnSignal)
+	return f, nil
+}
+
+// endOnSignal ends the processes of the deployment if this one is told to stop.
+func (f *fleet) endOnSignal() {
+	received := make(chan os.Signal, 1)
+	signal.Notify(received, os.Interrupt, syscall.SIGTERM)
+	<-received
+	f.close()
+	os.Exit(exitNotRun)
 }
 
 // freeRange returns the first of the internal ports, of which the programs use two.
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -4,9 +4,10 @@
 //
 // # Usage
 //
-//	harness --case N [--trouble 0]
+//	harness --case N [--trouble 0] [--record FILE]
 //
-// It writes what was sent, answered and run to review/N/record.txt. The exit status is 1 if
+// It writes what was sent, answered and run to FILE, by default review/N/record.txt. Number 6
+// is a trial that is no case of the review. The exit status is 1 if
 // the rule was broken, 0 if it held and 2 if the case could not run.
 package main
 
@@ -34,17 +35,21 @@
 func main() {
 	number := flag.Int("case", 0, "number of the case")
 	trouble := flag.String("trouble", "1", "0 plays the case without the disruption")
+	path := flag.String("record", "", "file for the record")
 	flag.Parse()
-	os.Exit(play(*number, *trouble != "0"))
+	if *path == "" {
+		*path = filepath.Join("review", strconv.Itoa(*number), "record.txt")
+	}
+	os.Exit(play(*number, *trouble != "0", *path))
 }
 
-func play(number int, trouble bool) int {
+func play(number int, trouble bool, path string) int {
 	run, ok := scenarios[number]
 	if !ok {
 		fmt.Fprintf(os.Stderr, "there is no script of case %d\n", number)
 		return exitNotRun
 	}
-	r, err := newRecord(filepath.Join("review", strconv.Itoa(number), "record.txt"))
+	r, err := newRecord(path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
