--- a/review/harness/case_first.go
+++ b/review/harness/case_first.go
@@ -12,9 +12,12 @@
 func init() { scenarios[4] = firstStart }
 
 const (
-	// lostControl is the index of the control machine that is lost; it is none of the
-	// seeds.
-	lostControl = 4
+	// lostControl is the index of the control machine that is gone for good; it is a seed.
+	lostControl = 0
+	// replaceAfter is when the empty machine comes, and seedLag when the settings files name
+	// it.
+	replaceAfter = 2 * time.Second
+	seedLag      = 3 * time.Second
 	// firstPeriod is how long the deployment is watched, and callPause the time between
 	// two requests of a caller.
 	firstPeriod = 60 * time.Second
@@ -22,7 +25,8 @@
 )
 
 // firstStart starts a deployment for the first time and loses one of its five control
-// machines right after the start. Two may be lost at once.
+// machines right after the start, for which an empty one comes at another address. Two may be
+// lost at once.
 func firstStart(r *record, trouble bool) (string, error) {
 	f, err := newFleet(r, layout{controls: 5, entries: 2, tolerance: 2, entryMemory: 284})
 	if err != nil {
@@ -34,7 +38,16 @@
 	}
 	if trouble {
 		f.kill(f.host(lostControl))
-		r.notef("%s is lost for good", f.host(lostControl))
+		r.notef("%s is gone for good", f.host(lostControl))
+		time.Sleep(replaceAfter)
+		if err := f.replace(lostControl); err != nil {
+			return "", err
+		}
+		time.Sleep(seedLag)
+		if err := f.updateSettings(true); err != nil {
+			return "", err
+		}
+		r.notef("the settings files name %s as a seed", f.controls()[lostControl])
 	}
 	ran := &runs{}
 	for i := range 2 {
@@ -56,7 +69,7 @@
 	served := statuses[http.StatusOK]
 	switch {
 	case refused != nil && served == 0 && trouble:
-		return fmt.Sprintf("no request is served with one of five control machines lost: %v", refused), nil
+		return fmt.Sprintf("no request is served after one of five control machines was replaced: %v", refused), nil
 	case refused != nil:
 		return "", refused
 	case served == 0:
--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -42,11 +42,13 @@
 
 // fleet is a deployment of real processes on addresses of the loopback network.
 type fleet struct {
-	record    *record
-	layout    layout
-	dir       string
-	network   string
-	ports     ports
+	record  *record
+	layout  layout
+	dir     string
+	network string
+	ports   ports
+	// control holds the addresses of the control machines. The first three are the seeds.
+	control   []string
 	signals   conc.WaitGroup
 	mu        sync.Mutex
 	processes map[string]*exec.Cmd
@@ -59,6 +61,9 @@
 	}
 	f := &fleet{record: r, layout: l, dir: dir, processes: map[string]*exec.Cmd{}}
 	f.network = fmt.Sprintf("127.%d.%d", 80+os.Getpid()%100, os.Getpid()/100%250)
+	for i := range l.controls {
+		f.control = append(f.control, f.host(i))
+	}
 	for _, p := range []*int{&f.ports.front, &f.ports.ready, &f.ports.control} {
 		if *p, err = freePort(f.host(0)); err != nil {
 			return nil, err
@@ -111,7 +116,54 @@
 // host returns the address of a machine. Control machines come first.
 func (f *fleet) host(i int) string { return fmt.Sprintf("%s.%d", f.network, i+1) }
 
-func (f *fleet) controls() []string { return f.hosts(0, f.layout.controls) }
+// controls returns the control machines, the operator's list of them.
+func (f *fleet) controls() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]string(nil), f.control...)
+}
+
+// replace puts an empty machine with a new address in the place of a control machine that is
+// gone for good, and starts its program.
+func (f *fleet) replace(i int) error {
+	host := f.host(f.layout.controls + f.layout.entries + i)
+	f.mu.Lock()
+	f.control[i] = host
+	f.mu.Unlock()
+	return f.start(host, false)
+}
+
+// updateSettings writes the settings files of the running machines anew.
+func (f *fleet) updateSettings(first bool) error {
+	for _, h := range append(f.controls(), f.entries()...) {
+		if err := f.writeSettings(h, first && f.isFirst(h)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// isFirst reports whether a machine belongs to the first start of the deployment.
+func (f *fleet) isFirst(host string) bool {
+	for _, h := range f.hosts(0, f.layout.controls+f.layout.entries) {
+		if h == host {
+			return true
+		}
+	}
+	return false
+}
+
+// writeSettings replaces the settings file of a machine in one step.
+func (f *fleet) writeSettings(host string, first bool) error {
+	name := f.file(host)
+	if err := os.WriteFile(name+".new", []byte(f.settings(host, first)), 0o600); err != nil {
+		return err
+	}
+	return os.Rename(name+".new", name)
+}
+
+// file returns the path of the settings file of a machine.
+func (f *fleet) file(host string) string { return filepath.Join(f.dir, host+".conf") }
 
 func (f *fleet) entries() []string {
 	return f.hosts(f.layout.controls, f.layout.controls+f.layout.entries)
@@ -164,8 +216,7 @@
 
 // start starts the program of a machine.
 func (f *fleet) start(host string, first bool) error {
-	file := filepath.Join(f.dir, host+".conf")
-	if err := os.WriteFile(file, []byte(f.settings(host, first)), 0o600); err != nil {
+	if err := f.writeSettings(host, first); err != nil {
 		return err
 	}
 	log, err := os.OpenFile(filepath.Join(f.dir, host+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -174,7 +225,7 @@
 	}
 	defer func() { _ = log.Close() }()
 	c := exec.Command(binary, "run")
-	c.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "AMARANTHCART_NODE_FILE=" + file}
+	c.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "AMARANTHCART_NODE_FILE=" + f.file(host)}
 	c.Stdout, c.Stderr = log, log
 	if err := c.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", binary, err)
@@ -220,8 +271,8 @@
 
 // close ends all processes and removes their files. With REVIEW_LOGS set, the files stay.
 func (f *fleet) close() {
-	for i := range f.layout.controls + f.layout.entries {
-		f.kill(f.host(i))
+	for _, h := range append(f.controls(), f.entries()...) {
+		f.kill(h)
 	}
 	if os.Getenv("REVIEW_LOGS") != "" {
 		f.record.notef("logs are in %s", f.dir)
