--- a/review/rig-2/crowd.go
+++ b/review/rig-2/crowd.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -29,8 +31,9 @@
 	settleCrowd = 4 * time.Second
 	// retryGap is the time until a client of the crowd connects again.
 	retryGap = 20 * time.Millisecond
-	// answeredShare is the share of the ordinary requests that must be answered.
-	answeredShare = 0.1
+	// leastTries is the number of requests on new connections without which a time in which
+	// none was answered doesn't count.
+	leastTries = 7
 )
 
 // playCrowd lets many clients send chunked bodies in very small chunks, which stop just short
@@ -65,24 +68,81 @@
 		}
 	}
 	time.Sleep(settleCrowd)
-	var sent, answered atomic.Int64
+	tries := &tries{record: r}
 	var callers conc.WaitGroup
 	for end := time.Now().Add(crowdTime); time.Now().Before(end); time.Sleep(callerGap) {
-		callers.Go(func() {
-			sent.Add(1)
-			status := ordinary(host, "beside")
-			r.note("an ordinary request was answered %d", status)
-			if status == http.StatusOK {
-				answered.Add(1)
-			}
-		})
+		callers.Go(func() { tries.try(func() int { return ordinary(host, "beside") }) })
+		callers.Go(func() { tries.check(f.ready(host)) })
 	}
 	callers.Wait()
 	over.Store(true)
 	crowd.Wait()
 	calm := wait(func() bool { return ordinary(host, "after") == http.StatusOK })
-	r.conclude("%d of %d ordinary requests were answered beside %d clients; one afterwards: %v", answered.Load(), sent.Load(), chunkers, calm)
-	return float64(answered.Load()) < answeredShare*float64(sent.Load()), nil
+	longest, ready := tries.longest()
+	r.conclude("%d of %d ordinary requests were answered beside %d clients; one afterwards: %v", tries.answered, len(tries.list), chunkers, calm)
+	r.conclude("the longest time in which the host said that it is ready and took no new connection: %.1f s (ready %d of %d times)", longest.Seconds(), ready, tries.asked)
+	return longest >= stability, nil
+}
+
+// tries records ordinary requests on new connections, and what the host says of itself.
+type tries struct {
+	record   *record
+	mu       sync.Mutex
+	list     []attempt
+	answered int
+	asked    int
+	unready  []time.Time
+}
+
+// attempt is one ordinary request.
+type attempt struct {
+	sent     time.Time
+	answered bool
+}
+
+// try sends a request and records whether it was answered.
+func (t *tries) try(send func() int) {
+	sent := time.Now()
+	status := send()
+	t.record.note("an ordinary request was answered %d", status)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.list = append(t.list, attempt{sent, status == http.StatusOK})
+	if status == http.StatusOK {
+		t.answered++
+	}
+}
+
+// check records what the host says of itself.
+func (t *tries) check(ready bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.asked++
+	if !ready {
+		t.unready = append(t.unready, time.Now())
+	}
+}
+
+// longest returns the longest time in which at least leastTries requests were sent, none was
+// answered and the host always said that it is ready, and how often it said so.
+func (t *tries) longest() (longest time.Duration, ready int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	slices.SortFunc(t.list, func(a, b attempt) int { return a.sent.Compare(b.sent) })
+	first := 0
+	for i, a := range t.list {
+		unready := slices.ContainsFunc(t.unready, func(at time.Time) bool {
+			return !at.Before(t.list[first].sent) && !at.After(a.sent)
+		})
+		if a.answered || unready {
+			first = min(i+1, len(t.list)-1)
+			continue
+		}
+		if i-first+1 >= leastTries {
+			longest = max(longest, a.sent.Sub(t.list[first].sent))
+		}
+	}
+	return longest, t.asked - len(t.unready)
 }
 
 // sendChunks sends a body in very small chunks, which never ends, until its connection is
