verifier: an answer with a status that breaks the protocol is none

Callers saw: status 000 ended the connection without an answer on kept and new connections (114 rows of the new test of the relayer: WriteHeader panics, and the slot was not released), and no answer before the timeout on an own connection (16 rows with 504; a sale of the receiver got none in 250 s). What followed a status under 100 on an own connection was taken for the answer: 200 with a body that was not the server's. 600 and 999 were passed on, and so were answers of HTTP/0.9 and HTTP/2.0. An entry host's 000 was shown by amaranthctl as a success.

Cause: net/http takes each three characters that are a number for a status code, and each version with one digit before and behind the dot.

Change: the new package verifier checks the bytes of a connection in front of net/http: a version of HTTP/1, three digits from 100 to 599 (RFC 9112, section 4; RFC 9110, section 15), and no 101, since no request asks for another protocol; interim answers too. A head that had arrived before its request is no answer to it either. A broken answer counts as failed, not as a crash: the connection was not lost, and a request is not to be refused as one that crashes upstreams because of it.

The stand-in's answers reach the caller without their fault: TestOddAnswerIsPassedOn, TestOddHeadIsPassedOn.

--- a/internal/ctl/commander/entry.go
+++ b/internal/ctl/commander/entry.go
@@ -13,6 +13,7 @@
 
 	"github.com/amaranthcart/amaranthcart/internal/ops/inspector"
 	"github.com/amaranthcart/amaranthcart/internal/rpc/authenticator"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/verifier"
 )
 
 // upstreams prints the upstreams that an entry host knows.
@@ -102,7 +103,7 @@
 		return fail(ExitUsage, "address %q: %w", address, err)
 	}
 	c.authorize(r.Header)
-	t := &http.Transport{DisableKeepAlives: true, DialTLSContext: dialTLS(c.timeout, secure, "http/1.1")}
+	t := verifier.New(&http.Transport{DisableKeepAlives: true, DialTLSContext: dialTLS(c.timeout, secure, "http/1.1")})
 	status, body, err := send(&http.Client{Transport: t}, r)
 	if err != nil {
 		return fail(ExitUnreachable, "%s did not answer: %s", address, explainHTTP(err))
--- a/internal/entry/forwarder/candidate.go
+++ b/internal/entry/forwarder/candidate.go
@@ -16,6 +16,7 @@
 
 	"github.com/amaranthcart/amaranthcart/internal/entry/dispatcher"
 	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/verifier"
 )
 
 const (
@@ -259,7 +260,7 @@
 	switch {
 	case errors.As(err, &status), errors.As(err, &final):
 		return scheduler.Failed
-	case errors.Is(err, errNoEnd), errors.Is(err, errBadAnswer), errors.Is(err, errEventTooLong):
+	case errors.Is(err, errNoEnd), errors.Is(err, errBadAnswer), errors.Is(err, errEventTooLong), errors.Is(err, verifier.ErrBroken):
 		return scheduler.Failed
 	case !c.connected.Load():
 		return unsentOutcome(err)
--- a/internal/entry/forwarder/once.go
+++ b/internal/entry/forwarder/once.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
@@ -14,6 +13,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/verifier"
 )
 
 // maxInterim bounds the number of 1xx responses before the final one.
@@ -44,22 +44,22 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial upstream: %w", err)
 	}
-	lower := withoutTLS(connection)
-	stop := context.AfterFunc(ctx, func() { _ = lower.Close() })
+	stop := context.AfterFunc(ctx, connection.Abort)
 	if ctx.Err() != nil {
-		_ = lower.Close()
+		connection.Abort()
 		return nil, context.Cause(ctx)
 	}
 	if err := ready(); err != nil {
 		stop()
-		_ = lower.Close()
+		connection.Abort()
 		return nil, err
 	}
-	x := &exchange{connection: lower, stop: stop}
+	connection.Expect()
+	x := &exchange{connection: connection, stop: stop}
 	// The upstream may answer before it has read the whole body.
 	x.group.Go(func() { x.written = request.Write(withTarget(connection, request.Method, target)) })
 	head := &io.LimitedReader{R: connection, N: maxAnswerHeader}
-	response, err := readResponse(bufio.NewReaderSize(head, readBuffer), request)
+	response, err := connection.Accept(readResponse(bufio.NewReaderSize(head, readBuffer), request))
 	if err != nil {
 		err = errors.Join(err, x.Close())
 		return nil, fmt.Errorf("read answer: %w", err)
@@ -87,18 +87,18 @@
 	return nil, fmt.Errorf("%w: no final status", errBadAnswer)
 }
 
-// withoutTLS returns the underlying TCP connection. Closing it ends reads and writes at
-// once, while closing a TLS connection first tries to write.
-func withoutTLS(c net.Conn) net.Conn {
-	if t, ok := c.(*tls.Conn); ok {
-		return t.NetConn()
+// abort closes a connection of the pool at once.
+func abort(c net.Conn) {
+	if v, ok := c.(*verifier.Conn); ok {
+		v.Abort()
+		return
 	}
-	return c
+	_ = c.Close()
 }
 
 // exchange is the body of an answer on a connection that is closed with it.
 type exchange struct {
-	connection net.Conn
+	connection *verifier.Conn
 	stop       func() bool
 	group      conc.WaitGroup
 	written    error
@@ -114,7 +114,7 @@
 // returns that goroutine's error.
 func (x *exchange) Close() error {
 	x.stop()
-	_ = x.connection.Close()
+	x.connection.Abort()
 	x.group.Wait()
 	return x.written
 }
--- a/internal/entry/forwarder/plain.go
+++ b/internal/entry/forwarder/plain.go
@@ -19,6 +19,7 @@
 	"github.com/amaranthcart/amaranthcart/internal/entry/dispatcher"
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
 	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/verifier"
 )
 
 // maxBuffered is how many bytes of a plain answer are read before any of it is
@@ -221,7 +222,7 @@
 		return scheduler.Abandoned
 	case !t.sent.Load():
 		return unsentOutcome(err)
-	case errors.Is(err, errBadAnswer), errors.As(err, &status):
+	case errors.Is(err, errBadAnswer), errors.Is(err, verifier.ErrBroken), errors.As(err, &status):
 		return scheduler.Failed
 	}
 	return scheduler.Crashed
--- a/internal/entry/forwarder/pool.go
+++ b/internal/entry/forwarder/pool.go
@@ -13,6 +13,7 @@
 
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
 	"github.com/amaranthcart/amaranthcart/internal/rpc/dialer"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/verifier"
 )
 
 const (
@@ -65,7 +66,7 @@
 
 // agedTransport is a transport with the time at which it was made.
 type agedTransport struct {
-	*http.Transport
+	*verifier.Transport
 	since time.Time
 }
 
@@ -129,8 +130,8 @@
 	}
 }
 
-func (p *pool) newTransport() *http.Transport {
-	return &http.Transport{
+func (p *pool) newTransport() *verifier.Transport {
+	return verifier.New(&http.Transport{
 		DialContext:            p.dial,
 		DialTLSContext:         p.dialTLS,
 		MaxIdleConnsPerHost:    maxIdleConnections,
@@ -138,7 +139,7 @@
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxAnswerHeader,
 		ReadBufferSize:         readBuffer,
-	}
+	})
 }
 
 func (p *pool) dial(ctx context.Context, network, address string) (net.Conn, error) {
@@ -163,10 +164,15 @@
 }
 
 // open makes a connection to an upstream that no other request uses.
-func (p *pool) open(ctx context.Context, u registrar.Upstream) (net.Conn, error) {
+func (p *pool) open(ctx context.Context, u registrar.Upstream) (*verifier.Conn, error) {
 	address, secure := u.Endpoint()
+	dial := p.dial
 	if secure {
-		return p.dialTLS(ctx, "tcp", address)
+		dial = p.dialTLS
+	}
+	c, err := dial(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
 	}
-	return p.dial(ctx, "tcp", address)
+	return verifier.Wrap(c), nil
 }
--- a/internal/entry/forwarder/sender.go
+++ b/internal/entry/forwarder/sender.go
@@ -87,7 +87,7 @@
 func (a *Attempt) connected(i httptrace.GotConnInfo) {
 	if err := a.ready(); err != nil {
 		a.stop(err)
-		_ = withoutTLS(i.Conn).Close()
+		abort(i.Conn)
 		return
 	}
 	if a.pooled.Swap(&i) != nil {
@@ -162,7 +162,7 @@
 // one that the upstream still runs.
 func (s *Sender) Discard(a *Attempt) {
 	if i := a.pooled.Load(); i != nil {
-		_ = withoutTLS(i.Conn).Close()
+		abort(i.Conn)
 	}
 	s.pool.discard(a.Upstream.Address, s.pool.transport(a.Upstream.Address))
 }
--- /dev/null
+++ b/internal/entry/receiver/answer_test.go
@@ -0,0 +1,164 @@
+package receiver_test
+
+import (
+	"crypto/tls"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
+	"github.com/amaranthcart/amaranthcart/internal/stub/breaker"
+	"github.com/amaranthcart/amaranthcart/internal/stub/certifier"
+)
+
+// answerForm is a way to frame the body of an answer.
+type answerForm struct {
+	name, lines, body string
+	end               breaker.End
+}
+
+// framed returns a body with a length, in chunks, and up to the end of the connection.
+func framed(lines, body string) []answerForm {
+	return []answerForm{
+		{"length", fmt.Sprintf("%sContent-Length: %d\r\n", lines, len(body)), body, breaker.Keep},
+		{"chunks", lines + "Transfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body), breaker.Keep},
+		{"end", lines, body, breaker.Close},
+	}
+}
+
+const (
+	wholeOops  = `{"id":"c","choices":[{"index":0,"message":{"content":"oops"},"finish_reason":"stop"}],"usage":{"prompt_tokens":1,"completion_tokens":1}}`
+	streamOops = `data: {"id":"c","choices":[{"index":0,"delta":{"content":"oops"},"finish_reason":"stop"}]}` + "\n\ndata: [DONE]\n\n"
+)
+
+// answeredCall is a call whose answer a caller gets.
+type answeredCall struct {
+	name, method, path, body string
+	header                   []string
+	// once is set for calls that run at most once, on a connection of their own.
+	once bool
+	// forms are sound answers with the text oops.
+	forms []answerForm
+}
+
+// answeredCalls are the calls of each path of an answer.
+func answeredCalls() []answeredCall {
+	// An answer of a service without a length or chunks is never passed on.
+	plain := framed("", "oops")[:2]
+	story := func(stream bool, more string) string { return chatBody("a story [[length=3]]", stream, more) }
+	stream := framed("Content-Type: text/event-stream\r\n", streamOops)
+	return []answeredCall{
+		{"sale", http.MethodPost, "/svc/ledger/sales", "bale", nil, true, plain},
+		{"sale with a key", http.MethodPost, "/svc/ledger/sales", "bale", []string{"Idempotency-Key", "k"}, true, plain},
+		{"read", http.MethodGet, "/svc/ledger/quote", "", nil, false, plain},
+		{"quote", http.MethodPost, "/svc/ledger/quote", "bale", nil, false, plain},
+		// An engine sends whole answers only where they can't be resumed.
+		{"whole answer", http.MethodPost, "/v1/chat/completions", story(false, `,"tools":[{}]`), nil, false, framed("Content-Type: application/json\r\n", wholeOops)},
+		{"whole answer from a stream", http.MethodPost, "/v1/chat/completions", story(false, ""), nil, false, stream},
+		{"stream", http.MethodPost, "/v1/chat/completions", story(true, ""), nil, false, stream},
+	}
+}
+
+// answeredBy returns a harness whose first upstream sends these answers.
+func answeredBy(t *testing.T, secure bool, answers ...breaker.Answer) (*harness, *breaker.Server) {
+	t.Helper()
+	authority := newUpstreamAuthority(t)
+	h := newHarness(t, withClaimer(&fakeClaimer{}), withTLS(authority.client))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := l.Addr().String()
+	if secure {
+		l = tls.NewListener(l, authority.issue(t, certifier.Request{Hosts: []string{"127.0.0.1"}}))
+		address = "https://" + address
+	}
+	s := breaker.Start(l, answers...)
+	t.Cleanup(func() { _ = s.Close() })
+	h.dispatcher.upstreams[0].Address = address
+	return h, s
+}
+
+// eachAnswer calls test with each head, call and form; the first head also with kept
+// connections and over TLS. The call has been sent when test is called.
+func eachAnswer(t *testing.T, heads []breaker.Head, test func(*testing.T, *harness, answeredCall, breaker.Head, answer)) {
+	for i, head := range heads {
+		for _, call := range answeredCalls() {
+			for _, form := range call.forms {
+				for _, kept := range []bool{false, true} {
+					for _, secure := range []bool{false, true} {
+						if i > 0 && (kept || secure || form.name == "chunks") || kept && call.once {
+							continue
+						}
+						t.Run(fmt.Sprintf("%s, %s, %s, kept %v, TLS %v", head.Name, call.name, form.name, kept, secure), func(t *testing.T) {
+							t.Parallel()
+							answers := []breaker.Answer{{Bytes: head.Answer(form.lines, form.body), End: form.end}}
+							if kept {
+								sound := call.forms[0]
+								answers = append([]breaker.Answer{{Bytes: breaker.Head{}.Answer(sound.lines, sound.body)}}, answers...)
+							}
+							h, s := answeredBy(t, secure, answers...)
+							if kept {
+								assert.Equal(t, h.do(call.method, call.path, call.body, call.header...).status, http.StatusOK)
+							}
+							a := h.do(call.method, call.path, call.body, call.header...)
+							assert.Equal(t, s.Requests(), len(answers))
+							assert.Equal(t, s.Connections(), 1)
+							test(t, h, call, head, a)
+						})
+					}
+				}
+			}
+		}
+	}
+}
+
+// TestBrokenHeadIsNoAnswer guards against a caller that gets an answer whose head breaks
+// the protocol, a status that can't be sent, or a call that is repeated where it must not
+// be.
+func TestBrokenHeadIsNoAnswer(t *testing.T) {
+	for name, heads := range map[string][]breaker.Head{
+		"status": breaker.BrokenStatuses(),
+	} {
+		t.Run(name, func(t *testing.T) {
+			eachAnswer(t, heads, func(t *testing.T, h *harness, call answeredCall, _ breaker.Head, a answer) {
+				assert.NilError(t, a.err)
+				assert.Assert(t, !strings.Contains(a.body, "oops"), "%s", a.body)
+				outcomes := h.dispatcher.outcomes
+				if call.once {
+					assert.Equal(t, a.status, http.StatusBadGateway)
+					assert.Equal(t, a.run(), "unknown")
+					assert.Equal(t, h.responders[1].Runs()["POST /sales"], 0)
+					eventually(t, "the slot is released", func() bool { return len(outcomes()) == 1 })
+					assert.DeepEqual(t, outcomes(), []scheduler.Outcome{scheduler.Failed})
+					return
+				}
+				assert.Equal(t, a.status, http.StatusOK)
+				eventually(t, "the slots are released", func() bool { n := len(outcomes()); return n >= 2 && outcomes()[n-1] == scheduler.Completed })
+				n := len(outcomes())
+				assert.Equal(t, outcomes()[n-2], scheduler.Failed)
+			})
+		})
+	}
+}
+
+// TestOddHeadIsPassedOn guards against rejecting answers that are unusual but sound, and
+// shows that those of the test above would reach the caller without their faults.
+func TestOddHeadIsPassedOn(t *testing.T) {
+	eachAnswer(t, breaker.Odd(), func(t *testing.T, _ *harness, call answeredCall, head breaker.Head, a answer) {
+		assert.NilError(t, a.err)
+		generation := call.path == "/v1/chat/completions"
+		if generation && head.Code() != http.StatusOK {
+			// An engine answers a generation with 200; others are asked after any other success.
+			assert.Assert(t, !strings.Contains(a.body, "oops"), "%s", a.body)
+			return
+		}
+		assert.Equal(t, a.status, head.Code())
+		assert.Assert(t, strings.Contains(a.body, "oops"), "%s", a.body)
+		if name, value := head.Field(); name != "" && !generation {
+			assert.DeepEqual(t, a.header.Values(name), []string{value})
+		}
+	})
+}
--- a/internal/entry/relayer/attempt.go
+++ b/internal/entry/relayer/attempt.go
@@ -21,6 +21,7 @@
 	"github.com/amaranthcart/amaranthcart/internal/entry/forwarder"
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
 	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/verifier"
 )
 
 const (
@@ -57,7 +58,7 @@
 
 // badAnswers are the errors of upstreams that respond, but with a response that can't
 // be used.
-var badAnswers = []error{errForeignAnswer, errUnattributed, errResent, errUnsigned, errStatusOnly, errEncoded, errNoStream}
+var badAnswers = []error{errForeignAnswer, errUnattributed, errResent, errUnsigned, errStatusOnly, errEncoded, errNoStream, verifier.ErrBroken}
 
 // result tells how an attempt ended.
 type result interface{ result() }
--- a/internal/entry/relayer/broken_test.go
+++ b/internal/entry/relayer/broken_test.go
@@ -90,6 +90,12 @@
 	return writes("HTTP/1.1 " + status + "\r\nX-Id: id-1\r\nX-Signed: yes\r\nX-Second: yes\r\n" + lines + "\r\n" + body)
 }
 
+// brokenHead answers with a stream that would go on after the third event, behind a head
+// with this status line and header line.
+func brokenHead(status, line string) script {
+	return writes(status + "\r\n" + ownLines("id-1") + line + eventLines + "\r\n" + chunked(numbered(4, 5)...) + "0\r\n\r\n")
+}
+
 const eventLines = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
 
 // streamOf answers with an event stream of these events that ends regularly.
@@ -131,6 +137,7 @@
 		"part of an event, no chunks": {
 			answers("200 OK", "Content-Type: text/event-stream\r\n", "id: 4\ndata: pa"), nil,
 		},
+		"status 000":                     {brokenHead("HTTP/1.1 000 X", ""), nil},
 		"breaks off after an event":      {answers("200 OK", eventLines, chunked(numbered(4, 4)...)), numbered(4, 4)},
 		"breaks off within an event":     {events(4, 4, false), numbered(4, 4)},
 		"stream shorter than its length": {answers("200 OK", "Content-Type: text/event-stream\r\nContent-Length: 99\r\n", numbered(4, 4)[0]), numbered(4, 4)},
--- a/internal/load/replayer/replayer.go
+++ b/internal/load/replayer/replayer.go
@@ -27,6 +27,7 @@
 	"go.uber.org/zap"
 
 	"github.com/amaranthcart/amaranthcart/internal/policy/bencher"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/verifier"
 )
 
 // answerTimeout bounds the time from the first token of an answer to its end.
@@ -76,7 +77,7 @@
 		options:  o,
 		clock:    o.Clock,
 		logger:   o.Logger.Named("replayer"),
-		client:   &http.Client{Transport: t},
+		client:   &http.Client{Transport: verifier.New(t)},
 		arrivals: arrivals,
 		outcomes: make([]bencher.Outcome, len(arrivals)),
 	}
--- a/internal/order/sender/sender.go
+++ b/internal/order/sender/sender.go
@@ -32,6 +32,7 @@
 	"github.com/amaranthcart/amaranthcart/internal/member/registrar"
 	"github.com/amaranthcart/amaranthcart/internal/order/issuer"
 	"github.com/amaranthcart/amaranthcart/internal/rpc/dialer"
+	"github.com/amaranthcart/amaranthcart/internal/rpc/verifier"
 )
 
 // Path is the HTTP path at which engines accept orders.
@@ -87,7 +88,7 @@
 	}
 	s := &Sender{options: o}
 	s.client = &http.Client{
-		Transport: &http.Transport{DialContext: s.dial, DialTLSContext: s.dialTLS, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHead},
+		Transport: verifier.New(&http.Transport{DialContext: s.dial, DialTLSContext: s.dialTLS, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHead}),
 		// A redirect could lead the order to another engine.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
