verifier: an answer with a field name that is no token is none

Callers saw: an answer in whose head a name held a blank came as a success. The server of net/http drops such a line, so that it did not reach the caller, but where it was "Content-Length :" or "Transfer-Encoding :" the body had another end than the upstream's, or held the framing of its chunks. A resumed stream went on with it. Orders counted as accepted or stale, duties as done, put off or refused, and a list of cached blocks was taken.

Cause: net/http accepts blanks in the names of an answer. Control bytes, delimiters, bytes beyond ASCII and empty names were rejected already, as a lost connection: the request counted as one that may crash upstreams.

Change: the verifier takes only the bytes of a token (RFC 9110, sections 5.1 and 5.6.2), in the head and in those of interim answers. A blank in front of the colon is a fault, too: RFC 9112, section 5.1 lets a proxy remove it, but then nobody knows what framing its sender meant.

Names with each mark that a token may hold, long ones, folded values and interim answers still pass: TestOddAnswerIsPassedOn.

--- a/internal/entry/receiver/answer_test.go
+++ b/internal/entry/receiver/answer_test.go
@@ -120,7 +120,7 @@
 // be.
 func TestBrokenHeadIsNoAnswer(t *testing.T) {
 	for name, heads := range map[string][]breaker.Head{
-		"status": breaker.BrokenStatuses(),
+		"status": breaker.BrokenStatuses(), "name": breaker.BrokenNames(),
 	} {
 		t.Run(name, func(t *testing.T) {
 			eachAnswer(t, heads, func(t *testing.T, h *harness, call answeredCall, _ breaker.Head, a answer) {
@@ -162,3 +162,22 @@
 		}
 	})
 }
+
+// TestBrokenHeadOfARefusal guards against a caller that gets an engine's refusal whose head
+// breaks the protocol.
+func TestBrokenHeadOfARefusal(t *testing.T) {
+	request := chatBody("a story [[length=3]]", true, "")
+	refuse := func(head breaker.Head) answer {
+		head.Status = "HTTP/1.1 400 X"
+		h, s := answeredBy(t, false, breaker.Answer{Bytes: head.Answer("Content-Length: 4\r\n", "oops")})
+		a := h.do(http.MethodPost, "/v1/chat/completions", request)
+		assert.Equal(t, s.Requests(), 1)
+		return a
+	}
+	sound := refuse(breaker.Head{})
+	assert.Equal(t, sound.status, http.StatusBadRequest)
+	assert.Equal(t, sound.body, "oops")
+	for _, head := range breaker.BrokenNames() {
+		assert.Equal(t, refuse(head).status, http.StatusOK, head.Name)
+	}
+}
--- a/internal/entry/relayer/answer_test.go
+++ b/internal/entry/relayer/answer_test.go
@@ -249,6 +249,10 @@
 // breaks the protocol, or what follows it as another answer.
 func TestBrokenStatusIsNoAnswer(t *testing.T) { testBrokenHeads(t, breaker.BrokenStatuses()) }
 
+// TestBrokenNameIsNoAnswer guards against a caller that gets an answer whose head holds a
+// field name that is no token: the line is passed on, or it hides the framing of the body.
+func TestBrokenNameIsNoAnswer(t *testing.T) { testBrokenHeads(t, breaker.BrokenNames()) }
+
 // TestOddAnswerIsPassedOn guards against rejecting answers that are unusual but sound. It
 // also shows that the answers of the tests above would reach the caller without their
 // faults.
--- a/internal/entry/relayer/broken_test.go
+++ b/internal/entry/relayer/broken_test.go
@@ -138,6 +138,8 @@
 			answers("200 OK", "Content-Type: text/event-stream\r\n", "id: 4\ndata: pa"), nil,
 		},
 		"status 000":                     {brokenHead("HTTP/1.1 000 X", ""), nil},
+		"blank in a field name":          {brokenHead("HTTP/1.1 200 OK", "X Second: yes\r\n"), nil},
+		"control byte in a field name":   {brokenHead("HTTP/1.1 200 OK", "X-Sec\x01ond: yes\r\n"), nil},
 		"breaks off after an event":      {answers("200 OK", eventLines, chunked(numbered(4, 4)...)), numbered(4, 4)},
 		"breaks off within an event":     {events(4, 4, false), numbered(4, 4)},
 		"stream shorter than its length": {answers("200 OK", "Content-Type: text/event-stream\r\nContent-Length: 99\r\n", numbered(4, 4)[0]), numbered(4, 4)},
--- a/internal/order/sender/answer_test.go
+++ b/internal/order/sender/answer_test.go
@@ -42,6 +42,10 @@
 	for _, h := range breaker.Broken() {
 		testOutcome(t, h.Name, breaker.Answer{Bytes: h.Answer("Content-Length: 2\r\n", "{}")}, issuer.Failed)
 	}
+	for _, h := range breaker.BrokenNames() {
+		h.Status = "HTTP/1.1 409 X"
+		testOutcome(t, h.Name+", 409", breaker.Answer{Bytes: h.Answer("Content-Length: 2\r\n", "{}")}, issuer.Failed)
+	}
 }
 
 // TestOddAnswerOfAnOrder guards against an order that counts as failed because of an answer
--- a/internal/rpc/verifier/head.go
+++ b/internal/rpc/verifier/head.go
@@ -16,11 +16,12 @@
 const (
 	// ended is behind the head of a final answer, where nothing is checked.
 	ended phase = iota
-	// inStatus is within the status line, atLine at the start of a header line, inLine
-	// within one, and atEnd before the last line feed.
+	// inStatus is within the status line, atLine at the start of a header line, inName
+	// and inValue within one, and atEnd before the last line feed.
 	inStatus
 	atLine
-	inLine
+	inName
+	inValue
 	atEnd
 )
 
@@ -28,8 +29,10 @@
 // byte.
 type head struct {
 	phase phase
-	// line is the start of the status line, maxKept bytes at most.
-	line []byte
+	// line is the start of the current status line or field name, maxKept bytes at most,
+	// and length is its length in bytes.
+	line   []byte
+	length int
 	// interim is set if another head follows.
 	interim bool
 }
@@ -37,14 +40,17 @@
 // begin makes the head of an answer the next to come.
 func (h *head) begin() {
 	h.phase, h.interim = inStatus, false
-	h.line = h.line[:0]
+	h.clear()
 }
 
+// clear begins a new line.
+func (h *head) clear() { h.line, h.length = h.line[:0], 0 }
+
 // check returns the number of bytes up to the first fault or the end of the bytes.
 func (h *head) check(p []byte) (int, error) {
 	for i := 0; i < len(p) && h.phase != ended; i++ {
-		if h.phase == inLine {
-			// Header lines are net/http's to check.
+		if h.phase == inValue {
+			// Values are net/http's to check.
 			end := bytes.IndexByte(p[i:], '\n')
 			if end < 0 {
 				break
@@ -67,12 +73,17 @@
 		}
 		h.keep(b)
 	case atLine:
-		h.startLine(b)
-	case inLine:
+		return h.startLine(b)
+	case inName:
+		return h.stepName(b)
+	case inValue:
 		if b == '\n' {
 			h.phase = atLine
 		}
 	case atEnd:
+		if b != '\n' {
+			return fmt.Errorf("%w: a carriage return in a field name", ErrBroken)
+		}
 		h.endHead()
 	}
 	return nil
@@ -80,21 +91,49 @@
 
 // keep adds a byte to the line.
 func (h *head) keep(b byte) {
+	h.length++
 	if len(h.line) < maxKept {
 		h.line = append(h.line, b)
 	}
 }
 
 // startLine handles the first byte of a line behind the status line.
-func (h *head) startLine(b byte) {
+func (h *head) startLine(b byte) error {
 	switch b {
 	case '\n':
 		h.endHead()
 	case '\r':
 		h.phase = atEnd
+	case ' ', '\t':
+		// The value before goes on in this line.
+		h.phase = inValue
 	default:
-		h.phase = inLine
+		h.clear()
+		h.phase = inName
+		return h.stepName(b)
+	}
+	return nil
+}
+
+// stepName handles a byte of a field name or the colon behind it.
+func (h *head) stepName(b byte) error {
+	if b == ':' {
+		return h.endName()
 	}
+	if !isTokenByte(b) {
+		return fmt.Errorf("%w: byte %#02x in a field name", ErrBroken, b)
+	}
+	h.keep(b)
+	return nil
+}
+
+// endName checks a complete field name.
+func (h *head) endName() error {
+	if h.length == 0 {
+		return fmt.Errorf("%w: a header line without a field name", ErrBroken)
+	}
+	h.phase = inValue
+	return nil
 }
 
 // endStatus checks a complete status line.
@@ -135,3 +174,13 @@
 }
 
 func isDigit(b byte) bool { return b >= '0' && b <= '9' }
+
+// isTokenByte reports whether a field name may hold the byte (tchar of RFC 9110, section
+// 5.6.2).
+func isTokenByte(b byte) bool {
+	switch {
+	case isDigit(b), b >= 'a' && b <= 'z', b >= 'A' && b <= 'Z':
+		return true
+	}
+	return strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
+}
--- a/internal/rpc/verifier/verifier_test.go
+++ b/internal/rpc/verifier/verifier_test.go
@@ -118,5 +118,11 @@
 			return
 		}
 		assert.Assert(t, response.StatusCode >= 200 && response.StatusCode <= 599)
+		for name := range response.Header {
+			assert.Assert(t, name != "")
+			for i := range len(name) {
+				assert.Assert(t, isTokenByte(name[i]), "%q", name)
+			}
+		}
 	})
 }
--- a/internal/stub/breaker/head.go
+++ b/internal/stub/breaker/head.go
@@ -52,7 +52,7 @@
 
 // Broken returns all heads that break the protocol.
 func Broken() []Head {
-	return BrokenStatuses()
+	return append(BrokenStatuses(), BrokenNames()...)
 }
 
 // BrokenStatuses returns heads whose status line breaks RFC 9112, section 4, or has a
@@ -79,6 +79,30 @@
 	}
 }
 
+// BrokenNames returns heads with a field name that is no token (RFC 9110, section 5.1).
+func BrokenNames() []Head {
+	return []Head{
+		{Name: "blank in a name", Line: "X Odd: 1"},
+		{Name: "blank behind a name", Line: "X-Odd : 1"},
+		{Name: "two blanks behind a name", Line: "X-Odd  : 1"},
+		{Name: "blank behind the name of the length", Line: "Content-Length : 4"},
+		{Name: "blank behind the name of the encoding", Line: "Transfer-Encoding : chunked"},
+		{Name: "blank in a name, folded", Line: "X-Odd\r\n : 1"},
+		{Name: "tab in a name", Line: "X\tOdd: 1"},
+		{Name: "tab behind a name", Line: "X-Odd\t: 1"},
+		{Name: "control byte in a name", Line: "X-\x01Odd: 1"},
+		{Name: "null byte in a name", Line: "X-Odd\x00: 1"},
+		{Name: "carriage return in a name", Line: "X-\rOdd: 1"},
+		{Name: "delete in a name", Line: "X-Odd\x7f: 1"},
+		{Name: "letter beyond ASCII in a name", Line: "X-Ödd: 1"},
+		{Name: "delimiter in a name", Line: "X(Odd): 1"},
+		{Name: "no name", Line: ": 1"},
+		{Name: "no colon", Line: "X-Odd"},
+		{Name: "blank in a name of an interim answer", Interim: "HTTP/1.1 103 X\r\nX Odd: 1\r\n\r\n"},
+		{Name: "control byte in a name of an interim answer", Interim: "HTTP/1.1 103 X\r\nX-\x01Odd: 1\r\n\r\n"},
+	}
+}
+
 // OddName is a field name with each punctuation mark that a token may hold.
 const OddName = "!#$%&'*+-.^_`|~1"
 
