verifier: chunks of HTTP/1.0 are no answer

Callers saw: an answer of HTTP/1.0 with Transfer-Encoding came as a success whose body held the sizes of the chunks, was cut to its Content-Length, or did not end before the timeout.

Cause: net/http ignores Transfer-Encoding in HTTP/1.0 and reads the body by what is left, a length or the end of the connection.

Change: the verifier rejects the header in an answer of HTTP/1.0, whose framing is faulty by RFC 9112, section 6.1.

Answers of HTTP/1.0 and 1.9 without it still pass.

--- a/internal/entry/receiver/answer_test.go
+++ b/internal/entry/receiver/answer_test.go
@@ -120,7 +120,7 @@
 // be.
 func TestBrokenHeadIsNoAnswer(t *testing.T) {
 	for name, heads := range map[string][]breaker.Head{
-		"status": breaker.BrokenStatuses(), "name": breaker.BrokenNames(),
+		"status": breaker.BrokenStatuses(), "name": breaker.BrokenNames(), "framing": breaker.BrokenFraming(),
 	} {
 		t.Run(name, func(t *testing.T) {
 			eachAnswer(t, heads, func(t *testing.T, h *harness, call answeredCall, _ breaker.Head, a answer) {
--- a/internal/entry/relayer/answer_test.go
+++ b/internal/entry/relayer/answer_test.go
@@ -253,6 +253,10 @@
 // field name that is no token: the line is passed on, or it hides the framing of the body.
 func TestBrokenNameIsNoAnswer(t *testing.T) { testBrokenHeads(t, breaker.BrokenNames()) }
 
+// TestBrokenFramingIsNoAnswer guards against a caller that gets the framing of a body as
+// the body.
+func TestBrokenFramingIsNoAnswer(t *testing.T) { testBrokenHeads(t, breaker.BrokenFraming()) }
+
 // TestOddAnswerIsPassedOn guards against rejecting answers that are unusual but sound. It
 // also shows that the answers of the tests above would reach the caller without their
 // faults.
--- a/internal/rpc/verifier/head.go
+++ b/internal/rpc/verifier/head.go
@@ -7,9 +7,13 @@
 	"strings"
 )
 
-// maxKept bounds what is kept of a line, in bytes: enough for a status code.
+// maxKept bounds what is kept of a line, in bytes: enough for a status code, and for the
+// longest field name that has a meaning here.
 const maxKept = 64
 
+// transferEncoding is the field name of a body's encoding, in small letters.
+const transferEncoding = "transfer-encoding"
+
 // phase is a position within a head.
 type phase int
 
@@ -33,13 +37,13 @@
 	// and length is its length in bytes.
 	line   []byte
 	length int
-	// interim is set if another head follows.
-	interim bool
+	// interim is set if another head follows, and old for HTTP/1.0.
+	interim, old bool
 }
 
 // begin makes the head of an answer the next to come.
 func (h *head) begin() {
-	h.phase, h.interim = inStatus, false
+	h.phase, h.interim, h.old = inStatus, false, false
 	h.clear()
 }
 
@@ -133,6 +137,10 @@
 		return fmt.Errorf("%w: a header line without a field name", ErrBroken)
 	}
 	h.phase = inValue
+	if h.old && h.length == len(transferEncoding) && strings.EqualFold(string(h.line), transferEncoding) {
+		// HTTP/1.0 has no chunks, so that nobody can tell where the body ends.
+		return fmt.Errorf("%w: Transfer-Encoding in an answer of HTTP/1.0", ErrBroken)
+	}
 	return nil
 }
 
@@ -152,6 +160,7 @@
 		return fmt.Errorf("%w: status code %d without a request for it", ErrBroken, code)
 	}
 	h.interim = code < http.StatusOK
+	h.old = version == "HTTP/1.0"
 	h.phase = atLine
 	return nil
 }
--- a/internal/rpc/verifier/verifier.go
+++ b/internal/rpc/verifier/verifier.go
@@ -3,9 +3,9 @@
 //
 // net/http reads more than RFC 9110 and RFC 9112 allow. The checks stand in front of it,
 // at the bytes of the connection, so that each answer is checked in the same way, whoever
-// asked for it: its status line, and the field names of its head and of the interim answers
-// before it. An answer that fails a check ends like a connection that breaks off, with an
-// error that wraps ErrBroken.
+// asked for it: its status line, the field names of its head and of the interim answers
+// before it, and what its head says of its framing. An answer that fails a check ends like
+// a connection that breaks off, with an error that wraps ErrBroken.
 //
 // # Usage
 //
--- a/internal/stub/breaker/head.go
+++ b/internal/stub/breaker/head.go
@@ -52,7 +52,7 @@
 
 // Broken returns all heads that break the protocol.
 func Broken() []Head {
-	return append(BrokenStatuses(), BrokenNames()...)
+	return append(append(BrokenStatuses(), BrokenNames()...), BrokenFraming()...)
 }
 
 // BrokenStatuses returns heads whose status line breaks RFC 9112, section 4, or has a
@@ -103,6 +103,14 @@
 	}
 }
 
+// BrokenFraming returns heads that don't tell where the body ends (RFC 9112, section
+// 6.1).
+func BrokenFraming() []Head {
+	return []Head{
+		{Name: "chunks of HTTP/1.0", Status: "HTTP/1.0 200 OK", Line: "Transfer-Encoding: chunked"},
+	}
+}
+
 // OddName is a field name with each punctuation mark that a token may hold.
 const OddName = "!#$%&'*+-.^_`|~1"
 
