verifier, dialer: over TLS only a closure alert ends an answer

Callers saw: an answer with neither a length nor chunks, whose TCP connection ended between two TLS records and without a closure alert, was passed on as complete.

Cause: crypto/tls reports the end of a TCP connection between two records as io.EOF, like a closure alert, so that a server that is killed or whose connection is cut leaves a complete answer.

Change: dialer.DialTLS puts a connection below TLS that remembers the end of TCP; where an answer ends with its connection, the verifier asks for it (RFC 9112, section 9.8). Answers with a length or chunks need no alert.

--- a/internal/entry/relayer/answer_test.go
+++ b/internal/entry/relayer/answer_test.go
@@ -275,3 +275,26 @@
 		}
 	})
 }
+
+// TestEndWithoutClosureAlert guards against a caller that gets a part of an answer as a
+// complete one: the answer has no length, and its connection ends without the closure
+// alert that TLS has for a regular end (RFC 9112, section 9.8). Where something else shows
+// the end of the answer, the alert may be missing.
+func TestEndWithoutClosureAlert(t *testing.T) {
+	a := newAuthority(t)
+	for _, path := range []string{"/once/x", "/idempotent/x", "/resumable/x"} {
+		for _, f := range forms() {
+			for _, end := range []breaker.End{breaker.Close, breaker.Cut} {
+				t.Run(fmt.Sprint(path, " ", f.name, " alert ", end == breaker.Close), func(t *testing.T) {
+					t.Parallel()
+					r := newHarness(t)
+					r.secure(a)
+					r.serve(a, true, breaker.Answer{Bytes: breaker.Head{}.Answer(ownLines("id-1")+f.lines, f.body), End: end})
+					got := r.ask(http.MethodPost, path, "id-1", "a request")
+					complete := end == breaker.Close || f.end == breaker.Keep
+					assert.Equal(t, got.broken == nil && got.status == http.StatusOK, complete, "%d %v", got.status, got.broken)
+				})
+			}
+		}
+	}
+}
--- a/internal/rpc/dialer/dialer.go
+++ b/internal/rpc/dialer/dialer.go
@@ -22,6 +22,8 @@
 
 	"connectrpc.com/connect"
 	"golang.org/x/sys/unix"
+
+	"github.com/amaranthcart/amaranthcart/internal/rpc/verifier"
 )
 
 // DialTimeout and the constants that follow are the times and limits of a connection.
@@ -135,7 +137,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, HandshakeTimeout)
 	defer cancel()
-	c := tls.Client(raw, t)
+	c := tls.Client(verifier.WatchEnd(raw), t)
 	if err := c.HandshakeContext(ctx); err != nil {
 		_ = raw.Close()
 		return nil, &net.OpError{Op: "dial", Net: network, Addr: raw.RemoteAddr(), Err: &HandshakeError{err}}
--- a/internal/rpc/verifier/conn.go
+++ b/internal/rpc/verifier/conn.go
@@ -3,14 +3,20 @@
 import (
 	"crypto/tls"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 )
 
 // errEarly is the error of an answer that came before its request.
 var errEarly = fmt.Errorf("%w: it came before its request", ErrBroken)
 
+// errUnended is the error of a body that ends with its connection where that has broken
+// off.
+var errUnended = fmt.Errorf("the answer has no length and its connection broke off: %w", io.ErrUnexpectedEOF)
+
 // Conn is a connection to a server whose answers are checked. As for any net.Conn, one
 // goroutine may read while another one writes.
 type Conn struct {
@@ -74,7 +80,8 @@
 
 // Accept takes the result of reading the head of an answer. It returns the fault of the
 // answer in place of the error that net/http makes of it. The head must have arrived after
-// Expect; otherwise Accept closes the connection and returns an error.
+// Expect; otherwise Accept closes the connection and returns an error. The body is
+// replaced where its end has to be checked.
 func (c *Conn) Accept(response *http.Response, err error) (*http.Response, error) {
 	arrived, fault := c.state()
 	switch {
@@ -87,5 +94,66 @@
 		_ = response.Body.Close()
 		return nil, errEarly
 	}
+	if isUnframed(response) {
+		response.Body = unframed{response.Body, c}
+	}
 	return response, nil
 }
+
+// isUnframed reports whether the body of the response ends with its connection.
+func isUnframed(r *http.Response) bool {
+	return r.Close && r.Body != http.NoBody && r.ContentLength < 0 && len(r.TransferEncoding) == 0
+}
+
+// end returns nil if the connection, whose end has been read, has ended regularly.
+func (c *Conn) end() error {
+	if t, ok := c.Conn.(*tls.Conn); ok {
+		return endTLS(t)
+	}
+	return nil
+}
+
+// endTLS returns nil if the connection ended with a closure alert.
+func endTLS(t *tls.Conn) error {
+	if w, ok := t.NetConn().(*watched); ok && w.ended.Load() {
+		return fmt.Errorf("%w: there was no closure alert", errUnended)
+	}
+	return nil
+}
+
+// unframed is a body that ends with its connection.
+type unframed struct {
+	io.ReadCloser
+	conn *Conn
+}
+
+// Read implements io.Reader.
+func (u unframed) Read(p []byte) (int, error) {
+	n, err := u.ReadCloser.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	if broken := u.conn.end(); broken != nil {
+		return n, broken
+	}
+	return n, io.EOF
+}
+
+// watched is a TCP connection below TLS that remembers its regular end.
+type watched struct {
+	net.Conn
+	ended atomic.Bool
+}
+
+// WatchEnd returns a connection for tls.Client that tells the end of a TCP connection from a
+// closure alert. Between two records crypto/tls reports the same error for both.
+func WatchEnd(c net.Conn) net.Conn { return &watched{Conn: c} }
+
+// Read implements net.Conn.
+func (w *watched) Read(p []byte) (int, error) {
+	n, err := w.Conn.Read(p)
+	if err == io.EOF {
+		w.ended.Store(true)
+	}
+	return n, err
+}
--- a/internal/rpc/verifier/verifier.go
+++ b/internal/rpc/verifier/verifier.go
@@ -7,6 +7,9 @@
 // before it, and what its head says of its framing. An answer that fails a check ends like
 // a connection that breaks off, with an error that wraps ErrBroken.
 //
+// An answer with neither a length nor chunks ends with its connection. It is complete only
+// if the connection ended regularly: with a FIN, and over TLS with a closure alert.
+//
 // # Usage
 //
 //	client := &http.Client{Transport: verifier.New(&http.Transport{...})}
@@ -40,7 +43,8 @@
 type Transport struct{ *http.Transport }
 
 // New returns a Transport with the settings of base, which must not be used itself any
-// more. Addresses with https need a DialTLSContext that completes the handshake.
+// more. Addresses with https need a DialTLSContext that completes the handshake, see
+// WatchEnd.
 func New(base *http.Transport) *Transport {
 	plain, secure := dial(base.DialContext), dial(base.DialTLSContext)
 	if plain == nil {
