verifier: an answer that ends with a reset while its request is written is none

Callers saw: an upstream answered an upload at once, without a length, sent a part and reset the connection; the caller got the part as a complete answer, short, long or a stream, on own connections and on those of the pool, where net/http reads. A refusal of an engine came in part, too.

Cause: the kernel returns ECONNRESET (or a timeout) of a connection once. The write of the request took it, and the next read found the end of the connection without an error, which is the end of such an answer.

Change: the verifier keeps the error of a failed write. Where an answer ends with its connection, it waits for the write that is under way and fails the body if one had failed so. EPIPE alone does not count: it comes after a FIN, which ends the answer. Such an attempt ends like any other whose connection was lost.

Ruled out: over plain TCP the order of events alone, since the same reset without an upload was always noticed (TestAnswerWithoutLength).

Handled already: services of the receiver (/svc) never pass on an answer without a length or chunks; their rows are kept.

--- a/internal/entry/receiver/answer_test.go
+++ b/internal/entry/receiver/answer_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -181,3 +182,40 @@
 		assert.Equal(t, refuse(head).status, http.StatusOK, head.Name)
 	}
 }
+
+// uploadRuns is the number of tries of one case, because the order of a failed write and
+// the next read differs.
+const uploadRuns = 5
+
+// TestResetDuringUpload guards against a caller that gets a part of an answer as a complete
+// one, when the upstream answers without a length before it has read the call and resets
+// the connection.
+func TestResetDuringUpload(t *testing.T) {
+	bale := strings.Repeat("b", 4<<20)
+	for _, c := range []struct{ name, path, body, status string }{
+		{"sale", "/svc/ledger/sales", bale, "200 OK"},
+		{"quote", "/svc/ledger/quote", bale, "200 OK"},
+		{"refusal", "/v1/chat/completions", chatBody(bale, true, ""), "400 X"},
+	} {
+		for _, secure := range []bool{false, true} {
+			for _, pause := range []time.Duration{0, time.Millisecond, 20 * time.Millisecond} {
+				t.Run(fmt.Sprintf("%s, TLS %v, %s", c.name, secure, pause), func(t *testing.T) {
+					t.Parallel()
+					passed := 0
+					for range uploadRuns {
+						h, s := answeredBy(t, secure, breaker.Answer{
+							Bytes: breaker.Head{Status: "HTTP/1.1 " + c.status}.Answer("", "oops"),
+							Early: true, Pause: pause, End: breaker.Reset,
+						})
+						a := h.do(http.MethodPost, c.path, c.body)
+						assert.Equal(t, s.Requests(), 1)
+						if a.err == nil && strings.Contains(a.body, "oops") {
+							passed++
+						}
+					}
+					assert.Equal(t, passed, 0, "parts of answers that passed for complete ones, of %d", uploadRuns)
+				})
+			}
+		}
+	}
+}
--- a/internal/rpc/verifier/conn.go
+++ b/internal/rpc/verifier/conn.go
@@ -2,12 +2,16 @@
 
 import (
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
+	"time"
 )
 
 // errEarly is the error of an answer that came before its request.
@@ -27,6 +31,11 @@
 	head head
 	// broken is the first fault of an answer.
 	broken error
+
+	// writing is held during a write. It guards failure.
+	writing sync.Mutex
+	// failure is the error of the first write that failed because the connection broke.
+	failure error
 }
 
 // Wrap returns a Conn that reads from c and writes to it. A *tls.Conn must have completed
@@ -78,6 +87,23 @@
 	return c.head.phase == ended, c.broken
 }
 
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	if err != nil && c.failure == nil && breaksOff(err) {
+		c.failure = err
+	}
+	return n, err
+}
+
+// breaksOff reports whether the error of a write shows that the connection broke. EPIPE
+// doesn't: it follows a FIN, or a read or write that has returned the reason.
+func breaksOff(err error) bool {
+	return !errors.Is(err, syscall.EPIPE) && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed)
+}
+
 // Accept takes the result of reading the head of an answer. It returns the fault of the
 // answer in place of the error that net/http makes of it. The head must have arrived after
 // Expect; otherwise Accept closes the connection and returns an error. The body is
@@ -106,10 +132,20 @@
 }
 
 // end returns nil if the connection, whose end has been read, has ended regularly.
+//
+// The kernel returns the reason for which a connection broke only once. If a write took it,
+// the read that follows finds a regular end.
 func (c *Conn) end() error {
 	if t, ok := c.Conn.(*tls.Conn); ok {
 		return endTLS(t)
 	}
+	// A write that waits for the other side returns. The request is of no use any more.
+	_ = c.Conn.SetWriteDeadline(time.Now())
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if c.failure != nil {
+		return fmt.Errorf("%w: %w", errUnended, c.failure)
+	}
 	return nil
 }
 
