verifier: an early, complete answer to an upload is not lost

Callers saw: an upstream answered an upload at once and completely, with a length, chunks or a closure alert, and closed its connection before it had read the request; on a connection of the pool the caller got 502, or the request was repeated at another upstream.

Cause: the kernel resets a connection that is closed with unread data. The write of the request fails, and net/http closes the connection at that error, before it has read the answer that has arrived. Own connections read on.

Change: a write that fails returns once nothing more can be read or the connection is closed, so that the answer decides.

Servers that read on, close, reset or keep the connection are in it.

--- a/internal/entry/relayer/upload_test.go
+++ b/internal/entry/relayer/upload_test.go
@@ -71,3 +71,62 @@
 		}
 	}
 }
+
+// earlyEnd is an end of a connection after a complete answer.
+type earlyEnd struct {
+	name string
+	end  breaker.End
+}
+
+// earlyEnds are the ends after which an answer in the form is complete. A server that
+// closes its connection before it has read the request resets it.
+func earlyEnds(f form, secure bool) []earlyEnd {
+	ends := []earlyEnd{{"reads on", breaker.HalfClose}}
+	if f.end == breaker.Keep || secure {
+		ends = append(ends, earlyEnd{"closes", breaker.Close})
+	}
+	if f.end == breaker.Keep {
+		ends = append(ends, earlyEnd{"resets", breaker.Reset}, earlyEnd{"keeps", breaker.Keep})
+	}
+	return ends
+}
+
+// TestEarlyAnswerToAnUpload guards against failing a complete answer that comes before the
+// upstream has read the request, with any framing, whatever happens to the connection
+// after it.
+func TestEarlyAnswerToAnUpload(t *testing.T) {
+	for _, path := range []string{"/once/x", "/idempotent/x"} {
+		for _, secure := range []bool{false, true} {
+			for _, f := range forms() {
+				for _, e := range earlyEnds(f, secure) {
+					for _, pause := range resetPauses {
+						t.Run(fmt.Sprint(path, " ", f.name, " ", e.name, " TLS ", secure, " ", pause), func(t *testing.T) {
+							t.Parallel()
+							testEarlyAnswer(t, path, secure, f, breaker.Answer{Early: true, Pause: pause, End: e.end})
+						})
+					}
+				}
+			}
+		}
+	}
+}
+
+// testEarlyAnswer makes resetRuns uploads and checks that each gets its answer.
+func testEarlyAnswer(t *testing.T, path string, secure bool, f form, answer breaker.Answer) {
+	a, body := newAuthority(t), strings.Repeat("u", uploadSize)
+	answer.Bytes = breaker.Head{}.Answer(ownLines("id-1")+f.lines, f.body)
+	for range resetRuns {
+		r := newHarness(t)
+		if secure {
+			r.secure(a)
+		}
+		s := r.serve(a, secure, answer)
+		got := r.ask(http.MethodPost, path, "id-1", body)
+		assert.NilError(t, got.broken)
+		assert.Equal(t, got.status, http.StatusOK)
+		assert.Equal(t, got.body, f.text)
+		assert.Equal(t, s.Requests(), 1)
+		_ = r.relayer.Close()
+		_ = s.Close()
+	}
+}
--- a/internal/rpc/verifier/conn.go
+++ b/internal/rpc/verifier/conn.go
@@ -36,15 +36,26 @@
 	writing sync.Mutex
 	// failure is the error of the first write that failed because the connection broke.
 	failure error
+
+	// over is closed when nothing more is read.
+	over chan struct{}
+	once sync.Once
 }
 
 // Wrap returns a Conn that reads from c and writes to it. A *tls.Conn must have completed
 // its handshake.
-func Wrap(c net.Conn) *Conn { return &Conn{Conn: c} }
+func Wrap(c net.Conn) *Conn { return &Conn{Conn: c, over: make(chan struct{})} }
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.finish()
+	return c.Conn.Close()
+}
 
 // Abort closes the TCP connection, which ends reads and writes at once, while closing a TLS
 // connection first tries to write.
 func (c *Conn) Abort() {
+	c.finish()
 	if t, ok := c.Conn.(*tls.Conn); ok {
 		_ = t.NetConn().Close()
 		return
@@ -52,6 +63,9 @@
 	_ = c.Conn.Close()
 }
 
+// finish lets a failed write return.
+func (c *Conn) finish() { c.once.Do(func() { close(c.over) }) }
+
 // Expect makes the next bytes that arrive the head of an answer. It is called before a
 // request is written.
 func (c *Conn) Expect() {
@@ -66,6 +80,9 @@
 		return 0, fault
 	}
 	n, err := c.Conn.Read(p)
+	if err != nil {
+		c.finish()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	// The bytes up to the fault are returned, as net/http takes an error in place of the
@@ -87,21 +104,27 @@
 	return c.head.phase == ended, c.broken
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. A write that fails returns once nothing more can be read: a
+// complete answer may have arrived before the connection broke, and net/http gives it up
+// at the error.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	n, err := c.Conn.Write(p)
-	if err != nil && c.failure == nil && breaksOff(err) {
+	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		return n, err
+	}
+	if c.failure == nil && breaksOff(err) {
 		c.failure = err
 	}
+	<-c.over
 	return n, err
 }
 
 // breaksOff reports whether the error of a write shows that the connection broke. EPIPE
 // doesn't: it follows a FIN, or a read or write that has returned the reason.
 func breaksOff(err error) bool {
-	return !errors.Is(err, syscall.EPIPE) && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed)
+	return !errors.Is(err, syscall.EPIPE) && !errors.Is(err, net.ErrClosed)
 }
 
 // Accept takes the result of reading the head of an answer. It returns the fault of the
