--- a/internal/ctl/commander/answer_test.go
+++ b/internal/ctl/commander/answer_test.go
@@ -26,7 +26,7 @@
 // TestBrokenAnswerOfAnEntryHost guards against showing an operator an answer that breaks
 // the protocol or broke off.
 func TestBrokenAnswerOfAnEntryHost(t *testing.T) {
-	answers := map[string]breaker.Answer{}
+	answers := breaker.CutOff("HTTP/1.1 200 OK")
 	for _, h := range breaker.Broken() {
 		answers[h.Name] = breaker.Answer{Bytes: h.Answer("Content-Length: 2\r\n", "{}")}
 	}
--- a/internal/order/sender/answer_test.go
+++ b/internal/order/sender/answer_test.go
@@ -1,7 +1,9 @@
 package sender_test
 
 import (
+	"fmt"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -56,3 +58,13 @@
 		testOutcome(t, h.Name+", no length", breaker.Answer{Bytes: h.Answer("", "{}"), End: breaker.Close}, issuer.Accepted)
 	}
 }
+
+// TestCutOffAnswerOfAnOrder guards against an order whose outcome is taken from an answer
+// that broke off.
+func TestCutOffAnswerOfAnOrder(t *testing.T) {
+	for _, code := range []int{http.StatusOK, http.StatusConflict, http.StatusServiceUnavailable} {
+		for name, a := range breaker.CutOff(fmt.Sprintf("HTTP/1.1 %d X", code)) {
+			testOutcome(t, fmt.Sprint(name, ", ", code), a, issuer.Failed)
+		}
+	}
+}
--- a/internal/order/sender/sender.go
+++ b/internal/order/sender/sender.go
@@ -199,8 +199,9 @@
 	if err != nil {
 		return outcomeOfError(err), fmt.Errorf("send order: %w", err)
 	}
-	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxResponse))
-	if err := response.Body.Close(); err != nil {
+	// An answer that breaks off is none, whatever its status says.
+	_, err = io.Copy(io.Discard, io.LimitReader(response.Body, maxResponse))
+	if err := errors.Join(err, response.Body.Close()); err != nil {
 		return issuer.Failed, fmt.Errorf("read answer: %w", err)
 	}
 	switch {
