--- a/internal/entry/forwarder/once.go
+++ b/internal/entry/forwarder/once.go
@@ -59,7 +59,7 @@
 	// The upstream may answer before it has read the whole body.
 	x.group.Go(func() { x.written = request.Write(withTarget(connection, request.Method, target)) })
 	head := &io.LimitedReader{R: connection, N: maxAnswerHeader}
-	response, err := connection.Accept(readResponse(bufio.NewReaderSize(head, readBuffer), request))
+	response, err := connection.Verify(readResponse(bufio.NewReaderSize(head, readBuffer), request))
 	if err != nil {
 		err = errors.Join(err, x.Close())
 		return nil, fmt.Errorf("read answer: %w", err)
--- a/internal/rpc/verifier/conn.go
+++ b/internal/rpc/verifier/conn.go
@@ -127,11 +127,11 @@
 	return !errors.Is(err, syscall.EPIPE) && !errors.Is(err, net.ErrClosed)
 }
 
-// Accept takes the result of reading the head of an answer. It returns the fault of the
+// Verify takes the result of reading the head of an answer. It returns the fault of the
 // answer in place of the error that net/http makes of it. The head must have arrived after
-// Expect; otherwise Accept closes the connection and returns an error. The body is
+// Expect; otherwise Verify closes the connection and returns an error. The body is
 // replaced where its end has to be checked.
-func (c *Conn) Accept(response *http.Response, err error) (*http.Response, error) {
+func (c *Conn) Verify(response *http.Response, err error) (*http.Response, error) {
 	arrived, fault := c.state()
 	switch {
 	case err != nil && fault != nil:
--- a/internal/rpc/verifier/verifier.go
+++ b/internal/rpc/verifier/verifier.go
@@ -19,7 +19,7 @@
 //	c := verifier.Wrap(connection)
 //	c.Expect()
 //	... // write the request
-//	response, err := c.Accept(http.ReadResponse(bufio.NewReader(c), request))
+//	response, err := c.Verify(http.ReadResponse(bufio.NewReader(c), request))
 package verifier
 
 import (
@@ -78,5 +78,5 @@
 	if c == nil {
 		return nil, err
 	}
-	return c.Accept(response, err)
+	return c.Verify(response, err)
 }
--- a/internal/rpc/verifier/verifier_test.go
+++ b/internal/rpc/verifier/verifier_test.go
@@ -34,7 +34,7 @@
 	for {
 		response, err := http.ReadResponse(b, nil)
 		if err != nil || response.StatusCode >= http.StatusOK {
-			return c.Accept(response, err)
+			return c.Verify(response, err)
 		}
 	}
 }
@@ -86,12 +86,12 @@
 	c := Wrap(received{reader: strings.NewReader(sound + sound)})
 	b := bufio.NewReader(c)
 	c.Expect()
-	response, err := c.Accept(http.ReadResponse(b, nil))
+	response, err := c.Verify(http.ReadResponse(b, nil))
 	assert.NilError(t, err)
 	_, err = io.ReadAll(response.Body)
 	assert.NilError(t, err)
 	c.Expect()
-	_, err = c.Accept(http.ReadResponse(b, nil))
+	_, err = c.Verify(http.ReadResponse(b, nil))
 	assert.Assert(t, errors.Is(err, ErrBroken), "%v", err)
 }
 
