--- a/internal/entry/relayer/upload_test.go
+++ b/internal/entry/relayer/upload_test.go
@@ -34,40 +34,66 @@
 	}
 }
 
+// uploadWays are ways of an upload: an own connection, a new one and a kept one of the pool,
+// plain and over TLS.
+func uploadWays() []way {
+	var l []way
+	for _, secure := range []bool{false, true} {
+		l = append(l,
+			way{http.MethodPost, "/once/x", false, secure},
+			way{http.MethodPost, "/idempotent/x", false, secure},
+			way{http.MethodPost, "/resumable/x", true, secure},
+		)
+	}
+	return l
+}
+
+// upload sends a large body to an upstream that gives the answer before it has read the
+// body, and returns what the caller got.
+func upload(t *testing.T, a authority, w way, answer breaker.Answer) reply {
+	t.Helper()
+	r := newHarness(t)
+	defer func() { _ = r.relayer.Close() }()
+	if w.secure {
+		r.secure(a)
+	}
+	answer.Early = true
+	answers := []breaker.Answer{answer}
+	if w.kept {
+		earlier := breaker.Head{}.Answer(ownLines("id-0")+"Content-Length: 0\r\n", "")
+		answers = []breaker.Answer{{Bytes: earlier}, answer}
+	}
+	s := r.serve(a, w.secure, answers...)
+	defer func() { _ = s.Close() }()
+	if w.kept {
+		assert.Equal(t, r.ask(w.method, w.path, "id-0", "a request").status, http.StatusOK)
+	}
+	got := r.ask(w.method, w.path, "id-1", strings.Repeat("u", uploadSize))
+	assert.Equal(t, s.Requests(), len(answers))
+	assert.Equal(t, s.Connections(), 1)
+	return got
+}
+
 // TestResetDuringUpload guards against a caller that gets a part of an answer as a
 // complete one: the upstream answers before it has read the request, without a length,
 // and resets the connection while the host still writes to it. The failed write takes the
 // error of the reset, and the next read finds a regular end.
 func TestResetDuringUpload(t *testing.T) {
 	a := newAuthority(t)
-	body := strings.Repeat("u", uploadSize)
-	for _, path := range []string{"/once/x", "/idempotent/x", "/resumable/x"} {
-		for _, secure := range []bool{false, true} {
-			for _, f := range parts() {
-				for _, pause := range resetPauses {
-					t.Run(fmt.Sprint(path, " ", f.name, " TLS ", secure, " ", pause), func(t *testing.T) {
-						t.Parallel()
-						complete := 0
-						for range resetRuns {
-							r := newHarness(t)
-							if secure {
-								r.secure(a)
-							}
-							s := r.serve(a, secure, breaker.Answer{
-								Bytes: breaker.Head{}.Answer(ownLines("id-1")+f.lines, f.body),
-								Early: true, Pause: pause, End: breaker.Reset,
-							})
-							got := r.ask(http.MethodPost, path, "id-1", body)
-							assert.Equal(t, s.Requests(), 1)
-							if got.broken == nil && got.status == http.StatusOK {
-								complete++
-							}
-							_ = r.relayer.Close()
-							_ = s.Close()
+	for _, w := range uploadWays() {
+		for _, f := range parts() {
+			for _, pause := range resetPauses {
+				t.Run(fmt.Sprint(w, ", ", f.name, ", ", pause), func(t *testing.T) {
+					t.Parallel()
+					answer := breaker.Answer{Bytes: breaker.Head{}.Answer(ownLines("id-1")+f.lines, f.body), Pause: pause, End: breaker.Reset}
+					complete := 0
+					for range resetRuns {
+						if got := upload(t, a, w, answer); got.broken == nil && got.status == http.StatusOK {
+							complete++
 						}
-						assert.Equal(t, complete, 0, "parts of answers that passed for complete ones, of %d", resetRuns)
-					})
-				}
+					}
+					assert.Equal(t, complete, 0, "parts of answers that passed for complete ones, of %d", resetRuns)
+				})
 			}
 		}
 	}
@@ -96,38 +122,23 @@
 // upstream has read the request, with any framing, whatever happens to the connection
 // after it.
 func TestEarlyAnswerToAnUpload(t *testing.T) {
-	for _, path := range []string{"/once/x", "/idempotent/x"} {
-		for _, secure := range []bool{false, true} {
-			for _, f := range forms() {
-				for _, e := range earlyEnds(f, secure) {
-					for _, pause := range resetPauses {
-						t.Run(fmt.Sprint(path, " ", f.name, " ", e.name, " TLS ", secure, " ", pause), func(t *testing.T) {
-							t.Parallel()
-							testEarlyAnswer(t, path, secure, f, breaker.Answer{Early: true, Pause: pause, End: e.end})
-						})
-					}
+	a := newAuthority(t)
+	for _, w := range uploadWays() {
+		for _, f := range forms() {
+			for _, e := range earlyEnds(f, w.secure) {
+				for _, pause := range resetPauses {
+					t.Run(fmt.Sprint(w, ", ", f.name, " ", e.name, ", ", pause), func(t *testing.T) {
+						t.Parallel()
+						answer := breaker.Answer{Bytes: breaker.Head{}.Answer(ownLines("id-1")+f.lines, f.body), Pause: pause, End: e.end}
+						for range earlyRuns {
+							got := upload(t, a, w, answer)
+							assert.NilError(t, got.broken)
+							assert.Equal(t, got.status, http.StatusOK)
+							assert.Equal(t, got.body, f.text)
+						}
+					})
 				}
 			}
 		}
 	}
 }
-
-// testEarlyAnswer makes earlyRuns uploads and checks that each gets its answer.
-func testEarlyAnswer(t *testing.T, path string, secure bool, f form, answer breaker.Answer) {
-	a, body := newAuthority(t), strings.Repeat("u", uploadSize)
-	answer.Bytes = breaker.Head{}.Answer(ownLines("id-1")+f.lines, f.body)
-	for range earlyRuns {
-		r := newHarness(t)
-		if secure {
-			r.secure(a)
-		}
-		s := r.serve(a, secure, answer)
-		got := r.ask(http.MethodPost, path, "id-1", body)
-		assert.NilError(t, got.broken)
-		assert.Equal(t, got.status, http.StatusOK)
-		assert.Equal(t, got.body, f.text)
-		assert.Equal(t, s.Requests(), 1)
-		_ = r.relayer.Close()
-		_ = s.Close()
-	}
-}
