relayer: the tests of broken answers wait longer on a busy machine

Their uploads of 6 MiB had the 2 s of the harness's routes. Nothing in them depends on a time, so that a longer one loses nothing: a broken answer that is waited for fails them as before.

--- a/internal/entry/relayer/answer_test.go
+++ b/internal/entry/relayer/answer_test.go
@@ -8,10 +8,12 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
+	"github.com/amaranthcart/amaranthcart/internal/config/validator"
 	"github.com/amaranthcart/amaranthcart/internal/entry/forwarder"
 	"github.com/amaranthcart/amaranthcart/internal/policy/scheduler"
 	"github.com/amaranthcart/amaranthcart/internal/stub/breaker"
@@ -133,6 +135,19 @@
 	})
 }
 
+// longTimeout is a time that no answer of these tests takes on a busy machine.
+const longTimeout = 30 * time.Second
+
+// lengthenTimeouts makes the routes and their silence bounds last for longTimeout.
+func (r *harness) lengthenTimeouts() {
+	d := document()
+	d.Classes[0].Total = validator.Duration(longTimeout)
+	for i := range d.Routes {
+		d.Routes[i].Timeout = validator.Duration(longTimeout)
+	}
+	r.index.Store(validator.Compile(d))
+}
+
 // serve adds an upstream with these answers.
 func (r *harness) serve(a authority, secure bool, answers ...breaker.Answer) *breaker.Server {
 	r.t.Helper()
@@ -169,6 +184,7 @@
 // upstream answers soundly. It returns what the caller got and the second upstream.
 func (r *harness) exchange(a authority, w way, h breaker.Head, f form) (reply, *breaker.Server) {
 	r.t.Helper()
+	r.lengthenTimeouts()
 	if w.secure {
 		r.secure(a)
 	}
@@ -270,6 +286,7 @@
 				t.Run(fmt.Sprint(path, " ", f.name, " alert ", end == breaker.Close), func(t *testing.T) {
 					t.Parallel()
 					r := newHarness(t)
+					r.lengthenTimeouts()
 					r.secure(a)
 					r.serve(a, true, breaker.Answer{Bytes: breaker.Head{}.Answer(ownLines("id-1")+f.lines, f.body), End: end})
 					got := r.ask(http.MethodPost, path, "id-1", "a request")
--- a/internal/entry/relayer/upload_test.go
+++ b/internal/entry/relayer/upload_test.go
@@ -54,6 +54,7 @@
 	t.Helper()
 	r := newHarness(t)
 	defer func() { _ = r.relayer.Close() }()
+	r.lengthenTimeouts()
 	if w.secure {
 		r.secure(a)
 	}
