verifier: an answer that arrived before its request is a fault of its connection

Bytes behind an answer may be read before the next request gets the connection. Their head named another request before, so that the request went on at the same upstream; the verifier made a broken answer of them, after which that upstream is avoided. Their rest, read later, was even taken for a broken head.

Change: ErrEarly, by the first byte of an answer that was there before the request. On routes it counts as the answer to another request, and for generations as a connection that was closed while idle.

TestAnswerBeforeItsRequest of the verifier plays it in whole and in parts.

--- a/internal/entry/forwarder/candidate.go
+++ b/internal/entry/forwarder/candidate.go
@@ -285,10 +285,10 @@
 }
 
 // closedWhileIdle reports whether the upstream had closed the idle connection before
-// the request was sent on it, which tells nothing about the upstream. The transport's
-// error for this case is not exported.
+// the request was sent on it, or had sent something on it, which tells nothing about the
+// upstream. The transport's error for the first case is not exported.
 func (c *candidate) closedWhileIdle(err error) bool {
-	return c.reused.Load() && strings.Contains(err.Error(), "server closed idle connection")
+	return errors.Is(err, verifier.ErrEarly) || c.reused.Load() && strings.Contains(err.Error(), "server closed idle connection")
 }
 
 // endError returns errNoEnd for the end of a stream without its end marker, and other
--- a/internal/entry/forwarder/plain.go
+++ b/internal/entry/forwarder/plain.go
@@ -222,7 +222,7 @@
 		return scheduler.Abandoned
 	case !t.sent.Load():
 		return unsentOutcome(err)
-	case errors.Is(err, errBadAnswer), errors.Is(err, verifier.ErrBroken), errors.As(err, &status):
+	case errors.Is(err, errBadAnswer), errors.Is(err, verifier.ErrBroken), errors.Is(err, verifier.ErrEarly), errors.As(err, &status):
 		return scheduler.Failed
 	}
 	return scheduler.Crashed
--- a/internal/entry/relayer/attempt.go
+++ b/internal/entry/relayer/attempt.go
@@ -290,6 +290,10 @@
 	if cause := context.Cause(ctx); cause != nil {
 		err = cause
 	}
+	if errors.Is(err, verifier.ErrEarly) {
+		a.call.relayer.options.Sender.Discard(&a.send)
+		return failed{cause: fmt.Errorf("%w: %w", errForeignAnswer, err)}
+	}
 	return failed{cause: err}
 }
 
--- a/internal/rpc/verifier/conn.go
+++ b/internal/rpc/verifier/conn.go
@@ -14,9 +14,6 @@
 	"time"
 )
 
-// errEarly is the error of an answer that came before its request.
-var errEarly = fmt.Errorf("%w: it came before its request", ErrBroken)
-
 // errUnended is the error of a body that ends with its connection where that has broken
 // off.
 var errUnended = fmt.Errorf("the answer has no length and its connection broke off: %w", io.ErrUnexpectedEOF)
@@ -26,9 +23,12 @@
 type Conn struct {
 	net.Conn
 
-	// mu guards head and broken.
+	// mu guards the fields from head to broken.
 	mu   sync.Mutex
 	head head
+	// received is set once bytes have arrived after Expect, and early if an answer began
+	// before that.
+	received, early bool
 	// broken is the first fault of an answer.
 	broken error
 
@@ -72,11 +72,19 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.head.begin()
+	c.received, c.early = false, false
+}
+
+// begun notes that the reader has the first byte of an answer.
+func (c *Conn) begun() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.early = c.early || !c.received
 }
 
 // Read implements net.Conn. It ends with an error behind the first fault of a head.
 func (c *Conn) Read(p []byte) (int, error) {
-	if _, fault := c.state(); fault != nil {
+	if fault := c.fault(); fault != nil {
 		return 0, fault
 	}
 	n, err := c.Conn.Read(p)
@@ -88,6 +96,7 @@
 	// The bytes up to the fault are returned, as net/http takes an error in place of the
 	// first byte for a connection that was closed before the answer, and may repeat the
 	// request.
+	c.received = c.received || n > 0
 	checked, broken := c.head.check(p[:n])
 	if broken != nil {
 		c.broken = broken
@@ -96,12 +105,24 @@
 	return n, err
 }
 
-// state returns whether the head of the final answer has arrived, and the first fault of an
-// answer.
-func (c *Conn) state() (arrived bool, fault error) {
+// fault returns the first fault of an answer, or nil.
+func (c *Conn) fault() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.broken
+}
+
+// verdict returns the error of an answer for what reading its head has returned, or nil.
+func (c *Conn) verdict(err error) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.head.phase == ended, c.broken
+	switch {
+	case c.early, err == nil && c.head.phase != ended:
+		return ErrEarly
+	case err != nil && c.broken != nil:
+		return c.broken
+	}
+	return err
 }
 
 // Write implements net.Conn. A write that fails returns once nothing more can be read: a
@@ -128,20 +149,16 @@
 }
 
 // Verify takes the result of reading the head of an answer. It returns the fault of the
-// answer in place of the error that net/http makes of it. The head must have arrived after
-// Expect; otherwise Verify closes the connection and returns an error. The body is
+// answer in place of the error that net/http makes of it, and ErrEarly for a head that did
+// not arrive after Expect; in case of an error it closes the connection. The body is
 // replaced where its end has to be checked.
 func (c *Conn) Verify(response *http.Response, err error) (*http.Response, error) {
-	arrived, fault := c.state()
-	switch {
-	case err != nil && fault != nil:
-		return nil, fault
-	case err != nil:
-		return nil, err
-	case !arrived:
+	if failed := c.verdict(err); failed != nil {
 		c.Abort()
-		_ = response.Body.Close()
-		return nil, errEarly
+		if response != nil {
+			_ = response.Body.Close()
+		}
+		return nil, failed
 	}
 	if isUnframed(response) {
 		response.Body = unframed{response.Body, c}
--- a/internal/rpc/verifier/verifier.go
+++ b/internal/rpc/verifier/verifier.go
@@ -28,11 +28,16 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync/atomic"
 )
 
 // ErrBroken is wrapped by the errors of answers that break the protocol.
 var ErrBroken = errors.New("the answer breaks HTTP/1.1")
 
+// ErrEarly is wrapped by the errors of answers that arrived before their requests, such as a
+// second copy of the answer before. They tell nothing about the upstream's answer.
+var ErrEarly = errors.New("the answer arrived before its request")
+
 // errNoTLS is returned for https addresses by a transport that has no function for them.
 var errNoTLS = errors.New("https addresses need a DialTLSContext")
 
@@ -69,12 +74,18 @@
 
 // RoundTrip sends a request and checks the answer.
 func (t *Transport) RoundTrip(q *http.Request) (*http.Response, error) {
-	var c *Conn
-	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
-		c = i.Conn.(*Conn)
-		c.Expect()
-	}}
+	// net/http may send the request again on another connection.
+	var last atomic.Pointer[Conn]
+	trace := &httptrace.ClientTrace{
+		GotConn: func(i httptrace.GotConnInfo) {
+			c := i.Conn.(*Conn)
+			c.Expect()
+			last.Store(c)
+		},
+		GotFirstResponseByte: func() { last.Load().begun() },
+	}
 	response, err := t.Transport.RoundTrip(q.WithContext(httptrace.WithClientTrace(q.Context(), trace)))
+	c := last.Load()
 	if c == nil {
 		return nil, err
 	}
--- a/internal/rpc/verifier/verifier_test.go
+++ b/internal/rpc/verifier/verifier_test.go
@@ -80,19 +80,29 @@
 }
 
 // TestAnswerBeforeItsRequest guards against bytes that arrived before a request and are
-// taken for its answer.
+// taken for its answer, or for a broken one when their rest arrives later.
 func TestAnswerBeforeItsRequest(t *testing.T) {
 	sound := breaker.Head{}.Answer("Content-Length: 4\r\n", "sold")
-	c := Wrap(received{reader: strings.NewReader(sound + sound)})
-	b := bufio.NewReader(c)
-	c.Expect()
-	response, err := c.Verify(http.ReadResponse(b, nil))
-	assert.NilError(t, err)
-	_, err = io.ReadAll(response.Body)
-	assert.NilError(t, err)
-	c.Expect()
-	_, err = c.Verify(http.ReadResponse(b, nil))
-	assert.Assert(t, errors.Is(err, ErrBroken), "%v", err)
+	for name, first := range map[string]int{"whole": 2 * len(sound), "half a head": len(sound) + 20, "one byte": len(sound) + 1} {
+		t.Run(name, func(t *testing.T) {
+			text := sound + sound + sound
+			c := Wrap(received{reader: io.MultiReader(strings.NewReader(text[:first]), strings.NewReader(text[first:]))})
+			b := bufio.NewReader(c)
+			read := func() (*http.Response, error) {
+				c.Expect()
+				_, err := b.Peek(1)
+				assert.NilError(t, err)
+				c.begun()
+				return c.Verify(http.ReadResponse(b, nil))
+			}
+			response, err := read()
+			assert.NilError(t, err)
+			_, err = io.ReadAll(response.Body)
+			assert.NilError(t, err)
+			_, err = read()
+			assert.Assert(t, errors.Is(err, ErrEarly), "%v", err)
+		})
+	}
 }
 
 // TestHTTPSWithoutHandshake guards against checking the bytes of TLS as an answer.
