review/11: the check is Starved

A cut answer may or may not count as none under LOST; that none of the large answers comes whole breaks Starved as written. Command: review/build-3.sh, then review/11/run.sh.

--- a/review/standin3/paused.go
+++ b/review/standin3/paused.go
@@ -121,7 +121,18 @@
 	list, check := tallies["/list/"], tallies["/check/"]
 	d.record.say("large answers: %d asked, %d came whole; small ones: %d asked, %d came whole", list.asked, list.served, check.asked, check.served)
 	d.record.say("%d kept channels were closed before the end of an answer that the server had sent whole (allowed %d)", cut, allowedCuts)
-	return outcome{broken: cut > allowedCuts, summary: fmt.Sprintf("cut=%d", cut)}, nil
+	starved := starves(*list, *check)
+	d.record.say("large answers came whole less than a quarter as often as all: %v", starved)
+	return outcome{broken: starved, summary: fmt.Sprintf("cut=%d starved=%v", cut, starved)}, nil
+}
+
+// starves reports whether a kind of request is served less than a quarter as often as all.
+func starves(kind, others tally) bool {
+	if kind.asked == 0 {
+		return false
+	}
+	all := float64(kind.served+others.served) / float64(kind.asked+others.asked)
+	return float64(kind.served)/float64(kind.asked) < all/4
 }
 
 // readPaused reads an answer, with a pause behind the first bytes of a large one unless the
